Serve requests from caller to server through granted slots

Cause: there was no code; the whole path had to stand, thin, before its parts could be built side by side.

Change: a workspace of small crates with the reducer, sealed datagrams, checked settings, the router daemon, stand-ins and the load tool. A request is queued at an entry, granted a slot by the server's dispatcher and sent to the server; its answer is checked by the caller.

Conclusion: the event and effect types carry the whole path.

--- /dev/null
+++ b/crates/core/src/params.rs
@@ -0,0 +1,101 @@
+//! Parameters of the reducer's policies, with their defaults.
+
+use std::time::Duration;
+
+use hibiscusrail_macros::record;
+
+/// How free slots are shared among waiting workspaces.
+#[hibiscusrail_macros::id]
+pub enum Policy {
+    /// The workspace with the least normalised service across the fleet.
+    FleetFair,
+    /// The workspace with the least normalised service at this dispatcher.
+    LocalFair,
+    /// The oldest request first.
+    Fifo,
+}
+
+/// Parameters of a router's policies.
+#[record]
+pub struct Params {
+    /// Who receives a free slot.
+    pub policy: Policy,
+    /// How long after the demand was sent an entry may still use a grant.
+    pub grant_life: Duration,
+    /// Period of the exchange of service totals, demand refresh and usage reports.
+    pub period: Duration,
+    /// Least time between two demand updates to one dispatcher.
+    pub demand_delay: Duration,
+    /// How long a dispatcher that reported no room is not asked for one slot.
+    pub full_memory: Duration,
+    /// Cost of a request before any has been measured, in cost units.
+    pub first_cost: f64,
+    /// Time without a byte after which a stream counts as silent.
+    pub progress_timeout: Duration,
+    /// Time from sending a request to the first byte of its answer at most.
+    pub first_timeout: Duration,
+    /// Attempts for one idempotent request at most.
+    pub max_attempts: u32,
+    /// Tokens of the retry budget that a workspace starts with and can hold.
+    pub retry_burst: f64,
+}
+
+impl Default for Params {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Params {
+    /// Returns the defaults.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            policy: Policy::FleetFair,
+            grant_life: Duration::from_millis(1_000),
+            period: Duration::from_millis(1_000),
+            demand_delay: Duration::from_millis(100),
+            full_memory: Duration::from_millis(500),
+            first_cost: 100.0,
+            progress_timeout: Duration::from_secs(5),
+            first_timeout: Duration::from_secs(20),
+            max_attempts: 4,
+            retry_burst: 10.0,
+        }
+    }
+
+    /// Sets the policy that shares free slots.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Sets the lifetime of a grant.
+    #[must_use]
+    pub fn with_grant_life(mut self, life: Duration) -> Self {
+        self.grant_life = life;
+        self
+    }
+
+    /// Sets the exchange period.
+    #[must_use]
+    pub fn with_period(mut self, period: Duration) -> Self {
+        self.period = period;
+        self
+    }
+
+    /// Sets the time without a byte after which a stream counts as silent.
+    #[must_use]
+    pub fn with_progress_timeout(mut self, timeout: Duration) -> Self {
+        self.progress_timeout = timeout;
+        self
+    }
+
+    /// Sets the time to the first byte of an answer at most.
+    #[must_use]
+    pub fn with_first_timeout(mut self, timeout: Duration) -> Self {
+        self.first_timeout = timeout;
+        self
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! `hibiscusrail-ctl`: the operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,5 @@
+//! The platform's table service: its JSON protocol and the keys used in it.
+
+pub mod keys;
+pub mod object;
+pub mod table;
--- /dev/null
+++ b/crates/platform/src/object.rs
@@ -0,0 +1,189 @@
+//! Configuration objects as rows of the table.
+
+use hibiscusrail_core::configuration::{
+    Admission, Object, Server, Service, ServiceKind, Version, Workspace, Zone,
+};
+use hibiscusrail_core::{ServiceId, ZoneId};
+use hibiscusrail_macros::record;
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use crate::keys;
+use crate::table::Row;
+
+/// An object with the number of its last ticket.
+#[record]
+#[derive(Serialize, Deserialize)]
+pub struct VersionedRow {
+    /// Number of the ticket.
+    pub version: u64,
+    /// The object.
+    pub object: ObjectRow,
+}
+
+/// A configuration object as JSON.
+#[record]
+#[derive(Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum ObjectRow {
+    /// A workspace.
+    Workspace {
+        /// Name.
+        name: String,
+        /// Weight of its portion.
+        share: f64,
+        /// SHA-256 of its key in hexadecimal.
+        key_hash: String,
+        /// Requests that may wait at one router, per service.
+        queue_limit: u32,
+        /// Retries per request, as a fraction.
+        retry_fraction: f64,
+    },
+    /// A service.
+    Service {
+        /// Name.
+        name: String,
+        /// Whether model engines stand behind it.
+        model: bool,
+        /// Cost units per prompt token or request.
+        prompt_weight: f64,
+        /// Cost units per generated token or second.
+        output_weight: f64,
+    },
+    /// A backend server.
+    Server {
+        /// Name.
+        name: String,
+        /// Service.
+        service: String,
+        /// Zone.
+        zone: String,
+        /// Address.
+        address: std::net::SocketAddr,
+        /// Requests borne when cold.
+        cold_limit: u32,
+        /// Requests borne when warm.
+        max_limit: u32,
+        /// Whether it takes new work.
+        open: bool,
+    },
+    /// An availability zone.
+    Zone {
+        /// Name.
+        name: String,
+        /// Whether its servers take new work.
+        open: bool,
+    },
+}
+
+/// Why a row is no configuration object.
+#[derive(Debug, Snafu)]
+pub enum ObjectError {
+    /// The JSON does not fit.
+    #[snafu(display("row {key} is malformed: {source}"))]
+    Json {
+        /// Key of the row.
+        key: String,
+        /// What is wrong.
+        source: serde_json::Error,
+    },
+    /// The key hash is not 32 bytes in hexadecimal.
+    #[snafu(display("row {key}: key_hash is not 64 hexadecimal digits"))]
+    Hash {
+        /// Key of the row.
+        key: String,
+    },
+}
+
+fn admission(open: bool) -> Admission {
+    if open {
+        Admission::Open
+    } else {
+        Admission::Closed
+    }
+}
+
+impl ObjectRow {
+    /// Returns the key of the object's row.
+    #[must_use]
+    pub fn key(&self) -> String {
+        match self {
+            Self::Workspace { name, .. } => keys::config("workspace", name),
+            Self::Service { name, .. } => keys::config("service", name),
+            Self::Server { name, .. } => keys::config("server", name),
+            Self::Zone { name, .. } => keys::config("zone", name),
+        }
+    }
+
+    /// Turns the row into the reducer's object; none when a hash is malformed.
+    #[must_use]
+    pub fn into_object(self) -> Option<Object> {
+        Some(match self {
+            Self::Workspace {
+                name,
+                share,
+                key_hash,
+                queue_limit,
+                retry_fraction,
+            } => Object::Workspace(Workspace {
+                name,
+                share,
+                key_hash: hex::decode(key_hash).ok()?.try_into().ok()?,
+                queue_limit,
+                retry_fraction,
+            }),
+            Self::Service {
+                name,
+                model,
+                prompt_weight,
+                output_weight,
+            } => Object::Service(Service {
+                name,
+                kind: if model {
+                    ServiceKind::Model
+                } else {
+                    ServiceKind::Plain
+                },
+                prompt_weight,
+                output_weight,
+            }),
+            Self::Server {
+                name,
+                service,
+                zone,
+                address,
+                cold_limit,
+                max_limit,
+                open,
+            } => Object::Server(Server {
+                name,
+                service: ServiceId::new(&service),
+                zone: ZoneId::new(&zone),
+                address,
+                cold_limit,
+                max_limit,
+                admission: admission(open),
+            }),
+            Self::Zone { name, open } => Object::Zone(Zone {
+                name,
+                admission: admission(open),
+            }),
+        })
+    }
+}
+
+/// Reads a configuration object from its row.
+///
+/// # Errors
+///
+/// Fails when the row is malformed.
+pub fn from_row(row: &Row) -> Result<(Version, Object), ObjectError> {
+    let key = row.key.clone();
+    let versioned: VersionedRow =
+        serde_json::from_value(row.value.clone()).context(JsonSnafu { key: &key })?;
+    let object = versioned
+        .object
+        .into_object()
+        .ok_or(ObjectError::Hash { key })?;
+    Ok((Version(versioned.version), object))
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,15 @@
+//! The router daemon: one compio loop on one thread around the reducer.
+//!
+//! [`shell`] turns what happens on sockets into the reducer's events and
+//! carries out its effects; [`caller`] serves callers, [`upstream`] talks to
+//! backend servers, [`peers`] exchanges datagrams with other routers and
+//! [`platform`] reads the platform's table.
+
+pub mod caller;
+pub mod peers;
+pub mod platform;
+pub mod refusal;
+pub mod shell;
+pub mod sse;
+pub mod start;
+pub mod upstream;
--- /dev/null
+++ b/crates/settings/src/value.rs
@@ -0,0 +1,72 @@
+//! Values of settings: how each type is written, and what is allowed.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// A type that a setting can have.
+pub trait Value: Sized {
+    /// What is allowed, for error messages.
+    const ALLOWED: &'static str;
+
+    /// Reads the value; none when the text is not allowed.
+    fn parse(text: &str) -> Option<Self>;
+}
+
+impl Value for String {
+    const ALLOWED: &'static str = "a text that is not empty";
+
+    fn parse(text: &str) -> Option<Self> {
+        (!text.is_empty()).then(|| text.to_owned())
+    }
+}
+
+impl Value for SocketAddr {
+    const ALLOWED: &'static str = "an IP number and a port, like 127.0.0.1:8080";
+
+    fn parse(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
+impl Value for PathBuf {
+    const ALLOWED: &'static str = "the path of a file";
+
+    fn parse(text: &str) -> Option<Self> {
+        (!text.is_empty()).then(|| text.into())
+    }
+}
+
+impl Value for Duration {
+    const ALLOWED: &'static str = "a time above zero with its unit, like 500ms, 10s or 2m";
+
+    fn parse(text: &str) -> Option<Self> {
+        let duration = humantime::parse_duration(text).ok()?;
+        (!duration.is_zero()).then_some(duration)
+    }
+}
+
+impl Value for u32 {
+    const ALLOWED: &'static str = "a whole number from 1 to 4294967295";
+
+    fn parse(text: &str) -> Option<Self> {
+        text.parse().ok().filter(|n| *n > 0)
+    }
+}
+
+/// A size in bytes.
+#[hibiscusrail_macros::id]
+pub struct Size(pub usize);
+
+impl Value for Size {
+    const ALLOWED: &'static str = "a size with its unit, like 64B, 16KiB or 4MiB";
+
+    fn parse(text: &str) -> Option<Self> {
+        const UNITS: [(&str, usize); 3] = [("KiB", 1 << 10), ("MiB", 1 << 20), ("B", 1)];
+        let (digits, factor) = UNITS
+            .iter()
+            .find_map(|(unit, factor)| Some((text.strip_suffix(unit)?, factor)))?;
+        let count: usize = digits.trim().parse().ok()?;
+        count.checked_mul(*factor).filter(|n| *n > 0).map(Self)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/convert.rs
@@ -0,0 +1,272 @@
+//! Conversion between the reducer's messages and the generated types.
+
+use std::time::Duration;
+
+use hibiscusrail_core::message::{
+    Charges, Demand, FlowDemand, FlowTotal, Grant, GrantEnd, Held, Recovered, Release, Totals,
+    Usage,
+};
+use hibiscusrail_core::{
+    Flow, GrantId, GrantRef, Incarnation, Message, RouterId, ServerId, ServiceId, WorkspaceId,
+};
+use hibiscusrail_macros::record;
+use prost::Message as _;
+
+use crate::generated as pb;
+use crate::generated::envelope::Body;
+
+/// A message with its sender, receiver and number.
+#[record]
+pub struct Letter {
+    /// Who sent it.
+    pub from: RouterId,
+    /// The sender's run.
+    pub incarnation: Incarnation,
+    /// Number within that run.
+    pub seq: u64,
+    /// Who is to receive it.
+    pub to: RouterId,
+    /// The message.
+    pub message: Message,
+}
+
+/// Encodes a letter as an envelope.
+#[must_use]
+pub fn encode(letter: &Letter) -> Vec<u8> {
+    pb::Envelope {
+        from: letter.from.0,
+        incarnation: letter.incarnation.0,
+        seq: letter.seq,
+        to: letter.to.0,
+        body: Some(body_out(&letter.message)),
+    }
+    .encode_to_vec()
+}
+
+/// Decodes an envelope; none when any part is malformed or missing.
+#[must_use]
+pub fn decode(bytes: &[u8]) -> Option<Letter> {
+    let envelope = pb::Envelope::decode(bytes).ok()?;
+    Some(Letter {
+        from: RouterId(envelope.from),
+        incarnation: Incarnation(envelope.incarnation),
+        seq: envelope.seq,
+        to: RouterId(envelope.to),
+        message: body_in(envelope.body?)?,
+    })
+}
+
+fn body_out(message: &Message) -> Body {
+    match message {
+        Message::Demand(m) => Body::Demand(demand_out(m)),
+        Message::Grant(m) => Body::Grant(grant_out(m)),
+        Message::Full(service) => Body::Full(service.0),
+        Message::Room(service) => Body::Room(service.0),
+        Message::Release(m) => Body::Release(release_out(m)),
+        Message::Usage(m) => Body::Usage(pb::Usage {
+            sent_us: micros(m.sent),
+            held: m.held.iter().map(held_out).collect(),
+        }),
+        Message::Charges(m) => Body::Charges(pb::Charges {
+            seq: m.seq,
+            flows: m.flows.iter().map(total_out).collect(),
+        }),
+        Message::Totals(m) => Body::Totals(pb::Totals {
+            seq: m.seq,
+            flows: m.flows.iter().map(total_out).collect(),
+        }),
+        Message::Recover(server) => Body::Recover(server.0),
+        Message::Recovered(m) => Body::Recovered(pb::Recovered {
+            server: m.server.0,
+            dispatcher: m.dispatcher.map(|r| r.0),
+            limit: m.limit,
+            held: m.held.iter().map(held_out).collect(),
+        }),
+    }
+}
+
+fn body_in(body: Body) -> Option<Message> {
+    Some(match body {
+        Body::Demand(m) => Message::Demand(demand_in(&m)?),
+        Body::Grant(m) => Message::Grant(grant_in(&m)?),
+        Body::Full(service) => Message::Full(ServiceId(service)),
+        Body::Room(service) => Message::Room(ServiceId(service)),
+        Body::Release(m) => Message::Release(release_in(&m)?),
+        Body::Usage(m) => Message::Usage(Usage {
+            sent: Duration::from_micros(m.sent_us),
+            held: all(&m.held, held_in)?,
+        }),
+        Body::Charges(m) => Message::Charges(Charges {
+            seq: m.seq,
+            flows: all(&m.flows, total_in)?,
+        }),
+        Body::Totals(m) => Message::Totals(Totals {
+            seq: m.seq,
+            flows: all(&m.flows, total_in)?,
+        }),
+        Body::Recover(server) => Message::Recover(ServerId(server)),
+        Body::Recovered(m) => Message::Recovered(Recovered {
+            server: ServerId(m.server),
+            dispatcher: m.dispatcher.map(RouterId),
+            limit: m.limit,
+            held: all(&m.held, held_in)?,
+        }),
+    })
+}
+
+/// Converts every item; none when one fails.
+fn all<A, B>(items: &[A], convert: impl Fn(&A) -> Option<B>) -> Option<Vec<B>> {
+    items.iter().map(convert).collect()
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Accepts finite costs only.
+fn cost_in(cost: f64) -> Option<f64> {
+    cost.is_finite().then_some(cost)
+}
+
+/// Rounds a cost to what the wire carries.
+#[allow(clippy::cast_possible_truncation)]
+fn cost_out(cost: f64) -> f32 {
+    cost as f32
+}
+
+fn flow_out(flow: Flow) -> Option<pb::Flow> {
+    Some(pb::Flow {
+        service: flow.service.0,
+        workspace: flow.workspace.0,
+    })
+}
+
+fn flow_in(flow: Option<pb::Flow>) -> Option<Flow> {
+    let flow = flow?;
+    Some(Flow {
+        service: ServiceId(flow.service),
+        workspace: WorkspaceId(flow.workspace),
+    })
+}
+
+fn demand_out(m: &Demand) -> pb::Demand {
+    let flows = m.flows.iter().map(|f| pb::FlowDemand {
+        flow: flow_out(f.flow),
+        waiting: f.waiting,
+        oldest_ms: u64::try_from(f.oldest.as_millis()).unwrap_or(u64::MAX),
+    });
+    pb::Demand {
+        seq: m.seq,
+        sent_us: micros(m.sent),
+        ask: m.ask,
+        prefer: m.prefer.map(|s| s.0),
+        flows: flows.collect(),
+    }
+}
+
+fn demand_in(m: &pb::Demand) -> Option<Demand> {
+    let flows = all(&m.flows, |f| {
+        Some(FlowDemand {
+            flow: flow_in(f.flow)?,
+            waiting: f.waiting,
+            oldest: Duration::from_millis(f.oldest_ms),
+        })
+    })?;
+    Some(Demand {
+        seq: m.seq,
+        sent: Duration::from_micros(m.sent_us),
+        ask: m.ask,
+        prefer: m.prefer.map(ServerId),
+        flows,
+    })
+}
+
+fn grant_out(m: &Grant) -> pb::Grant {
+    pb::Grant {
+        id: m.id.0,
+        server: m.server.0,
+        flow: flow_out(m.flow),
+        echo_us: micros(m.echo),
+        limit: m.limit,
+    }
+}
+
+fn grant_in(m: &pb::Grant) -> Option<Grant> {
+    Some(Grant {
+        id: GrantId(m.id),
+        server: ServerId(m.server),
+        flow: flow_in(m.flow)?,
+        echo: Duration::from_micros(m.echo_us),
+        limit: m.limit,
+    })
+}
+
+fn held_out(m: &Held) -> pb::Held {
+    pb::Held {
+        dispatcher: m.grant.dispatcher.0,
+        incarnation: m.grant.incarnation.0,
+        grant: m.grant.grant.0,
+        server: m.server.0,
+        flow: flow_out(m.flow),
+        cost: cost_out(m.cost),
+    }
+}
+
+fn held_in(m: &pb::Held) -> Option<Held> {
+    Some(Held {
+        grant: GrantRef {
+            dispatcher: RouterId(m.dispatcher),
+            incarnation: Incarnation(m.incarnation),
+            grant: GrantId(m.grant),
+        },
+        server: ServerId(m.server),
+        flow: flow_in(m.flow)?,
+        cost: cost_in(f64::from(m.cost))?,
+    })
+}
+
+fn release_out(m: &Release) -> pb::Release {
+    let end = match m.end {
+        GrantEnd::Unused => pb::GrantEnd::Unused,
+        GrantEnd::Done => pb::GrantEnd::Done,
+        GrantEnd::Overload => pb::GrantEnd::Overload,
+        GrantEnd::Failed => pb::GrantEnd::Failed,
+    };
+    pb::Release {
+        grant: m.grant.0,
+        incarnation: m.incarnation.0,
+        end: end.into(),
+        cost: cost_out(m.cost),
+        first_byte_us: m.first_byte.map(micros),
+    }
+}
+
+fn release_in(m: &pb::Release) -> Option<Release> {
+    let end = match pb::GrantEnd::try_from(m.end).ok()? {
+        pb::GrantEnd::Unused => GrantEnd::Unused,
+        pb::GrantEnd::Done => GrantEnd::Done,
+        pb::GrantEnd::Overload => GrantEnd::Overload,
+        pb::GrantEnd::Failed => GrantEnd::Failed,
+    };
+    Some(Release {
+        grant: GrantId(m.grant),
+        incarnation: Incarnation(m.incarnation),
+        end,
+        cost: cost_in(f64::from(m.cost))?,
+        first_byte: m.first_byte_us.map(Duration::from_micros),
+    })
+}
+
+fn total_out(m: &FlowTotal) -> pb::FlowTotal {
+    pb::FlowTotal {
+        flow: flow_out(m.flow),
+        cost: m.cost,
+    }
+}
+
+fn total_in(m: &pb::FlowTotal) -> Option<FlowTotal> {
+    Some(FlowTotal {
+        flow: flow_in(m.flow)?,
+        cost: cost_in(m.cost)?,
+    })
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,11 @@
+//! Coordination parts of a router fleet that shares model capacity among many
+//! workspaces.
+//!
+//! This crate re-exports the parts that others embed: the reducer with all
+//! decisions ([`core`]), the messages between routers ([`wire`]), the
+//! platform's table ([`platform`]) and checked settings ([`settings`]).
+
+pub use hibiscusrail_core as core;
+pub use hibiscusrail_platform as platform;
+pub use hibiscusrail_settings as settings;
+pub use hibiscusrail_wire as wire;
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the whole path, in one program with a module for each topic.
+
+mod path;
+mod support;
--- /dev/null
+++ b/tests/all/support.rs
@@ -0,0 +1,148 @@
+//! A small deployment on one loop, for tests of the whole path.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hibiscusrail_load::client::{Ask, Received, Sending, send};
+use hibiscusrail_load::deployment::Deployment;
+use hibiscusrail_load::fleet;
+use hibiscusrail_net::server::Handler;
+use hibiscusrail_net::{Limits, bind, serve};
+use hibiscusrail_router::shell::Shell;
+use hibiscusrail_router::start;
+use hibiscusrail_settings::RouterSettings;
+use hibiscusrail_standin::engine::{Engine, EngineSpec};
+use hibiscusrail_standin::http_util::handler;
+use hibiscusrail_standin::plain::Plain;
+use hibiscusrail_standin::platform::Platform;
+
+/// Pause between two looks at something that is to happen.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+/// Looks before a test gives up.
+const LOOKS: u32 = 3_000;
+
+/// Everything of a deployment, on the test's own loop.
+pub struct Stage {
+    /// What it consists of.
+    pub deployment: Deployment,
+    /// The platform.
+    #[expect(dead_code, reason = "for tests of platform outages")]
+    pub platform: Rc<Platform>,
+    /// The engines, in the order of the deployment.
+    pub engines: Vec<Rc<Engine>>,
+    /// The plain services, in the order of the deployment.
+    pub plains: Vec<Rc<Plain>>,
+    /// The routers, in the order of the deployment.
+    pub routers: Vec<Rc<Shell>>,
+}
+
+fn listen(address: std::net::SocketAddr, handler: Handler) {
+    let listener = bind(address).expect("the loopback address is free");
+    compio::runtime::spawn(serve(listener, Limits::new(), handler)).detach();
+}
+
+impl Stage {
+    /// Starts a small deployment and waits until its routers are ready.
+    pub async fn new() -> Self {
+        let deployment = Deployment::small();
+        let platform = Rc::new(Platform::default());
+        listen(deployment.platform, handler(&platform));
+        let mut stage = Self {
+            deployment,
+            platform,
+            engines: Vec::new(),
+            plains: Vec::new(),
+            routers: Vec::new(),
+        };
+        stage.start_servers();
+        fleet::seed(&stage.deployment)
+            .await
+            .expect("the seed is accepted");
+        stage.start_routers();
+        for shell in &stage.routers {
+            until(|| shell.with_router(|r| r.readiness().is_ok())).await;
+        }
+        stage
+    }
+
+    fn start_servers(&mut self) {
+        for server in &self.deployment.servers {
+            if server.model {
+                let spec =
+                    EngineSpec::new(server.cold, server.warm).with_step(Duration::from_millis(2));
+                let engine = Rc::new(Engine::new(spec));
+                compio::runtime::spawn(Rc::clone(&engine).generate()).detach();
+                listen(server.address, handler(&engine));
+                self.engines.push(engine);
+            } else {
+                let plain = Rc::new(Plain::new(Duration::from_millis(1), server.warm));
+                listen(server.address, handler(&plain));
+                self.plains.push(plain);
+            }
+        }
+    }
+
+    fn start_routers(&mut self) {
+        for router in &self.deployment.routers {
+            let text = fleet::settings(&self.deployment, router, Path::new("/nowhere"));
+            let settings = RouterSettings::parse(&router.name, &text).expect("valid settings");
+            let shell = start::start(settings, b"secret").expect("the router starts");
+            self.routers.push(shell);
+        }
+    }
+
+    /// Returns a request of the first workspace at router `index`.
+    pub fn sending(&self, index: usize, id: &str, ask: Ask) -> Sending {
+        let workspace = &self.deployment.workspaces[0];
+        Sending {
+            router: self.deployment.routers[index].listen,
+            id: id.to_owned(),
+            workspace: workspace.name.clone(),
+            key: workspace.key(),
+            ask,
+            idempotency: None,
+            deadline: Duration::from_secs(20),
+        }
+    }
+
+    /// Returns a draft of `tokens` tokens.
+    pub fn draft(&self, text: &str, tokens: u64, stream: bool) -> Ask {
+        Ask::Draft {
+            service: self.deployment.model.clone(),
+            prompt: hibiscusrail_standin::text::prompt(text, tokens),
+            stream,
+        }
+    }
+
+    /// Returns a plain call.
+    pub fn plain(&self, method: http::Method, path: &str) -> Ask {
+        Ask::Plain {
+            method,
+            path: format!("/{}/{path}", self.deployment.plain),
+        }
+    }
+
+    /// Sends a request to router `index`.
+    pub async fn ask(&self, index: usize, id: &str, ask: Ask) -> Received {
+        send(&self.sending(index, id, ask)).await
+    }
+}
+
+/// Waits until `done` holds.
+pub async fn until(done: impl Fn() -> bool) {
+    for _ in 0..LOOKS {
+        if done() {
+            return;
+        }
+        compio::time::sleep(LOOK_PAUSE).await;
+    }
+    panic!("what the test waits for did not happen");
+}
+
+/// Runs a test on its own loop.
+pub fn run<F: Future<Output = ()>>(test: F) {
+    compio::runtime::Runtime::new()
+        .expect("the loop starts")
+        .block_on(test);
+}
