Let stand-ins fail at run time

Cause: faults of servers and the platform could not be switched, an engine refused politely in place of falling over, and the record of runs was copied whole for every look. Change: every stand-in serves through one host that lets typed, seeded faults strike (POST /faults); engines fall over while cold, process prompts, cache prefixes and lag in their load reports; the platform has limits, retention, stale reads, objects and a lagging host list; runs are paged. Two deployments of one process no longer share a loopback address (a clamped byte made the first two equal for every fourth process id).

--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -108,11 +108,17 @@
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let count = COUNT.fetch_add(1, Ordering::Relaxed);
     let number = std::process::id().wrapping_mul(64).wrapping_add(count);
-    let [_, b, c, d] = number.to_be_bytes();
-    // Neither 127.0.0.1, which callers send from, nor the broadcast address.
-    Ipv4Addr::new(127, b.clamp(1, 254), c, d.clamp(1, 254))
+    // Every number has its own host: none is 127.0.0.1, which callers send
+    // from, or a broadcast address.
+    let [d, rest] = [number % HOST_DIGITS, number / HOST_DIGITS];
+    let [c, b] = [rest % 256, rest / 256 % HOST_DIGITS];
+    let digit = |n: u32| u8::try_from(n).unwrap_or(u8::MAX);
+    Ipv4Addr::new(127, digit(b + 1), digit(c), digit(d + 1))
 }
 
+/// Values of the second and last byte of a deployment's address.
+const HOST_DIGITS: u32 = 254;
+
 impl Deployment {
     /// Returns the Consorcio's deployment: 3 zones, 7 routers, 10 engines, 3 plain servers.
     #[must_use]
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -245,7 +245,7 @@
     let mut connection = hibiscusrail_net::connect(peer, START_TIME).await?;
     let request = http::Request::builder()
         .method(http::Method::POST)
-        .uri("/table/transact")
+        .uri("/seed")
         .header(http::header::HOST, peer.to_string())
         .body(hibiscusrail_net::json(&deployment.seed()))?;
     let answer = connection.send_request(request).await?;
--- a/crates/standin/src/http_util.rs
+++ b/crates/standin/src/http_util.rs
@@ -1,19 +1,15 @@
 //! Small helpers for the stand-ins' HTTP sides.
 
-use std::rc::Rc;
+use std::str::FromStr;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use bytes::Bytes;
-use futures_util::FutureExt;
-use futures_util::future::LocalBoxFuture;
-use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::{Body, full, json};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+pub use crate::host::Whole;
+
 /// Header that carries the request id both ways.
 pub const REQUEST_ID: &str = "x-request-id";
 
@@ -24,35 +20,6 @@
     elapsed.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
 }
 
-/// A request whose body has been read.
-pub type Whole = Request<Bytes>;
-
-/// Answers requests whose bodies have been read.
-pub trait Service: 'static {
-    /// Answers one request; none closes the connection without an answer.
-    fn answer(self: Rc<Self>, request: Whole) -> LocalBoxFuture<'static, Response<Body>>;
-}
-
-/// Returns a handler that reads bodies and asks `service`.
-#[must_use]
-pub fn handler<S: Service>(service: &Rc<S>) -> Handler {
-    let service = Rc::clone(service);
-    Rc::new(move |request: Request<Incoming>| {
-        let service = Rc::clone(&service);
-        async move {
-            let (parts, body) = request.into_parts();
-            match body.collect().await {
-                Ok(body) => {
-                    let whole = Request::from_parts(parts, body.to_bytes());
-                    service.answer(whole).await
-                }
-                Err(_) => status(StatusCode::BAD_REQUEST, "body incomplete"),
-            }
-        }
-        .boxed_local()
-    })
-}
-
 /// Builds an answer with a text body.
 #[must_use]
 pub fn status(status: StatusCode, text: &'static str) -> Response<Body> {
@@ -91,3 +58,11 @@
 pub fn header_text(headers: &HeaderMap, name: &str) -> Option<String> {
     headers.get(name)?.to_str().ok().map(str::to_owned)
 }
+
+/// Returns a value of the query `?name=value&..`; none when it is missing or malformed.
+#[must_use]
+pub fn query<T: FromStr>(request: &Whole, name: &str) -> Option<T> {
+    let pairs = request.uri().query()?.split('&');
+    let mut pairs = pairs.filter_map(|p| p.split_once('='));
+    pairs.find(|(n, _)| *n == name)?.1.parse().ok()
+}
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,16 +1,14 @@
 //! `hibiscusrail-standin`: starts one stand-in.
 
-use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hibiscusrail_net::server::Handler;
-use hibiscusrail_net::{Limits, bind, logs, serve};
-use hibiscusrail_standin::engine::{Engine, EngineSpec};
-use hibiscusrail_standin::http_util::handler;
+use hibiscusrail_net::{bind, logs};
+use hibiscusrail_standin::engine::{Engine, EngineSpec, Overload};
+use hibiscusrail_standin::host::serve;
 use hibiscusrail_standin::plain::Plain;
-use hibiscusrail_standin::platform::Platform;
+use hibiscusrail_standin::platform::{Platform, PlatformSpec};
 
 mod flags {
     #![allow(missing_docs, clippy::all, clippy::pedantic)]
@@ -22,7 +20,12 @@
             /// Address to listen at.
             required --listen address: SocketAddr
             /// The platform's table and host list.
-            cmd platform {}
+            cmd platform {
+                /// Milliseconds of one operation.
+                optional --latency-ms ms: u64
+                /// Milliseconds by which the host list lags.
+                optional --host-lag-ms ms: u64
+            }
             /// A model engine.
             cmd engine {
                 /// Requests borne when cold.
@@ -31,6 +34,14 @@
                 optional --warm count: u32
                 /// Milliseconds of one step.
                 optional --step-ms ms: u64
+                /// Microseconds to process one prompt token.
+                optional --prefill-us us: u64
+                /// Prompt tokens that the prefix cache holds.
+                optional --cache-tokens count: usize
+                /// Milliseconds by which load reports lag.
+                optional --load-lag-ms ms: u64
+                /// Refuse what is too much while cold, in place of falling over.
+                optional --refuse
             }
             /// A plain service.
             cmd plain {
@@ -69,30 +80,42 @@
 fn run(flags: &HibiscusrailStandin) -> Result<(), String> {
     let runtime = compio::runtime::Runtime::new().map_err(|e| format!("event loop: {e}"))?;
     runtime.block_on(async {
-        let handler = make(&flags.subcommand);
-        listen(flags.listen, handler).await
+        let listener = bind(flags.listen).map_err(|e| format!("opening {}: {e}", flags.listen))?;
+        match &flags.subcommand {
+            Cmd::Platform(p) => serve(listener, Rc::new(Platform::new(platform(p)))).await,
+            Cmd::Engine(e) => {
+                let engine = Rc::new(Engine::new(engine(e)));
+                compio::runtime::spawn(Rc::clone(&engine).generate()).detach();
+                serve(listener, engine).await;
+            }
+            Cmd::Plain(p) => {
+                let delay = Duration::from_millis(p.delay_ms.unwrap_or(PLAIN_DELAY_MS));
+                let plain = Plain::new(delay, p.limit.unwrap_or(PLAIN_LIMIT));
+                serve(listener, Rc::new(plain)).await;
+            }
+        }
+        Ok(())
     })
 }
 
-fn make(kind: &Cmd) -> Handler {
-    match kind {
-        Cmd::Platform(_) => handler(&Rc::new(Platform::default())),
-        Cmd::Engine(e) => {
-            let spec = EngineSpec::new(e.cold.unwrap_or(COLD), e.warm.unwrap_or(WARM))
-                .with_step(Duration::from_millis(e.step_ms.unwrap_or(STEP_MS)));
-            let engine = Rc::new(Engine::new(spec));
-            compio::runtime::spawn(Rc::clone(&engine).generate()).detach();
-            handler(&engine)
-        }
-        Cmd::Plain(p) => handler(&Rc::new(Plain::new(
-            Duration::from_millis(p.delay_ms.unwrap_or(PLAIN_DELAY_MS)),
-            p.limit.unwrap_or(PLAIN_LIMIT),
-        ))),
-    }
+fn platform(flags: &flags::Platform) -> PlatformSpec {
+    PlatformSpec::new()
+        .with_latency(Duration::from_millis(flags.latency_ms.unwrap_or(0)))
+        .with_host_lag(Duration::from_millis(flags.host_lag_ms.unwrap_or(0)))
 }
 
-async fn listen(address: SocketAddr, handler: Handler) -> Result<(), String> {
-    let listener = bind(address).map_err(|e| format!("opening {address}: {e}"))?;
-    serve(listener, Limits::new(), handler).await;
-    Ok(())
+fn engine(flags: &flags::Engine) -> EngineSpec {
+    let mut spec = EngineSpec::new(flags.cold.unwrap_or(COLD), flags.warm.unwrap_or(WARM))
+        .with_step(Duration::from_millis(flags.step_ms.unwrap_or(STEP_MS)))
+        .with_load_lag(Duration::from_millis(flags.load_lag_ms.unwrap_or(0)));
+    if let Some(us) = flags.prefill_us {
+        spec = spec.with_prefill(Duration::from_micros(us));
+    }
+    if let Some(tokens) = flags.cache_tokens {
+        spec = spec.with_cache(tokens);
+    }
+    if flags.refuse {
+        spec = spec.with_overload(Overload::Refuse);
+    }
+    spec
 }
--- /dev/null
+++ b/tests/all/standins.rs
@@ -0,0 +1,261 @@
+//! The stand-ins behave as the faults and limits say.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hibiscusrail_load::deployment::own_host;
+use hibiscusrail_net::{Connection, bind, connect, full};
+use hibiscusrail_platform::table::{Condition, ReadRequest, TransactRequest, Write};
+use hibiscusrail_standin::cache::PrefixCache;
+use hibiscusrail_standin::engine::{Engine, EngineSpec};
+use hibiscusrail_standin::faults::Faults;
+use hibiscusrail_standin::host::{Service, serve};
+use hibiscusrail_standin::plain::Plain;
+use hibiscusrail_standin::rate::RateLimit;
+use hibiscusrail_standin::table::Table;
+use hibiscusrail_standin::text;
+use http::{Method, Request, header};
+use http_body_util::BodyExt;
+
+use crate::support::{run, until};
+
+/// Longer than any answer of a stand-in that answers.
+const PATIENCE: Duration = Duration::from_millis(300);
+
+fn start<S: Service>(service: &Rc<S>) -> SocketAddr {
+    let address = SocketAddr::from((own_host(), 30_000));
+    let listener = bind(address).expect("the loopback address is free");
+    compio::runtime::spawn(serve(listener, Rc::clone(service))).detach();
+    address
+}
+
+fn plain() -> (Rc<Plain>, SocketAddr) {
+    let plain = Rc::new(Plain::new(Duration::from_millis(1), 8));
+    let address = start(&plain);
+    (plain, address)
+}
+
+async fn open(address: SocketAddr) -> Connection {
+    connect(address, PATIENCE).await.expect("it accepts")
+}
+
+/// Sends a call; returns its answer's text, or none when it was cut.
+async fn call(connection: &mut Connection, id: &str) -> Option<String> {
+    let request = Request::builder()
+        .uri("/record")
+        .header(header::HOST, "server")
+        .header("x-request-id", id)
+        .body(hibiscusrail_net::empty())
+        .expect("valid parts");
+    let answer = connection.send_request(request).await.ok()?;
+    let body = answer.into_body().collect().await.ok()?;
+    Some(String::from_utf8_lossy(&body.to_bytes()).into_owned())
+}
+
+/// Sends a streamed draft; returns whether its answer was whole.
+async fn draft(address: SocketAddr, tokens: u64) -> bool {
+    let chat = serde_json::json!({
+        "model": "m", "stream": true,
+        "messages": [{"role": "user", "content": text::prompt("hello", tokens)}],
+    });
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri("/v1/chat/completions")
+        .header(header::HOST, "server")
+        .body(full(chat.to_string()))
+        .expect("valid parts");
+    let mut connection = open(address).await;
+    let answer = connection.send_request(request).await.expect("an answer");
+    let body = answer.into_body().collect().await;
+    body.is_ok_and(|b| b.to_bytes().ends_with(b"[DONE]\n\n"))
+}
+
+#[test]
+fn faults_down_runs_nothing() {
+    run(async {
+        let (plain, address) = plain();
+        plain.faults().set(Faults::default().with_down());
+        assert_eq!(call(&mut open(address).await, "a").await, None);
+        plain.faults().set(Faults::default());
+        assert!(call(&mut open(address).await, "b").await.is_some());
+        assert_eq!(plain.runs.all().len(), 1);
+    });
+}
+
+#[test]
+fn faults_lost_answer_has_run() {
+    run(async {
+        let (plain, address) = plain();
+        plain.faults().set(Faults::default().with_lose_answers(1.0));
+        assert_eq!(call(&mut open(address).await, "a").await, None);
+        let runs = plain.runs.all();
+        assert!(runs.len() == 1 && runs[0].complete && runs[0].request == "a");
+    });
+}
+
+#[test]
+fn faults_crossed_answer_is_anothers() {
+    run(async {
+        let (plain, address) = plain();
+        let mut connection = open(address).await;
+        call(&mut connection, "a").await;
+        plain.faults().set(Faults::default().with_cross(1.0));
+        let answer = call(&mut connection, "b").await;
+        assert_eq!(answer.as_deref(), Some("a GET /record"));
+    });
+}
+
+#[test]
+fn faults_truncated_answer_is_cut() {
+    run(async {
+        let (plain, address) = plain();
+        plain.faults().set(Faults::default().with_truncate(1.0));
+        assert_eq!(call(&mut open(address).await, "a").await, None);
+        assert!(plain.runs.all()[0].complete);
+    });
+}
+
+#[test]
+fn faults_silence_spares_new_connections() {
+    run(async {
+        let (plain, address) = plain();
+        let mut old = open(address).await;
+        call(&mut old, "a").await;
+        plain.faults().set(Faults::default().with_silent());
+        let silent = compio::time::timeout(PATIENCE, call(&mut old, "b")).await;
+        assert!(silent.is_err());
+        assert!(call(&mut open(address).await, "c").await.is_some());
+        assert_eq!(plain.runs.all().len(), 2);
+    });
+}
+
+#[test]
+fn plain_refuses_above_its_limit() {
+    run(async {
+        let plain = Rc::new(Plain::new(PATIENCE, 1));
+        let address = start(&plain);
+        let mut first = open(address).await;
+        let running = compio::runtime::spawn(async move { call(&mut first, "a").await });
+        until(|| plain.runs.all().len() == 1).await;
+        let refused = call(&mut open(address).await, "b").await;
+        assert_eq!(refused.as_deref(), Some("overloaded"));
+        assert!(running.await.is_ok_and(|answer| answer.is_some()));
+        assert_eq!((plain.runs.all().len(), plain.runs.refused()), (1, 1));
+    });
+}
+
+fn engine(spec: EngineSpec) -> (Rc<Engine>, SocketAddr) {
+    let engine = Rc::new(Engine::new(spec.with_step(Duration::from_millis(1))));
+    compio::runtime::spawn(Rc::clone(&engine).generate()).detach();
+    let address = start(&engine);
+    (engine, address)
+}
+
+#[test]
+fn engine_cold_falls_over() {
+    run(async {
+        let (engine, address) = engine(EngineSpec::new(1, 8));
+        let first = compio::runtime::spawn(draft(address, 100_000));
+        until(|| engine.running() == 1).await;
+        assert!(draft(address, 5).await);
+        assert!(matches!(first.await, Ok(false)));
+        assert_eq!((engine.collapses(), engine.runs.overloads()), (1, 1));
+    });
+}
+
+#[test]
+fn engine_warms_up_and_turns_cold() {
+    run(async {
+        let (engine, address) = engine(EngineSpec::new(1, 4));
+        for _ in 0..4 {
+            assert!(draft(address, 1).await);
+        }
+        assert_eq!(engine.bearable(), 4);
+        engine.turn_cold();
+        assert_eq!(engine.bearable(), 1);
+    });
+}
+
+#[test]
+fn engine_restart_cuts_streams() {
+    run(async {
+        let (engine, address) = engine(EngineSpec::new(4, 4));
+        let stream = compio::runtime::spawn(draft(address, 100_000));
+        until(|| engine.running() == 1).await;
+        engine.restart();
+        assert!(matches!(stream.await, Ok(false)));
+        assert!(!engine.runs.all()[0].complete);
+    });
+}
+
+#[test]
+fn cache_evicts_the_least_recently_used() {
+    let (a, b) = (vec!["a"; 32], vec!["b"; 32]);
+    let mut cache = PrefixCache::new(32);
+    assert_eq!(cache.admit(&a), 0);
+    assert_eq!(cache.admit(&a), 32);
+    assert_eq!(cache.admit(&b), 0);
+    assert_eq!(cache.admit(&a), 0);
+}
+
+fn write(key: &str, version: u64, value: u64, keep_s: Option<u64>) -> TransactRequest {
+    TransactRequest {
+        conditions: vec![Condition {
+            key: key.to_owned(),
+            version,
+        }],
+        writes: vec![Write {
+            key: key.to_owned(),
+            value: Some(value.into()),
+            keep_s,
+        }],
+    }
+}
+
+fn value(table: &Table, key: &str, at: Instant) -> Option<u64> {
+    let keys = vec![key.to_owned()];
+    let answer = table.read(&ReadRequest { keys }, at);
+    answer.rows[0].as_ref().and_then(|r| r.value.as_u64())
+}
+
+#[test]
+fn table_conflict_writes_nothing() {
+    let now = Instant::now();
+    let mut table = Table::default();
+    assert!(table.transact(&write("k", 0, 1, None), now).committed);
+    let second = table.transact(&write("k", 0, 2, None), now);
+    assert!(!second.committed && second.conflicts[0].version == 1);
+    assert_eq!(value(&table, "k", now), Some(1));
+}
+
+#[test]
+fn table_row_expires() {
+    let now = Instant::now();
+    let mut table = Table::default();
+    table.transact(&write("k", 0, 1, Some(60)), now);
+    let later = now + Duration::from_secs(61);
+    assert_eq!(value(&table, "k", now), Some(1));
+    assert_eq!(value(&table, "k", later), None);
+    assert!(table.transact(&write("k", 0, 2, None), later).committed);
+}
+
+#[test]
+fn table_read_stale() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(1);
+    let mut table = Table::default();
+    table.transact(&write("k", 0, 1, None), now);
+    table.transact(&write("k", 1, 2, None), later);
+    assert_eq!(value(&table, "k", now), Some(1));
+    assert_eq!(value(&table, "k", later), Some(2));
+}
+
+#[test]
+fn rate_limit_refills() {
+    let limit = RateLimit::new(10.0);
+    let now = Instant::now() + Duration::from_secs(1);
+    assert!(limit.take(10, now));
+    assert!(!limit.take(1, now));
+    assert!(limit.take(5, now + Duration::from_millis(500)));
+}
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -7,13 +7,12 @@
 use hibiscusrail_load::client::{Ask, Received, Sending, send};
 use hibiscusrail_load::deployment::Deployment;
 use hibiscusrail_load::fleet;
-use hibiscusrail_net::server::Handler;
-use hibiscusrail_net::{Limits, bind, serve};
+use hibiscusrail_net::bind;
 use hibiscusrail_router::shell::Shell;
 use hibiscusrail_router::start;
 use hibiscusrail_settings::RouterSettings;
 use hibiscusrail_standin::engine::{Engine, EngineSpec};
-use hibiscusrail_standin::http_util::handler;
+use hibiscusrail_standin::host::{self, Service};
 use hibiscusrail_standin::plain::Plain;
 use hibiscusrail_standin::platform::Platform;
 
@@ -37,9 +36,9 @@
     pub routers: Vec<Rc<Shell>>,
 }
 
-fn listen(address: std::net::SocketAddr, handler: Handler) {
+fn listen<S: Service>(address: std::net::SocketAddr, service: &Rc<S>) {
     let listener = bind(address).expect("the loopback address is free");
-    compio::runtime::spawn(serve(listener, Limits::new(), handler)).detach();
+    compio::runtime::spawn(host::serve(listener, Rc::clone(service))).detach();
 }
 
 impl Stage {
@@ -47,7 +46,7 @@
     pub async fn new() -> Self {
         let deployment = Deployment::small();
         let platform = Rc::new(Platform::default());
-        listen(deployment.platform, handler(&platform));
+        listen(deployment.platform, &platform);
         let mut stage = Self {
             deployment,
             platform,
@@ -73,11 +72,11 @@
                     EngineSpec::new(server.cold, server.warm).with_step(Duration::from_millis(2));
                 let engine = Rc::new(Engine::new(spec));
                 compio::runtime::spawn(Rc::clone(&engine).generate()).detach();
-                listen(server.address, handler(&engine));
+                listen(server.address, &engine);
                 self.engines.push(engine);
             } else {
                 let plain = Rc::new(Plain::new(Duration::from_millis(1), server.warm));
-                listen(server.address, handler(&plain));
+                listen(server.address, &plain);
                 self.plains.push(plain);
             }
         }
