Measure fairness and utilisation on real processes

Cause: nothing measured the policy. The policy is a setting of routers ([policy] mode). The load tool keeps workspaces backlogged, skews entries, hints wrongly, repeats keyed calls and compares answers with the servers' records.

--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -11,6 +11,8 @@
 use hyper::body::Incoming;
 use serde_json::Value;
 
+use crate::deployment::WorkspaceSpec;
+
 /// Time to connect to a router.
 const CONNECT_TIME: Duration = Duration::from_secs(2);
 
@@ -35,6 +37,49 @@
     },
 }
 
+impl Ask {
+    /// Returns a lookup of a record at a plain service.
+    #[must_use]
+    pub fn lookup(service: &str, record: &str) -> Self {
+        Self::Plain {
+            method: Method::GET,
+            path: format!("/{service}/record/{record}"),
+        }
+    }
+
+    /// Returns a call of a plain service that may not run twice.
+    #[must_use]
+    pub fn write(service: &str, record: &str) -> Self {
+        Self::Plain {
+            method: Method::POST,
+            path: format!("/{service}/record/{record}"),
+        }
+    }
+
+    /// Returns what kind of request this is.
+    #[must_use]
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::Draft { .. } => Kind::Draft,
+            Self::Plain { method, .. } if method.is_idempotent() => Kind::Lookup,
+            Self::Plain { .. } => Kind::Write,
+        }
+    }
+}
+
+/// What kind of request was sent.
+#[id]
+#[derive(serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A model answer.
+    Draft,
+    /// A plain call that may be repeated.
+    Lookup,
+    /// A plain call that may not run twice.
+    Write,
+}
+
 /// One request.
 #[record]
 pub struct Sending {
@@ -50,12 +95,50 @@
     pub ask: Ask,
     /// Idempotency key.
     pub idempotency: Option<String>,
+    /// Hint at the cost, in cost units.
+    pub hint: Option<f64>,
     /// Deadline.
     pub deadline: Duration,
 }
 
+/// Deadline of a request that is given none.
+const DEADLINE: Duration = Duration::from_secs(30);
+
+impl Sending {
+    /// Creates a request of `workspace` without key and hint.
+    #[must_use]
+    pub fn new(router: SocketAddr, id: &str, workspace: &WorkspaceSpec, ask: Ask) -> Self {
+        Self {
+            router,
+            id: id.to_owned(),
+            workspace: workspace.name.clone(),
+            key: workspace.key(),
+            ask,
+            idempotency: None,
+            hint: None,
+            deadline: DEADLINE,
+        }
+    }
+
+    /// Sets the deadline.
+    #[must_use]
+    pub fn with_deadline(mut self, deadline: Duration) -> Self {
+        self.deadline = deadline;
+        self
+    }
+
+    /// Sets the idempotency key.
+    #[must_use]
+    pub fn with_idempotency(mut self, key: &str) -> Self {
+        self.idempotency = Some(key.to_owned());
+        self
+    }
+}
+
 /// How a request ended for its caller.
 #[id]
+#[derive(serde::Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Ending {
     /// The whole, right answer.
     Right,
@@ -78,6 +161,12 @@
     pub id: String,
     /// Name of the workspace.
     pub workspace: String,
+    /// What kind of request it was.
+    pub kind: Kind,
+    /// Idempotency key.
+    pub idempotency: Option<String>,
+    /// When it was sent.
+    pub started: Instant,
     /// How it ended.
     pub ending: Ending,
     /// HTTP status, zero without an answer.
@@ -96,6 +185,9 @@
     let mut received = Received {
         id: sending.id.clone(),
         workspace: sending.workspace.clone(),
+        kind: sending.ask.kind(),
+        idempotency: sending.idempotency.clone(),
+        started,
         ending: Ending::Lost,
         status: 0,
         code: String::new(),
@@ -157,6 +249,9 @@
     if let Some(key) = &sending.idempotency {
         builder = builder.header("idempotency-key", key);
     }
+    if let Some(hint) = sending.hint {
+        builder = builder.header("x-cost-hint", hint.to_string());
+    }
     let (builder, body) = match &sending.ask {
         Ask::Draft {
             service,
--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -76,6 +76,8 @@
     pub model: String,
     /// Name of the plain service.
     pub plain: String,
+    /// Further flags of the engines' stand-ins.
+    pub engine_flags: Vec<String>,
 }
 
 /// First port of a deployment on loopback.
@@ -186,9 +188,28 @@
             workspaces,
             model: model.to_owned(),
             plain: plain.to_owned(),
+            engine_flags: Vec::new(),
         }
     }
 
+    /// Sets the requests that engines bear when cold and when warm.
+    #[must_use]
+    pub fn with_engine_limits(mut self, cold: u32, warm: u32) -> Self {
+        for server in self.servers.iter_mut().filter(|s| s.model) {
+            server.cold = cold;
+            server.warm = warm;
+        }
+        self
+    }
+
+    /// Adds a flag of the engines' stand-ins, like `--step-ms`.
+    #[must_use]
+    pub fn with_engine_flag(mut self, flag: &str, value: u64) -> Self {
+        self.engine_flags.push(flag.to_owned());
+        self.engine_flags.push(value.to_string());
+        self
+    }
+
     /// Returns the configuration objects of the deployment.
     #[must_use]
     pub fn objects(&self) -> Vec<ObjectRow> {
--- /dev/null
+++ b/crates/load/src/experiment/lab.rs
@@ -0,0 +1,216 @@
+//! A fleet of real processes that an experiment measures.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use hibiscusrail_macros::record;
+use hibiscusrail_standin::faults::Faults;
+use hibiscusrail_standin::runs::{Run, RunPage};
+use http::Method;
+
+use super::ExperimentError;
+use crate::call;
+use crate::client::{Ask, Ending, Sending, send};
+use crate::deployment::{Deployment, RouterSpec, ServerSpec};
+use crate::fleet::{self, ADMIN_TOKEN, Fleet, RouterOptions, Signal};
+use crate::machine::ProcessUse;
+use crate::metrics::Metrics;
+
+/// Time for all routers to serve their first request.
+const READY_TIME: Duration = Duration::from_secs(20);
+/// Pause between two looks at a router that is not ready.
+const READY_PAUSE: Duration = Duration::from_millis(100);
+
+/// The runs of one server.
+#[record]
+pub struct ServerRuns {
+    /// The server.
+    pub server: ServerSpec,
+    /// Its runs in order of admission.
+    pub runs: Vec<Run>,
+    /// Requests that it refused because it bore no more.
+    pub refused: u64,
+}
+
+/// A running fleet with its back ends.
+#[derive(Debug)]
+pub struct Lab {
+    /// What it consists of.
+    pub deployment: Deployment,
+    /// Its processes.
+    pub fleet: Fleet,
+}
+
+impl Lab {
+    /// Starts `deployment` and waits until every router serves.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start or a router does not get ready.
+    pub async fn start(
+        deployment: Deployment,
+        dir: &Path,
+        options: RouterOptions,
+    ) -> Result<Self, ExperimentError> {
+        // Logs of runs before would be mixed with this one's.
+        let _ = std::fs::remove_dir_all(dir);
+        let mut fleet = Fleet::start_back(&deployment, dir)?.with_options(options);
+        fleet::seed(&deployment).await?;
+        fleet.start_routers(&deployment)?;
+        let lab = Self { deployment, fleet };
+        for router in &lab.deployment.routers {
+            lab.wait_ready(router).await?;
+        }
+        Ok(lab)
+    }
+
+    /// Waits until a router answers a lookup.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not in time.
+    pub async fn wait_ready(&self, router: &RouterSpec) -> Result<(), ExperimentError> {
+        let until = Instant::now() + READY_TIME;
+        let workspace = &self.deployment.workspaces[0];
+        while Instant::now() < until {
+            let ask = Ask::lookup(&self.deployment.plain, "ready");
+            let sending = Sending::new(router.listen, "ready", workspace, ask);
+            if send(&sending).await.ending == Ending::Right {
+                return Ok(());
+            }
+            compio::time::sleep(READY_PAUSE).await;
+        }
+        Err(format!("{} does not get ready", router.name).into())
+    }
+
+    /// Returns a router by name.
+    ///
+    /// # Panics
+    ///
+    /// When the deployment has no such router.
+    #[must_use]
+    pub fn router(&self, name: &str) -> &RouterSpec {
+        let mut routers = self.deployment.routers.iter();
+        routers
+            .find(|r| r.name == name)
+            .expect("the deployment has this router")
+    }
+
+    /// Returns a server by name.
+    ///
+    /// # Panics
+    ///
+    /// When the deployment has no such server.
+    #[must_use]
+    pub fn server(&self, name: &str) -> &ServerSpec {
+        let mut servers = self.deployment.servers.iter();
+        servers
+            .find(|s| s.name == name)
+            .expect("the deployment has this server")
+    }
+
+    /// Returns the addresses of the platform and of all servers by name.
+    pub fn stand_ins(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
+        let servers = self.deployment.servers.iter();
+        let servers = servers.map(|s| (s.name.as_str(), s.address));
+        std::iter::once(("platform", self.deployment.platform)).chain(servers)
+    }
+
+    /// Switches the faults of a stand-in: `platform` or a server's name.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such stand-in or it does not answer.
+    pub async fn set_faults(&self, name: &str, faults: &Faults) -> Result<(), ExperimentError> {
+        let address = self
+            .stand_ins()
+            .find(|(n, _)| *n == name)
+            .map(|(_, address)| address)
+            .ok_or_else(|| format!("no stand-in {name}"))?;
+        call::post(address, "/faults", faults).await?;
+        Ok(())
+    }
+
+    /// Makes a one-shot control call of a server, like `/cold` or `/restart`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the server does not answer.
+    pub async fn control(&self, name: &str, path: &str) -> Result<(), ExperimentError> {
+        call::post(self.server(name).address, path, &()).await?;
+        Ok(())
+    }
+
+    /// Sends a signal to a process by name.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such process or it has ended.
+    pub fn signal(&mut self, name: &str, signal: Signal) -> Result<(), ExperimentError> {
+        let process = self.fleet.process(name);
+        let process = process.ok_or_else(|| format!("no process {name}"))?;
+        process.signal(signal)?;
+        Ok(())
+    }
+
+    /// Kills a router and starts it again with nothing in memory.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not start.
+    pub fn restart_router(&mut self, name: &str) -> Result<(), ExperimentError> {
+        if let Some(process) = self.fleet.process(name) {
+            process.kill();
+        }
+        let router = self.router(name).clone();
+        self.fleet.start_router(&self.deployment, &router)?;
+        Ok(())
+    }
+
+    /// Reads the runs of all servers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a server does not answer.
+    pub async fn runs(&self) -> Result<Vec<ServerRuns>, ExperimentError> {
+        let mut all = Vec::new();
+        for server in &self.deployment.servers {
+            all.push(read_runs(server).await?);
+        }
+        Ok(all)
+    }
+
+    /// Reads the metrics of a router.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its admin port does not answer.
+    pub async fn metrics(&self, router: &RouterSpec) -> Result<Metrics, ExperimentError> {
+        let token = Some(ADMIN_TOKEN);
+        let text = call::send(router.admin, Method::GET, "/metrics", token, Vec::new()).await?;
+        Ok(Metrics::parse(&String::from_utf8_lossy(&text)))
+    }
+
+    /// Returns the processor time and memory used by a process.
+    pub fn usage(&mut self, name: &str) -> ProcessUse {
+        let process = self.fleet.process(name);
+        process.map_or_else(ProcessUse::default, |p| ProcessUse::of(p.pid()))
+    }
+}
+
+async fn read_runs(server: &ServerSpec) -> Result<ServerRuns, ExperimentError> {
+    let mut runs = Vec::new();
+    loop {
+        let path = format!("/runs?after={}", runs.len());
+        let page: RunPage = call::get(server.address, &path).await?;
+        runs.extend(page.runs);
+        if !page.more {
+            return Ok(ServerRuns {
+                server: server.clone(),
+                runs,
+                refused: page.refused,
+            });
+        }
+    }
+}
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -1,18 +1,22 @@
 //! Starts a deployment as processes on loopback and stops them by pid.
 
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
+use hibiscusrail_macros::{id, record};
 use snafu::{ResultExt, Snafu};
 
 use crate::deployment::{Deployment, RouterSpec, ServerSpec};
 
 /// Time for a process to open its address.
 const START_TIME: Duration = Duration::from_secs(10);
+/// Token of the operator of every fleet that is started here.
+pub const ADMIN_TOKEN: &str = "an-operators-token";
 /// Pause between two looks at a starting process.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 
@@ -45,6 +49,63 @@
     },
 }
 
+/// Settings of routers beside those that the deployment gives.
+#[record]
+#[derive(Default)]
+pub struct RouterOptions {
+    /// Keys and values by section.
+    sections: BTreeMap<String, BTreeMap<String, String>>,
+}
+
+impl RouterOptions {
+    /// Sets a key of a section.
+    #[must_use]
+    pub fn with(mut self, section: &str, key: &str, value: &str) -> Self {
+        let keys = self.sections.entry(section.to_owned()).or_default();
+        keys.insert(key.to_owned(), value.to_owned());
+        self
+    }
+
+    /// Sets a key of a section unless it is set.
+    #[must_use]
+    fn with_default(mut self, section: &str, key: &str, value: &str) -> Self {
+        let keys = self.sections.entry(section.to_owned()).or_default();
+        keys.entry(key.to_owned())
+            .or_insert_with(|| value.to_owned());
+        self
+    }
+
+    /// Sets how free slots are shared.
+    #[must_use]
+    pub fn with_policy(self, mode: &str) -> Self {
+        self.with("policy", "mode", mode)
+    }
+}
+
+/// A signal that an experiment sends to a process that it started.
+#[id]
+pub enum Signal {
+    /// Stop gracefully.
+    Term,
+    /// End at once.
+    Kill,
+    /// Pause.
+    Stop,
+    /// Go on after a pause.
+    Cont,
+}
+
+impl From<Signal> for rustix::process::Signal {
+    fn from(signal: Signal) -> Self {
+        match signal {
+            Signal::Term => Self::TERM,
+            Signal::Kill => Self::KILL,
+            Signal::Stop => Self::STOP,
+            Signal::Cont => Self::CONT,
+        }
+    }
+}
+
 /// A process of the fleet.
 #[derive(Debug)]
 pub struct Process {
@@ -60,6 +121,28 @@
         self.child.id()
     }
 
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process has ended.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        Ok(rustix::process::kill_process(pid, signal.into())?)
+    }
+
+    /// Waits until the process ends; none when it still runs after `limit`.
+    pub fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            std::thread::sleep(LOOK_PAUSE);
+        }
+        None
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         // Fails only when the process has ended already.
@@ -73,6 +156,7 @@
 pub struct Fleet {
     programs: PathBuf,
     dir: PathBuf,
+    options: RouterOptions,
     processes: Vec<Process>,
 }
 
@@ -101,15 +185,23 @@
         let mut fleet = Self {
             programs,
             dir: dir.to_path_buf(),
+            options: RouterOptions::default(),
             processes: Vec::new(),
         };
         fleet.start_platform(deployment.platform)?;
         for server in &deployment.servers {
-            fleet.start_server(server)?;
+            fleet.start_server(deployment, server)?;
         }
         Ok(fleet)
     }
 
+    /// Sets further settings of routers that are started from now on.
+    #[must_use]
+    pub fn with_options(mut self, options: RouterOptions) -> Self {
+        self.options = options;
+        self
+    }
+
     fn start_platform(&mut self, address: SocketAddr) -> Result<(), FleetError> {
         let listen = address.to_string();
         let args = ["--listen", &listen, "platform"];
@@ -121,16 +213,20 @@
     /// # Errors
     ///
     /// Fails when the process does not start.
-    pub fn start_server(&mut self, server: &ServerSpec) -> Result<(), FleetError> {
+    pub fn start_server(
+        &mut self,
+        deployment: &Deployment,
+        server: &ServerSpec,
+    ) -> Result<(), FleetError> {
         let listen = server.address.to_string();
         let (cold, warm) = (server.cold.to_string(), server.warm.to_string());
-        let args: Vec<&str> = if server.model {
-            vec![
-                "--listen", &listen, "engine", "--cold", &cold, "--warm", &warm,
-            ]
+        let mut args = vec!["--listen", &listen];
+        if server.model {
+            args.extend(["engine", "--cold", &cold, "--warm", &warm]);
+            args.extend(deployment.engine_flags.iter().map(String::as_str));
         } else {
-            vec!["--listen", &listen, "plain", "--limit", &warm]
-        };
+            args.extend(["plain", "--limit", &warm]);
+        }
         self.start(&server.name, "hibiscusrail-standin", &args, server.address)
     }
 
@@ -141,20 +237,26 @@
     /// Fails when a file can't be written or a process does not start.
     pub fn start_routers(&mut self, deployment: &Deployment) -> Result<(), FleetError> {
         self.write("fleet.secret", "a secret for loopback\n")?;
-        self.write("admin.token", "an operator's token\n")?;
+        self.write("admin.token", &format!("{ADMIN_TOKEN}\n"))?;
         for router in &deployment.routers {
             self.start_router(deployment, router)?;
         }
         Ok(())
     }
 
-    fn start_router(
+    /// Starts a router, also one that ran before.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file can't be written or the process does not start.
+    pub fn start_router(
         &mut self,
         deployment: &Deployment,
         router: &RouterSpec,
     ) -> Result<(), FleetError> {
         let file = format!("{}.ini", router.name);
-        let path = self.write(&file, &settings(deployment, router, &self.dir))?;
+        let text = settings_with(deployment, router, &self.dir, &self.options);
+        let path = self.write(&file, &text)?;
         let path = path.display().to_string();
         let args = ["--config", &path];
         self.start(&router.name, "hibiscusrail-router", &args, router.listen)
@@ -174,7 +276,11 @@
         address: SocketAddr,
     ) -> Result<(), FleetError> {
         let log = self.dir.join(format!("{name}.log"));
-        let log = std::fs::File::create(&log).context(FileSnafu { path: &log })?;
+        let file = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&log);
+        let log = file.context(FileSnafu { path: &log })?;
         let child = Command::new(self.programs.join(program))
             .args(args)
             .stdin(Stdio::null())
@@ -182,6 +288,7 @@
             .stderr(log)
             .spawn()
             .context(StartSnafu { name })?;
+        self.processes.retain(|p| p.name != name);
         self.processes.push(Process {
             name: name.to_owned(),
             child,
@@ -209,29 +316,52 @@
 /// Returns the settings of one router.
 #[must_use]
 pub fn settings(deployment: &Deployment, router: &RouterSpec, dir: &Path) -> String {
-    let dir = dir.display();
-    let mut text = format!(
-        "[router]\n\
-         name = {}\n\
-         zone = {}\n\
-         listen = {}\n\
-         peer_listen = {}\n\
-         admin_listen = {}\n\
-         fleet_secret = {dir}/fleet.secret\n\
-         admin_token = {dir}/admin.token\n\
-         \n\
-         [platform]\n\
-         address = {}\n",
-        router.name, router.zone, router.listen, router.peer, router.admin, deployment.platform
-    );
+    settings_with(deployment, router, dir, &RouterOptions::default())
+}
+
+/// Returns the settings of one router with options beside.
+///
+/// An option goes before what the deployment gives.
+#[must_use]
+pub fn settings_with(
+    deployment: &Deployment,
+    router: &RouterSpec,
+    dir: &Path,
+    options: &RouterOptions,
+) -> String {
+    let mut all = options.clone();
+    for (key, value) in [
+        ("name", router.name.clone()),
+        ("zone", router.zone.clone()),
+        ("listen", router.listen.to_string()),
+        ("peer_listen", router.peer.to_string()),
+        ("admin_listen", router.admin.to_string()),
+        (
+            "fleet_secret",
+            dir.join("fleet.secret").display().to_string(),
+        ),
+        ("admin_token", dir.join("admin.token").display().to_string()),
+    ] {
+        all = all.with_default("router", key, &value);
+    }
+    let platform = deployment.platform.to_string();
+    all = all.with_default("platform", "address", &platform);
     for peer in deployment.routers.iter().filter(|p| p.name != router.name) {
-        // Writing to a string never fails.
-        let _ = write!(
-            text,
-            "\n[peer {}]\nzone = {}\naddress = {}\n",
-            peer.name, peer.zone, peer.peer
+        let section = format!("peer {}", peer.name);
+        all = all.with_default(&section, "zone", &peer.zone).with_default(
+            &section,
+            "address",
+            &peer.peer.to_string(),
         );
     }
+    let mut text = String::new();
+    for (section, keys) in &all.sections {
+        // Writing to a string never fails.
+        let _ = writeln!(text, "[{section}]");
+        for (key, value) in keys {
+            let _ = writeln!(text, "{key} = {value}");
+        }
+    }
     text
 }
 
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -4,10 +4,13 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+use hibiscusrail_load::audit::Audit;
 use hibiscusrail_load::client::Ending;
 use hibiscusrail_load::deployment::Deployment;
-use hibiscusrail_load::fleet::Fleet;
-use hibiscusrail_load::generator::Load;
+use hibiscusrail_load::experiment::lab::Lab;
+use hibiscusrail_load::experiment::{self, Context};
+use hibiscusrail_load::fleet::RouterOptions;
+use hibiscusrail_load::generator::{Load, Mix};
 use hibiscusrail_load::report::Report;
 
 mod flags {
@@ -23,18 +26,36 @@
             optional --seed seed: u64
             /// Starts a deployment on loopback, sends load and reports.
             cmd demo {}
+            /// Runs an experiment, or all of them, and writes result files.
+            cmd experiment {
+                /// Name of the experiment, or `all`.
+                required name: String
+                /// Seconds of the measurement in place of the experiment's own.
+                optional --seconds seconds: u64
+                /// Measures four times as long.
+                optional --long
+            }
         }
     }
 }
 
-/// Time for routers to read their first configuration.
-const SETTLE_TIME: Duration = Duration::from_secs(3);
-
 fn main() -> ExitCode {
     let flags = flags::HibiscusrailLoad::from_env_or_exit();
     let out = flags.out.unwrap_or_else(|| PathBuf::from("out"));
-    let flags::HibiscusrailLoadCmd::Demo(_) = flags.subcommand;
-    match demo(&out, flags.seed.unwrap_or(1)) {
+    let seed = flags.seed.unwrap_or(1);
+    let result = match flags.subcommand {
+        flags::HibiscusrailLoadCmd::Demo(_) => demo(&out, seed),
+        flags::HibiscusrailLoadCmd::Experiment(e) => {
+            let context = Context {
+                out,
+                seed,
+                long: e.long,
+                duration: e.seconds.map(Duration::from_secs),
+            };
+            experiment::run(&e.name, &context).map_err(Into::into)
+        }
+    };
+    match result {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
@@ -46,25 +67,17 @@
 
 fn demo(out: &Path, seed: u64) -> Result<bool, Box<dyn std::error::Error>> {
     let deployment = Deployment::consorcio();
-    let mut fleet = Fleet::start_back(&deployment, &out.join("demo"))?;
-    let runtime = compio::runtime::Runtime::new()?;
-    let load = Load {
-        seed,
-        rate: 60.0,
-        duration: Duration::from_secs(10),
-        plain: 0.5,
-        tokens: 40.0,
-        deadline: Duration::from_secs(30),
-    };
-    let received = runtime.block_on(async {
-        hibiscusrail_load::fleet::seed(&deployment).await?;
-        fleet.start_routers(&deployment)?;
-        compio::time::sleep(SETTLE_TIME).await;
-        Ok::<_, Box<dyn std::error::Error>>(load.run(&deployment).await)
-    })?;
-    let report = Report::new(&received);
-    print!("{report}");
-    let right = report.count(Ending::Right);
-    println!("demo answers={} right={right}", received.len());
-    Ok(right == received.len() as u64)
+    let load = Load::new(seed, Duration::from_secs(10)).with_all(&deployment, 60.0, Mix::mixed());
+    compio::runtime::Runtime::new()?.block_on(async {
+        let lab = Lab::start(deployment, &out.join("demo"), RouterOptions::default()).await?;
+        let received = load.run(&lab.deployment).await;
+        let servers = lab.runs().await?;
+        let audit = Audit::new(&received, servers.iter().flat_map(|s| &s.runs));
+        let report = Report::new(&received);
+        print!("{report}");
+        println!("{audit}");
+        let right = report.count(Ending::Right);
+        println!("demo answers={} right={right}", received.len());
+        Ok(right == received.len() as u64 && audit.broken() == 0)
+    })
 }
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -9,9 +9,10 @@
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt};
 use hibiscusrail_core::membership::{Member, MemberState};
+use hibiscusrail_core::params::Policy;
 use hibiscusrail_core::{Clock, Event, Incarnation, Params, Router, RouterId, SystemClock, ZoneId};
 use hibiscusrail_net::{Limits, bind, logs, serve};
-use hibiscusrail_settings::RouterSettings;
+use hibiscusrail_settings::{PolicyMode, RouterSettings};
 use snafu::{ResultExt, Snafu};
 
 use crate::peers::{self, Peers};
@@ -83,11 +84,23 @@
     Ok(text.trim_ascii().to_vec())
 }
 
+/// Returns the parameters of the policies that the settings ask for.
+fn params(settings: &RouterSettings) -> Params {
+    let policy = match settings.policy {
+        PolicyMode::FleetFair => Policy::FleetFair,
+        PolicyMode::LocalFair => Policy::LocalFair,
+        PolicyMode::Fifo => Policy::Fifo,
+    };
+    Params::new()
+        .with_policy(policy)
+        .with_period(settings.period)
+}
+
 fn make_router(settings: &RouterSettings, clock: &dyn Clock) -> Router {
     let me = RouterId::new(&settings.name);
     let incarnation = Incarnation(clock.epoch_ms());
     let zone = ZoneId::new(&settings.zone);
-    let mut router = Router::new(me, zone, incarnation, Params::new(), clock.now());
+    let mut router = Router::new(me, zone, incarnation, params(settings), clock.now());
     for peer in &settings.peers {
         let member = Member {
             zone: ZoneId::new(&peer.zone),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,3 +10,4 @@
 
 pub use reader::{Reader, SettingError, SettingErrors};
 pub use router::{Peer, RouterSettings};
+pub use value::PolicyMode;
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -7,7 +7,7 @@
 use hibiscusrail_macros::record;
 
 use crate::reader::{Reader, SettingErrors};
-use crate::value::Size;
+use crate::value::{PolicyMode, Size};
 
 /// Section of the router's own identity and addresses.
 const ROUTER: &str = "router";
@@ -15,6 +15,8 @@
 const PLATFORM: &str = "platform";
 /// Section of limits on callers.
 const LIMITS: &str = "limits";
+/// Section of the policy that shares free slots.
+const POLICY: &str = "policy";
 /// Prefix of the sections that name the other routers.
 const PEER_PREFIX: &str = "peer ";
 
@@ -62,6 +64,10 @@
     pub deadline: Duration,
     /// Time for running work to finish at a stop.
     pub drain: Duration,
+    /// How free slots are shared among waiting workspaces.
+    pub policy: PolicyMode,
+    /// Period of the exchange of service totals.
+    pub period: Duration,
     /// The other routers.
     pub peers: Vec<Peer>,
 }
@@ -101,6 +107,8 @@
         let body_time = r.optional(LIMITS, "body_time", Duration::from_secs(10));
         let connections = r.optional(LIMITS, "connections", 4_096);
         let deadline = r.optional(LIMITS, "deadline", Duration::from_secs(60));
+        let policy = r.optional(POLICY, "mode", PolicyMode::FleetFair);
+        let period = r.optional(POLICY, "period", Duration::from_secs(1));
         let peers = peers(&mut r);
         r.finish()?;
         // Every missing value was reported by finish.
@@ -121,6 +129,8 @@
                 connections,
                 deadline,
                 drain,
+                policy,
+                period,
                 peers: peers?,
             })
         })();
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -70,3 +70,27 @@
         count.checked_mul(*factor).filter(|n| *n > 0).map(Self)
     }
 }
+
+/// How free slots are shared among waiting workspaces.
+#[hibiscusrail_macros::id]
+pub enum PolicyMode {
+    /// The workspace with the least normalised service across the fleet.
+    FleetFair,
+    /// The workspace with the least normalised service at one dispatcher.
+    LocalFair,
+    /// The oldest request first.
+    Fifo,
+}
+
+impl Value for PolicyMode {
+    const ALLOWED: &'static str = "fleet_fair, local_fair or fifo";
+
+    fn parse(text: &str) -> Option<Self> {
+        match text {
+            "fleet_fair" => Some(Self::FleetFair),
+            "local_fair" => Some(Self::LocalFair),
+            "fifo" => Some(Self::Fifo),
+            _ => None,
+        }
+    }
+}
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -94,15 +94,8 @@
     /// Returns a request of the first workspace at router `index`.
     pub fn sending(&self, index: usize, id: &str, ask: Ask) -> Sending {
         let workspace = &self.deployment.workspaces[0];
-        Sending {
-            router: self.deployment.routers[index].listen,
-            id: id.to_owned(),
-            workspace: workspace.name.clone(),
-            key: workspace.key(),
-            ask,
-            idempotency: None,
-            deadline: Duration::from_secs(20),
-        }
+        let router = self.deployment.routers[index].listen;
+        Sending::new(router, id, workspace, ask).with_deadline(Duration::from_secs(20))
     }
 
     /// Returns a draft of `tokens` tokens.
