Give attempts a typestate, claims and a retry budget in the reducer

Cause: an attempt could be marked as not run after bytes had left, a request whose earlier attempt may have run was refused as not run, a failed status was passed on as done, and keyed requests ran unclaimed.

--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -1,11 +1,12 @@
 //! What a router wants done.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hibiscusrail_macros::{id, record, value};
 
-use crate::ids::{AttemptKey, CallId, RouterId, ServerId};
+use crate::claim;
+use crate::ids::{AttemptKey, CallId, RouterId, ServerId, TableOp};
 use crate::message::Message;
 
 /// Whether a refused request ran.
@@ -44,6 +45,12 @@
     Cancelled,
     /// An earlier request with the same key has run.
     AlreadyRun,
+    /// An earlier request with the same key runs, or may have run.
+    KeyInDoubt,
+    /// The key was used for a different request.
+    KeyReused,
+    /// The server said that it failed.
+    ServerFailed,
 }
 
 /// A refusal of a caller's request.
@@ -72,6 +79,10 @@
     pub reuse: bool,
     /// Token to resume the answer at, when part was passed on.
     pub resume: Option<u64>,
+    /// When the caller stops waiting.
+    pub deadline: Instant,
+    /// How often the request's key was claimed; a server that checks it refuses a lower one.
+    pub fence: Option<u32>,
 }
 
 /// How much a log record matters.
@@ -131,6 +142,12 @@
     Dispatch(Dispatch),
     /// Close the connection of an attempt and cancel it at the server.
     Cancel(AttemptKey),
+    /// Idle connections to an address may be dead: use none of them.
+    Suspect(SocketAddr),
+    /// Call the platform's table for a claim.
+    Claim(TableOp, claim::Request),
+    /// Give the caller the kept answer of an earlier request with the same key.
+    Replay(CallId, claim::Stored),
     /// Tell the caller that the request was refused, or that its answer was cut.
     Refuse(CallId, Refused),
     /// The caller has its whole answer; forget the call.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -4,8 +4,11 @@
 
 use hibiscusrail_macros::{id, record, value};
 
+use crate::claim;
 use crate::configuration::{Object, Version};
-use crate::ids::{AttemptKey, CallId, Incarnation, RouterId, ServerId, ServiceId, WorkspaceId};
+use crate::ids::{
+    AttemptKey, CallId, Incarnation, RouterId, ServerId, ServiceId, TableOp, WorkspaceId,
+};
 use crate::message::Message;
 
 /// How often a request may run.
@@ -16,7 +19,7 @@
     /// It runs at most once; there is no key to recognise a repeat by.
     Once,
     /// It runs at most once per workspace and key.
-    Keyed(String),
+    Keyed(claim::Key),
 }
 
 /// A caller's request, without its body.
@@ -65,6 +68,8 @@
         /// HTTP status of the answer.
         status: u16,
     },
+    /// The answer that a repeat with the same key is to receive; comes before its end.
+    Kept(claim::Stored),
     /// The server refused admission before running anything.
     Refused,
     /// The connection could not be made, or broke.
@@ -113,6 +118,8 @@
     Hangup(CallId),
     /// An attempt came to a milestone.
     Attempt(AttemptKey, Milestone),
+    /// The platform's table answered a call for a claim, or did not.
+    Claim(TableOp, claim::Answer),
     /// A message from another router arrived.
     Peer {
         /// The sender.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,10 +12,13 @@
 //! * [`share`]: service given to each workspace, and who comes next;
 //! * [`server`]: the concurrency limit of one server and its warm-up;
 //! * [`attempt`]: what became of a request sent to a server;
+//! * [`claim`]: at most one run for each idempotency key;
+//! * [`retry`]: how many retries a workspace may cause;
 //! * [`configuration`]: the versioned objects in force;
 //! * [`membership`]: which routers are alive, and which role each one has.
 
 pub mod attempt;
+pub mod claim;
 pub mod clock;
 pub mod configuration;
 pub mod dispatch;
@@ -27,6 +30,7 @@
 pub mod message;
 pub mod outbox;
 pub mod params;
+pub mod retry;
 pub mod router;
 pub mod server;
 pub mod share;
--- a/crates/core/src/params.rs
+++ b/crates/core/src/params.rs
@@ -34,6 +34,8 @@
     pub progress_timeout: Duration,
     /// Time from sending a request to the first byte of its answer at most.
     pub first_timeout: Duration,
+    /// Least time to the first byte of a plain call's answer before it is tried elsewhere.
+    pub lookup_timeout: Duration,
     /// Attempts for one idempotent request at most.
     pub max_attempts: u32,
     /// Tokens of the retry budget that a workspace starts with and can hold.
@@ -59,6 +61,7 @@
             first_cost: 100.0,
             progress_timeout: Duration::from_secs(5),
             first_timeout: Duration::from_secs(20),
+            lookup_timeout: Duration::from_secs(1),
             max_attempts: 4,
             retry_burst: 10.0,
         }
@@ -92,6 +95,13 @@
         self
     }
 
+    /// Sets the least time to the first byte of a plain call's answer.
+    #[must_use]
+    pub fn with_lookup_timeout(mut self, timeout: Duration) -> Self {
+        self.lookup_timeout = timeout;
+        self
+    }
+
     /// Sets the time to the first byte of an answer at most.
     #[must_use]
     pub fn with_first_timeout(mut self, timeout: Duration) -> Self {
--- a/crates/core/src/router/attempts.rs
+++ b/crates/core/src/router/attempts.rs
@@ -1,108 +1,185 @@
-//! Grants and attempts: dispatch, milestones, retries and silence.
+//! Grants and attempts: dispatch, milestones, retries.
 
 use std::time::Instant;
 
-use crate::attempt::{Attempt, Outcome, Phase};
-use crate::effect::{Counter, Dispatch, Effect, Execution, Refusal};
-use crate::event::{Milestone, Repeat, Stage};
-use crate::ids::{AttemptKey, GrantRef, Incarnation, RouterId};
+use crate::attempt::{Ended, Facts, Outcome, Running};
+use crate::claim::State;
+use crate::effect::{Counter, Dispatch, Effect, Refusal};
+use crate::event::{Milestone, Repeat};
+use crate::ids::{AttemptKey, GrantRef, Incarnation, RequestKey, RouterId};
 use crate::message::{Grant, GrantEnd, Message, Release};
 
-use super::{Router, Timer};
+use super::{Claim, Request, Router, Timer};
+
+/// Grants at the server that just failed that a request declines at most.
+const MAX_DECLINED: u32 = 2;
 
 impl Router {
-    pub(super) fn milestone(&mut self, now: Instant, key: AttemptKey, milestone: &Milestone) {
-        let Some(attempt) = self.attempts.get_mut(key) else {
+    /// Takes in a milestone; one of an attempt that was cancelled reaches nobody.
+    pub(super) fn milestone(&mut self, now: Instant, key: AttemptKey, milestone: Milestone) {
+        let Some(running) = self.attempts.get_mut(key) else {
             return;
         };
-        attempt.progress = now;
-        match *milestone {
+        running.facts_mut().progress = now;
+        match milestone {
             Milestone::Connected => {}
-            Milestone::Sent => attempt.phase = Phase::Sent,
+            Milestone::Sent => *running = running.send(),
             Milestone::FirstByte => {
-                attempt.phase = Phase::Output;
-                attempt.first_byte = Some(now.duration_since(attempt.started));
+                *running = running.answer(now);
+                let facts = *running.facts();
+                self.observe_first(&facts);
             }
             Milestone::Progress { cost, tokens } => {
-                attempt.cost = cost;
-                attempt.tokens = tokens;
+                let facts = running.facts_mut();
+                facts.cost = cost;
+                facts.tokens = tokens;
+            }
+            Milestone::Kept(stored) => {
+                let request = running.facts().request;
+                if let Some(request) = self.requests.get_mut(request) {
+                    request.kept = Some(stored);
+                }
+            }
+            Milestone::Done { cost, status } => {
+                running.facts_mut().cost = cost;
+                self.end_attempt(now, key, GrantEnd::Done, |r| r.finish(now, status));
             }
-            Milestone::Done { cost, .. } => {
-                attempt.cost = cost;
-                self.finish(now, key);
+            Milestone::Refused => {
+                self.end_attempt(now, key, GrantEnd::Overload, Running::refuse);
             }
-            Milestone::Refused => self.retry(now, key, Outcome::NotRun, GrantEnd::Overload),
             Milestone::Broken(stage) => {
-                let outcome = attempt.broken(stage);
-                self.retry(now, key, outcome, GrantEnd::Failed);
+                self.end_attempt(now, key, GrantEnd::Failed, |r| r.broken(stage));
+            }
+            Milestone::Mismatch => {
+                self.end_attempt(now, key, GrantEnd::Failed, Running::lose);
             }
-            Milestone::Mismatch => self.retry(now, key, Outcome::Unknown, GrantEnd::Failed),
-        }
-    }
-
-    pub(super) fn finish(&mut self, now: Instant, key: AttemptKey) {
-        let Some(attempt) = self.end_attempt(now, key, GrantEnd::Done) else {
-            return;
-        };
-        if let Some(request) = self.forget(attempt.request) {
-            self.out.push(Effect::Finish(request.call.id));
         }
     }
 
     /// Ends an attempt and gives its slot back.
-    pub(super) fn end_attempt(
+    pub(super) fn take_attempt(
         &mut self,
-        now: Instant,
         key: AttemptKey,
         end: GrantEnd,
-    ) -> Option<Attempt> {
-        let attempt = self.attempts.remove(key)?;
-        let _ = now;
+        how: impl FnOnce(Running) -> Ended,
+    ) -> Option<Ended> {
+        let ended = how(self.attempts.remove(key)?);
+        let facts = ended.facts;
+        let end = match ended.outcome {
+            Outcome::Failed => GrantEnd::Failed,
+            _ => end,
+        };
         self.out.send(
-            attempt.grant.dispatcher,
+            facts.grant.dispatcher,
             Message::Release(Release {
-                grant: attempt.grant.grant,
-                incarnation: attempt.grant.incarnation,
+                grant: facts.grant.grant,
+                incarnation: facts.grant.incarnation,
                 end,
-                cost: attempt.cost,
-                first_byte: attempt.first_byte,
+                cost: facts.cost,
+                first_byte: facts.first_byte,
             }),
         );
-        Some(attempt)
+        Some(ended)
     }
 
-    /// Sends a request again after its attempt broke, or refuses it.
-    pub(super) fn retry(&mut self, now: Instant, key: AttemptKey, outcome: Outcome, end: GrantEnd) {
-        let Some(attempt) = self.end_attempt(now, key, end) else {
+    /// Ends an attempt; its request is finished, sent again or refused.
+    pub(super) fn end_attempt(
+        &mut self,
+        now: Instant,
+        key: AttemptKey,
+        end: GrantEnd,
+        how: impl FnOnce(Running) -> Ended,
+    ) {
+        let Some(ended) = self.take_attempt(key, end, how) else {
             return;
         };
-        let Some(request) = self.requests.get_mut(attempt.request) else {
+        let Some(request) = self.requests.get_mut(ended.facts.request) else {
             return;
         };
         request.running = None;
-        request.tokens = attempt.tokens;
-        let again = match outcome {
-            Outcome::NotRun => true,
+        request.tokens = request.tokens.max(ended.facts.tokens);
+        request.history.add(ended.outcome);
+        request.avoid = Some(ended.facts.server);
+        request.declined = 0;
+        if ended.outcome == Outcome::Answered {
+            self.finish(ended.facts.request);
+            return;
+        }
+        self.retry(now, &ended);
+    }
+
+    fn finish(&mut self, key: RequestKey) {
+        if let Some(request) = self.forget(key) {
+            self.end_claim(request.claim, State::Answered(request.kept));
+            self.out.push(Effect::Finish(request.call.id));
+        }
+    }
+
+    /// Sends a request again after its attempt ended without an answer, or refuses it.
+    fn retry(&mut self, now: Instant, ended: &Ended) {
+        let key = ended.facts.request;
+        let Some(request) = self.requests.get(key) else {
+            return;
+        };
+        let repeatable = match ended.outcome {
+            Outcome::NotRun(_) => true,
             _ => request.call.repeat == Repeat::Idempotent,
         };
-        let seen = attempt.phase == Phase::Output && !request.call.resumable;
-        if again && !seen && request.attempts < self.world.params.max_attempts {
+        if repeatable && self.may_retry(now, key) {
             self.out.count(Counter::Retried);
-            self.enqueue(now, attempt.request, true);
+            self.enqueue(now, key, true);
             return;
         }
-        let execution = match outcome {
-            Outcome::NotRun => Execution::NotRun,
-            _ => Execution::Unknown,
+        let reason = match ended.outcome {
+            _ if repeatable => Refusal::Exhausted,
+            Outcome::Failed => Refusal::ServerFailed,
+            _ => Refusal::Broken,
         };
-        let reason = if again {
-            Refusal::Exhausted
-        } else {
-            Refusal::Broken
+        if let Some(request) = self.forget(key) {
+            self.dismiss(request, reason);
+        }
+    }
+
+    /// Returns whether one more attempt is allowed, and takes it from the budget.
+    fn may_retry(&mut self, now: Instant, key: RequestKey) -> bool {
+        let Some(request) = self.requests.get(key) else {
+            return false;
         };
-        if let Some(request) = self.forget(attempt.request) {
-            self.refuse(request.call.id, reason, execution);
+        let unseen = request.tokens == 0 || request.call.resumable;
+        let left = request.attempts < self.world.params.max_attempts;
+        let in_time = request.call.deadline > now;
+        unseen && left && in_time && self.budgets.withdraw(request.flow.workspace)
+    }
+
+    /// Takes the waiting request that a grant is to be used for.
+    ///
+    /// A request that just failed at the granted server leaves the slot to
+    /// another one and asks for a slot elsewhere.
+    fn take_request(&mut self, now: Instant, from: RouterId, grant: &Grant) -> Option<RequestKey> {
+        let elsewhere = !self.others(grant.flow.service, grant.server).is_empty();
+        let mut declined = Vec::new();
+        let mut taken = None;
+        while let Some(key) = self.entry.take(grant.flow, from) {
+            let Some(request) = self.requests.get_mut(key) else {
+                continue;
+            };
+            if request.call.deadline <= now {
+                self.expire(key);
+                continue;
+            }
+            let avoids = request.avoid == Some(grant.server) && elsewhere;
+            if avoids && request.declined < MAX_DECLINED {
+                request.declined += 1;
+                declined.push(key);
+                continue;
+            }
+            taken = Some(key);
+            break;
         }
+        for key in declined.into_iter().rev() {
+            self.enqueue(now, key, true);
+        }
+        taken
     }
 
     pub(super) fn on_grant(
@@ -129,32 +206,27 @@
             self.return_grant(reference);
             return;
         };
-        let Some(key) = self.entry.take(grant.flow, from) else {
+        let Some(key) = self.take_request(now, from, grant) else {
             self.return_grant(reference);
             return;
         };
-        let attempt = self
-            .attempts
-            .insert(Attempt::new(key, reference, grant.server, now));
+        let facts = Facts::new(key, reference, grant.server, address, now);
+        self.dispatch(key, facts);
+    }
+
+    /// Sends a request to the server whose slot it holds.
+    fn dispatch(&mut self, key: RequestKey, facts: Facts) {
         let Some(request) = self.requests.get_mut(key) else {
-            self.attempts.remove(attempt);
-            self.return_grant(reference);
             return;
         };
+        let running = Running::new(facts.with_tokens(request.tokens));
+        let attempt = self.attempts.insert(running);
         request.running = Some(attempt);
         request.attempts += 1;
-        self.timers.insert((
-            now + self.world.params.progress_timeout,
-            Timer::Silence(attempt),
-        ));
-        self.out.push(Effect::Dispatch(Dispatch {
-            attempt,
-            call: request.call.id,
-            server: grant.server,
-            address,
-            reuse: request.call.repeat == Repeat::Idempotent,
-            resume: (request.tokens > 0).then_some(request.tokens),
-        }));
+        let order = request.order(attempt, &facts);
+        let due = self.silent_at(&running);
+        self.timers.insert((due, Timer::Silence(attempt)));
+        self.out.push(Effect::Dispatch(order));
     }
 
     pub(super) fn return_grant(&mut self, grant: GrantRef) {
@@ -169,27 +241,23 @@
             }),
         );
     }
+}
 
-    pub(super) fn check_silence(&mut self, now: Instant, key: AttemptKey) {
-        let Some(attempt) = self.attempts.get(key) else {
-            return;
-        };
-        let patience = match attempt.phase {
-            Phase::Output => self.world.params.progress_timeout,
-            Phase::Unsent | Phase::Sent => self.world.params.first_timeout,
-        };
-        let due = attempt.progress + patience;
-        if due > now {
-            self.timers.insert((due, Timer::Silence(key)));
-            return;
+impl Request {
+    /// Returns the order to send the request.
+    fn order(&self, attempt: AttemptKey, facts: &Facts) -> Dispatch {
+        Dispatch {
+            attempt,
+            call: self.call.id,
+            server: facts.server,
+            address: facts.address,
+            reuse: self.call.repeat == Repeat::Idempotent,
+            resume: (self.tokens > 0).then_some(self.tokens),
+            deadline: self.call.deadline,
+            fence: match &self.claim {
+                Claim::Held(lease) => Some(lease.attempt()),
+                Claim::Needless | Claim::Pending(_) => None,
+            },
         }
-        self.out.push(Effect::Cancel(key));
-        let stage = match attempt.phase {
-            Phase::Unsent => Stage::BeforeSend,
-            Phase::Sent => Stage::AfterSend,
-            Phase::Output => Stage::AfterOutput,
-        };
-        let outcome = attempt.broken(stage);
-        self.retry(now, key, outcome, GrantEnd::Failed);
     }
 }
--- a/crates/core/src/router/calls.rs
+++ b/crates/core/src/router/calls.rs
@@ -2,13 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use crate::attempt::{Outcome, Phase};
+use crate::attempt::{History, Running};
+use crate::claim::State;
 use crate::effect::{Counter, Effect, Execution, Refusal, Refused};
-use crate::event::Call;
-use crate::ids::{CallId, Flow, RequestKey};
+use crate::event::{Call, Repeat};
+use crate::ids::{CallId, Flow, RequestKey, RouterId, ServerId, ServiceId};
 use crate::message::GrantEnd;
 
-use super::{Request, Router, Timer};
+use super::{Claim, Request, Router, Timer};
 
 impl Router {
     pub(super) fn submit(&mut self, now: Instant, call: Call) {
@@ -22,17 +23,32 @@
         };
         let deadline = call.deadline;
         let id = call.id;
+        let claim = match &call.repeat {
+            Repeat::Keyed(key) => Some(key.clone()),
+            Repeat::Idempotent | Repeat::Once => None,
+        };
+        let workspace = self.world.config.workspace(call.workspace);
+        let fraction = workspace.map_or(0.0, |w| w.retry_fraction);
         let key = self.requests.insert(Request {
             call,
             flow,
             attempts: 0,
             running: None,
             tokens: 0,
+            history: History::new(),
+            claim: Claim::Needless,
+            kept: None,
+            avoid: None,
+            declined: 0,
         });
         self.calls.insert(id, key);
         self.timers.insert((deadline, Timer::Deadline(key)));
         self.out.count(Counter::Accepted);
-        self.enqueue(now, key, false);
+        self.budgets.deposit(flow.workspace, fraction);
+        match claim {
+            Some(name) => self.claim(key, &name),
+            None => self.enqueue(now, key, false),
+        }
     }
 
     pub(super) fn admit(&self, now: Instant, call: &Call) -> Result<(), Refusal> {
@@ -64,16 +80,41 @@
         };
         let flow = request.flow;
         let dispatchers = self.dispatchers(flow.service);
+        let prefer = self.elsewhere(request);
         self.entry
-            .enqueue(now, flow, key, front, &dispatchers, None);
+            .enqueue(now, flow, key, front, &dispatchers, prefer);
+    }
+
+    /// Returns the open servers of `service` other than `avoid`, with their dispatchers.
+    pub(super) fn others(&self, service: ServiceId, avoid: ServerId) -> Vec<(RouterId, ServerId)> {
+        let config = &self.world.config;
+        config
+            .servers()
+            .filter(|(id, s)| s.service == service && *id != avoid && config.is_open(s))
+            .filter_map(|(id, s)| Some((self.world.members.dispatcher(id, s)?, id)))
+            .collect()
+    }
+
+    /// Picks a server for a request that is tried again, other than the one that failed.
+    fn elsewhere(&self, request: &Request) -> Option<(RouterId, ServerId)> {
+        let others = self.others(request.flow.service, request.avoid?);
+        let spread = request.call.id.0.wrapping_add(u64::from(request.attempts));
+        let count = u64::try_from(others.len()).ok().filter(|n| *n > 0)?;
+        let at = usize::try_from(spread % count).ok()?;
+        others.get(at).copied()
     }
 
     /// Refuses a call, or ends one whose answer was cut.
     pub(super) fn refuse(&mut self, call: CallId, reason: Refusal, execution: Execution) {
-        let wait = matches!(
-            reason,
-            Refusal::QueueFull | Refusal::NotReady | Refusal::Stopping | Refusal::NoClaim
-        );
+        let wait = match reason {
+            Refusal::QueueFull
+            | Refusal::NotReady
+            | Refusal::Stopping
+            | Refusal::NoClaim
+            | Refusal::KeyInDoubt => true,
+            Refusal::Exhausted | Refusal::Expired => execution == Execution::NotRun,
+            _ => false,
+        };
         self.out.count(Counter::Refused);
         self.out.push(Effect::Refuse(
             call,
@@ -93,38 +134,50 @@
         Some(request)
     }
 
-    pub(super) fn hangup(&mut self, now: Instant, call: CallId) {
+    /// Gives up the request of a caller that is gone.
+    ///
+    /// A keyed request that runs goes on: its answer is kept for a repeat.
+    pub(super) fn hangup(&mut self, call: CallId) {
         let Some(key) = self.calls.get(&call).copied() else {
             return;
         };
-        self.give_up(now, key);
+        let keeps = |r: &Request| r.running.is_some() && matches!(r.claim, Claim::Held(_));
+        if self.requests.get(key).is_some_and(keeps) {
+            return;
+        }
+        self.give_up(key, Refusal::Cancelled);
     }
 
-    /// Drops a request from its queue or cancels its attempt.
-    pub(super) fn give_up(&mut self, now: Instant, key: RequestKey) -> Option<Outcome> {
-        let request = self.forget(key)?;
-        let Some(attempt) = request.running else {
-            self.entry.remove(request.flow, key);
-            return Some(Outcome::NotRun);
+    /// Drops a request from its queue or cancels its attempt, and says so.
+    pub(super) fn give_up(&mut self, key: RequestKey, reason: Refusal) {
+        let Some(mut request) = self.forget(key) else {
+            return;
         };
-        self.out.push(Effect::Cancel(attempt));
-        let phase = self.attempts.get(attempt).map(|a| a.phase);
-        self.end_attempt(now, attempt, GrantEnd::Failed);
-        match phase {
-            Some(Phase::Unsent) => Some(Outcome::NotRun),
-            _ => Some(Outcome::Unknown),
+        match request.running {
+            None => self.entry.remove(request.flow, key),
+            Some(attempt) => {
+                self.out.push(Effect::Cancel(attempt));
+                if let Some(ended) = self.take_attempt(attempt, GrantEnd::Unused, Running::cancel) {
+                    request.history.add(ended.outcome);
+                }
+            }
         }
+        self.dismiss(request, reason);
     }
 
-    pub(super) fn expire(&mut self, now: Instant, key: RequestKey) {
-        let Some(call) = self.requests.get(key).map(|r| r.call.id) else {
-            return;
+    /// Refuses a request that has left the arena, and closes its claim.
+    pub(super) fn dismiss(&mut self, request: Request, reason: Refusal) {
+        let execution = request.history.execution();
+        let state = match execution {
+            Execution::NotRun => State::Released,
+            Execution::Failed => State::Failed,
+            Execution::Unknown | Execution::AlreadyRun => State::Unknown,
         };
-        let outcome = self.give_up(now, key);
-        let execution = match outcome {
-            Some(Outcome::NotRun) => Execution::NotRun,
-            _ => Execution::Unknown,
-        };
-        self.refuse(call, Refusal::Expired, execution);
+        self.end_claim(request.claim, state);
+        self.refuse(request.call.id, reason, execution);
+    }
+
+    pub(super) fn expire(&mut self, key: RequestKey) {
+        self.give_up(key, Refusal::Expired);
     }
 }
--- a/crates/core/src/router/exchange.rs
+++ b/crates/core/src/router/exchange.rs
@@ -34,7 +34,8 @@
                 by_dispatcher.entry(router).or_default();
             }
         }
-        for attempt in self.attempts.values() {
+        for running in self.attempts.values() {
+            let attempt = running.facts();
             let Some(request) = self.requests.get(attempt.request) else {
                 continue;
             };
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -2,8 +2,10 @@
 
 mod attempts;
 mod calls;
+mod claims;
 mod config;
 mod exchange;
+mod silence;
 mod stop;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,19 +13,34 @@
 
 use slotmap::SlotMap;
 
-use crate::attempt::Attempt;
+use crate::attempt::{History, Running};
+use crate::claim::{Claims, Lease, Stored};
 use crate::configuration::{Configuration, Version};
 use crate::dispatch::{Dispatcher, Surroundings};
 use crate::effect::{Effect, Refusal};
 use crate::entry::Entry;
 use crate::event::{Call, Event};
-use crate::ids::{AttemptKey, CallId, Flow, Incarnation, RequestKey, RouterId, ZoneId};
+use crate::ids::{
+    AttemptKey, CallId, Flow, Incarnation, RequestKey, RouterId, ServerId, TableOp, ZoneId,
+};
 use crate::membership::{Member, Membership};
 use crate::message::Message;
 use crate::outbox::Outbox;
 use crate::params::Params;
+use crate::retry::Budgets;
 use crate::share::Ledger;
 
+/// How far the execution claim of a request has come.
+#[derive(Debug)]
+enum Claim {
+    /// The request has no key.
+    Needless,
+    /// The table is being called.
+    Pending(TableOp),
+    /// The request may run.
+    Held(Lease),
+}
+
 /// A caller's request inside the reducer.
 #[derive(Debug)]
 struct Request {
@@ -32,6 +49,11 @@
     attempts: u32,
     running: Option<AttemptKey>,
     tokens: u64,
+    history: History,
+    claim: Claim,
+    kept: Option<Stored>,
+    avoid: Option<ServerId>,
+    declined: u32,
 }
 
 /// Something that falls due at a time.
@@ -41,6 +63,8 @@
     Flush,
     Deadline(RequestKey),
     Silence(AttemptKey),
+    Claim(TableOp),
+    Queue,
 }
 
 /// What the roles decide by: objects in force, live routers, parameters.
@@ -69,7 +93,7 @@
     incarnation: Incarnation,
     world: World,
     requests: SlotMap<RequestKey, Request>,
-    attempts: SlotMap<AttemptKey, Attempt>,
+    attempts: SlotMap<AttemptKey, Running>,
     calls: BTreeMap<CallId, RequestKey>,
     entry: Entry,
     dispatcher: Dispatcher,
@@ -77,6 +101,10 @@
     totals_seq: u64,
     timers: BTreeSet<(Instant, Timer)>,
     draining: Option<Instant>,
+    drained: bool,
+    claims: Claims,
+    budgets: Budgets,
+    latencies: silence::Latencies,
     out: Outbox,
 }
 
@@ -91,6 +119,7 @@
         now: Instant,
     ) -> Self {
         let first = now + params.period;
+        let budgets = Budgets::new(params.retry_burst);
         Self {
             me,
             incarnation,
@@ -108,6 +137,10 @@
             totals_seq: 0,
             timers: BTreeSet::from([(first, Timer::Period)]),
             draining: None,
+            drained: false,
+            claims: Claims::new(),
+            budgets,
+            latencies: silence::Latencies::new(),
             out: Outbox::new(me),
         }
     }
@@ -181,8 +214,9 @@
     fn step(&mut self, now: Instant, event: Event) {
         match event {
             Event::Submit(call) => self.submit(now, call),
-            Event::Hangup(call) => self.hangup(now, call),
-            Event::Attempt(key, milestone) => self.milestone(now, key, &milestone),
+            Event::Hangup(call) => self.hangup(call),
+            Event::Attempt(key, milestone) => self.milestone(now, key, milestone),
+            Event::Claim(op, answer) => self.claim_answer(now, op, answer),
             Event::Peer {
                 from,
                 incarnation,
@@ -234,8 +268,10 @@
             match timer {
                 Timer::Period => self.period(now),
                 Timer::Flush => {}
-                Timer::Deadline(key) => self.expire(now, key),
+                Timer::Deadline(key) => self.expire(key),
                 Timer::Silence(key) => self.check_silence(now, key),
+                Timer::Claim(op) => self.claim_resume(now, op),
+                Timer::Queue => self.refuse_waiting(),
             }
         }
     }
