--- /dev/null
+++ b/crates/ctl/src/flags.rs
@@ -0,0 +1,63 @@
+//! Flags and help texts of the command line.
+
+#![allow(missing_docs, clippy::all, clippy::pedantic)]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Operates a hibiscusrail fleet.
+    ///
+    /// Exit codes: 0 done, 1 failed, 2 wrong usage, 3 rejected or not ready,
+    /// 4 not found, 5 outcome unknown.
+    cmd hibiscusrail-ctl {
+        /// Admin address of a router, an IP number and a port.
+        optional --router address: SocketAddr
+        /// Address of the platform's table, an IP number and a port.
+        optional --platform address: SocketAddr
+        /// File with the operators' token for the router's admin port.
+        optional --token-file file: PathBuf
+        /// Print one JSON document instead of text.
+        optional --json
+
+        /// Show a router's readiness, configuration, slots and queues.
+        cmd status {}
+
+        /// Stop a router gracefully: it takes no new work and ends when its
+        /// running work is done.
+        cmd drain {
+            /// Longest time to wait for running work, like 30s or 2m; the
+            /// router's own setting when left out.
+            optional --patience time: String
+        }
+
+        /// Check, submit and show change tickets.
+        cmd ticket {
+            /// Check a ticket file against the table without writing anything.
+            cmd check {
+                /// File with the ticket as JSON.
+                required file: PathBuf
+            }
+            /// Submit a ticket; all of it comes into force, or nothing.
+            cmd submit {
+                /// File with the ticket as JSON.
+                required file: PathBuf
+            }
+            /// Show what became of a ticket.
+            cmd show {
+                /// Number of the ticket.
+                required number: u64
+            }
+        }
+
+        /// Show the audit trail: every accepted and rejected ticket.
+        cmd audit {
+            /// Only rows about this object, written as kind/name.
+            optional --object object: String
+            /// Only rows after this ticket number.
+            optional --after number: u64
+            /// Rows at most.
+            optional --limit rows: usize
+        }
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,56 @@
-//! Placeholder.
+//! The operators' command line: status, change tickets, audit trail and drain.
+//!
+//! Each command is a module with one `run` function that returns a report; the
+//! report is printed for people, or as one JSON document with `--json`.
+//! [`exit`] holds the exit codes that scripts can rely on.
+
+pub mod audit;
+pub mod context;
+pub mod drain;
+pub mod error;
+pub mod exit;
+pub mod flags;
+pub mod output;
+pub mod rpc;
+pub mod status;
+pub mod ticket;
+
+use flags::{HibiscusrailCtl, HibiscusrailCtlCmd, TicketCmd};
+
+pub use context::Context;
+pub use error::CtlError;
+pub use exit::Exit;
+
+/// Runs one command and returns how it ended; results go to standard output,
+/// errors to standard error.
+#[must_use]
+pub fn run(flags: HibiscusrailCtl) -> Exit {
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("hibiscusrail-ctl: event loop: {error}");
+            return Exit::Failed;
+        }
+    };
+    match runtime.block_on(dispatch(flags)) {
+        Ok(exit) => exit,
+        Err(error) => {
+            eprintln!("hibiscusrail-ctl: {error}");
+            error.exit()
+        }
+    }
+}
+
+async fn dispatch(flags: HibiscusrailCtl) -> Result<Exit, CtlError> {
+    let context = Context::new(&flags)?;
+    match flags.subcommand {
+        HibiscusrailCtlCmd::Status(_) => status::run(&context).await,
+        HibiscusrailCtlCmd::Drain(drain) => drain::run(&context, &drain).await,
+        HibiscusrailCtlCmd::Audit(audit) => audit::run(&context, &audit).await,
+        HibiscusrailCtlCmd::Ticket(ticket) => match ticket.subcommand {
+            TicketCmd::Check(check) => ticket::check(&context, &check).await,
+            TicketCmd::Submit(submit) => ticket::submit(&context, &submit).await,
+            TicketCmd::Show(show) => ticket::show(&context, &show).await,
+        },
+    }
+}
