Claim keys at the table, pool connections and resume streams exactly

Cause: keyed requests ran unclaimed; a resumed stream could repeat tokens that the caller had but the reducer had not heard of; every attempt opened a connection. Change: claims.rs carries out the reducer's claims; pool.rs keeps connections for requests that may be repeated; upstream/ is split by job and counts what the caller has; the fuzzer's claims module moves routers, table and servers step by step against the set of runs per key.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -41,6 +41,24 @@
     pub digest: u64,
 }
 
+impl Key {
+    /// Creates a key without the digest of its request.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            digest: 0,
+        }
+    }
+
+    /// Sets the digest of the request.
+    #[must_use]
+    pub fn with_digest(mut self, digest: u64) -> Self {
+        self.digest = digest;
+        self
+    }
+}
+
 /// Identifies a claim's row.
 #[record]
 pub struct RowKey {
--- a/crates/fuzzing/src/lib.rs
+++ b/crates/fuzzing/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Generators and oracles for stateful fuzzing.
+
+pub mod claims;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,5 +1,6 @@
 //! The platform's table service: its JSON protocol and the keys used in it.
 
+pub mod claim;
 pub mod keys;
 pub mod object;
 pub mod table;
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -1,7 +1,7 @@
 //! Messages of the platform's transactional table, as JSON over HTTP.
 //!
 //! `POST /table/read`, `POST /table/scan` and `POST /table/transact` take the
-//! requests below. A row has a version that the table raises with every write;
+//! requests below. A row has a version that the table raises by one with every write;
 //! a transaction commits only while every row it names stands at the version
 //! it names, zero for a row that must not exist.
 
--- a/crates/router/src/caller/head.rs
+++ b/crates/router/src/caller/head.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hibiscusrail_core::WorkspaceId;
+use hibiscusrail_core::claim::Key;
 use hibiscusrail_core::event::Repeat;
 use http::{HeaderMap, Method, StatusCode, header};
 use sha2::{Digest, Sha256};
@@ -101,7 +102,7 @@
         if key.is_empty() || key.len() > MAX_ID {
             return Err(bad_header(IDEMPOTENCY_KEY, "1 to 128 characters"));
         }
-        return Ok(Repeat::Keyed(key.to_owned()));
+        return Ok(Repeat::Keyed(Key::new(key)));
     }
     let by_method = method.is_idempotent() || path == CHAT_PATH;
     let idempotent = match text(headers, IDEMPOTENT) {
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -5,6 +5,7 @@
 
 mod body;
 mod deliver;
+mod digest;
 mod head;
 mod route;
 
@@ -71,16 +72,14 @@
     let (service, outgoing) = route::route(shell, id, &parts, body)?;
     let (caller, receiver) = mpsc::unbounded();
     let resumable = outgoing.stream;
-    let call = shell.open_call(CallState {
-        request: Rc::new(outgoing),
-        caller,
-    });
+    let repeat = digest::add(asked.repeat, &outgoing);
+    let call = shell.open_call(CallState::new(outgoing, caller));
     shell.event(Event::Submit(Call {
         id: call,
         request: id.to_owned(),
         workspace: asked.workspace,
         service,
-        repeat: asked.repeat,
+        repeat,
         resumable,
         hint: asked.hint,
         prefix: None,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,9 +6,12 @@
 //! [`platform`] reads the platform's table.
 
 pub mod caller;
+pub mod claims;
 pub mod peers;
 pub mod platform;
+pub mod pool;
 pub mod refusal;
+pub mod replay;
 pub mod shell;
 pub mod sse;
 pub mod start;
--- /dev/null
+++ b/crates/router/src/pool.rs
@@ -0,0 +1,96 @@
+//! Connections to servers that are kept between requests.
+//!
+//! A connection that has been idle for long may be dead without either end
+//! knowing it, so it is dropped. Only requests that may be repeated use a kept
+//! connection at all; others open a new one. When a connection has gone
+//! silent, the idle ones to the same address are suspect and dropped too;
+//! those in use are proven by the answers that they still deliver.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hibiscusrail_net::Connection;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+/// Time for which an idle connection may still be used.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
+/// Idle connections kept for each address.
+const IDLE_COUNT: usize = 32;
+/// Time for the end of an answer that was delivered already.
+const END_TIME: Duration = Duration::from_secs(1);
+
+/// A connection that waits for its next request.
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+/// The idle connections of a router.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// Creates a pool without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the connection that was used last, if it may be used.
+    pub fn take(&self, address: SocketAddr, now: Instant) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        kept.retain(|i| now.duration_since(i.since) < IDLE_LIMIT && !i.connection.is_closed());
+        let at = kept.iter().rposition(|i| i.connection.is_ready())?;
+        Some(kept.remove(at).connection)
+    }
+
+    /// Keeps a connection whose last answer arrived whole.
+    pub fn put(&self, address: SocketAddr, connection: Connection, now: Instant) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(address).or_default();
+        kept.retain(|i| now.duration_since(i.since) < IDLE_LIMIT);
+        if kept.len() >= IDLE_COUNT {
+            kept.remove(0);
+        }
+        kept.push(Idle {
+            connection,
+            since: now,
+        });
+    }
+
+    /// Drops the idle connections to an address at which one went silent.
+    pub fn suspect(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Returns the number of idle connections to an address.
+    #[must_use]
+    pub fn idle(&self, address: SocketAddr) -> usize {
+        self.idle.borrow().get(&address).map_or(0, Vec::len)
+    }
+
+    /// Keeps a connection once nothing of its delivered answer is left to arrive.
+    pub fn recycle(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        connection: Connection,
+        mut rest: Incoming,
+    ) {
+        let pool = Rc::clone(self);
+        compio::runtime::spawn(async move {
+            let end = compio::time::timeout(END_TIME, rest.frame()).await;
+            if matches!(end, Ok(None)) {
+                pool.put(address, connection, Instant::now());
+            }
+        })
+        .detach();
+    }
+}
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -87,6 +87,21 @@
             "already_run",
             "a request with this idempotency key was run before",
         ),
+        Refusal::KeyInDoubt => (
+            StatusCode::CONFLICT,
+            "key_in_doubt",
+            "a request with this idempotency key runs, or its outcome is unknown",
+        ),
+        Refusal::KeyReused => (
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "key_reused",
+            "this idempotency key was used for a different request",
+        ),
+        Refusal::ServerFailed => (
+            StatusCode::BAD_GATEWAY,
+            "server_failed",
+            "the server ran the request and failed",
+        ),
     }
 }
 
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -12,7 +12,10 @@
 use hibiscusrail_settings::RouterSettings;
 use http::{HeaderMap, Method, StatusCode};
 
+use crate::claims;
 use crate::peers::Peers;
+use crate::pool::Pool;
+use crate::replay;
 use crate::upstream;
 
 /// What a caller's connection is told.
@@ -51,6 +54,15 @@
     pub model: bool,
 }
 
+/// What a caller has received of its answer, over all attempts.
+#[derive(Debug, Default)]
+pub struct Delivery {
+    /// Whether status and headers were passed on.
+    pub head: Cell<bool>,
+    /// Tokens that were passed on.
+    pub tokens: Cell<u64>,
+}
+
 /// A call in progress.
 #[derive(Debug, Clone)]
 pub struct CallState {
@@ -58,6 +70,20 @@
     pub request: Rc<Outgoing>,
     /// To the caller's connection.
     pub caller: mpsc::UnboundedSender<ToCaller>,
+    /// What the caller has received.
+    pub delivery: Rc<Delivery>,
+}
+
+impl CallState {
+    /// Creates a call of which the caller has received nothing.
+    #[must_use]
+    pub fn new(request: Outgoing, caller: mpsc::UnboundedSender<ToCaller>) -> Self {
+        Self {
+            request: Rc::new(request),
+            caller,
+            delivery: Rc::default(),
+        }
+    }
 }
 
 /// Everything the daemon's tasks share.
@@ -70,6 +96,7 @@
     finished: RefCell<Vec<AttemptKey>>,
     next_call: Cell<u64>,
     peers: Peers,
+    pool: Rc<Pool>,
     wake: mpsc::UnboundedSender<()>,
     drained: RefCell<Option<mpsc::UnboundedSender<u32>>>,
 }
@@ -99,6 +126,7 @@
             finished: RefCell::default(),
             next_call: Cell::new(0),
             peers,
+            pool: Rc::default(),
             wake,
             drained: RefCell::new(None),
         }
@@ -122,6 +150,12 @@
         &self.peers
     }
 
+    /// Returns the idle connections to servers.
+    #[must_use]
+    pub fn pool(&self) -> &Rc<Pool> {
+        &self.pool
+    }
+
     /// Looks at the reducer's state.
     pub fn with_router<T>(&self, look: impl FnOnce(&Router) -> T) -> T {
         look(&self.router.borrow())
@@ -177,6 +211,16 @@
             Effect::Cancel(attempt) => {
                 self.tasks.borrow_mut().remove(&attempt);
             }
+            Effect::Suspect(address) => self.pool.suspect(address),
+            Effect::Claim(op, request) => {
+                let shell = Rc::clone(self);
+                compio::runtime::spawn(claims::carry_out(shell, op, request)).detach();
+            }
+            Effect::Replay(call, stored) => {
+                if let Some(state) = self.calls.borrow_mut().remove(&call) {
+                    replay::deliver(&state, stored);
+                }
+            }
             Effect::Refuse(call, refused) => {
                 if let Some(state) = self.calls.borrow_mut().remove(&call) {
                     let _ = state.caller.unbounded_send(ToCaller::Refused(refused));
