Echo request ids on refusals of the stand-ins, resume tokens on answers

Cause: a refusal of admission that names no request can't be told from one that was crossed, and a server that ignores a resume token would repeat tokens. The fuzzer also reads stale rows.

--- a/crates/fuzzing/src/claims/step.rs
+++ b/crates/fuzzing/src/claims/step.rs
@@ -20,6 +20,8 @@
     Late,
     /// The table can't be reached.
     Unreachable,
+    /// It takes effect; a read sees the row as it was before.
+    Stale,
 }
 
 /// What becomes of a dispatched request at its next step.
@@ -89,6 +91,7 @@
         1 => Just(TableFate::Lost),
         2 => Just(TableFate::Late),
         1 => Just(TableFate::Unreachable),
+        1 => Just(TableFate::Stale),
     ]
 }
 
--- a/crates/fuzzing/src/claims/table.rs
+++ b/crates/fuzzing/src/claims/table.rs
@@ -8,6 +8,7 @@
 #[derive(Debug, Default)]
 pub struct Table {
     rows: BTreeMap<String, Versioned>,
+    before: BTreeMap<String, Versioned>,
     writes: u64,
 }
 
@@ -24,6 +25,14 @@
         self.rows.get(key).map(|v| &v.row)
     }
 
+    /// Carries out a call; a read sees the row as it was before its last write.
+    pub fn call_stale(&mut self, request: &Request) -> Answer {
+        match request {
+            Request::Read(key) => Answer::Found(self.before.get(&key.name).cloned()),
+            Request::Write { .. } => self.call(request),
+        }
+    }
+
     /// Carries out a call.
     pub fn call(&mut self, request: &Request) -> Answer {
         match request {
@@ -38,7 +47,9 @@
                     version: version + 1,
                     row: row.clone(),
                 };
-                self.rows.insert(key.name.clone(), written);
+                if let Some(old) = self.rows.insert(key.name.clone(), written) {
+                    self.before.insert(key.name.clone(), old);
+                }
                 Answer::Written
             }
         }
--- a/crates/fuzzing/src/claims/world.rs
+++ b/crates/fuzzing/src/claims/world.rs
@@ -257,6 +257,7 @@
                 Answer::Lost
             }
             TableFate::Unreachable => Answer::Unsent,
+            TableFate::Stale => self.table.call_stale(&call.request),
         };
         if self.processes[call.router].incarnation == call.incarnation {
             self.event(call.router, Event::Claim(call.op, answer));
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -295,7 +295,11 @@
                 None => return status(StatusCode::INTERNAL_SERVER_ERROR, "the engine fell over"),
             }
         };
-        answer(&id, chat.stream, body)
+        let mut answer = answer(&id, chat.stream, body);
+        if let Some(token) = request.headers().get(RESUME) {
+            answer.headers_mut().insert(RESUME, token.clone());
+        }
+        answer
     }
 
     /// Puts a request into the batch; returns the id it is answered under and the answer.
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -22,7 +22,7 @@
 use hyper::service::service_fn;
 
 use crate::faults::{Fate, FaultSwitch};
-use crate::http_util::{ok_json, read_json, status};
+use crate::http_util::{REQUEST_ID, ok_json, read_json, status};
 
 /// A request whose body has been read.
 pub type Whole = Request<Bytes>;
@@ -123,7 +123,12 @@
     if fate.cross {
         request.extensions_mut().insert(Crossed);
     }
-    let answer = Rc::clone(&service).answer(request).await;
+    let id = request.headers().get(REQUEST_ID).cloned();
+    let mut answer = Rc::clone(&service).answer(request).await;
+    if let Some(id) = id {
+        // Refusals and failures name their request too.
+        answer.headers_mut().entry(REQUEST_ID).or_insert(id);
+    }
     pause(fate.late).await;
     if fate.lose {
         return Err(Closed);
