--- a/crates/fuzzing/src/claims/world.rs
+++ b/crates/fuzzing/src/claims/world.rs
@@ -205,7 +205,7 @@
             Step::Restart(router) => self.restart(router % ROUTERS),
             Step::Wait { ms } => self.wait(Duration::from_millis(*ms)),
             Step::Drain(router) => {
-                self.event(router % ROUTERS, Event::Drain { patience: PATIENCE })
+                self.event(router % ROUTERS, Event::Drain { patience: PATIENCE });
             }
         }
     }
