--- a/crates/load/src/experiment/contention.rs
+++ b/crates/load/src/experiment/contention.rs
@@ -156,8 +156,13 @@
     pub overloads: u64,
     /// Requests that ended otherwise than with the right answer.
     pub not_right: u64,
+    /// Requests in progress at each server, on average over five seconds each.
+    pub running: Vec<(String, Vec<f64>)>,
 }
 
+/// Time over which requests in progress are averaged, in milliseconds.
+const RUNNING_MS: u64 = 5_000;
+
 impl Contention {
     /// Samples the service of each workspace from the start of the load.
     #[must_use]
@@ -228,9 +233,25 @@
             rate: self.rate(&series),
             overloads: overloads.sum(),
             not_right: not_right.count() as u64,
+            running: self.running(),
         }
     }
 
+    #[allow(clippy::cast_precision_loss)]
+    fn running(&self) -> Vec<(String, Vec<f64>)> {
+        let models = self.servers.iter().filter(|s| s.server.model);
+        let span = (self.end_ms - self.start_ms) / RUNNING_MS;
+        let means = |server: &ServerRuns| {
+            let mean = |i: u64| {
+                let from = self.start_ms + i * RUNNING_MS;
+                let one = std::slice::from_ref(server);
+                slots(one, from, from + RUNNING_MS).0 * 1_000.0 / RUNNING_MS as f64
+            };
+            (0..span).map(mean).collect()
+        };
+        models.map(|s| (s.server.name.clone(), means(s))).collect()
+    }
+
     /// Returns each workspace's service over its portion of the warm pool's.
     fn portions(&self, series: &ServiceSeries) -> Vec<(String, f64)> {
         let shares: f64 = self.workspaces.iter().map(|w| w.share).sum();
