Open the admin port, count metrics and bound what callers can push

New limits: head bytes and headers, longest deadline, bytes of all bodies held, callers that do not read, and a typed refusal on connections over the limit. One table of refusal codes is tested against docs/INTERFACE.md, metrics against METRICS.md. A deadline header near 2^64 overflowed the clock and is now refused. Loopback addresses of test deployments could collide; they are now numbered apart.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -73,6 +73,11 @@
         self.queues.get(&flow).map_or(0, |q| q.waiting.len())
     }
 
+    /// Returns each queue's flow and length.
+    pub fn queues(&self) -> impl Iterator<Item = (Flow, usize)> + '_ {
+        self.queues.iter().map(|(f, q)| (*f, q.waiting.len()))
+    }
+
     /// Returns all waiting requests.
     #[must_use]
     pub fn total_waiting(&self) -> usize {
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -112,6 +112,12 @@
         }
     }
 
+    /// Returns the incarnation of this run.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn config(&self) -> &Configuration {
--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -108,9 +108,11 @@
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let count = COUNT.fetch_add(1, Ordering::Relaxed);
     let number = std::process::id().wrapping_mul(64).wrapping_add(count);
-    let [_, b, c, d] = number.to_be_bytes();
+    let (rest, d) = (number / 254, number % 254);
+    let (rest, c) = (rest / 256, rest % 256);
     // Neither 127.0.0.1, which callers send from, nor the broadcast address.
-    Ipv4Addr::new(127, b.clamp(1, 254), c, d.clamp(1, 254))
+    let octet = |n: u32| u8::try_from(n).unwrap_or(u8::MAX);
+    Ipv4Addr::new(127, octet(rest % 254 + 1), octet(c), octet(d + 1))
 }
 
 impl Deployment {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,7 +6,8 @@
 pub mod client;
 pub mod logs;
 pub mod server;
+pub mod stall;
 
 pub use body::{Body, BodySender, channel, empty, full, json};
 pub use client::{Connection, connect};
-pub use server::{Limits, bind, serve};
+pub use server::{Connections, Limits, bind, serve, serve_counted};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -9,15 +9,18 @@
 
 use compio::net::{TcpListener, TcpStream};
 use cyper_core::{CompioTimer, HyperStream};
-use futures_util::future::LocalBoxFuture;
+use futures_channel::oneshot;
+use futures_util::FutureExt;
+use futures_util::future::{LocalBoxFuture, Shared};
 use hibiscusrail_macros::value;
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::body::Body;
+use crate::stall::Stall;
 
 /// Limits on connections.
 #[value]
@@ -26,10 +29,10 @@
     pub connections: usize,
     /// Bytes of a request's head.
     pub head_bytes: usize,
-    /// Headers of a request.
-    pub headers: usize,
     /// Time for the head of a request to arrive, also between requests.
     pub head_time: Duration,
+    /// Time without progress after which a peer that does not read is cut.
+    pub stall_time: Duration,
 }
 
 impl Default for Limits {
@@ -44,15 +47,19 @@
     pub fn new() -> Self {
         Self {
             connections: 4_096,
-            head_bytes: 32 * 1024,
-            headers: 64,
+            head_bytes: 64 * 1024,
             head_time: Duration::from_secs(30),
+            stall_time: Duration::from_secs(30),
         }
     }
 }
 
 /// Pending connections that the system holds.
 const BACKLOG: i32 = 1_024;
+/// Connections over the limit that are answered at the same time.
+const REFUSALS: usize = 64;
+/// Time for the head of a request on a connection over the limit.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
 
 /// Opens a listening socket.
 ///
@@ -75,34 +82,200 @@
 /// Answers one request.
 pub type Handler = Rc<dyn Fn(Request<Incoming>) -> LocalBoxFuture<'static, Response<Body>>>;
 
+/// Answers a request on a connection over the limit.
+pub type Refuse = Rc<dyn Fn(&HeaderMap) -> Response<Body>>;
+
+/// What became of an accepted connection.
+#[hibiscusrail_macros::id]
+pub enum Accepted {
+    /// It is served.
+    Served,
+    /// It is over the limit and its request is refused.
+    Refused,
+    /// It is over the limit of refusals too and was closed.
+    Closed,
+}
+
+/// The open connections of one listener.
+pub struct Connections {
+    open: Cell<usize>,
+    refused: Cell<usize>,
+    close: Cell<Option<oneshot::Sender<()>>>,
+    closing: Shared<oneshot::Receiver<()>>,
+    refuse: Option<Refuse>,
+    watch: Option<Rc<dyn Fn(Accepted)>>,
+}
+
+impl std::fmt::Debug for Connections {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Connections")
+            .field("open", &self.open)
+            .field("refused", &self.refused)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Default for Connections {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Connections {
+    /// Creates the account of a listener without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        let (close, closing) = oneshot::channel();
+        Self {
+            open: Cell::new(0),
+            refused: Cell::new(0),
+            close: Cell::new(Some(close)),
+            closing: closing.shared(),
+            refuse: None,
+            watch: None,
+        }
+    }
+
+    /// Sets the answer to requests on connections over the limit.
+    #[must_use]
+    pub fn with_refuse(mut self, refuse: Refuse) -> Self {
+        self.refuse = Some(refuse);
+        self
+    }
+
+    /// Sets who is told of every accepted connection.
+    #[must_use]
+    pub fn with_watch(mut self, watch: Rc<dyn Fn(Accepted)>) -> Self {
+        self.watch = Some(watch);
+        self
+    }
+
+    /// Returns the connections that are served.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Closes every connection once the answer under way is written.
+    pub fn close(&self) {
+        self.close.take();
+    }
+
+    /// Decides about a new connection and tells who watches.
+    fn accept(&self, limits: Limits) -> Accepted {
+        let accepted = if self.open.get() < limits.connections {
+            Accepted::Served
+        } else if self.refuse.is_some() && self.refused.get() < REFUSALS {
+            Accepted::Refused
+        } else {
+            Accepted::Closed
+        };
+        if let Some(watch) = &self.watch {
+            watch(accepted);
+        }
+        accepted
+    }
+}
+
+/// Counts a connection for as long as it lives.
+struct Counted {
+    connections: Rc<Connections>,
+    kind: Accepted,
+}
+
+impl Counted {
+    fn new(connections: &Rc<Connections>, kind: Accepted) -> Self {
+        let counted = Self {
+            connections: Rc::clone(connections),
+            kind,
+        };
+        let cell = counted.cell();
+        cell.set(cell.get() + 1);
+        counted
+    }
+
+    fn cell(&self) -> &Cell<usize> {
+        match self.kind {
+            Accepted::Served => &self.connections.open,
+            Accepted::Refused | Accepted::Closed => &self.connections.refused,
+        }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let cell = self.cell();
+        cell.set(cell.get() - 1);
+    }
+}
+
 /// Accepts connections until the task is dropped.
 pub async fn serve(listener: TcpListener, limits: Limits, handler: Handler) {
-    let open = Rc::new(Cell::new(0_usize));
+    serve_counted(listener, limits, handler, Rc::new(Connections::new())).await;
+}
+
+/// Accepts connections until the task is dropped, and keeps their account.
+pub async fn serve_counted(
+    listener: TcpListener,
+    limits: Limits,
+    handler: Handler,
+    connections: Rc<Connections>,
+) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                if open.get() >= limits.connections {
-                    log::warn!(limit = limits.connections; "connection_limit");
-                    continue;
-                }
-                open.set(open.get() + 1);
-                let open = Rc::clone(&open);
-                let handler = Rc::clone(&handler);
-                compio::runtime::spawn(async move {
-                    connection(stream, limits, handler).await;
-                    open.set(open.get() - 1);
-                })
-                .detach();
-            }
+            Ok((stream, _)) => admit(stream, limits, &handler, &connections),
             Err(error) => {
-                log::warn!(error:% = error; "accept_failed");
+                log::warn!(step = "accept", error:% = error; "accept_failed");
                 compio::time::sleep(Duration::from_millis(50)).await;
             }
         }
     }
 }
 
-async fn connection(stream: TcpStream, limits: Limits, handler: Handler) {
+fn admit(stream: TcpStream, limits: Limits, handler: &Handler, connections: &Rc<Connections>) {
+    let kind = connections.accept(limits);
+    let (limits, handler) = match (kind, &connections.refuse) {
+        (Accepted::Served, _) => (limits, Rc::clone(handler)),
+        (Accepted::Refused, Some(refuse)) => {
+            let limits = Limits {
+                head_time: REFUSAL_TIME,
+                ..limits
+            };
+            (limits, refusing(refuse))
+        }
+        _ => {
+            log::debug!(limit = limits.connections; "connection_refused");
+            return;
+        }
+    };
+    let counted = Counted::new(connections, kind);
+    let closing = connections.closing.clone();
+    compio::runtime::spawn(async move {
+        connection(stream, limits, handler, closing).await;
+        drop(counted);
+    })
+    .detach();
+}
+
+/// Returns a handler that refuses one request and closes the connection.
+fn refusing(refuse: &Refuse) -> Handler {
+    let refuse = Rc::clone(refuse);
+    Rc::new(move |request| {
+        let mut answer = refuse(request.headers());
+        answer.headers_mut().insert(
+            http::header::CONNECTION,
+            http::HeaderValue::from_static("close"),
+        );
+        std::future::ready(answer).boxed_local()
+    })
+}
+
+async fn connection(
+    stream: TcpStream,
+    limits: Limits,
+    handler: Handler,
+    closing: Shared<oneshot::Receiver<()>>,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
@@ -110,14 +283,25 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    let result = http1::Builder::new()
+    let stream = Stall::new(HyperStream::new_plain(stream), limits.stall_time);
+    let serving = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.head_time)
         .max_buf_size(limits.head_bytes)
-        .max_headers(limits.headers)
-        .serve_connection(HyperStream::new_plain(stream), service)
-        .await;
+        .serve_connection(stream, service);
+    let mut serving = std::pin::pin!(serving);
+    let ended = futures_util::select! {
+        result = serving.as_mut().fuse() => Some(result),
+        _ = closing.fuse() => None,
+    };
+    let result = match ended {
+        Some(result) => result,
+        None => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
     if let Err(error) = result {
-        log::debug!(error:% = error; "connection_ended");
+        log::debug!(step = "serve", error:% = error; "connection_ended");
     }
 }
--- a/crates/router/src/caller/deliver.rs
+++ b/crates/router/src/caller/deliver.rs
@@ -6,16 +6,20 @@
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use hibiscusrail_core::CallId;
+use hibiscusrail_core::effect::Execution;
 use hibiscusrail_net::Body;
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderValue, Response};
 
-use crate::refusal::{self, REQUEST_ID};
+use super::Submitted;
+use super::watch::Watch;
+use crate::refusal::{self, Code, REQUEST_ID, execution_name};
 use crate::shell::{Shell, ToCaller};
 
 /// Tells the shell when a caller's connection goes away before the answer is whole.
 struct HangupGuard {
     shell: Rc<Shell>,
     call: CallId,
+    watch: Watch,
 }
 
 impl Drop for HangupGuard {
@@ -24,22 +28,28 @@
     }
 }
 
-pub async fn deliver(
-    shell: Rc<Shell>,
-    id: String,
-    call: CallId,
-    mut receiver: mpsc::UnboundedReceiver<ToCaller>,
-) -> Response<Body> {
-    let guard = HangupGuard { shell, call };
+/// Waits for the head of the answer and returns it with the rest to come.
+pub async fn deliver(shell: Rc<Shell>, id: String, submitted: Submitted) -> Response<Body> {
+    let mut receiver = submitted.receiver;
+    let mut guard = HangupGuard {
+        shell,
+        call: submitted.call,
+        watch: submitted.watch,
+    };
     let (status, headers) = match receiver.next().await {
         Some(ToCaller::Head(status, headers)) => (status, headers),
-        Some(ToCaller::Refused(refused)) => return refusal::response(&id, &refused),
+        Some(ToCaller::Refused(refused)) => {
+            guard.watch.refused(&refused);
+            return refusal::response(&id, &refused);
+        }
         Some(ToCaller::Data(_) | ToCaller::End) | None => {
-            let message = "the answer came without a head";
-            let status = StatusCode::INTERNAL_SERVER_ERROR;
-            return refusal::error(status, "internal", message, &id, "unknown");
+            guard.watch.cut(Code::Internal);
+            let message = Code::Internal.message();
+            let execution = execution_name(Execution::Unknown);
+            return refusal::error(Code::Internal, message, &id, execution);
         }
     };
+    guard.watch.first_byte();
     let body = forward(guard, receiver);
     let mut answer = Response::new(body);
     *answer.status_mut() = status;
@@ -53,16 +63,27 @@
 /// Returns the body of an answer; an answer that is cut ends with an error.
 fn forward(guard: HangupGuard, receiver: mpsc::UnboundedReceiver<ToCaller>) -> Body {
     let frames =
-        futures_util::stream::unfold((guard, receiver), |(guard, mut receiver)| async move {
+        futures_util::stream::unfold((guard, receiver), |(mut guard, mut receiver)| async move {
             let item = match receiver.next().await {
                 Some(ToCaller::Data(data)) => Ok(http_body::Frame::data(data)),
-                Some(ToCaller::End | ToCaller::Head(..)) => return None,
-                Some(ToCaller::Refused(_)) | None => Err(io::Error::new(
-                    io::ErrorKind::ConnectionAborted,
-                    "answer cut",
-                )),
+                Some(ToCaller::End | ToCaller::Head(..)) => {
+                    guard.watch.answered();
+                    return None;
+                }
+                Some(ToCaller::Refused(refused)) => {
+                    guard.watch.cut(refused.reason.into());
+                    Err(cut())
+                }
+                None => {
+                    guard.watch.cut(Code::Internal);
+                    Err(cut())
+                }
             };
             Some((item, (guard, receiver)))
         });
     Box::pin(http_body_util::StreamBody::new(frames))
 }
+
+fn cut() -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionAborted, "answer cut")
+}
--- a/crates/router/src/caller/route.rs
+++ b/crates/router/src/caller/route.rs
@@ -1,12 +1,15 @@
 //! Finds the service that a request is for, and what its servers receive.
 
-use bytes::Bytes;
 use hibiscusrail_core::ServiceId;
 use hibiscusrail_core::configuration::ServiceKind;
-use http::{HeaderMap, HeaderName, StatusCode, header};
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, header};
 use serde::Deserialize;
 
+use super::body::Whole;
+use super::head::Asked;
 use super::{CHAT_PATH, Early};
+use crate::refusal::Code;
 use crate::shell::{Outgoing, Shell};
 
 /// The part of a chat request that the router reads.
@@ -17,51 +20,80 @@
     stream: bool,
 }
 
+/// A request with the service that it goes to.
+pub struct Routed {
+    /// The service.
+    pub service: ServiceId,
+    /// Its name.
+    pub name: String,
+    /// What its servers receive.
+    pub outgoing: Outgoing,
+}
+
+/// Where a request goes, as its path and body say.
+struct Target {
+    service: String,
+    path: String,
+    stream: bool,
+}
+
 /// Finds the service and the request that its servers receive.
 pub fn route(
     shell: &Shell,
     id: &str,
-    parts: &http::request::Parts,
-    body: Bytes,
-) -> Result<(ServiceId, Outgoing), Early> {
-    let path = parts.uri.path();
-    let (name, server_path, stream) = if path == CHAT_PATH {
-        let chat: ChatRequest = serde_json::from_slice(&body).map_err(|e| {
-            Early::new(
-                StatusCode::BAD_REQUEST,
-                "bad_json",
-                format!("the body is not a chat request: {e}"),
-            )
-        })?;
-        (chat.model, CHAT_PATH.to_owned(), chat.stream)
-    } else {
-        let (name, rest) = split_path(path);
-        let query = parts.uri.query().map(|q| format!("?{q}"));
-        let server_path = format!("/{rest}{}", query.unwrap_or_default());
-        (name.to_owned(), server_path, false)
-    };
-    let service = ServiceId::new(&name);
+    asked: &Asked,
+    parts: &Parts,
+    body: Whole,
+) -> Result<Routed, Early> {
+    let target = target(parts, &body.bytes)?;
+    let chat = parts.uri.path() == CHAT_PATH;
+    let service = ServiceId::new(&target.service);
     let found = shell.with_router(|r| r.config().service(service).cloned());
-    let found = found.filter(|s| (s.kind == ServiceKind::Model) == (path == CHAT_PATH));
+    let found = found.filter(|s| (s.kind == ServiceKind::Model) == chat);
     let found = found.ok_or_else(|| {
-        Early::new(
-            StatusCode::NOT_FOUND,
-            "unknown_service",
-            format!("no service {name} takes this request"),
-        )
+        let message = format!("no service {:?} takes this request", target.service);
+        Early::with_message(Code::UnknownService, message)
     })?;
     let outgoing = Outgoing {
         method: parts.method.clone(),
-        path: server_path,
-        headers: to_server(&parts.headers),
-        body,
+        path: target.path,
+        headers: to_server(&parts.headers, asked),
+        body: body.bytes,
+        reserved: body.reserved,
         request: id.to_owned(),
-        stream,
+        stream: target.stream,
         prompt_weight: found.prompt_weight,
         output_weight: found.output_weight,
-        model: found.kind == ServiceKind::Model,
+        model: chat,
     };
-    Ok((service, outgoing))
+    Ok(Routed {
+        service,
+        name: found.name,
+        outgoing,
+    })
+}
+
+/// Reads the service from the body of a model request, else from the path.
+fn target(parts: &Parts, body: &[u8]) -> Result<Target, Early> {
+    let path = parts.uri.path();
+    if path == CHAT_PATH {
+        let chat: ChatRequest = serde_json::from_slice(body).map_err(|e| {
+            let message = format!("the body is not a chat request: {e}");
+            Early::with_message(Code::BadJson, message)
+        })?;
+        return Ok(Target {
+            service: chat.model,
+            path: CHAT_PATH.to_owned(),
+            stream: chat.stream,
+        });
+    }
+    let (service, rest) = split_path(path);
+    let query = parts.uri.query().map(|q| format!("?{q}"));
+    Ok(Target {
+        service: service.to_owned(),
+        path: format!("/{rest}{}", query.unwrap_or_default()),
+        stream: false,
+    })
 }
 
 /// Splits `/service/rest` into the service and the rest.
@@ -70,20 +102,45 @@
     path.split_once('/').unwrap_or((path, ""))
 }
 
+/// Header that tells servers which workspace asks.
+const WORKSPACE: HeaderName = HeaderName::from_static("x-workspace");
+
 /// Headers that belong to one connection or to the router.
-const NOT_PASSED: [HeaderName; 6] = [
+const NOT_PASSED: [HeaderName; 11] = [
     header::AUTHORIZATION,
     header::CONNECTION,
-    header::HOST,
     header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::HOST,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
     header::TRANSFER_ENCODING,
     header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
 ];
 
-fn to_server(headers: &HeaderMap) -> HeaderMap {
+fn to_server(headers: &HeaderMap, asked: &Asked) -> HeaderMap {
     let mut out = headers.clone();
+    for name in listed(headers) {
+        out.remove(name);
+    }
     for name in NOT_PASSED {
         out.remove(name);
     }
+    if let Ok(name) = HeaderValue::from_str(&asked.name) {
+        out.insert(WORKSPACE, name);
+    }
     out
 }
+
+/// Returns the headers that the connection header names as its own.
+fn listed(headers: &HeaderMap) -> Vec<HeaderName> {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect()
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,13 +3,21 @@
 //! [`shell`] turns what happens on sockets into the reducer's events and
 //! carries out its effects; [`caller`] serves callers, [`upstream`] talks to
 //! backend servers, [`peers`] exchanges datagrams with other routers and
-//! [`platform`] reads the platform's table.
+//! [`platform`] reads the platform's table. [`admin`] and [`rpc`] serve
+//! operators, [`metrics`] counts what happens.
 
+pub mod admin;
 pub mod caller;
+pub mod metrics;
 pub mod peers;
 pub mod platform;
+pub mod process;
 pub mod refusal;
+pub mod rpc;
+pub mod secrets;
 pub mod shell;
+pub mod signals;
 pub mod sse;
 pub mod start;
+pub mod stop;
 pub mod upstream;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -9,6 +9,7 @@
 use hibiscusrail_core::{Event, Incarnation, Message, RouterId};
 use hibiscusrail_wire::{Keys, Letter};
 
+use crate::metrics::{Metrics, RECEIVED, SENT};
 use crate::shell::Shell;
 
 /// Bytes of the receive buffer: more than the largest datagram accepted.
@@ -23,6 +24,7 @@
     keys: RefCell<Keys>,
     addresses: RefCell<BTreeMap<RouterId, SocketAddr>>,
     seq: Cell<u64>,
+    metrics: Rc<Metrics>,
 }
 
 impl Peers {
@@ -36,6 +38,7 @@
         incarnation: Incarnation,
         listen: SocketAddr,
         secret: &[u8],
+        metrics: Rc<Metrics>,
     ) -> io::Result<Self> {
         let socket = UdpSocket::bind(listen)?;
         socket.set_nonblocking(true)?;
@@ -46,6 +49,7 @@
             keys: RefCell::new(Keys::new(me, secret)),
             addresses: RefCell::default(),
             seq: Cell::new(0),
+            metrics,
         })
     }
 
@@ -57,8 +61,10 @@
     /// Seals and sends a message; a message that can't be sent now is lost.
     pub fn send(&self, to: RouterId, message: Message) {
         let Some(address) = self.addresses.borrow().get(&to).copied() else {
+            self.metrics.dropped("no_address");
             return;
         };
+        let kind = message.kind();
         let seq = self.seq.get() + 1;
         self.seq.set(seq);
         let datagram = self.keys.borrow().seal(&Letter {
@@ -68,7 +74,9 @@
             to,
             message,
         });
+        self.metrics.datagram(SENT, kind, datagram.len());
         if let Err(error) = self.socket.send_to(&datagram, address) {
+            self.metrics.dropped("send_failed");
             log::debug!(step = "send", peer:% = address, error:% = error; "datagram_lost");
         }
     }
@@ -100,12 +108,17 @@
 fn open(shell: &Rc<Shell>, datagram: &[u8], address: SocketAddr) {
     let opened = shell.peers().keys.borrow_mut().open(datagram);
     match opened {
-        Ok(letter) => shell.event(Event::Peer {
-            from: letter.from,
-            incarnation: letter.incarnation,
-            message: letter.message,
-        }),
+        Ok(letter) => {
+            let kind = letter.message.kind();
+            shell.metrics().datagram(RECEIVED, kind, datagram.len());
+            shell.event(Event::Peer {
+                from: letter.from,
+                incarnation: letter.incarnation,
+                message: letter.message,
+            });
+        }
         Err(error) => {
+            shell.metrics().dropped(error.kind());
             log::warn!(step = "open", peer:% = address, error:% = error; "datagram_dropped");
         }
     }
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -1,12 +1,200 @@
 //! Refusals as callers see them: status, stable code, JSON body.
+//!
+//! [`Code`] is the one table of codes; a test compares it with the table in
+//! `docs/INTERFACE.md`.
+
+use std::time::Duration;
 
 use hibiscusrail_core::effect::{Execution, Refusal, Refused};
+use hibiscusrail_macros::id;
 use hibiscusrail_net::{Body, json};
 use http::{HeaderValue, Response, StatusCode, header};
 use serde::Serialize;
 
 /// Header that carries the request id both ways.
 pub const REQUEST_ID: &str = "x-request-id";
+/// Wait that a refused caller is told when no better one is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Every reason for which a request is refused.
+#[id]
+pub enum Code {
+    /// A header has a value that is not allowed.
+    BadHeader,
+    /// The body is not a chat request.
+    BadJson,
+    /// The body ended before it was whole.
+    BodyIncomplete,
+    /// No workspace has the key.
+    Unauthorized,
+    /// No such service, or not by this path.
+    UnknownService,
+    /// The body did not arrive in time.
+    BodyTooSlow,
+    /// An earlier request with the same idempotency key ran or runs.
+    AlreadyRun,
+    /// The body is too long.
+    BodyTooLarge,
+    /// The workspace has too many requests waiting.
+    QueueFull,
+    /// The head has too many headers or bytes.
+    HeadTooLarge,
+    /// The caller hung up.
+    Cancelled,
+    /// The router failed.
+    Internal,
+    /// The connection to the server was lost.
+    ConnectionLost,
+    /// No server answered within the allowed attempts.
+    RetriesExhausted,
+    /// The router has no configuration yet.
+    NotReady,
+    /// The router is stopping.
+    Stopping,
+    /// The idempotency key can't be claimed now.
+    ClaimUnavailable,
+    /// The router holds as many bytes of requests as it can.
+    Overloaded,
+    /// Too many connections are open.
+    TooManyConnections,
+    /// The deadline passed.
+    DeadlineExceeded,
+}
+
+impl Code {
+    /// Every code, by status.
+    pub const ALL: [Self; 20] = [
+        Self::BadHeader,
+        Self::BadJson,
+        Self::BodyIncomplete,
+        Self::Unauthorized,
+        Self::UnknownService,
+        Self::BodyTooSlow,
+        Self::AlreadyRun,
+        Self::BodyTooLarge,
+        Self::QueueFull,
+        Self::HeadTooLarge,
+        Self::Cancelled,
+        Self::Internal,
+        Self::ConnectionLost,
+        Self::RetriesExhausted,
+        Self::NotReady,
+        Self::Stopping,
+        Self::ClaimUnavailable,
+        Self::Overloaded,
+        Self::TooManyConnections,
+        Self::DeadlineExceeded,
+    ];
+
+    /// Returns the stable name.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::BadHeader => "bad_header",
+            Self::BadJson => "bad_json",
+            Self::BodyIncomplete => "body_incomplete",
+            Self::Unauthorized => "unauthorized",
+            Self::UnknownService => "unknown_service",
+            Self::BodyTooSlow => "body_too_slow",
+            Self::AlreadyRun => "already_run",
+            Self::BodyTooLarge => "body_too_large",
+            Self::QueueFull => "queue_full",
+            Self::HeadTooLarge => "head_too_large",
+            Self::Cancelled => "cancelled",
+            Self::Internal => "internal",
+            Self::ConnectionLost => "connection_lost",
+            Self::RetriesExhausted => "retries_exhausted",
+            Self::NotReady => "not_ready",
+            Self::Stopping => "stopping",
+            Self::ClaimUnavailable => "claim_unavailable",
+            Self::Overloaded => "overloaded",
+            Self::TooManyConnections => "too_many_connections",
+            Self::DeadlineExceeded => "deadline_exceeded",
+        }
+    }
+
+    /// Returns the HTTP status.
+    #[must_use]
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::BadHeader | Self::BadJson | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::UnknownService => StatusCode::NOT_FOUND,
+            Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Self::AlreadyRun => StatusCode::CONFLICT,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::QueueFull => StatusCode::TOO_MANY_REQUESTS,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            // The caller is gone; the status only shows in metrics.
+            Self::Cancelled | Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
+            Self::ConnectionLost | Self::RetriesExhausted => StatusCode::BAD_GATEWAY,
+            Self::NotReady
+            | Self::Stopping
+            | Self::ClaimUnavailable
+            | Self::Overloaded
+            | Self::TooManyConnections => StatusCode::SERVICE_UNAVAILABLE,
+            Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns a sentence for people.
+    #[must_use]
+    pub fn message(self) -> &'static str {
+        match self {
+            Self::BadHeader => "a header has a value that is not allowed",
+            Self::BadJson => "the body is not a chat request",
+            Self::BodyIncomplete => "the body ended before it was whole",
+            Self::Unauthorized => "no workspace has this key",
+            Self::UnknownService => "no service of this name takes the request",
+            Self::BodyTooSlow => "the body did not arrive in time",
+            Self::AlreadyRun => "a request with this idempotency key was run before",
+            Self::BodyTooLarge => "the body is too long",
+            Self::QueueFull => "the workspace has too many requests waiting",
+            Self::HeadTooLarge => "the request has too many headers or too long ones",
+            Self::Cancelled => "the caller hung up",
+            Self::Internal => "the router failed to pass the answer on",
+            Self::ConnectionLost => "the connection to the server was lost",
+            Self::RetriesExhausted => "no server answered within the allowed attempts",
+            Self::NotReady => "the router has no configuration yet",
+            Self::Stopping => "the router is stopping",
+            Self::ClaimUnavailable => "the idempotency key can't be claimed now",
+            Self::Overloaded => "the router holds as many requests as it can",
+            Self::TooManyConnections => "too many connections are open",
+            Self::DeadlineExceeded => "the deadline passed before the request was answered",
+        }
+    }
+
+    /// Returns when asking again makes sense; none when waiting does not help.
+    #[must_use]
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::QueueFull
+            | Self::NotReady
+            | Self::Stopping
+            | Self::ClaimUnavailable
+            | Self::Overloaded
+            | Self::TooManyConnections => Some(RETRY_AFTER),
+            _ => None,
+        }
+    }
+}
+
+impl From<Refusal> for Code {
+    fn from(reason: Refusal) -> Self {
+        match reason {
+            Refusal::QueueFull => Self::QueueFull,
+            Refusal::Expired => Self::DeadlineExceeded,
+            Refusal::NoService => Self::UnknownService,
+            Refusal::NotReady => Self::NotReady,
+            Refusal::Stopping => Self::Stopping,
+            Refusal::NoClaim => Self::ClaimUnavailable,
+            Refusal::Exhausted => Self::RetriesExhausted,
+            Refusal::Broken => Self::ConnectionLost,
+            Refusal::Cancelled => Self::Cancelled,
+            Refusal::AlreadyRun => Self::AlreadyRun,
+        }
+    }
+}
 
 /// Body of a refusal.
 #[derive(Debug, Serialize)]
@@ -34,101 +222,38 @@
     }
 }
 
-/// Returns status, code and message of a refusal.
-fn describe(refused: &Refused) -> (StatusCode, &'static str, &'static str) {
-    match refused.reason {
-        Refusal::QueueFull => (
-            StatusCode::TOO_MANY_REQUESTS,
-            "queue_full",
-            "the workspace has too many requests waiting",
-        ),
-        Refusal::Expired => (
-            StatusCode::GATEWAY_TIMEOUT,
-            "deadline_exceeded",
-            "the deadline passed before the request was answered",
-        ),
-        Refusal::NoService => (
-            StatusCode::NOT_FOUND,
-            "unknown_service",
-            "no service of this name is configured",
-        ),
-        Refusal::NotReady => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "not_ready",
-            "the router has no configuration yet",
-        ),
-        Refusal::Stopping => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "stopping",
-            "the router is stopping",
-        ),
-        Refusal::NoClaim => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            "claim_unavailable",
-            "the idempotency key can't be claimed now",
-        ),
-        Refusal::Exhausted => (
-            StatusCode::BAD_GATEWAY,
-            "retries_exhausted",
-            "no server answered within the allowed attempts",
-        ),
-        Refusal::Broken => (
-            StatusCode::BAD_GATEWAY,
-            "connection_lost",
-            "the connection to the server was lost",
-        ),
-        Refusal::Cancelled => (
-            StatusCode::from_u16(499).unwrap_or(StatusCode::BAD_REQUEST),
-            "cancelled",
-            "the caller hung up",
-        ),
-        Refusal::AlreadyRun => (
-            StatusCode::CONFLICT,
-            "already_run",
-            "a request with this idempotency key was run before",
-        ),
-    }
-}
-
-/// Builds the answer for a refused request.
+/// Builds the answer for a request that the reducer refused.
 #[must_use]
 pub fn response(request_id: &str, refused: &Refused) -> Response<Body> {
-    let (status, code, message) = describe(refused);
-    let mut answer = error(
-        status,
-        code,
-        message,
-        request_id,
-        execution_name(refused.execution),
-    );
+    let code = Code::from(refused.reason);
+    let execution = execution_name(refused.execution);
+    let mut answer = error(code, code.message(), request_id, execution);
     if let Some(wait) = refused.retry_after {
-        let seconds = wait.as_secs().max(1);
-        answer
-            .headers_mut()
-            .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        set_retry(&mut answer, wait);
     }
     answer
 }
 
-/// Builds the answer for a request that was refused before it was queued.
+/// Builds the answer for a request that was refused before it was queued; it
+/// has not run.
 #[must_use]
-pub fn error(
-    status: StatusCode,
-    code: &str,
-    message: &str,
-    request_id: &str,
-    execution: &str,
-) -> Response<Body> {
+pub fn early(code: Code, message: &str, request_id: &str) -> Response<Body> {
+    error(code, message, request_id, execution_name(Execution::NotRun))
+}
+
+/// Builds the answer for a refused request.
+#[must_use]
+pub fn error(code: Code, message: &str, request_id: &str, execution: &str) -> Response<Body> {
     let body = json(&ErrorBody {
         error: ErrorDetail {
-            code,
+            code: code.name(),
             message,
             request_id,
             execution,
         },
     });
     let mut answer = Response::new(body);
-    *answer.status_mut() = status;
+    *answer.status_mut() = code.status();
     let headers = answer.headers_mut();
     headers.insert(
         header::CONTENT_TYPE,
@@ -137,5 +262,18 @@
     if let Ok(id) = HeaderValue::from_str(request_id) {
         headers.insert(REQUEST_ID, id);
     }
+    if code == Code::Unauthorized {
+        headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
+    if let Some(wait) = code.retry_after() {
+        set_retry(&mut answer, wait);
+    }
+    answer
+}
+
+fn set_retry(answer: &mut Response<Body>, wait: Duration) {
+    let seconds = wait.as_secs().max(1);
     answer
+        .headers_mut()
+        .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
 }
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -3,15 +3,19 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use compio::runtime::JoinHandle;
 use futures_channel::mpsc;
 use hibiscusrail_core::effect::{Dispatch, Effect, Level, Record, Refused};
 use hibiscusrail_core::{AttemptKey, CallId, Clock, Event, Router};
+use hibiscusrail_net::Connections;
 use hibiscusrail_settings::RouterSettings;
 use http::{HeaderMap, Method, StatusCode};
 
+use crate::caller::Reserved;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::upstream;
 
@@ -39,6 +43,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Place of the body in the router's memory.
+    pub reserved: Reserved,
     /// Request id.
     pub request: String,
     /// Whether the answer is a stream of events.
@@ -69,9 +75,14 @@
     tasks: RefCell<BTreeMap<AttemptKey, JoinHandle<()>>>,
     finished: RefCell<Vec<AttemptKey>>,
     next_call: Cell<u64>,
+    delivering: Cell<usize>,
+    held: Cell<usize>,
     peers: Peers,
+    metrics: Rc<Metrics>,
+    connections: Rc<Connections>,
     wake: mpsc::UnboundedSender<()>,
     drained: RefCell<Option<mpsc::UnboundedSender<u32>>>,
+    stop: RefCell<Option<mpsc::UnboundedSender<Duration>>>,
 }
 
 impl std::fmt::Debug for Shell {
@@ -88,6 +99,8 @@
         clock: Box<dyn Clock>,
         settings: RouterSettings,
         peers: Peers,
+        metrics: Rc<Metrics>,
+        connections: Rc<Connections>,
         wake: mpsc::UnboundedSender<()>,
     ) -> Self {
         Self {
@@ -98,9 +111,14 @@
             tasks: RefCell::default(),
             finished: RefCell::default(),
             next_call: Cell::new(0),
+            delivering: Cell::new(0),
+            held: Cell::new(0),
             peers,
+            metrics,
+            connections,
             wake,
             drained: RefCell::new(None),
+            stop: RefCell::new(None),
         }
     }
 
@@ -122,6 +140,49 @@
         &self.peers
     }
 
+    /// Returns the metrics.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Returns the account of callers' connections.
+    #[must_use]
+    pub fn connections(&self) -> &Rc<Connections> {
+        &self.connections
+    }
+
+    /// Returns the requests whose answers are on their way to callers.
+    #[must_use]
+    pub fn delivering(&self) -> usize {
+        self.delivering.get()
+    }
+
+    /// Reserves memory for a caller's request; false when there is none left.
+    pub fn reserve(&self, bytes: usize) -> bool {
+        let held = self.held.get() + bytes;
+        if held > self.settings.held_bytes {
+            return false;
+        }
+        self.held.set(held);
+        true
+    }
+
+    /// Gives reserved memory back.
+    pub fn give_back(&self, bytes: usize) {
+        self.held.set(self.held.get() - bytes);
+    }
+
+    /// Counts a delivery that begins.
+    pub fn begin_delivery(&self) {
+        self.delivering.set(self.delivering.get() + 1);
+    }
+
+    /// Counts a delivery that ended.
+    pub fn end_delivery(&self) {
+        self.delivering.set(self.delivering.get() - 1);
+    }
+
     /// Looks at the reducer's state.
     pub fn with_router<T>(&self, look: impl FnOnce(&Router) -> T) -> T {
         look(&self.router.borrow())
@@ -132,6 +193,23 @@
         *self.drained.borrow_mut() = Some(sender);
     }
 
+    /// Names who is told when an operator asks for a stop.
+    pub fn on_stop(&self, sender: mpsc::UnboundedSender<Duration>) {
+        *self.stop.borrow_mut() = Some(sender);
+    }
+
+    /// Starts a graceful stop that leaves running work `patience` to end.
+    pub fn ask_stop(self: &Rc<Self>, patience: Duration) {
+        let told = self
+            .stop
+            .borrow()
+            .as_ref()
+            .is_some_and(|s| s.unbounded_send(patience).is_ok());
+        if !told {
+            self.event(Event::Drain { patience });
+        }
+    }
+
     /// Registers a call and returns its number.
     pub fn open_call(&self, state: CallState) -> CallId {
         let id = CallId(self.next_call.get());
@@ -188,7 +266,7 @@
                 }
             }
             Effect::Log(record) => write_log(&record),
-            Effect::Count(_) => {}
+            Effect::Count(counter) => self.metrics.decision(counter),
             Effect::Drained { cut } => {
                 if let Some(sender) = self.drained.borrow().as_ref() {
                     let _ = sender.unbounded_send(cut);
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -10,13 +10,18 @@
 use futures_util::{FutureExt, StreamExt};
 use hibiscusrail_core::membership::{Member, MemberState};
 use hibiscusrail_core::{Clock, Event, Incarnation, Params, Router, RouterId, SystemClock, ZoneId};
-use hibiscusrail_net::{Limits, bind, logs, serve};
+use hibiscusrail_net::server::Accepted;
+use hibiscusrail_net::{Connections, Limits, bind, logs, serve, serve_counted};
 use hibiscusrail_settings::RouterSettings;
 use snafu::{ResultExt, Snafu};
 
+use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
+use crate::secrets::{self, Secrets};
 use crate::shell::Shell;
-use crate::{caller, platform};
+use crate::signals::Signals;
+use crate::stop::{self, Stopped};
+use crate::{admin, caller, platform};
 
 /// Exit code when work was cut at the stop deadline.
 const EXIT_CUT: u8 = 3;
@@ -69,18 +74,26 @@
 /// Fails when the router can't start.
 pub fn run(settings: RouterSettings) -> Result<ExitCode, StartError> {
     logs::init(&settings.log_level).map_err(|reason| StartError::Logs { reason })?;
-    let secret = read_secret(&settings.fleet_secret)?;
+    let fleet = read_secret(&settings.fleet_secret)?;
+    let token = read_secret(&settings.admin_token)?;
+    let secrets = Secrets::new(&fleet, &token);
     let runtime = compio::runtime::Runtime::new().context(RuntimeSnafu)?;
     runtime.block_on(async {
-        let drain = settings.drain;
-        let shell = start(settings, &secret)?;
-        wait_for_stop(&shell, drain).await
+        let mut signals = Signals::new().context(SignalsSnafu)?;
+        let shell = start(settings, &secrets)?;
+        let (sender, mut asked) = mpsc::unbounded();
+        shell.on_stop(sender);
+        let connections = shell.connections();
+        let stopped = stop::wait(&shell, connections, &mut signals, &mut asked).await;
+        Ok(match stopped.context(SignalsSnafu)? {
+            Stopped::Whole => ExitCode::SUCCESS,
+            Stopped::Cut(_) => ExitCode::from(EXIT_CUT),
+        })
     })
 }
 
 fn read_secret(path: &Path) -> Result<Vec<u8>, StartError> {
-    let text = std::fs::read(path).context(SecretSnafu { path })?;
-    Ok(text.trim_ascii().to_vec())
+    secrets::read(path).context(SecretSnafu { path })
 }
 
 fn make_router(settings: &RouterSettings, clock: &dyn Clock) -> Router {
@@ -103,15 +116,17 @@
 /// # Errors
 ///
 /// Fails when an address can't be opened.
-pub fn start(settings: RouterSettings, secret: &[u8]) -> Result<Rc<Shell>, StartError> {
+pub fn start(settings: RouterSettings, secrets: &Secrets) -> Result<Rc<Shell>, StartError> {
     let clock = SystemClock;
     let router = make_router(&settings, &clock);
     let me = RouterId::new(&settings.name);
+    let metrics = Rc::new(Metrics::new());
     let peers = Peers::new(
         me,
         Incarnation(clock.epoch_ms()),
         settings.peer_listen,
-        secret,
+        &secrets.fleet,
+        Rc::clone(&metrics),
     )
     .context(ListenSnafu {
         address: settings.peer_listen,
@@ -122,20 +137,57 @@
     let listener = bind(settings.listen).context(ListenSnafu {
         address: settings.listen,
     })?;
+    let admin_listener = bind(settings.admin_listen).context(ListenSnafu {
+        address: settings.admin_listen,
+    })?;
     let limits = Limits {
         connections: settings.connections as usize,
+        head_time: settings.head_time,
+        stall_time: settings.stall_time,
         ..Limits::new()
     };
+    let connections = Rc::new(connections(&metrics));
     let (wake, woken) = mpsc::unbounded();
     log::info!(router = settings.name.as_str(), zone = settings.zone.as_str(), listen:% = settings.listen; "started");
-    let shell = Rc::new(Shell::new(router, Box::new(clock), settings, peers, wake));
+    let shell = Rc::new(Shell::new(
+        router,
+        Box::new(clock),
+        settings,
+        peers,
+        metrics,
+        connections,
+        wake,
+    ));
     compio::runtime::spawn(timers(Rc::clone(&shell), woken)).detach();
     compio::runtime::spawn(platform::poll(Rc::clone(&shell))).detach();
     compio::runtime::spawn(receive(Rc::clone(&shell))).detach();
-    compio::runtime::spawn(serve(listener, limits, caller::handler(&shell))).detach();
+    let served = serve_counted(
+        listener,
+        limits,
+        caller::handler(&shell),
+        Rc::clone(shell.connections()),
+    );
+    compio::runtime::spawn(served).detach();
+    let admin = admin::handler(&shell, secrets.admin.clone());
+    compio::runtime::spawn(serve(admin_listener, Limits::new(), admin)).detach();
     Ok(shell)
 }
 
+/// Returns the account of callers' connections, with the refusal over the limit.
+fn connections(metrics: &Rc<Metrics>) -> Connections {
+    let watching = Rc::clone(metrics);
+    let refusing = Rc::clone(metrics);
+    Connections::new()
+        .with_refuse(Rc::new(move |headers| caller::too_many(&refusing, headers)))
+        .with_watch(Rc::new(move |accepted| {
+            watching.connection(match accepted {
+                Accepted::Served => "served",
+                Accepted::Refused => "refused",
+                Accepted::Closed => "closed",
+            });
+        }))
+}
+
 async fn receive(shell: Rc<Shell>) {
     if let Err(error) = peers::receive(shell).await {
         log::error!(step = "receive", error:% = error; "peers_unreachable");
@@ -158,43 +210,3 @@
         }
     }
 }
-
-/// Waits for a signal, drains, and returns the exit code.
-async fn wait_for_stop(shell: &Rc<Shell>, patience: Duration) -> Result<ExitCode, StartError> {
-    let mut signals = signals()?;
-    signals.next().await;
-    log::info!(patience_s = patience.as_secs(); "drain_started");
-    let (sender, mut drained) = mpsc::unbounded();
-    shell.on_drained(sender);
-    shell.event(Event::Drain { patience });
-    let cut = futures_util::select! {
-        cut = drained.next() => cut.unwrap_or(0),
-        _ = signals.next() => shell.with_router(Router::running),
-    };
-    log::info!(cut = cut; "stopped");
-    if cut > 0 {
-        return Ok(ExitCode::from(EXIT_CUT));
-    }
-    Ok(ExitCode::SUCCESS)
-}
-
-/// Returns a stream of stop signals.
-fn signals() -> Result<mpsc::UnboundedReceiver<()>, StartError> {
-    use signal_hook::consts::{SIGINT, SIGTERM};
-    let (sender, receiver) = mpsc::unbounded();
-    let (mut read, write) = std::os::unix::net::UnixStream::pair().context(SignalsSnafu)?;
-    for signal in [SIGINT, SIGTERM] {
-        let end = write.try_clone().context(SignalsSnafu)?;
-        signal_hook::low_level::pipe::register(signal, end).context(SignalsSnafu)?;
-    }
-    // The loop's thread never blocks; this one only waits for signals.
-    std::thread::spawn(move || {
-        let mut byte = [0];
-        while io::Read::read_exact(&mut read, &mut byte).is_ok() {
-            if sender.unbounded_send(()).is_err() {
-                return;
-            }
-        }
-    });
-    Ok(receiver)
-}
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -56,6 +56,18 @@
     pub body_bytes: usize,
     /// Time for a request's body to arrive.
     pub body_time: Duration,
+    /// Bytes of all requests' bodies that the router holds at most.
+    pub held_bytes: usize,
+    /// Bytes of a request's target and headers at most.
+    pub head_bytes: usize,
+    /// Headers of a request at most.
+    pub headers: u32,
+    /// Time for a request's head to arrive, also between requests.
+    pub head_time: Duration,
+    /// Time without progress after which a caller that does not read is cut.
+    pub stall_time: Duration,
+    /// Longest deadline that a caller may name.
+    pub deadline_max: Duration,
     /// Callers' connections open at the same time.
     pub connections: u32,
     /// Deadline of requests that name none.
@@ -99,6 +111,12 @@
         let platform_poll = r.optional(PLATFORM, "poll", Duration::from_secs(1));
         let Size(body_bytes) = r.optional(LIMITS, "body", Size(1 << 20));
         let body_time = r.optional(LIMITS, "body_time", Duration::from_secs(10));
+        let Size(held_bytes) = r.optional(LIMITS, "held", Size(64 << 20));
+        let Size(head_bytes) = r.optional(LIMITS, "head", Size(32 << 10));
+        let headers = r.optional(LIMITS, "headers", 64);
+        let head_time = r.optional(LIMITS, "head_time", Duration::from_secs(30));
+        let stall_time = r.optional(LIMITS, "stall_time", Duration::from_secs(30));
+        let deadline_max = r.optional(LIMITS, "deadline_max", Duration::from_secs(600));
         let connections = r.optional(LIMITS, "connections", 4_096);
         let deadline = r.optional(LIMITS, "deadline", Duration::from_secs(60));
         let peers = peers(&mut r);
@@ -118,6 +136,12 @@
                 platform_poll,
                 body_bytes,
                 body_time,
+                held_bytes,
+                head_bytes,
+                headers,
+                head_time,
+                stall_time,
+                deadline_max,
                 connections,
                 deadline,
                 drain,
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -9,6 +9,7 @@
 use hibiscusrail_load::fleet;
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::{Limits, bind, serve};
+use hibiscusrail_router::secrets::Secrets;
 use hibiscusrail_router::shell::Shell;
 use hibiscusrail_router::start;
 use hibiscusrail_settings::RouterSettings;
@@ -45,6 +46,11 @@
 impl Stage {
     /// Starts a small deployment and waits until its routers are ready.
     pub async fn new() -> Self {
+        Self::with_settings("").await
+    }
+
+    /// Starts a small deployment whose routers have further settings.
+    pub async fn with_settings(more: &str) -> Self {
         let deployment = Deployment::small();
         let platform = Rc::new(Platform::default());
         listen(deployment.platform, handler(&platform));
@@ -59,7 +65,7 @@
         fleet::seed(&stage.deployment)
             .await
             .expect("the seed is accepted");
-        stage.start_routers();
+        stage.start_routers(more);
         for shell in &stage.routers {
             until(|| shell.with_router(|r| r.readiness().is_ok())).await;
         }
@@ -83,11 +89,13 @@
         }
     }
 
-    fn start_routers(&mut self) {
+    fn start_routers(&mut self, more: &str) {
         for router in &self.deployment.routers {
             let text = fleet::settings(&self.deployment, router, Path::new("/nowhere"));
+            let text = format!("{text}\n{more}");
             let settings = RouterSettings::parse(&router.name, &text).expect("valid settings");
-            let shell = start::start(settings, b"secret").expect("the router starts");
+            let shell = start::start(settings, &Secrets::new(b"secret", b"token"))
+                .expect("the router starts");
             self.routers.push(shell);
         }
     }
@@ -146,3 +154,12 @@
         .expect("the loop starts")
         .block_on(test);
 }
+
+#[test]
+fn own_host_differs_each_time() {
+    let hosts: Vec<_> = (0..300)
+        .map(|_| hibiscusrail_load::deployment::own_host())
+        .collect();
+    let distinct: std::collections::BTreeSet<_> = hosts.iter().collect();
+    assert_eq!(distinct.len(), hosts.len());
+}
