Read every policy parameter from the settings and check them against each other

Cause: the policies' parameters were fixed in the code, sections that stand twice and equal addresses went unnoticed.

--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -9,7 +9,7 @@
 use futures_channel::mpsc;
 use futures_util::{FutureExt, StreamExt};
 use hibiscusrail_core::membership::{Member, MemberState};
-use hibiscusrail_core::{Clock, Event, Incarnation, Params, Router, RouterId, SystemClock, ZoneId};
+use hibiscusrail_core::{Clock, Event, Incarnation, Router, RouterId, SystemClock, ZoneId};
 use hibiscusrail_net::server::Accepted;
 use hibiscusrail_net::{Connections, Limits, bind, logs, serve, serve_counted};
 use hibiscusrail_settings::RouterSettings;
@@ -100,7 +100,7 @@
     let me = RouterId::new(&settings.name);
     let incarnation = Incarnation(clock.epoch_ms());
     let zone = ZoneId::new(&settings.zone);
-    let mut router = Router::new(me, zone, incarnation, Params::new(), clock.now());
+    let mut router = Router::new(me, zone, incarnation, settings.params.clone(), clock.now());
     for peer in &settings.peers {
         let member = Member {
             zone: ZoneId::new(&peer.zone),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! A program reads its sections through a [`Reader`], which collects every
 //! error instead of stopping at the first, and counts keys that nobody asked
-//! for as errors too. [`router`] holds the settings of the router daemon.
+//! for as errors too. [`router`] holds the settings of the router daemon,
+//! [`policy`] those of the reducer's policies.
 
+pub mod policy;
 pub mod reader;
 pub mod router;
 pub mod value;
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -26,8 +26,17 @@
 
 impl fmt::Display for SettingError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: [{}] {}", self.file, self.section, self.key)?;
+        write!(f, "{}:", self.file)?;
+        if !self.section.is_empty() {
+            write!(f, " [{}]", self.section)?;
+        }
+        if !self.key.is_empty() {
+            write!(f, " {}", self.key)?;
+        }
         match &self.value {
+            Some(value) if self.key.is_empty() => {
+                write!(f, " {value}; allowed is {}", self.allowed)
+            }
             Some(value) => write!(f, " = {value:?}: allowed is {}", self.allowed),
             None => write!(f, ": missing; allowed is {}", self.allowed),
         }
@@ -118,6 +127,17 @@
         });
     }
 
+    /// Adds an error about a value that is allowed by itself, but not beside others.
+    pub fn conflict(&mut self, section: &str, key: &str, allowed: &str) {
+        let value = self.text(section, key);
+        self.reject(
+            section,
+            key,
+            value.or(Some("(default)".to_owned())),
+            allowed,
+        );
+    }
+
     /// Reads a key that must be there.
     pub fn required<T: Value>(&mut self, section: &str, key: &str) -> Option<T> {
         let text = self.text(section, key);
@@ -145,22 +165,63 @@
     ///
     /// Holds every error found.
     pub fn finish(mut self) -> Result<(), SettingErrors> {
-        let mut unknown = Vec::new();
+        self.check_sections();
+        self.check_keys();
+        if self.errors.is_empty() {
+            Ok(())
+        } else {
+            Err(SettingErrors(self.errors))
+        }
+    }
+
+    /// Rejects sections that nobody asked for, or that stand twice.
+    fn check_sections(&mut self) {
+        let known: BTreeSet<&str> = self.asked.iter().map(|(s, _)| s.as_str()).collect();
+        let mut seen = BTreeSet::new();
+        let mut wrong = Vec::new();
+        for section in self.ini.iter().filter_map(|(s, _)| s) {
+            if !known.contains(section) {
+                wrong.push((section.to_owned(), "a section that is known"));
+            } else if !seen.insert(section) {
+                wrong.push((section.to_owned(), "each section once"));
+            }
+        }
+        for (section, allowed) in wrong {
+            let found = Some("this section".to_owned());
+            self.reject(&section, "", found, allowed);
+        }
+    }
+
+    /// Rejects keys that nobody asked for, or that stand twice.
+    fn check_keys(&mut self) {
+        let known: BTreeSet<String> = self.asked.iter().map(|(s, _)| s.clone()).collect();
+        let mut wrong = Vec::new();
         for (section, properties) in self.ini.iter() {
             let section = section.unwrap_or_default();
+            // One error about an unknown section is enough.
+            if !section.is_empty() && !known.contains(section) {
+                continue;
+            }
+            let mut seen = BTreeSet::new();
             for (key, value) in properties.iter() {
-                if !self.asked.contains(&(section.to_owned(), key.to_owned())) {
-                    unknown.push((section.to_owned(), key.to_owned(), value.to_owned()));
-                }
+                let asked = self.asked.contains(&(section.to_owned(), key.to_owned()));
+                let allowed = if !asked {
+                    "a key that is known here"
+                } else if !seen.insert(key) {
+                    "each key once"
+                } else {
+                    continue;
+                };
+                wrong.push((
+                    section.to_owned(),
+                    key.to_owned(),
+                    value.to_owned(),
+                    allowed,
+                ));
             }
         }
-        for (section, key, value) in unknown {
-            self.reject(&section, &key, Some(value), "a key that is known here");
-        }
-        if self.errors.is_empty() {
-            Ok(())
-        } else {
-            Err(SettingErrors(self.errors))
+        for (section, key, value, allowed) in wrong {
+            self.reject(&section, &key, Some(value), allowed);
         }
     }
 }
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -22,10 +22,10 @@
 }
 
 impl Value for SocketAddr {
-    const ALLOWED: &'static str = "an IP number and a port, like 127.0.0.1:8080";
+    const ALLOWED: &'static str = "an IP number and a port above zero, like 127.0.0.1:8080";
 
     fn parse(text: &str) -> Option<Self> {
-        text.parse().ok()
+        text.parse().ok().filter(|a: &Self| a.port() > 0)
     }
 }
 
@@ -54,6 +54,29 @@
     }
 }
 
+impl Value for f64 {
+    const ALLOWED: &'static str = "a number above zero, like 0.1 or 100";
+
+    fn parse(text: &str) -> Option<Self> {
+        text.parse()
+            .ok()
+            .filter(|n: &Self| n.is_finite() && *n > 0.0)
+    }
+}
+
+/// The least level of log records that are written.
+#[hibiscusrail_macros::record]
+pub struct LogLevel(pub String);
+
+impl Value for LogLevel {
+    const ALLOWED: &'static str = "off, error, warn, info, debug or trace";
+
+    fn parse(text: &str) -> Option<Self> {
+        const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+        LEVELS.contains(&text).then(|| Self(text.to_owned()))
+    }
+}
+
 /// A size in bytes.
 #[hibiscusrail_macros::id]
 pub struct Size(pub usize);
