Test the total of bodies with two requests at once

Cause: the setting held may no longer be below body, so the test's settings were refused. Change: the test holds one half-sent body and sends another; as strict as before.

--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -168,6 +168,12 @@
         true
     }
 
+    /// Returns the bytes of callers' requests that are held.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
     /// Gives reserved memory back.
     pub fn give_back(&self, bytes: usize) {
         self.held.set(self.held.get() - bytes);
--- a/tests/all/limits.rs
+++ b/tests/all/limits.rs
@@ -1,5 +1,6 @@
 //! Limits on what callers can push: a clear refusal each, others are served.
 
+use std::io::Write;
 use std::net::TcpStream;
 
 use hibiscusrail_load::client::Ending;
@@ -34,14 +35,23 @@
 #[test]
 fn bodies_over_the_held_total_are_refused() {
     run(async {
-        let stage = Stage::with_settings("[limits]\nheld = 1KiB\n").await;
+        let stage = Stage::with_settings("[limits]\nbody = 1KiB\nheld = 1KiB\n").await;
         let key = stage.deployment.workspaces[0].key();
         let path = format!("/{}/record/7", stage.deployment.plain);
         let peer = stage.deployment.routers[0].listen;
-        let over = request(Method::POST, &path, &key, &"x".repeat(1025));
+        let shell = std::rc::Rc::clone(&stage.routers[0]);
+        let mut slow = TcpStream::connect(peer).expect("a connection");
+        let head = "POST /records/x HTTP/1.1\r\nhost: r\r\ncontent-length: 600\r\n\
+                    authorization: Bearer key-workspace-0\r\n\r\n";
+        let half = format!("{head}{}", "x".repeat(500));
+        slow.write_all(half.as_bytes()).expect("the bytes leave");
+        until(|| shell.held() == 500).await;
+        let over = request(Method::POST, &path, &key, &"x".repeat(600));
         let answer = send(peer, over).await;
         answer.assert_not_run(503, "overloaded");
         assert_eq!(answer.headers["retry-after"], "1");
+        drop(slow);
+        until(|| shell.held() == 0).await;
         // Memory of requests that ended is free again.
         for _ in 0..3 {
             let fits = request(Method::POST, &path, &key, &"x".repeat(1000));
