--- a/crates/router/src/caller/head.rs
+++ b/crates/router/src/caller/head.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_core::WorkspaceId;
+use hibiscusrail_core::claim::Key;
 use hibiscusrail_core::event::Repeat;
 use http::request::Parts;
 use http::{HeaderMap, Method};
@@ -146,7 +147,7 @@
         if key.is_empty() || key.len() > MAX_ID {
             return Err(bad_header(IDEMPOTENCY_KEY, "1 to 128 ASCII characters"));
         }
-        return Ok(Repeat::Keyed(key.to_owned()));
+        return Ok(Repeat::Keyed(Key::new(key)));
     }
     let by_method = method.is_idempotent() || path == CHAT_PATH;
     let idempotent = match headers.get(IDEMPOTENT).map(http::HeaderValue::as_bytes) {
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -6,6 +6,7 @@
 
 mod body;
 mod deliver;
+mod digest;
 mod head;
 mod route;
 mod watch;
@@ -114,16 +115,14 @@
     let watch = Watch::new(shell, id, &asked, &routed.name);
     let (caller, receiver) = mpsc::unbounded();
     let resumable = routed.outgoing.stream;
-    let call = shell.open_call(CallState {
-        request: Rc::new(routed.outgoing),
-        caller,
-    });
+    let repeat = digest::add(asked.repeat, &routed.outgoing);
+    let call = shell.open_call(CallState::new(routed.outgoing, caller));
     shell.event(Event::Submit(Call {
         id: call,
         request: id.to_owned(),
         workspace: asked.workspace,
         service: routed.service,
-        repeat: asked.repeat,
+        repeat,
         resumable,
         hint: asked.hint,
         prefix: None,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,11 +8,14 @@
 
 pub mod admin;
 pub mod caller;
+pub mod claims;
 pub mod metrics;
 pub mod peers;
 pub mod platform;
+pub mod pool;
 pub mod process;
 pub mod refusal;
+pub mod replay;
 pub mod rpc;
 pub mod secrets;
 pub mod shell;
--- a/crates/router/src/refusal.rs
+++ b/crates/router/src/refusal.rs
@@ -33,8 +33,12 @@
     BodyTooSlow,
     /// An earlier request with the same idempotency key ran or runs.
     AlreadyRun,
+    /// A request with the same idempotency key runs, or its outcome is unknown.
+    KeyInDoubt,
     /// The body is too long.
     BodyTooLarge,
+    /// The idempotency key was used for a different request.
+    KeyReused,
     /// The workspace has too many requests waiting.
     QueueFull,
     /// The head has too many headers or bytes.
@@ -47,6 +51,8 @@
     ConnectionLost,
     /// No server answered within the allowed attempts.
     RetriesExhausted,
+    /// The server ran the request and failed.
+    ServerFailed,
     /// The router has no configuration yet.
     NotReady,
     /// The router is stopping.
@@ -63,7 +69,7 @@
 
 impl Code {
     /// Every code, by status.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 23] = [
         Self::BadHeader,
         Self::BadJson,
         Self::BodyIncomplete,
@@ -71,13 +77,16 @@
         Self::UnknownService,
         Self::BodyTooSlow,
         Self::AlreadyRun,
+        Self::KeyInDoubt,
         Self::BodyTooLarge,
+        Self::KeyReused,
         Self::QueueFull,
         Self::HeadTooLarge,
         Self::Cancelled,
         Self::Internal,
         Self::ConnectionLost,
         Self::RetriesExhausted,
+        Self::ServerFailed,
         Self::NotReady,
         Self::Stopping,
         Self::ClaimUnavailable,
@@ -97,6 +106,9 @@
             Self::UnknownService => "unknown_service",
             Self::BodyTooSlow => "body_too_slow",
             Self::AlreadyRun => "already_run",
+            Self::KeyInDoubt => "key_in_doubt",
+            Self::KeyReused => "key_reused",
+            Self::ServerFailed => "server_failed",
             Self::BodyTooLarge => "body_too_large",
             Self::QueueFull => "queue_full",
             Self::HeadTooLarge => "head_too_large",
@@ -121,13 +133,16 @@
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::UnknownService => StatusCode::NOT_FOUND,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::AlreadyRun => StatusCode::CONFLICT,
+            Self::AlreadyRun | Self::KeyInDoubt => StatusCode::CONFLICT,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::QueueFull => StatusCode::TOO_MANY_REQUESTS,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             // The caller is gone; the status only shows in metrics.
             Self::Cancelled | Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
-            Self::ConnectionLost | Self::RetriesExhausted => StatusCode::BAD_GATEWAY,
+            Self::ConnectionLost | Self::RetriesExhausted | Self::ServerFailed => {
+                StatusCode::BAD_GATEWAY
+            }
             Self::NotReady
             | Self::Stopping
             | Self::ClaimUnavailable
@@ -148,6 +163,11 @@
             Self::UnknownService => "no service of this name takes the request",
             Self::BodyTooSlow => "the body did not arrive in time",
             Self::AlreadyRun => "a request with this idempotency key was run before",
+            Self::KeyInDoubt => {
+                "a request with this idempotency key runs, or its outcome is unknown"
+            }
+            Self::KeyReused => "this idempotency key was used for a different request",
+            Self::ServerFailed => "the server ran the request and failed",
             Self::BodyTooLarge => "the body is too long",
             Self::QueueFull => "the workspace has too many requests waiting",
             Self::HeadTooLarge => "the request has too many headers or too long ones",
@@ -192,6 +212,9 @@
             Refusal::Broken => Self::ConnectionLost,
             Refusal::Cancelled => Self::Cancelled,
             Refusal::AlreadyRun => Self::AlreadyRun,
+            Refusal::KeyInDoubt => Self::KeyInDoubt,
+            Refusal::KeyReused => Self::KeyReused,
+            Refusal::ServerFailed => Self::ServerFailed,
         }
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod interface;
 mod limits;
 mod path;
+mod standins;
 mod support;
