--- a/crates/core/src/attempt/mod.rs
+++ b/crates/core/src/attempt/mod.rs
@@ -6,6 +6,14 @@
 //! refused admission or the connection hands the unwritten request back. The
 //! proof of it, [`NotRun`], can't be made elsewhere:
 //!
+//! ```
+//! use hibiscusrail_core::attempt::{Attempt, Ended, Unsent};
+//!
+//! fn mark(attempt: Attempt<Unsent>) -> Ended {
+//!     attempt.abandon()
+//! }
+//! ```
+//!
 //! ```compile_fail
 //! use hibiscusrail_core::attempt::{Answering, Attempt, Ended};
 //!
--- a/crates/core/src/attempt/state.rs
+++ b/crates/core/src/attempt/state.rs
@@ -55,6 +55,8 @@
     pub first_byte: Option<Duration>,
     /// When something last arrived.
     pub progress: Instant,
+    /// When its silence is looked at next.
+    pub check: Instant,
     /// Cost so far, in cost units.
     pub cost: f64,
     /// Tokens of the whole answer that the caller has.
@@ -79,6 +81,7 @@
             started: now,
             first_byte: None,
             progress: now,
+            check: now,
             cost: 0.0,
             tokens: 0,
         }
--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -399,7 +399,7 @@
             Answer::Unsent => self.wait(op, acquire),
             Answer::Lost => {
                 acquire.doubt |= acquire.writing;
-                if acquire.doubt {
+                if std::mem::take(&mut acquire.writing) && acquire.doubt {
                     return self.read_back(op, acquire);
                 }
                 self.wait(op, acquire)
--- a/crates/core/src/router/attempts.rs
+++ b/crates/core/src/router/attempts.rs
@@ -28,6 +28,7 @@
                 *running = running.answer(now);
                 let facts = *running.facts();
                 self.observe_first(&facts);
+                self.watch(key);
             }
             Milestone::Progress { cost, tokens } => {
                 let facts = running.facts_mut();
@@ -65,6 +66,7 @@
     ) -> Option<Ended> {
         let ended = how(self.attempts.remove(key)?);
         let facts = ended.facts;
+        self.timers.remove(&(facts.check, Timer::Silence(key)));
         let end = match ended.outcome {
             Outcome::Failed => GrantEnd::Failed,
             _ => end,
@@ -224,9 +226,8 @@
         request.running = Some(attempt);
         request.attempts += 1;
         let order = request.order(attempt, &facts);
-        let due = self.silent_at(&running);
-        self.timers.insert((due, Timer::Silence(attempt)));
         self.out.push(Effect::Dispatch(order));
+        self.watch(attempt);
     }
 
     pub(super) fn return_grant(&mut self, grant: GrantRef) {
--- a/crates/core/src/router/silence.rs
+++ b/crates/core/src/router/silence.rs
@@ -68,8 +68,21 @@
             .min(params.first_timeout)
     }
 
+    /// Looks at the attempt again when it counts as silent unless something arrives.
+    pub(super) fn watch(&mut self, key: AttemptKey) {
+        let Some(due) = self.attempts.get(key).map(|r| self.silent_at(r)) else {
+            return;
+        };
+        let Some(running) = self.attempts.get_mut(key) else {
+            return;
+        };
+        let check = std::mem::replace(&mut running.facts_mut().check, due);
+        self.timers.remove(&(check, Timer::Silence(key)));
+        self.timers.insert((due, Timer::Silence(key)));
+    }
+
     /// Returns when the attempt counts as silent unless something arrives.
-    pub(super) fn silent_at(&self, running: &Running) -> Instant {
+    fn silent_at(&self, running: &Running) -> Instant {
         let facts = running.facts();
         let request = self.requests.get(facts.request);
         let patience = match (running, request) {
@@ -95,9 +108,8 @@
         let Some(running) = self.attempts.get(key) else {
             return;
         };
-        let due = self.silent_at(running);
-        if due > now {
-            self.timers.insert((due, Timer::Silence(key)));
+        if self.silent_at(running) > now {
+            self.watch(key);
             return;
         }
         let stage = match running {
--- /dev/null
+++ b/tests/all/retries.rs
@@ -0,0 +1,121 @@
+//! What is sent again, how often, and where.
+
+use futures_util::future::join_all;
+use hibiscusrail_core::Params;
+use hibiscusrail_load::client::{Ending, send};
+use hibiscusrail_standin::faults::Faults;
+use hibiscusrail_standin::host::Service;
+use http::Method;
+
+use crate::support::{Stage, run};
+
+#[test]
+fn retry_lookup_goes_to_another_server() {
+    run(async {
+        let stage = Stage::new().await;
+        stage.plains[0].faults().set(Faults::default().with_down());
+        for i in 0..8 {
+            let ask = stage.plain(Method::GET, "record/7");
+            let received = stage.ask(i % 3, &format!("a{i}"), ask).await;
+            assert_eq!(received.ending, Ending::Right, "{received:?}");
+        }
+        assert!(stage.plains[0].runs.all().is_empty());
+    });
+}
+
+#[test]
+fn retry_storm_stays_within_the_budget() {
+    run(async {
+        const REQUESTS: u32 = 200;
+        let stage = Stage::new().await;
+        // Every answer belongs to another request, so every attempt fails.
+        stage.plains_fail(&Faults::default().with_cross(1.0));
+        let all = join_all((0..REQUESTS).map(|i| {
+            let ask = stage.plain(Method::GET, "record/7");
+            let sending = stage.sending(0, &format!("a{i}"), ask);
+            async move { send(&sending).await }
+        }))
+        .await;
+        for received in &all {
+            assert_eq!(received.ending, Ending::Unknown, "{received:?}");
+            assert_eq!(received.code, "retries_exhausted");
+        }
+        let workspace = stage.deployment.objects();
+        let fraction = workspace
+            .iter()
+            .find_map(|o| match o {
+                hibiscusrail_platform::object::ObjectRow::Workspace { retry_fraction, .. } => {
+                    Some(*retry_fraction)
+                }
+                _ => None,
+            })
+            .expect("the deployment has a workspace");
+        let bound = f64::from(REQUESTS) * (1.0 + fraction) + Params::new().retry_burst;
+        let runs = u32::try_from(stage.plain_runs().len()).expect("few runs");
+        assert!(runs > REQUESTS, "nothing was retried");
+        assert!(f64::from(runs) <= bound, "{runs} attempts, bound {bound}");
+    });
+}
+
+#[test]
+fn retry_without_key_never_happens() {
+    run(async {
+        let stage = Stage::new().await;
+        stage.plains_fail(&Faults::default().with_lose_answers(1.0));
+        let received = stage.ask(0, "a", stage.plain(Method::POST, "filing")).await;
+        assert_eq!(received.ending, Ending::Unknown);
+        assert_eq!(stage.plain_runs().len(), 1);
+    });
+}
+
+#[test]
+fn retry_not_run_is_marked_and_true() {
+    run(async {
+        let stage = Stage::new().await;
+        for server in &stage.deployment.servers {
+            for shell in &stage.routers {
+                shell.event(unreachable(server));
+            }
+        }
+        let received = stage.ask(0, "a", stage.plain(Method::POST, "filing")).await;
+        assert_eq!(received.ending, Ending::NotRun, "{received:?}");
+        assert!(stage.plain_runs().is_empty());
+    });
+}
+
+/// Returns a change of a server's address to one where nothing listens.
+fn unreachable(server: &hibiscusrail_load::deployment::ServerSpec) -> hibiscusrail_core::Event {
+    use hibiscusrail_core::configuration::{Admission, Object, Server, Version};
+    use hibiscusrail_core::{ServiceId, ZoneId};
+    let mut address = server.address;
+    address.set_port(1);
+    let moved = Object::Server(Server {
+        name: server.name.clone(),
+        service: ServiceId::new(&server.service),
+        zone: ZoneId::new(&server.zone),
+        address,
+        cold_limit: server.cold,
+        max_limit: server.warm,
+        admission: Admission::Open,
+    });
+    hibiscusrail_core::Event::Objects(vec![(Version(2), moved)])
+}
+
+#[test]
+fn retry_crossed_answer_reaches_nobody() {
+    run(async {
+        let stage = Stage::new().await;
+        stage.plains_fail(&Faults::default().with_cross(0.5));
+        let all = join_all((0..60).map(|i| {
+            let ask = stage.plain(Method::GET, &format!("record/{i}"));
+            let sending = stage.sending(i % 3, &format!("a{i}"), ask);
+            async move { send(&sending).await }
+        }))
+        .await;
+        for received in &all {
+            assert_ne!(received.ending, Ending::Wrong, "{received:?}");
+            assert_ne!(received.ending, Ending::NotRun, "{received:?}");
+        }
+        assert!(all.iter().any(|r| r.ending == Ending::Right));
+    });
+}
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -12,9 +12,11 @@
 use hibiscusrail_router::start;
 use hibiscusrail_settings::RouterSettings;
 use hibiscusrail_standin::engine::{Engine, EngineSpec};
+use hibiscusrail_standin::faults::Faults;
 use hibiscusrail_standin::host::{self, Service};
 use hibiscusrail_standin::plain::Plain;
 use hibiscusrail_standin::platform::Platform;
+use hibiscusrail_standin::runs::Run;
 
 /// Pause between two looks at something that is to happen.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
@@ -26,7 +28,6 @@
     /// What it consists of.
     pub deployment: Deployment,
     /// The platform.
-    #[expect(dead_code, reason = "for tests of platform outages")]
     pub platform: Rc<Platform>,
     /// The engines, in the order of the deployment.
     pub engines: Vec<Rc<Engine>>,
@@ -128,6 +129,40 @@
     }
 }
 
+impl Stage {
+    /// Sends a keyed filing to router `index`.
+    pub async fn file(&self, index: usize, id: &str, key: &str, path: &str) -> Received {
+        let ask = self.plain(http::Method::POST, path);
+        let mut sending = self.sending(index, id, ask);
+        sending.idempotency = Some(key.to_owned());
+        send(&sending).await
+    }
+
+    /// Sets the faults of all plain services.
+    pub fn plains_fail(&self, faults: &Faults) {
+        for plain in &self.plains {
+            plain.faults().set(faults.clone());
+        }
+    }
+
+    /// Sets the faults of all engines.
+    pub fn engines_fail(&self, faults: &Faults) {
+        for engine in &self.engines {
+            engine.faults().set(faults.clone());
+        }
+    }
+
+    /// Returns the runs at all plain services.
+    pub fn plain_runs(&self) -> Vec<Run> {
+        self.plains.iter().flat_map(|p| p.runs.all()).collect()
+    }
+
+    /// Returns the runs at all engines.
+    pub fn engine_runs(&self) -> Vec<Run> {
+        self.engines.iter().flat_map(|e| e.runs.all()).collect()
+    }
+}
+
 /// Waits until `done` holds.
 pub async fn until(done: impl Fn() -> bool) {
     for _ in 0..LOOKS {
