--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,9 +1,14 @@
 //! Tests of the whole path, in one program with a module for each topic.
 
 mod admin;
+mod claims;
 mod http;
 mod interface;
 mod limits;
 mod path;
+mod retries;
+mod silence;
 mod standins;
+mod stops;
+mod streams;
 mod support;
