--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -78,7 +78,7 @@
     /// Sets how free slots are shared.
     #[must_use]
     pub fn with_policy(self, mode: &str) -> Self {
-        self.with("policy", "mode", mode)
+        self.with("policy", "policy", mode)
     }
 }
 
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -8,13 +8,16 @@
 use hibiscusrail_load::deployment::Deployment;
 use hibiscusrail_load::fleet;
 use hibiscusrail_net::bind;
+use hibiscusrail_router::secrets::Secrets;
 use hibiscusrail_router::shell::Shell;
 use hibiscusrail_router::start;
 use hibiscusrail_settings::RouterSettings;
 use hibiscusrail_standin::engine::{Engine, EngineSpec};
+use hibiscusrail_standin::faults::Faults;
 use hibiscusrail_standin::host::{self, Service};
 use hibiscusrail_standin::plain::Plain;
 use hibiscusrail_standin::platform::Platform;
+use hibiscusrail_standin::runs::Run;
 
 /// Pause between two looks at something that is to happen.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
@@ -26,7 +29,6 @@
     /// What it consists of.
     pub deployment: Deployment,
     /// The platform.
-    #[expect(dead_code, reason = "for tests of platform outages")]
     pub platform: Rc<Platform>,
     /// The engines, in the order of the deployment.
     pub engines: Vec<Rc<Engine>>,
@@ -44,6 +46,11 @@
 impl Stage {
     /// Starts a small deployment and waits until its routers are ready.
     pub async fn new() -> Self {
+        Self::with_settings("").await
+    }
+
+    /// Starts a small deployment whose routers have further settings.
+    pub async fn with_settings(more: &str) -> Self {
         let deployment = Deployment::small();
         let platform = Rc::new(Platform::default());
         listen(deployment.platform, &platform);
@@ -58,7 +65,7 @@
         fleet::seed(&stage.deployment)
             .await
             .expect("the seed is accepted");
-        stage.start_routers();
+        stage.start_routers(more);
         for shell in &stage.routers {
             until(|| shell.with_router(|r| r.readiness().is_ok())).await;
         }
@@ -82,11 +89,13 @@
         }
     }
 
-    fn start_routers(&mut self) {
+    fn start_routers(&mut self, more: &str) {
         for router in &self.deployment.routers {
             let text = fleet::settings(&self.deployment, router, Path::new("/nowhere"));
+            let text = format!("{text}\n{more}");
             let settings = RouterSettings::parse(&router.name, &text).expect("valid settings");
-            let shell = start::start(settings, b"secret").expect("the router starts");
+            let shell = start::start(settings, &Secrets::new(b"secret", b"token"))
+                .expect("the router starts");
             self.routers.push(shell);
         }
     }
@@ -121,6 +130,40 @@
     }
 }
 
+impl Stage {
+    /// Sends a keyed filing to router `index`.
+    pub async fn file(&self, index: usize, id: &str, key: &str, path: &str) -> Received {
+        let ask = self.plain(http::Method::POST, path);
+        let mut sending = self.sending(index, id, ask);
+        sending.idempotency = Some(key.to_owned());
+        send(&sending).await
+    }
+
+    /// Sets the faults of all plain services.
+    pub fn plains_fail(&self, faults: &Faults) {
+        for plain in &self.plains {
+            plain.faults().set(faults.clone());
+        }
+    }
+
+    /// Sets the faults of all engines.
+    pub fn engines_fail(&self, faults: &Faults) {
+        for engine in &self.engines {
+            engine.faults().set(faults.clone());
+        }
+    }
+
+    /// Returns the runs at all plain services.
+    pub fn plain_runs(&self) -> Vec<Run> {
+        self.plains.iter().flat_map(|p| p.runs.all()).collect()
+    }
+
+    /// Returns the runs at all engines.
+    pub fn engine_runs(&self) -> Vec<Run> {
+        self.engines.iter().flat_map(|e| e.runs.all()).collect()
+    }
+}
+
 /// Waits until `done` holds.
 pub async fn until(done: impl Fn() -> bool) {
     for _ in 0..LOOKS {
@@ -138,3 +181,12 @@
         .expect("the loop starts")
         .block_on(test);
 }
+
+#[test]
+fn own_host_differs_each_time() {
+    let hosts: Vec<_> = (0..300)
+        .map(|_| hibiscusrail_load::deployment::own_host())
+        .collect();
+    let distinct: std::collections::BTreeSet<_> = hosts.iter().collect();
+    assert_eq!(distinct.len(), hosts.len());
+}
