Cut zones from each other and the platform by a relay

Cause: a partition between zones could not be shown with real processes. Change: hibiscusrail-standin relay passes datagrams and connections on by a table of address pairs and cuts named groups; a deployment with a relay gives each zone its own addresses of the others.

--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -6,6 +6,7 @@
 use hibiscusrail_macros::record;
 use hibiscusrail_platform::object::{ObjectRow, VersionedRow};
 use hibiscusrail_platform::table::{Condition, TransactRequest, Write};
+use hibiscusrail_standin::relay::{Carrier, Route};
 use sha2::{Digest, Sha256};
 
 /// A router of the deployment.
@@ -76,12 +77,26 @@
     pub model: String,
     /// Name of the plain service.
     pub plain: String,
+    /// Address of the relay between zones, where one stands.
+    pub relay: Option<SocketAddr>,
     /// Further flags of the engines' stand-ins.
     pub engine_flags: Vec<String>,
 }
 
 /// First port of a deployment on loopback.
 const FIRST_PORT: u16 = 21_000;
+/// Port of the relay; the addresses it listens at follow, zone by zone.
+const RELAY_PORT: u16 = 24_000;
+const RELAY_ZONE_PORTS: usize = 1_000;
+/// Name of the platform in groups of the relay.
+pub const PLATFORM: &str = "platform";
+
+/// Returns the relay's group for what goes from a zone to a zone or the platform.
+#[must_use]
+pub fn relay_group(from: &str, to: &str) -> String {
+    format!("{from}>{to}")
+}
+
 /// Workspaces of today's users, and how many of them are large.
 const WORKSPACES: usize = 16;
 const LARGE: usize = 3;
@@ -188,10 +203,72 @@
             workspaces,
             model: model.to_owned(),
             plain: plain.to_owned(),
+            relay: None,
             engine_flags: Vec::new(),
         }
     }
 
+    /// Puts a relay between zones, and between each zone and the platform.
+    #[must_use]
+    pub fn with_relay(mut self) -> Self {
+        self.relay = Some(SocketAddr::new(self.platform.ip(), RELAY_PORT));
+        self
+    }
+
+    /// Returns where `from` sends datagrams for `to`.
+    #[must_use]
+    pub fn peer_address(&self, from: &RouterSpec, to: &RouterSpec) -> SocketAddr {
+        if self.relay.is_none() || from.zone == to.zone {
+            return to.peer;
+        }
+        let router = self.routers.iter().position(|r| r.name == to.name);
+        self.relay_address(&from.zone, 1 + router.unwrap_or(0))
+    }
+
+    /// Returns where routers of `zone` reach the platform.
+    #[must_use]
+    pub fn platform_address(&self, zone: &str) -> SocketAddr {
+        if self.relay.is_none() {
+            return self.platform;
+        }
+        self.relay_address(zone, 0)
+    }
+
+    /// Returns the relay's address for what leaves `zone`.
+    fn relay_address(&self, zone: &str, number: usize) -> SocketAddr {
+        let zone = self.zones.iter().position(|z| z == zone).unwrap_or(0);
+        let port = usize::from(RELAY_PORT) + 1 + zone * RELAY_ZONE_PORTS + number;
+        SocketAddr::new(
+            self.platform.ip(),
+            u16::try_from(port).unwrap_or(RELAY_PORT),
+        )
+    }
+
+    /// Returns the routes of the relay; a group is named after its two ends.
+    #[must_use]
+    pub fn routes(&self) -> Vec<Route> {
+        let mut routes = Vec::new();
+        for zone in &self.zones {
+            routes.push(Route {
+                listen: self.relay_address(zone, 0),
+                to: self.platform,
+                carrier: Carrier::Tcp,
+                group: relay_group(zone, PLATFORM),
+            });
+            for (number, to) in (1..).zip(&self.routers) {
+                if to.zone != *zone {
+                    routes.push(Route {
+                        listen: self.relay_address(zone, number),
+                        to: to.peer,
+                        carrier: Carrier::Udp,
+                        group: relay_group(zone, &to.zone),
+                    });
+                }
+            }
+        }
+        routes
+    }
+
     /// Sets the requests that engines bear when cold and when warm.
     #[must_use]
     pub fn with_engine_limits(mut self, cold: u32, warm: u32) -> Self {
--- a/crates/load/src/experiment/lab.rs
+++ b/crates/load/src/experiment/lab.rs
@@ -12,7 +12,7 @@
 use super::ExperimentError;
 use crate::call;
 use crate::client::{Ask, Ending, Sending, send};
-use crate::deployment::{Deployment, RouterSpec, ServerSpec};
+use crate::deployment::{Deployment, RouterSpec, ServerSpec, relay_group};
 use crate::fleet::{self, ADMIN_TOKEN, Fleet, RouterOptions, Signal};
 use crate::machine::ProcessUse;
 use crate::metrics::Metrics;
@@ -56,6 +56,9 @@
         // Logs of runs before would be mixed with this one's.
         let _ = std::fs::remove_dir_all(dir);
         let mut fleet = Fleet::start_back(&deployment, dir)?.with_options(options);
+        if let Some(relay) = deployment.relay {
+            call::post(relay, "/routes", &deployment.routes()).await?;
+        }
         fleet::seed(&deployment).await?;
         fleet.start_routers(&deployment)?;
         let lab = Self { deployment, fleet };
@@ -132,6 +135,22 @@
         Ok(())
     }
 
+    /// Cuts every zone named from the others and the platform named, both ways.
+    ///
+    /// Pairs are of zones, or of a zone and `platform`; what was cut before
+    /// and is not named is healed.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the deployment has no relay or it does not answer.
+    pub async fn cut(&self, pairs: &[(&str, &str)]) -> Result<(), ExperimentError> {
+        let relay = self.deployment.relay.ok_or("the deployment has no relay")?;
+        let both = |(a, b): &(&str, &str)| [relay_group(a, b), relay_group(b, a)];
+        let groups: Vec<String> = pairs.iter().flat_map(both).collect();
+        call::post(relay, "/cuts", &groups).await?;
+        Ok(())
+    }
+
     /// Makes a one-shot control call of a server, like `/cold` or `/restart`.
     ///
     /// # Errors
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -189,6 +189,11 @@
             processes: Vec::new(),
         };
         fleet.start_platform(deployment.platform)?;
+        if let Some(relay) = deployment.relay {
+            let listen = relay.to_string();
+            let args = ["--listen", &listen, "relay"];
+            fleet.start("relay", "hibiscusrail-standin", &args, relay)?;
+        }
         for server in &deployment.servers {
             fleet.start_server(deployment, server)?;
         }
@@ -344,14 +349,15 @@
     ] {
         all = all.with_default("router", key, &value);
     }
-    let platform = deployment.platform.to_string();
+    let platform = deployment.platform_address(&router.zone).to_string();
     all = all.with_default("platform", "address", &platform);
     for peer in deployment.routers.iter().filter(|p| p.name != router.name) {
         let section = format!("peer {}", peer.name);
+        let address = deployment.peer_address(router, peer);
         all = all.with_default(&section, "zone", &peer.zone).with_default(
             &section,
             "address",
-            &peer.peer.to_string(),
+            &address.to_string(),
         );
     }
     let mut text = String::new();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod plain;
 pub mod platform;
 pub mod rate;
+pub mod relay;
 pub mod runs;
 pub mod table;
 pub mod text;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -9,6 +9,7 @@
 use hibiscusrail_standin::host::serve;
 use hibiscusrail_standin::plain::Plain;
 use hibiscusrail_standin::platform::{Platform, PlatformSpec};
+use hibiscusrail_standin::relay::Relay;
 
 mod flags {
     #![allow(missing_docs, clippy::all, clippy::pedantic)]
@@ -43,6 +44,8 @@
                 /// Refuse what is too much while cold, in place of falling over.
                 optional --refuse
             }
+            /// A relay between zones that can be cut.
+            cmd relay {}
             /// A plain service.
             cmd plain {
                 /// Milliseconds of one call.
@@ -88,6 +91,7 @@
                 compio::runtime::spawn(Rc::clone(&engine).generate()).detach();
                 serve(listener, engine).await;
             }
+            Cmd::Relay(_) => serve(listener, Rc::new(Rc::new(Relay::new()))).await,
             Cmd::Plain(p) => {
                 let delay = Duration::from_millis(p.delay_ms.unwrap_or(PLAIN_DELAY_MS));
                 let plain = Plain::new(delay, p.limit.unwrap_or(PLAIN_LIMIT));
--- a/tests/all/standins.rs
+++ b/tests/all/standins.rs
@@ -13,6 +13,7 @@
 use hibiscusrail_standin::host::{Service, serve};
 use hibiscusrail_standin::plain::Plain;
 use hibiscusrail_standin::rate::RateLimit;
+use hibiscusrail_standin::relay::{Carrier, Relay, Route};
 use hibiscusrail_standin::table::Table;
 use hibiscusrail_standin::text;
 use http::{Method, Request, header};
@@ -145,6 +146,57 @@
     });
 }
 
+#[test]
+fn relay_cut_holds_connections_and_drops_datagrams() {
+    run(async {
+        let (_plain, server) = plain();
+        let receiver = std::net::UdpSocket::bind((server.ip(), 30_001)).expect("a free address");
+        receiver.set_nonblocking(true).expect("a socket");
+        let (tcp, udp) = (own_host(), own_host());
+        let relay = Rc::new(Relay::new());
+        for (host, carrier, to) in [
+            (tcp, Carrier::Tcp, server),
+            (udp, Carrier::Udp, SocketAddr::new(server.ip(), 30_001)),
+        ] {
+            let listen = SocketAddr::from((host, 30_000));
+            let group = "a>b".to_owned();
+            relay
+                .add(Route {
+                    listen,
+                    to,
+                    carrier,
+                    group,
+                })
+                .expect("a free address");
+        }
+        let mut connection = open(SocketAddr::from((tcp, 30_000))).await;
+        assert!(call(&mut connection, "a").await.is_some());
+        let sender = std::net::UdpSocket::bind("127.0.0.1:0").expect("a socket");
+        let send = |text: &str| {
+            sender
+                .send_to(text.as_bytes(), (udp, 30_000))
+                .expect("loopback");
+        };
+        let mut datagram = [0; 8];
+
+        relay.set_cuts(["a>b".to_owned()]);
+        send("lost");
+        let held = compio::runtime::spawn(async move { call(&mut connection, "b").await });
+        compio::time::sleep(PATIENCE).await;
+        assert!(!held.is_finished());
+
+        relay.set_cuts([]);
+        assert!(held.await.is_ok_and(|answer| answer.is_some()));
+        send("kept");
+        let mut length = 0;
+        while length == 0 {
+            compio::time::sleep(Duration::from_millis(5)).await;
+            length = receiver.recv(&mut datagram).unwrap_or(0);
+        }
+        assert_eq!(&datagram[..length], b"kept");
+    });
+}
+
 fn engine(spec: EngineSpec) -> (Rc<Engine>, SocketAddr) {
     let engine = Rc::new(Engine::new(spec.with_step(Duration::from_millis(1))));
     compio::runtime::spawn(Rc::clone(&engine).generate()).detach();
