Measure cold starts and control traffic

Cause: nothing counted requests above a freshly started server's limit, nor the bytes, processor time and memory of a router.

--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -1,6 +1,6 @@
 //! What a deployment consists of: zones, routers, servers, workspaces.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use hibiscusrail_macros::record;
@@ -71,6 +71,8 @@
     pub routers: Vec<RouterSpec>,
     /// The servers.
     pub servers: Vec<ServerSpec>,
+    /// Servers that are configured and never started.
+    pub spares: Vec<ServerSpec>,
     /// The workspaces.
     pub workspaces: Vec<WorkspaceSpec>,
     /// Name of the model service.
@@ -85,6 +87,10 @@
 
 /// First port of a deployment on loopback.
 const FIRST_PORT: u16 = 21_000;
+/// First port of routers whose number was set.
+const ROUTER_PORT: u16 = 22_000;
+/// Service of servers that are configured and never called.
+const SPARE: &str = "spare";
 /// Port of the relay; the addresses it listens at follow, zone by zone.
 const RELAY_PORT: u16 = 24_000;
 const RELAY_ZONE_PORTS: usize = 1_000;
@@ -103,13 +109,24 @@
 /// Share of a large workspace; a small one has one.
 const LARGE_SHARE: f64 = 4.0;
 
+fn workspace(number: usize, large: usize) -> WorkspaceSpec {
+    WorkspaceSpec {
+        name: format!("workspace-{number}"),
+        share: if number < large { LARGE_SHARE } else { 1.0 },
+    }
+}
+
 /// Hands out loopback addresses.
 struct Ports {
-    host: Ipv4Addr,
+    host: IpAddr,
     last: u16,
 }
 
 impl Ports {
+    fn new(host: IpAddr, first: u16) -> Self {
+        Self { host, last: first }
+    }
+
     fn next(&mut self) -> SocketAddr {
         self.last += 1;
         SocketAddr::from((self.host, self.last))
@@ -160,10 +177,7 @@
     /// Creates a deployment of 7 routers in 3 zones.
     #[must_use]
     pub fn new(host: Ipv4Addr, model: &str, engines: usize, plain: &str, plains: usize) -> Self {
-        let mut ports = Ports {
-            host,
-            last: FIRST_PORT,
-        };
+        let mut ports = Ports::new(host.into(), FIRST_PORT);
         let zones: Vec<String> = ["a", "b", "c"].map(|z| format!("zone-{z}")).into();
         let platform = ports.next();
         let routers = (0..7)
@@ -189,17 +203,13 @@
                 });
             }
         }
-        let workspaces = (0..WORKSPACES)
-            .map(|i| WorkspaceSpec {
-                name: format!("workspace-{i}"),
-                share: if i < LARGE { LARGE_SHARE } else { 1.0 },
-            })
-            .collect();
+        let workspaces = (0..WORKSPACES).map(|i| workspace(i, LARGE)).collect();
         Self {
             platform,
             zones,
             routers,
             servers,
+            spares: Vec::new(),
             workspaces,
             model: model.to_owned(),
             plain: plain.to_owned(),
@@ -269,6 +279,43 @@
         routes
     }
 
+    /// Sets the number of routers.
+    #[must_use]
+    pub fn with_routers(mut self, count: usize) -> Self {
+        let mut ports = Ports::new(self.platform.ip(), ROUTER_PORT);
+        let router = |i: usize| RouterSpec {
+            name: format!("router-{i}"),
+            zone: self.zones[i % self.zones.len()].clone(),
+            listen: ports.next(),
+            peer: ports.next(),
+            admin: ports.next(),
+        };
+        self.routers = (0..count).map(router).collect();
+        self
+    }
+
+    /// Sets the number of workspaces; as many are large as today, in proportion.
+    #[must_use]
+    pub fn with_workspaces(mut self, count: usize) -> Self {
+        let large = count * LARGE / WORKSPACES;
+        self.workspaces = (0..count).map(|i| workspace(i, large)).collect();
+        self
+    }
+
+    /// Adds configured servers of a service that nobody calls, up to `count` in all.
+    ///
+    /// They stand at the addresses of the servers there are.
+    #[must_use]
+    pub fn with_spare_servers(mut self, count: usize) -> Self {
+        for i in self.servers.len()..count {
+            let mut spare = self.servers[i % self.servers.len()].clone();
+            spare.name = format!("{SPARE}-{i}");
+            SPARE.clone_into(&mut spare.service);
+            self.spares.push(spare);
+        }
+        self
+    }
+
     /// Sets the requests that engines bear when cold and when warm.
     #[must_use]
     pub fn with_engine_limits(mut self, cold: u32, warm: u32) -> Self {
@@ -308,7 +355,16 @@
             name: name.clone(),
             open: true,
         }));
-        objects.extend(self.servers.iter().map(|s| ObjectRow::Server {
+        if !self.spares.is_empty() {
+            objects.push(ObjectRow::Service {
+                name: SPARE.to_owned(),
+                model: true,
+                prompt_weight: 0.1,
+                output_weight: 1.0,
+            });
+        }
+        let servers = self.servers.iter().chain(&self.spares);
+        objects.extend(servers.map(|s| ObjectRow::Server {
             name: s.name.clone(),
             service: s.service.clone(),
             zone: s.zone.clone(),
--- a/crates/load/src/experiment/contention.rs
+++ b/crates/load/src/experiment/contention.rs
@@ -86,9 +86,7 @@
     policy: &str,
     measured: Duration,
 ) -> Result<Contention, ExperimentError> {
-    let deployment = Deployment::consorcio()
-        .with_engine_limits(COLD, WARM)
-        .with_engine_flag("--step-ms", STEP_MS);
+    let deployment = deployment();
     let dir = context.out.join(format!("{name}-{policy}"));
     let options = RouterOptions::default().with_policy(policy);
     let load = load(&deployment, context.seed, WARM_UP + measured);
@@ -110,7 +108,17 @@
     })
 }
 
-fn load(deployment: &Deployment, seed: u64, duration: Duration) -> Load {
+/// Returns the pool.
+#[must_use]
+pub fn deployment() -> Deployment {
+    Deployment::consorcio()
+        .with_engine_limits(COLD, WARM)
+        .with_engine_flag("--step-ms", STEP_MS)
+}
+
+/// Returns a load under which every workspace has more work than its portion.
+#[must_use]
+pub fn load(deployment: &Deployment, seed: u64, duration: Duration) -> Load {
     let mut load = Load::new(seed, duration)
         .with_costs(TOKENS, SIGMA)
         .with_deadline(duration * 2);
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -37,6 +37,8 @@
 experiments! {
     fairness,
     utilisation,
+    cold,
+    control,
 }
 
 /// An experiment in the list.
--- a/crates/load/src/generator.rs
+++ b/crates/load/src/generator.rs
@@ -201,6 +201,8 @@
     pub duration: Duration,
     /// Deadline of every request.
     pub deadline: Duration,
+    /// Time after the last start in which answers are waited for.
+    pub grace: Duration,
     /// Tokens of drafts.
     pub costs: Costs,
     /// Who sends.
@@ -215,6 +217,7 @@
             seed,
             duration,
             deadline: Duration::from_secs(30),
+            grace: Duration::from_secs(40),
             costs: Costs {
                 median: 40.0,
                 sigma: 0.8,
@@ -230,6 +233,13 @@
         self
     }
 
+    /// Sets the time in which answers are waited for after the last start.
+    #[must_use]
+    pub fn with_grace(mut self, grace: Duration) -> Self {
+        self.grace = grace;
+        self
+    }
+
     /// Sets the tokens of drafts.
     #[must_use]
     pub fn with_costs(mut self, median: f64, sigma: f64) -> Self {
@@ -261,7 +271,8 @@
 
     /// Sends the load and returns what came back, in order of arrival.
     ///
-    /// Backlogged requests that are outstanding at the end are abandoned.
+    /// Backlogged requests that are outstanding at the end are abandoned, and
+    /// all others once the time of grace is over.
     pub async fn run(&self, deployment: &Deployment) -> Vec<Received> {
         let received = Rc::new(RefCell::new(Vec::new()));
         let started = Instant::now();
@@ -286,10 +297,9 @@
                 }
             }
         }
-        for task in tasks {
-            // A task that panicked leaves its requests out; the count shows it.
-            let _ = task.await;
-        }
+        let all = futures_util::future::join_all(tasks);
+        // What is still outstanding then is left out, and the count shows it.
+        let _ = compio::time::timeout(self.duration + self.grace, all).await;
         received.take()
     }
 }
