--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -25,7 +25,26 @@
             /// Seed of all draws.
             optional --seed seed: u64
             /// Starts a deployment on loopback, sends load and reports.
-            cmd demo {}
+            cmd demo {
+                /// Requests a second.
+                optional --rate rate: f64
+                /// Seconds in which requests are started.
+                optional --seconds seconds: u64
+                /// Fraction of plain lookups.
+                optional --lookups fraction: f64
+                /// Fraction of plain calls that may not run twice.
+                optional --writes fraction: f64
+                /// Fraction of those with an idempotency key.
+                optional --keyed fraction: f64
+                /// Fraction of the drafts that are streamed.
+                optional --streamed fraction: f64
+                /// Median of the tokens of a draft.
+                optional --tokens count: f64
+                /// Spread of the tokens: standard deviation of the logarithm.
+                optional --sigma spread: f64
+                /// The Coopérative's deployment in place of the Consorcio's.
+                optional --cooperative
+            }
             /// Runs an experiment, or all of them, and writes result files.
             cmd experiment {
                 /// Name of the experiment, or `all`.
@@ -44,7 +63,7 @@
     let out = flags.out.unwrap_or_else(|| PathBuf::from("out"));
     let seed = flags.seed.unwrap_or(1);
     let result = match flags.subcommand {
-        flags::HibiscusrailLoadCmd::Demo(_) => demo(&out, seed),
+        flags::HibiscusrailLoadCmd::Demo(d) => demo(&out, seed, &d),
         flags::HibiscusrailLoadCmd::Experiment(e) => {
             let context = Context {
                 out,
@@ -65,9 +84,41 @@
     }
 }
 
-fn demo(out: &Path, seed: u64) -> Result<bool, Box<dyn std::error::Error>> {
-    let deployment = Deployment::consorcio();
-    let load = Load::new(seed, Duration::from_secs(10)).with_all(&deployment, 60.0, Mix::mixed());
+/// Load of the demo where no flag says otherwise.
+const RATE: f64 = 60.0;
+const SECONDS: u64 = 10;
+const TOKENS: f64 = 40.0;
+const SIGMA: f64 = 0.8;
+
+fn demo_load(deployment: &Deployment, seed: u64, flags: &flags::Demo) -> Load {
+    let usual = Mix::mixed();
+    let mix = Mix {
+        lookups: flags.lookups.unwrap_or(usual.lookups),
+        writes: flags.writes.unwrap_or(usual.writes),
+        keyed: flags.keyed.unwrap_or(usual.keyed),
+        streamed: flags.streamed.unwrap_or(usual.streamed),
+    };
+    let duration = Duration::from_secs(flags.seconds.unwrap_or(SECONDS));
+    Load::new(seed, duration)
+        .with_costs(flags.tokens.unwrap_or(TOKENS), flags.sigma.unwrap_or(SIGMA))
+        .with_all(deployment, flags.rate.unwrap_or(RATE), mix)
+}
+
+/// The demo's result file.
+#[derive(serde::Serialize)]
+struct DemoResult {
+    seed: u64,
+    report: Report,
+    audit: Audit,
+}
+
+fn demo(out: &Path, seed: u64, flags: &flags::Demo) -> Result<bool, Box<dyn std::error::Error>> {
+    let deployment = if flags.cooperative {
+        Deployment::cooperative()
+    } else {
+        Deployment::consorcio()
+    };
+    let load = demo_load(&deployment, seed, flags);
     compio::runtime::Runtime::new()?.block_on(async {
         let lab = Lab::start(deployment, &out.join("demo"), RouterOptions::default()).await?;
         let received = load.run(&lab.deployment).await;
@@ -77,7 +128,14 @@
         print!("{report}");
         println!("{audit}");
         let right = report.count(Ending::Right);
-        println!("demo answers={} right={right}", received.len());
-        Ok(right == received.len() as u64 && audit.broken() == 0)
+        let all_right = right == report.requests && audit.broken() == 0;
+        println!("demo answers={} right={right}", report.requests);
+        let result = DemoResult {
+            seed,
+            report,
+            audit,
+        };
+        std::fs::write(out.join("demo.json"), serde_json::to_vec_pretty(&result)?)?;
+        Ok(all_right)
     })
 }
