Exchange configuration between routers, probe members and decide tickets in core

Cause: routers knew only the members of their settings and read the whole table again and again; nothing decided on change tickets. Change: probes with suspicion and refutation, configuration compared by bucket digests and pulled by version, readiness after a start, ticket rules, file format with schema and generated types, the transaction that accepts a ticket, and a poller that reads the table's head and what changed.

--- a/crates/core/src/configuration.rs
+++ b/crates/core/src/configuration/mod.rs
@@ -1,134 +1,22 @@
 //! The versioned configuration objects in force at this router.
 //!
 //! An object is applied only at a higher version than the one in force, so
-//! nothing ever reverts, whatever order the sources deliver it in.
+//! nothing ever reverts, whatever order the sources deliver it in. Routers
+//! compare what they have by [`digest`](Configuration::digest) and by bucket
+//! and pull the objects that the other has at a higher version.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+mod buckets;
+pub mod exchange;
+mod object;
 
-use hibiscusrail_macros::{id, record};
+use std::collections::BTreeMap;
 
 use crate::ids::{ServerId, ServiceId, WorkspaceId, ZoneId};
 
-/// The number of the change ticket that last touched an object.
-#[id]
-pub struct Version(pub u64);
-
-/// A workspace: a customer that shares the capacity.
-#[record]
-pub struct Workspace {
-    /// Name given by operators.
-    pub name: String,
-    /// Weight of its portion of the capacity; above zero.
-    pub share: f64,
-    /// SHA-256 of its key.
-    pub key_hash: [u8; 32],
-    /// Requests that may wait at one router, per service.
-    pub queue_limit: u32,
-    /// Retries allowed per request, as a fraction.
-    pub retry_fraction: f64,
-}
-
-/// What kind of servers stand behind a service.
-#[id]
-pub enum ServiceKind {
-    /// Model engines with streams of tokens.
-    Model,
-    /// Plain HTTP servers.
-    Plain,
-}
-
-/// A service that callers ask for.
-#[record]
-pub struct Service {
-    /// Name given by operators.
-    pub name: String,
-    /// What stands behind it.
-    pub kind: ServiceKind,
-    /// Cost units per prompt token (model) or per request (plain).
-    pub prompt_weight: f64,
-    /// Cost units per generated token (model) or per second (plain).
-    pub output_weight: f64,
-}
-
-/// Whether a server or zone takes new work.
-#[id]
-pub enum Admission {
-    /// New work is sent.
-    Open,
-    /// No new work; running work finishes.
-    Closed,
-}
-
-/// A backend server.
-#[record]
-pub struct Server {
-    /// Name given by operators.
-    pub name: String,
-    /// The service it serves.
-    pub service: ServiceId,
-    /// Where it stands.
-    pub zone: ZoneId,
-    /// Its address.
-    pub address: SocketAddr,
-    /// Requests it bears when freshly started.
-    pub cold_limit: u32,
-    /// Requests it bears when warm.
-    pub max_limit: u32,
-    /// Whether it takes new work.
-    pub admission: Admission,
-}
-
-/// An availability zone.
-#[record]
-pub struct Zone {
-    /// Name given by operators.
-    pub name: String,
-    /// Whether its servers take new work.
-    pub admission: Admission,
-}
-
-/// One configuration object, whole.
-#[record]
-pub enum Object {
-    /// A workspace.
-    Workspace(Workspace),
-    /// A service.
-    Service(Service),
-    /// A backend server.
-    Server(Server),
-    /// An availability zone.
-    Zone(Zone),
-    /// An object that was removed; the version is kept so that it can't come back.
-    Removed(ObjectId),
-}
-
-/// Identifies a configuration object.
-#[id]
-pub enum ObjectId {
-    /// A workspace.
-    Workspace(WorkspaceId),
-    /// A service.
-    Service(ServiceId),
-    /// A backend server.
-    Server(ServerId),
-    /// An availability zone.
-    Zone(ZoneId),
-}
-
-impl Object {
-    /// Returns the identifier of the object.
-    #[must_use]
-    pub fn id(&self) -> ObjectId {
-        match self {
-            Self::Workspace(w) => ObjectId::Workspace(WorkspaceId::new(&w.name)),
-            Self::Service(s) => ObjectId::Service(ServiceId::new(&s.name)),
-            Self::Server(s) => ObjectId::Server(ServerId::new(&s.name)),
-            Self::Zone(z) => ObjectId::Zone(ZoneId::new(&z.name)),
-            Self::Removed(id) => *id,
-        }
-    }
-}
+pub use buckets::{BUCKETS, Buckets};
+pub use object::{
+    Admission, Object, ObjectId, Server, Service, ServiceKind, Version, Workspace, Zone,
+};
 
 /// The objects in force, each at its version.
 #[derive(Debug, Default)]
@@ -139,6 +27,7 @@
     servers: BTreeMap<ServerId, Server>,
     zones: BTreeMap<ZoneId, Zone>,
     keys: BTreeMap<[u8; 8], WorkspaceId>,
+    buckets: Buckets,
 }
 
 /// The first bytes of a key hash, by which workspaces are indexed.
@@ -160,10 +49,12 @@
     /// Returns whether it was put in force.
     pub fn apply(&mut self, version: Version, object: Object) -> bool {
         let id = object.id();
-        if self.versions.get(&id).is_some_and(|v| *v >= version) {
+        let old = self.versions.get(&id).copied();
+        if old.is_some_and(|v| v >= version) {
             return false;
         }
         self.versions.insert(id, version);
+        self.buckets.replace(id, old, version);
         self.remove(id);
         self.insert(object);
         true
@@ -225,6 +116,31 @@
         self.versions.values().copied().max().unwrap_or(Version(0))
     }
 
+    /// Returns a digest of every object's version; equal when all versions are.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.buckets.digest()
+    }
+
+    /// Returns the digests by bucket.
+    #[must_use]
+    pub fn buckets(&self) -> &Buckets {
+        &self.buckets
+    }
+
+    /// Returns an object that was ever in force, as it is now.
+    #[must_use]
+    pub fn object(&self, id: ObjectId) -> Option<(Version, Object)> {
+        let version = self.version(id)?;
+        let object = match id {
+            ObjectId::Workspace(w) => self.workspaces.get(&w).cloned().map(Object::Workspace),
+            ObjectId::Service(s) => self.services.get(&s).cloned().map(Object::Service),
+            ObjectId::Server(s) => self.servers.get(&s).cloned().map(Object::Server),
+            ObjectId::Zone(z) => self.zones.get(&z).cloned().map(Object::Zone),
+        };
+        Some((version, object.unwrap_or(Object::Removed(id))))
+    }
+
     /// Returns a workspace.
     #[must_use]
     pub fn workspace(&self, id: WorkspaceId) -> Option<&Workspace> {
--- /dev/null
+++ b/crates/core/src/configuration/object.rs
@@ -0,0 +1,151 @@
+//! Configuration objects as operators name them.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use hibiscusrail_macros::{id, record};
+
+use crate::ids::{ServerId, ServiceId, WorkspaceId, ZoneId};
+
+/// The number of the change ticket that last touched an object.
+#[id]
+pub struct Version(pub u64);
+
+/// A workspace: a customer that shares the capacity.
+#[record]
+pub struct Workspace {
+    /// Name given by operators.
+    pub name: String,
+    /// Weight of its portion of the capacity; above zero.
+    pub share: f64,
+    /// SHA-256 of its key.
+    pub key_hash: [u8; 32],
+    /// Requests that may wait at one router, per service.
+    pub queue_limit: u32,
+    /// Retries allowed per request, as a fraction.
+    pub retry_fraction: f64,
+}
+
+/// What kind of servers stand behind a service.
+#[id]
+pub enum ServiceKind {
+    /// Model engines with streams of tokens.
+    Model,
+    /// Plain HTTP servers.
+    Plain,
+}
+
+/// A service that callers ask for.
+#[record]
+pub struct Service {
+    /// Name given by operators.
+    pub name: String,
+    /// What stands behind it.
+    pub kind: ServiceKind,
+    /// Cost units per prompt token (model) or per request (plain).
+    pub prompt_weight: f64,
+    /// Cost units per generated token (model) or per second (plain).
+    pub output_weight: f64,
+}
+
+/// Whether a server or zone takes new work.
+#[id]
+pub enum Admission {
+    /// New work is sent.
+    Open,
+    /// No new work; running work finishes.
+    Closed,
+}
+
+/// A backend server.
+#[record]
+pub struct Server {
+    /// Name given by operators.
+    pub name: String,
+    /// The service it serves.
+    pub service: ServiceId,
+    /// Where it stands.
+    pub zone: ZoneId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Requests it bears when freshly started.
+    pub cold_limit: u32,
+    /// Requests it bears when warm.
+    pub max_limit: u32,
+    /// Whether it takes new work.
+    pub admission: Admission,
+}
+
+/// An availability zone.
+#[record]
+pub struct Zone {
+    /// Name given by operators.
+    pub name: String,
+    /// Whether its servers take new work.
+    pub admission: Admission,
+}
+
+/// One configuration object, whole.
+#[record]
+pub enum Object {
+    /// A workspace.
+    Workspace(Workspace),
+    /// A service.
+    Service(Service),
+    /// A backend server.
+    Server(Server),
+    /// An availability zone.
+    Zone(Zone),
+    /// An object that was removed; the version is kept so that it can't come back.
+    Removed(ObjectId),
+}
+
+/// Identifies a configuration object.
+#[id]
+pub enum ObjectId {
+    /// A workspace.
+    Workspace(WorkspaceId),
+    /// A service.
+    Service(ServiceId),
+    /// A backend server.
+    Server(ServerId),
+    /// An availability zone.
+    Zone(ZoneId),
+}
+
+impl Object {
+    /// Returns the identifier of the object.
+    #[must_use]
+    pub fn id(&self) -> ObjectId {
+        match self {
+            Self::Workspace(w) => ObjectId::Workspace(WorkspaceId::new(&w.name)),
+            Self::Service(s) => ObjectId::Service(ServiceId::new(&s.name)),
+            Self::Server(s) => ObjectId::Server(ServerId::new(&s.name)),
+            Self::Zone(z) => ObjectId::Zone(ZoneId::new(&z.name)),
+            Self::Removed(id) => *id,
+        }
+    }
+}
+
+impl fmt::Display for Object {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Workspace(w) => write!(f, "workspace/{}", w.name),
+            Self::Service(s) => write!(f, "service/{}", s.name),
+            Self::Server(s) => write!(f, "server/{}", s.name),
+            Self::Zone(z) => write!(f, "zone/{}", z.name),
+            Self::Removed(id) => write!(f, "{id}"),
+        }
+    }
+}
+
+impl fmt::Display for ObjectId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Workspace(id) => write!(f, "workspace/{id}"),
+            Self::Service(id) => write!(f, "service/{id}"),
+            Self::Server(id) => write!(f, "server/{id}"),
+            Self::Zone(id) => write!(f, "zone/{id}"),
+        }
+    }
+}
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -127,6 +127,8 @@
 pub enum Effect {
     /// Send a message to another router.
     Send(RouterId, Message),
+    /// Note where a router takes datagrams.
+    Address(RouterId, SocketAddr),
     /// Send a request to a server.
     Dispatch(Dispatch),
     /// Close the connection of an attempt and cancel it at the server.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -1,11 +1,14 @@
 //! Everything that can happen to a router.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hibiscusrail_macros::{id, record, value};
 
 use crate::configuration::{Object, Version};
-use crate::ids::{AttemptKey, CallId, Incarnation, RouterId, ServerId, ServiceId, WorkspaceId};
+use crate::ids::{
+    AttemptKey, CallId, Incarnation, RouterId, ServerId, ServiceId, WorkspaceId, ZoneId,
+};
 use crate::message::Message;
 
 /// How often a request may run.
@@ -100,6 +103,10 @@
 pub struct HostEntry {
     /// The router on the host.
     pub router: RouterId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Where its router takes datagrams.
+    pub address: SocketAddr,
     /// Whether it is leaving.
     pub leaving: bool,
 }
@@ -122,8 +129,10 @@
         /// The message.
         message: Message,
     },
-    /// Configuration objects were read.
+    /// All configuration objects were read from the table.
     Objects(Vec<(Version, Object)>),
+    /// Configuration objects that changed were read from the table.
+    Changes(Vec<(Version, Object)>),
     /// A server reported its load.
     Load(ServerId, LoadReport),
     /// The platform's host list was read.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`server`]: the concurrency limit of one server and its warm-up;
 //! * [`attempt`]: what became of a request sent to a server;
 //! * [`configuration`]: the versioned objects in force;
+//! * [`ticket`]: which change tickets are accepted;
 //! * [`membership`]: which routers are alive, and which role each one has.
 
 pub mod attempt;
@@ -30,6 +31,7 @@
 pub mod router;
 pub mod server;
 pub mod share;
+pub mod ticket;
 
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use effect::Effect;
--- /dev/null
+++ b/crates/core/src/membership/roles.rs
@@ -0,0 +1,85 @@
+//! Roles: which router does what, by rendezvous hashing over the view.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Member, MemberState, Membership};
+use crate::configuration::Server;
+use crate::ids::{Flow, RouterId, ServerId, ZoneId};
+
+const KIND_SERVER: u8 = 1;
+const KIND_FLOW: u8 = 2;
+const KIND_PUSH: u8 = 3;
+
+/// Rendezvous weight of `router` for an item.
+fn weight(router: RouterId, kind: u8, a: u32, b: u32) -> u64 {
+    let mut bytes = [0; 13];
+    bytes[0] = kind;
+    bytes[1..5].copy_from_slice(&router.0.to_le_bytes());
+    bytes[5..9].copy_from_slice(&a.to_le_bytes());
+    bytes[9..13].copy_from_slice(&b.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
+/// Whether a router in this state may have roles.
+fn has_roles(state: MemberState) -> bool {
+    matches!(state, MemberState::Alive | MemberState::Suspect)
+}
+
+impl Membership {
+    /// Returns the routers that may have roles, of one zone or of all.
+    ///
+    /// Routers on probation are taken only where there is no other.
+    fn candidates(&self, zone: Option<ZoneId>) -> Vec<RouterId> {
+        let in_zone = |m: &Member| zone.is_none_or(|z| m.zone == z);
+        let pick = |wanted: fn(MemberState) -> bool| -> Vec<RouterId> {
+            self.members()
+                .filter(|(id, m)| in_zone(m) && wanted(m.state) && !self.listed_leaving(*id))
+                .map(|(id, _)| id)
+                .collect()
+        };
+        let alive = pick(has_roles);
+        if alive.is_empty() {
+            return pick(|s| s == MemberState::Probation);
+        }
+        alive
+    }
+
+    /// Returns the router that hands out the slots of `server`, if there is any.
+    ///
+    /// It is a router of the server's own zone. A router of another zone takes
+    /// over only once the platform's host list names no live host in the zone:
+    /// a zone that is merely cut off may still be serving itself.
+    #[must_use]
+    pub fn dispatcher(&self, id: ServerId, server: &Server) -> Option<RouterId> {
+        let mut candidates = self.candidates(Some(server.zone));
+        if candidates.is_empty() && self.zone_gone(server.zone) {
+            candidates = self.candidates(None);
+        }
+        candidates
+            .into_iter()
+            .max_by_key(|r| weight(*r, KIND_SERVER, id.0, 0))
+    }
+
+    /// Returns the router that sums the service of `flow`.
+    #[must_use]
+    pub fn account_holder(&self, flow: Flow) -> RouterId {
+        self.candidates(None)
+            .into_iter()
+            .max_by_key(|r| weight(*r, KIND_FLOW, flow.service.0, flow.workspace.0))
+            .unwrap_or(self.me())
+    }
+
+    /// Returns `count` members that are told of a change first, different for each change.
+    #[must_use]
+    pub fn push_targets(&self, change: u64, but: Option<RouterId>, count: usize) -> Vec<RouterId> {
+        let [a, b, c, d, ..] = change.to_le_bytes();
+        let change = u32::from_le_bytes([a, b, c, d]);
+        let mut routers: Vec<_> = self
+            .present()
+            .filter(|r| *r != self.me() && Some(*r) != but)
+            .collect();
+        routers.sort_by_key(|r| weight(*r, KIND_PUSH, change, self.me().0));
+        routers.truncate(count);
+        routers
+    }
+}
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -7,7 +7,9 @@
 
 use hibiscusrail_macros::{id, record, value};
 
+use crate::configuration::exchange::Exchange;
 use crate::ids::{Flow, GrantId, GrantRef, Incarnation, RouterId, ServerId, ServiceId};
+use crate::membership::update::Probe;
 
 /// Waiting requests of one flow at the sending entry.
 #[value]
@@ -150,6 +152,10 @@
     Recover(ServerId),
     /// Answer to [`Message::Recover`].
     Recovered(Recovered),
+    /// A probe of the membership, or its answer.
+    Probe(Probe),
+    /// Exchange of configuration.
+    Exchange(Exchange),
 }
 
 /// The slots that an entry holds at one server.
@@ -180,6 +186,8 @@
             Self::Totals(_) => "totals",
             Self::Recover(_) => "recover",
             Self::Recovered(_) => "recovered",
+            Self::Probe(probe) => probe.kind(),
+            Self::Exchange(exchange) => exchange.kind(),
         }
     }
 }
--- a/crates/core/src/params.rs
+++ b/crates/core/src/params.rs
@@ -34,6 +34,10 @@
     pub progress_timeout: Duration,
     /// Time from sending a request to the first byte of its answer at most.
     pub first_timeout: Duration,
+    /// Period of the probes of other routers.
+    pub probe_period: Duration,
+    /// Time after which an unanswered probe is repeated through other routers.
+    pub probe_timeout: Duration,
     /// Attempts for one idempotent request at most.
     pub max_attempts: u32,
     /// Tokens of the retry budget that a workspace starts with and can hold.
@@ -59,6 +63,8 @@
             first_cost: 100.0,
             progress_timeout: Duration::from_secs(5),
             first_timeout: Duration::from_secs(20),
+            probe_period: Duration::from_millis(1_000),
+            probe_timeout: Duration::from_millis(350),
             max_attempts: 4,
             retry_burst: 10.0,
         }
--- a/crates/core/src/router/attempts.rs
+++ b/crates/core/src/router/attempts.rs
@@ -121,7 +121,8 @@
         let server = self.world.config.server(grant.server);
         let named = server.and_then(|s| self.world.members.dispatcher(grant.server, s));
         let address = server.map(|s| s.address);
-        let usable = age < self.world.params.grant_life && named == Some(from);
+        let open = server.is_some_and(|s| self.world.config.is_open(s));
+        let usable = open && age < self.world.params.grant_life && named == Some(from);
         if !usable {
             self.out.count(Counter::Stale);
         }
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod config;
 mod exchange;
+mod membership;
 mod stop;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,7 +13,8 @@
 use slotmap::SlotMap;
 
 use crate::attempt::Attempt;
-use crate::configuration::{Configuration, Version};
+use crate::configuration::Configuration;
+use crate::configuration::exchange::{Sync, Waiting};
 use crate::dispatch::{Dispatcher, Surroundings};
 use crate::effect::{Effect, Refusal};
 use crate::entry::Entry;
@@ -23,6 +25,7 @@
 use crate::outbox::Outbox;
 use crate::params::Params;
 use crate::share::Ledger;
+use membership::Swim;
 
 /// A caller's request inside the reducer.
 #[derive(Debug)]
@@ -41,6 +44,8 @@
     Flush,
     Deadline(RequestKey),
     Silence(AttemptKey),
+    Probe,
+    Probation,
 }
 
 /// What the roles decide by: objects in force, live routers, parameters.
@@ -77,6 +82,9 @@
     totals_seq: u64,
     timers: BTreeSet<(Instant, Timer)>,
     draining: Option<Instant>,
+    swim: Swim,
+    sync: Sync,
+    waited: Option<Waiting>,
     out: Outbox,
 }
 
@@ -108,6 +116,9 @@
             totals_seq: 0,
             timers: BTreeSet::from([(first, Timer::Period)]),
             draining: None,
+            swim: Swim::default(),
+            sync: Sync::new(),
+            waited: Some(Waiting::NoSource),
             out: Outbox::new(me),
         }
     }
@@ -141,7 +152,7 @@
         if self.draining.is_some() {
             return Err(Refusal::Stopping);
         }
-        if self.world.config.head() == Version(0) {
+        if !self.sync.is_ready() {
             return Err(Refusal::NotReady);
         }
         Ok(())
@@ -190,7 +201,8 @@
             } => self.on_message(now, from, incarnation, message),
             Event::Objects(objects) => self.objects(now, objects),
             Event::Load(server, report) => self.dispatcher.load(server, report.incarnation),
-            Event::Hosts(_) => {}
+            Event::Changes(objects) => self.changes(now, objects),
+            Event::Hosts(hosts) => self.hosts(now, &hosts),
             Event::Tick => self.tick(now),
             Event::Drain { patience } => self.drain(now, patience),
         }
@@ -221,6 +233,8 @@
                     .full(now, service, from, &dispatchers, &self.world.params);
             }
             Message::Room(service) => self.entry.room(service, from),
+            Message::Probe(probe) => self.on_probe(now, from, incarnation, &probe),
+            Message::Exchange(exchange) => self.on_exchange(now, from, exchange),
             Message::Recover(_) | Message::Recovered(_) => {}
         }
     }
@@ -235,6 +249,8 @@
                 Timer::Period => self.period(now),
                 Timer::Flush => {}
                 Timer::Deadline(key) => self.expire(now, key),
+                Timer::Probe => self.probe_tick(now),
+                Timer::Probation => self.end_probation(now),
                 Timer::Silence(key) => self.check_silence(now, key),
             }
         }
--- a/crates/core/src/router/stop.rs
+++ b/crates/core/src/router/stop.rs
@@ -9,6 +9,7 @@
 impl Router {
     pub(super) fn drain(&mut self, now: Instant, patience: Duration) {
         self.draining = Some(now + patience);
+        self.leave(now);
         self.timers.insert((now + patience, Timer::Flush));
         let waiting: Vec<_> = self
             .requests
--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -238,7 +238,11 @@
                 key: key.clone(),
                 version: 0,
             });
-            let row = VersionedRow { version: 1, object };
+            let row = VersionedRow {
+                version: 1,
+                author: "seed".to_owned(),
+                object,
+            };
             writes.push(Write {
                 key,
                 value: Some(serde_json::to_value(row).expect("objects serialise to JSON")),
--- a/crates/platform/src/keys.rs
+++ b/crates/platform/src/keys.rs
@@ -2,9 +2,38 @@
 
 /// Prefix of the rows of configuration objects.
 pub const CONFIG_PREFIX: &str = "config/";
+/// Key of the row that counts accepted tickets.
+pub const HEAD: &str = "head";
+/// Prefix of the rows that name what each accepted ticket changed.
+pub const CHANGE_PREFIX: &str = "change/";
+/// Prefix of the rows of accepted tickets.
+pub const TICKET_PREFIX: &str = "ticket/";
+/// Prefix of the rows of the audit trail.
+pub const AUDIT_PREFIX: &str = "audit/";
 
 /// Returns the key of a configuration object's row.
 #[must_use]
 pub fn config(kind: &str, name: &str) -> String {
     format!("{CONFIG_PREFIX}{kind}/{name}")
 }
+
+/// Returns the key of the row of the `sequence`th accepted ticket.
+#[must_use]
+pub fn change(sequence: u64) -> String {
+    format!("{CHANGE_PREFIX}{sequence:020}")
+}
+
+/// Returns the key of the row of an accepted ticket.
+#[must_use]
+pub fn ticket(number: u64) -> String {
+    format!("{TICKET_PREFIX}{number:020}")
+}
+
+/// Returns the key of a row of the audit trail.
+///
+/// `time_ms` is in milliseconds since the epoch; `source` tells writers apart
+/// that act within one millisecond.
+#[must_use]
+pub fn audit(time_ms: u64, source: &str) -> String {
+    format!("{AUDIT_PREFIX}{time_ms:016}/{source}")
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,5 +1,7 @@
 //! The platform's table service: its JSON protocol and the keys used in it.
 
+pub mod audit;
 pub mod keys;
 pub mod object;
 pub mod table;
+pub mod ticket;
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -1,10 +1,10 @@
 //! Configuration objects as rows of the table.
 
 use hibiscusrail_core::configuration::{
-    Admission, Object, Server, Service, ServiceKind, Version, Workspace, Zone,
+    Admission, Object, ObjectId, Server, Service, ServiceKind, Version, Workspace, Zone,
 };
-use hibiscusrail_core::{ServiceId, ZoneId};
-use hibiscusrail_macros::record;
+use hibiscusrail_core::{ServerId, ServiceId, WorkspaceId, ZoneId};
+use hibiscusrail_macros::{id, record};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
@@ -17,6 +17,9 @@
 pub struct VersionedRow {
     /// Number of the ticket.
     pub version: u64,
+    /// Author of the ticket.
+    #[serde(default)]
+    pub author: String,
     /// The object.
     pub object: ObjectRow,
 }
@@ -74,6 +77,50 @@
         /// Whether its servers take new work.
         open: bool,
     },
+    /// An object that was removed; its row keeps the version.
+    Removed {
+        /// Kind of the object.
+        of: ObjectKind,
+        /// Name.
+        name: String,
+    },
+}
+
+/// Kind of a configuration object.
+#[id]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ObjectKind {
+    /// A workspace.
+    Workspace,
+    /// A service.
+    Service,
+    /// A backend server.
+    Server,
+    /// An availability zone.
+    Zone,
+}
+
+impl ObjectKind {
+    /// Returns the kind as it is written in keys.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Workspace => "workspace",
+            Self::Service => "service",
+            Self::Server => "server",
+            Self::Zone => "zone",
+        }
+    }
+
+    fn id(self, name: &str) -> ObjectId {
+        match self {
+            Self::Workspace => ObjectId::Workspace(WorkspaceId::new(name)),
+            Self::Service => ObjectId::Service(ServiceId::new(name)),
+            Self::Server => ObjectId::Server(ServerId::new(name)),
+            Self::Zone => ObjectId::Zone(ZoneId::new(name)),
+        }
+    }
 }
 
 /// Why a row is no configuration object.
@@ -112,6 +159,7 @@
             Self::Service { name, .. } => keys::config("service", name),
             Self::Server { name, .. } => keys::config("server", name),
             Self::Zone { name, .. } => keys::config("zone", name),
+            Self::Removed { of, name } => keys::config(of.name(), name),
         }
     }
 
@@ -168,6 +216,7 @@
                 name,
                 admission: admission(open),
             }),
+            Self::Removed { of, name } => Object::Removed(of.id(&name)),
         })
     }
 }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,7 +1,7 @@
 //! Datagrams between routers.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -22,6 +22,7 @@
     socket: UdpSocket,
     keys: RefCell<Keys>,
     addresses: RefCell<BTreeMap<RouterId, SocketAddr>>,
+    pinned: RefCell<BTreeSet<RouterId>>,
     seq: Cell<u64>,
 }
 
@@ -45,13 +46,24 @@
             socket,
             keys: RefCell::new(Keys::new(me, secret)),
             addresses: RefCell::default(),
+            pinned: RefCell::default(),
             seq: Cell::new(0),
         })
     }
 
-    /// Notes where a router takes datagrams.
+    /// Notes where a router takes datagrams according to the settings.
     pub fn add(&self, router: RouterId, address: SocketAddr) {
         self.addresses.borrow_mut().insert(router, address);
+        self.pinned.borrow_mut().insert(router);
+    }
+
+    /// Notes where a router says that it takes datagrams.
+    ///
+    /// An address from the settings goes before it.
+    pub fn learn(&self, router: RouterId, address: SocketAddr) {
+        if !self.pinned.borrow().contains(&router) {
+            self.addresses.borrow_mut().insert(router, address);
+        }
     }
 
     /// Seals and sends a message; a message that can't be sent now is lost.
--- a/crates/router/src/platform.rs
+++ b/crates/router/src/platform/mod.rs
@@ -1,26 +1,24 @@
-//! Reads the configuration from the platform's table.
+//! Calls of the platform.
+//!
+//! [`call`] sends one question; [`poll`] follows the configuration and the
+//! host list within the budget that [`pacer`] hands out.
+
+pub mod pacer;
+pub mod poll;
 
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hibiscusrail_core::Event;
-use hibiscusrail_net::{connect, json};
-use hibiscusrail_platform::table::{ScanAnswer, ScanRequest};
-use hibiscusrail_platform::{keys, object};
+use hibiscusrail_net::{Body, connect, empty, json};
 use http::{Method, Request, StatusCode, header};
 use http_body_util::BodyExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
 
-use crate::shell::Shell;
-
 /// Time for one call of the platform.
 const CALL_TIME: Duration = Duration::from_secs(2);
-/// Rows read by one scan.
-const SCAN_ROWS: usize = 500;
 
 /// Why a call of the platform failed.
 #[derive(Debug, Snafu)]
@@ -84,26 +82,52 @@
     step: &'static str,
     question: &Q,
 ) -> Result<A, PlatformError> {
-    compio::time::timeout(CALL_TIME, exchange(peer, step, question))
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(step)
+        .header(header::HOST, peer.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(json(question))
+        .expect("the request is made of valid parts");
+    answer_of(peer, step, request).await
+}
+
+/// Reads what the platform has at a path.
+///
+/// # Errors
+///
+/// Says at which step and peer the call failed.
+pub async fn get<A: DeserializeOwned>(
+    peer: SocketAddr,
+    step: &'static str,
+) -> Result<A, PlatformError> {
+    let request = Request::builder()
+        .method(Method::GET)
+        .uri(step)
+        .header(header::HOST, peer.to_string())
+        .body(empty())
+        .expect("the request is made of valid parts");
+    answer_of(peer, step, request).await
+}
+
+async fn answer_of<A: DeserializeOwned>(
+    peer: SocketAddr,
+    step: &'static str,
+    request: Request<Body>,
+) -> Result<A, PlatformError> {
+    compio::time::timeout(CALL_TIME, exchange(peer, step, request))
         .await
         .unwrap_or_else(|_| TimeoutSnafu { step, peer }.fail())
 }
 
-async fn exchange<Q: Serialize, A: DeserializeOwned>(
+async fn exchange<A: DeserializeOwned>(
     peer: SocketAddr,
     step: &'static str,
-    question: &Q,
+    request: Request<Body>,
 ) -> Result<A, PlatformError> {
     let mut connection = connect(peer, CALL_TIME)
         .await
         .context(ConnectSnafu { step })?;
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(step)
-        .header(header::HOST, peer.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(json(question))
-        .expect("the request is made of valid parts");
     let answer = connection
         .send_request(request)
         .await
@@ -120,38 +144,3 @@
         .to_bytes();
     serde_json::from_slice(&body).context(JsonSnafu { step, peer })
 }
-
-/// Reads the configuration again and again.
-pub async fn poll(shell: Rc<Shell>) {
-    loop {
-        if let Err(error) = read_objects(&shell).await {
-            log::warn!(step = "read_config", error:% = error; "platform_unreachable");
-        }
-        compio::time::sleep(shell.settings().platform_poll).await;
-    }
-}
-
-async fn read_objects(shell: &Rc<Shell>) -> Result<(), PlatformError> {
-    let mut after = String::new();
-    let mut objects = Vec::new();
-    loop {
-        let question = ScanRequest {
-            prefix: keys::CONFIG_PREFIX.to_owned(),
-            after: after.clone(),
-            limit: SCAN_ROWS,
-        };
-        let answer: ScanAnswer = call(shell.settings().platform, "/table/scan", &question).await?;
-        for row in &answer.rows {
-            match object::from_row(row) {
-                Ok(versioned) => objects.push(versioned),
-                Err(error) => log::warn!(step = "read_config", error:% = error; "row_ignored"),
-            }
-        }
-        match answer.rows.last() {
-            Some(last) if answer.more => after.clone_from(&last.key),
-            _ => break,
-        }
-    }
-    shell.event(Event::Objects(objects));
-    Ok(())
-}
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -173,6 +173,7 @@
     fn carry_out(self: &Rc<Self>, effect: Effect) {
         match effect {
             Effect::Send(to, message) => self.peers.send(to, message),
+            Effect::Address(router, address) => self.peers.learn(router, address),
             Effect::Dispatch(dispatch) => self.dispatch(dispatch),
             Effect::Cancel(attempt) => {
                 self.tasks.borrow_mut().remove(&attempt);
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -130,7 +130,7 @@
     log::info!(router = settings.name.as_str(), zone = settings.zone.as_str(), listen:% = settings.listen; "started");
     let shell = Rc::new(Shell::new(router, Box::new(clock), settings, peers, wake));
     compio::runtime::spawn(timers(Rc::clone(&shell), woken)).detach();
-    compio::runtime::spawn(platform::poll(Rc::clone(&shell))).detach();
+    compio::runtime::spawn(platform::poll::poll(Rc::clone(&shell))).detach();
     compio::runtime::spawn(receive(Rc::clone(&shell))).detach();
     compio::runtime::spawn(serve(listener, limits, caller::handler(&shell))).detach();
     Ok(shell)
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -1,7 +1,11 @@
 //! Conversion between the reducer's messages and the generated types.
 
+mod configuration;
+mod membership;
+
 use std::time::Duration;
 
+use hibiscusrail_core::configuration::exchange::Exchange;
 use hibiscusrail_core::message::{
     Charges, Demand, FlowDemand, FlowTotal, Grant, GrantEnd, Held, Recovered, Release, Totals,
     Usage,
@@ -75,6 +79,8 @@
             seq: m.seq,
             flows: m.flows.iter().map(total_out).collect(),
         }),
+        Message::Probe(probe) => membership::probe_out(probe),
+        Message::Exchange(exchange) => configuration::exchange_out(exchange),
         Message::Recover(server) => Body::Recover(server.0),
         Message::Recovered(m) => Body::Recovered(pb::Recovered {
             server: m.server.0,
@@ -104,6 +110,14 @@
             seq: m.seq,
             flows: all(&m.flows, total_in)?,
         }),
+        Body::Ping(m) => Message::Probe(membership::ping_in(&m)?),
+        Body::Ack(m) => Message::Probe(membership::ack_in(&m)?),
+        Body::PingRequest(m) => Message::Probe(membership::request_in(&m)?),
+        Body::Compare(m) => Message::Exchange(configuration::compare_in(m)?),
+        Body::Same(_) => Message::Exchange(Exchange::Same),
+        Body::Versions(m) => Message::Exchange(configuration::versions_in(&m)?),
+        Body::Pull(m) => Message::Exchange(configuration::pull_in(&m)?),
+        Body::Objects(m) => Message::Exchange(configuration::objects_in(m)?),
         Body::Recover(server) => Message::Recover(ServerId(server)),
         Body::Recovered(m) => Message::Recovered(Recovered {
             server: ServerId(m.server),
@@ -115,7 +129,7 @@
 }
 
 /// Converts every item; none when one fails.
-fn all<A, B>(items: &[A], convert: impl Fn(&A) -> Option<B>) -> Option<Vec<B>> {
+pub(super) fn all<A, B>(items: &[A], convert: impl Fn(&A) -> Option<B>) -> Option<Vec<B>> {
     items.iter().map(convert).collect()
 }
 
@@ -124,7 +138,7 @@
 }
 
 /// Accepts finite costs only.
-fn cost_in(cost: f64) -> Option<f64> {
+pub(super) fn cost_in(cost: f64) -> Option<f64> {
     cost.is_finite().then_some(cost)
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -15,7 +15,7 @@
     pub to: u32,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 30, 31, 32, 33, 34, 35, 36, 37"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -43,6 +43,25 @@
         Recover(u32),
         #[prost(message, tag = "19")]
         Recovered(super::Recovered),
+        /// A probe of the membership.
+        #[prost(message, tag = "30")]
+        Ping(super::Probe),
+        #[prost(message, tag = "31")]
+        Ack(super::Probe),
+        #[prost(message, tag = "32")]
+        PingRequest(super::Probe),
+        /// Exchange of configuration.
+        #[prost(message, tag = "33")]
+        Compare(super::Compare),
+        /// The asker lacks nothing; always true.
+        #[prost(bool, tag = "34")]
+        Same(bool),
+        #[prost(message, tag = "35")]
+        Versions(super::Versions),
+        #[prost(message, tag = "36")]
+        Pull(super::Pull),
+        #[prost(message, tag = "37")]
+        Objects(super::Objects),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -157,6 +176,165 @@
     #[prost(message, repeated, tag = "4")]
     pub held: ::prost::alloc::vec::Vec<Held>,
 }
+/// What the sender has in force, in brief.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Head {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+    #[prost(bool, tag = "3")]
+    pub ready: bool,
+}
+/// A claim about a router.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Update {
+    #[prost(fixed32, tag = "1")]
+    pub router: u32,
+    #[prost(fixed32, tag = "2")]
+    pub zone: u32,
+    /// 4 or 16 bytes.
+    #[prost(bytes = "vec", tag = "3")]
+    pub ip: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "4")]
+    pub port: u32,
+    #[prost(fixed64, tag = "5")]
+    pub incarnation: u64,
+    #[prost(uint32, tag = "6")]
+    pub refutation: u32,
+    #[prost(enumeration = "Standing", tag = "7")]
+    pub standing: i32,
+    #[prost(bool, tag = "8")]
+    pub suspect: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Probe {
+    #[prost(uint64, tag = "1")]
+    pub seq: u64,
+    /// Router to ping; only in a ping request.
+    #[prost(fixed32, optional, tag = "2")]
+    pub target: ::core::option::Option<u32>,
+    #[prost(message, optional, tag = "3")]
+    pub head: ::core::option::Option<Head>,
+    #[prost(message, repeated, tag = "4")]
+    pub updates: ::prost::alloc::vec::Vec<Update>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ObjectId {
+    #[prost(enumeration = "Kind", tag = "1")]
+    pub kind: i32,
+    #[prost(fixed32, tag = "2")]
+    pub id: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Compare {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(fixed64, repeated, tag = "2")]
+    pub digests: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint32, tag = "3")]
+    pub skip: u32,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ObjectVersion {
+    #[prost(message, optional, tag = "1")]
+    pub id: ::core::option::Option<ObjectId>,
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Versions {
+    #[prost(message, repeated, tag = "1")]
+    pub versions: ::prost::alloc::vec::Vec<ObjectVersion>,
+    #[prost(uint32, optional, tag = "2")]
+    pub next: ::core::option::Option<u32>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Pull {
+    #[prost(message, repeated, tag = "1")]
+    pub ids: ::prost::alloc::vec::Vec<ObjectId>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Workspace {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(double, tag = "2")]
+    pub share: f64,
+    #[prost(bytes = "vec", tag = "3")]
+    pub key_hash: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "4")]
+    pub queue_limit: u32,
+    #[prost(double, tag = "5")]
+    pub retry_fraction: f64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Service {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(bool, tag = "2")]
+    pub model: bool,
+    #[prost(double, tag = "3")]
+    pub prompt_weight: f64,
+    #[prost(double, tag = "4")]
+    pub output_weight: f64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Server {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(fixed32, tag = "2")]
+    pub service: u32,
+    #[prost(fixed32, tag = "3")]
+    pub zone: u32,
+    /// 4 or 16 bytes.
+    #[prost(bytes = "vec", tag = "4")]
+    pub ip: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "5")]
+    pub port: u32,
+    #[prost(uint32, tag = "6")]
+    pub cold_limit: u32,
+    #[prost(uint32, tag = "7")]
+    pub max_limit: u32,
+    #[prost(bool, tag = "8")]
+    pub closed: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Zone {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(bool, tag = "2")]
+    pub closed: bool,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Object {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    #[prost(oneof = "object::Object", tags = "2, 3, 4, 5, 6")]
+    pub object: ::core::option::Option<object::Object>,
+}
+/// Nested message and enum types in `Object`.
+pub mod object {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Object {
+        #[prost(message, tag = "2")]
+        Workspace(super::Workspace),
+        #[prost(message, tag = "3")]
+        Service(super::Service),
+        #[prost(message, tag = "4")]
+        Server(super::Server),
+        #[prost(message, tag = "5")]
+        Zone(super::Zone),
+        #[prost(message, tag = "6")]
+        Removed(super::ObjectId),
+    }
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Objects {
+    #[prost(message, repeated, tag = "1")]
+    pub objects: ::prost::alloc::vec::Vec<Object>,
+    #[prost(bool, tag = "2")]
+    pub push: bool,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum GrantEnd {
@@ -189,3 +367,67 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Standing {
+    Probation = 0,
+    Alive = 1,
+    Leaving = 2,
+    Dead = 3,
+}
+impl Standing {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Probation => "STANDING_PROBATION",
+            Self::Alive => "STANDING_ALIVE",
+            Self::Leaving => "STANDING_LEAVING",
+            Self::Dead => "STANDING_DEAD",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "STANDING_PROBATION" => Some(Self::Probation),
+            "STANDING_ALIVE" => Some(Self::Alive),
+            "STANDING_LEAVING" => Some(Self::Leaving),
+            "STANDING_DEAD" => Some(Self::Dead),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Kind {
+    Workspace = 0,
+    Service = 1,
+    Server = 2,
+    Zone = 3,
+}
+impl Kind {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Workspace => "KIND_WORKSPACE",
+            Self::Service => "KIND_SERVICE",
+            Self::Server => "KIND_SERVER",
+            Self::Zone => "KIND_ZONE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "KIND_WORKSPACE" => Some(Self::Workspace),
+            "KIND_SERVICE" => Some(Self::Service),
+            "KIND_SERVER" => Some(Self::Server),
+            "KIND_ZONE" => Some(Self::Zone),
+            _ => None,
+        }
+    }
+}
