--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -5,9 +5,10 @@
 
 use hibiscusrail_macros::{id, record, value};
 
+use crate::claim;
 use crate::configuration::{Object, Version};
 use crate::ids::{
-    AttemptKey, CallId, Incarnation, RouterId, ServerId, ServiceId, WorkspaceId, ZoneId,
+    AttemptKey, CallId, Incarnation, RouterId, ServerId, ServiceId, TableOp, WorkspaceId, ZoneId,
 };
 use crate::message::Message;
 
@@ -19,7 +20,7 @@
     /// It runs at most once; there is no key to recognise a repeat by.
     Once,
     /// It runs at most once per workspace and key.
-    Keyed(String),
+    Keyed(claim::Key),
 }
 
 /// A caller's request, without its body.
@@ -68,6 +69,8 @@
         /// HTTP status of the answer.
         status: u16,
     },
+    /// The answer that a repeat with the same key is to receive; comes before its end.
+    Kept(claim::Stored),
     /// The server refused admission before running anything.
     Refused,
     /// The connection could not be made, or broke.
@@ -120,6 +123,8 @@
     Hangup(CallId),
     /// An attempt came to a milestone.
     Attempt(AttemptKey, Milestone),
+    /// The platform's table answered a call for a claim, or did not.
+    Claim(TableOp, claim::Answer),
     /// A message from another router arrived.
     Peer {
         /// The sender.
@@ -135,6 +140,10 @@
     Changes(Vec<(Version, Object)>),
     /// A server reported its load.
     Load(ServerId, LoadReport),
+    /// The router joins the fleet; it takes datagrams at this address.
+    ///
+    /// A router that never joins keeps the members it was given.
+    Join(SocketAddr),
     /// The platform's host list was read.
     Hosts(Vec<HostEntry>),
     /// A timer fell due.
--- a/crates/core/src/params.rs
+++ b/crates/core/src/params.rs
@@ -38,6 +38,8 @@
     pub probe_period: Duration,
     /// Time after which an unanswered probe is repeated through other routers.
     pub probe_timeout: Duration,
+    /// Least time to the first byte of a plain call's answer before it is tried elsewhere.
+    pub lookup_timeout: Duration,
     /// Attempts for one idempotent request at most.
     pub max_attempts: u32,
     /// Tokens of the retry budget that a workspace starts with and can hold.
@@ -65,6 +67,7 @@
             first_timeout: Duration::from_secs(20),
             probe_period: Duration::from_millis(1_000),
             probe_timeout: Duration::from_millis(350),
+            lookup_timeout: Duration::from_secs(1),
             max_attempts: 4,
             retry_burst: 10.0,
         }
@@ -98,6 +101,13 @@
         self
     }
 
+    /// Sets the least time to the first byte of a plain call's answer.
+    #[must_use]
+    pub fn with_lookup_timeout(mut self, timeout: Duration) -> Self {
+        self.lookup_timeout = timeout;
+        self
+    }
+
     /// Sets the time to the first byte of an answer at most.
     #[must_use]
     pub fn with_first_timeout(mut self, timeout: Duration) -> Self {
--- a/crates/core/src/router/membership.rs
+++ b/crates/core/src/router/membership.rs
@@ -27,7 +27,7 @@
     /// Joins the fleet: announces where this router takes datagrams and starts to probe.
     ///
     /// A router that never joins keeps the members it was given.
-    pub fn join(&mut self, now: Instant, address: SocketAddr) -> Vec<Effect> {
+    pub(super) fn join(&mut self, now: Instant, address: SocketAddr) {
         self.world.members.set_self(self.incarnation, address);
         let orders = self
             .swim
@@ -36,7 +36,6 @@
         self.sync.set_probing(self.swim.prober.first_open());
         self.carry_out(orders);
         self.schedule_probes();
-        self.out.take()
     }
 
     /// Notes where a router that is known from the settings takes datagrams.
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -2,9 +2,11 @@
 
 mod attempts;
 mod calls;
+mod claims;
 mod config;
 mod exchange;
 mod membership;
+mod silence;
 mod stop;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,21 +14,36 @@
 
 use slotmap::SlotMap;
 
-use crate::attempt::Attempt;
+use crate::attempt::{History, Running};
+use crate::claim::{Claims, Lease, Stored};
 use crate::configuration::Configuration;
 use crate::configuration::exchange::{Sync, Waiting};
 use crate::dispatch::{Dispatcher, Surroundings};
 use crate::effect::{Effect, Refusal};
 use crate::entry::Entry;
 use crate::event::{Call, Event};
-use crate::ids::{AttemptKey, CallId, Flow, Incarnation, RequestKey, RouterId, ZoneId};
+use crate::ids::{
+    AttemptKey, CallId, Flow, Incarnation, RequestKey, RouterId, ServerId, TableOp, ZoneId,
+};
 use crate::membership::{Member, Membership};
 use crate::message::Message;
 use crate::outbox::Outbox;
 use crate::params::Params;
+use crate::retry::Budgets;
 use crate::share::Ledger;
 use membership::Swim;
 
+/// How far the execution claim of a request has come.
+#[derive(Debug)]
+enum Claim {
+    /// The request has no key.
+    Needless,
+    /// The table is being called.
+    Pending(TableOp),
+    /// The request may run.
+    Held(Lease),
+}
+
 /// A caller's request inside the reducer.
 #[derive(Debug)]
 struct Request {
@@ -35,6 +52,11 @@
     attempts: u32,
     running: Option<AttemptKey>,
     tokens: u64,
+    history: History,
+    claim: Claim,
+    kept: Option<Stored>,
+    avoid: Option<ServerId>,
+    declined: u32,
 }
 
 /// Something that falls due at a time.
@@ -46,6 +68,8 @@
     Silence(AttemptKey),
     Probe,
     Probation,
+    Claim(TableOp),
+    Queue,
 }
 
 /// What the roles decide by: objects in force, live routers, parameters.
@@ -74,7 +98,7 @@
     incarnation: Incarnation,
     world: World,
     requests: SlotMap<RequestKey, Request>,
-    attempts: SlotMap<AttemptKey, Attempt>,
+    attempts: SlotMap<AttemptKey, Running>,
     calls: BTreeMap<CallId, RequestKey>,
     entry: Entry,
     dispatcher: Dispatcher,
@@ -85,6 +109,10 @@
     swim: Swim,
     sync: Sync,
     waited: Option<Waiting>,
+    drained: bool,
+    claims: Claims,
+    budgets: Budgets,
+    latencies: silence::Latencies,
     out: Outbox,
 }
 
@@ -99,6 +127,7 @@
         now: Instant,
     ) -> Self {
         let first = now + params.period;
+        let budgets = Budgets::new(params.retry_burst);
         Self {
             me,
             incarnation,
@@ -119,10 +148,20 @@
             swim: Swim::default(),
             sync: Sync::new(),
             waited: Some(Waiting::NoSource),
+            drained: false,
+            claims: Claims::new(),
+            budgets,
+            latencies: silence::Latencies::new(),
             out: Outbox::new(me),
         }
     }
 
+    /// Returns the incarnation of this run.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn config(&self) -> &Configuration {
@@ -192,8 +231,9 @@
     fn step(&mut self, now: Instant, event: Event) {
         match event {
             Event::Submit(call) => self.submit(now, call),
-            Event::Hangup(call) => self.hangup(now, call),
-            Event::Attempt(key, milestone) => self.milestone(now, key, &milestone),
+            Event::Hangup(call) => self.hangup(call),
+            Event::Attempt(key, milestone) => self.milestone(now, key, milestone),
+            Event::Claim(op, answer) => self.claim_answer(now, op, answer),
             Event::Peer {
                 from,
                 incarnation,
@@ -202,6 +242,7 @@
             Event::Objects(objects) => self.objects(now, objects),
             Event::Load(server, report) => self.dispatcher.load(server, report.incarnation),
             Event::Changes(objects) => self.changes(now, objects),
+            Event::Join(address) => self.join(now, address),
             Event::Hosts(hosts) => self.hosts(now, &hosts),
             Event::Tick => self.tick(now),
             Event::Drain { patience } => self.drain(now, patience),
@@ -248,10 +289,12 @@
             match timer {
                 Timer::Period => self.period(now),
                 Timer::Flush => {}
-                Timer::Deadline(key) => self.expire(now, key),
                 Timer::Probe => self.probe_tick(now),
                 Timer::Probation => self.end_probation(now),
+                Timer::Deadline(key) => self.expire(key),
                 Timer::Silence(key) => self.check_silence(now, key),
+                Timer::Claim(op) => self.claim_resume(now, op),
+                Timer::Queue => self.refuse_waiting(),
             }
         }
     }
--- a/crates/platform/src/keys.rs
+++ b/crates/platform/src/keys.rs
@@ -1,5 +1,7 @@
 //! Keys of the rows that hibiscusrail keeps in the platform's table.
 
+use hibiscusrail_core::WorkspaceId;
+
 /// Prefix of the rows of configuration objects.
 pub const CONFIG_PREFIX: &str = "config/";
 /// Key of the row that counts accepted tickets.
@@ -37,3 +39,12 @@
 pub fn audit(time_ms: u64, source: &str) -> String {
     format!("{AUDIT_PREFIX}{time_ms:016}/{source}")
 }
+
+/// Prefix of the rows of execution claims.
+pub const CLAIM_PREFIX: &str = "claim/";
+
+/// Returns the key of the row that claims an idempotency key.
+#[must_use]
+pub fn claim(workspace: WorkspaceId, name: &str) -> String {
+    format!("{CLAIM_PREFIX}{workspace}/{name}")
+}
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -7,13 +7,13 @@
 use hibiscusrail_load::client::{Ask, Received, Sending, send};
 use hibiscusrail_load::deployment::Deployment;
 use hibiscusrail_load::fleet;
-use hibiscusrail_net::server::Handler;
-use hibiscusrail_net::{Limits, bind, serve};
+use hibiscusrail_net::bind;
+use hibiscusrail_router::secrets::Secrets;
 use hibiscusrail_router::shell::Shell;
 use hibiscusrail_router::start;
 use hibiscusrail_settings::RouterSettings;
 use hibiscusrail_standin::engine::{Engine, EngineSpec};
-use hibiscusrail_standin::http_util::handler;
+use hibiscusrail_standin::host::{self, Service};
 use hibiscusrail_standin::plain::Plain;
 use hibiscusrail_standin::platform::Platform;
 
@@ -37,17 +37,22 @@
     pub routers: Vec<Rc<Shell>>,
 }
 
-fn listen(address: std::net::SocketAddr, handler: Handler) {
+fn listen<S: Service>(address: std::net::SocketAddr, service: &Rc<S>) {
     let listener = bind(address).expect("the loopback address is free");
-    compio::runtime::spawn(serve(listener, Limits::new(), handler)).detach();
+    compio::runtime::spawn(host::serve(listener, Rc::clone(service))).detach();
 }
 
 impl Stage {
     /// Starts a small deployment and waits until its routers are ready.
     pub async fn new() -> Self {
+        Self::with_settings("").await
+    }
+
+    /// Starts a small deployment whose routers have further settings.
+    pub async fn with_settings(more: &str) -> Self {
         let deployment = Deployment::small();
         let platform = Rc::new(Platform::default());
-        listen(deployment.platform, handler(&platform));
+        listen(deployment.platform, &platform);
         let mut stage = Self {
             deployment,
             platform,
@@ -59,7 +64,7 @@
         fleet::seed(&stage.deployment)
             .await
             .expect("the seed is accepted");
-        stage.start_routers();
+        stage.start_routers(more);
         for shell in &stage.routers {
             until(|| shell.with_router(|r| r.readiness().is_ok())).await;
         }
@@ -73,21 +78,23 @@
                     EngineSpec::new(server.cold, server.warm).with_step(Duration::from_millis(2));
                 let engine = Rc::new(Engine::new(spec));
                 compio::runtime::spawn(Rc::clone(&engine).generate()).detach();
-                listen(server.address, handler(&engine));
+                listen(server.address, &engine);
                 self.engines.push(engine);
             } else {
                 let plain = Rc::new(Plain::new(Duration::from_millis(1), server.warm));
-                listen(server.address, handler(&plain));
+                listen(server.address, &plain);
                 self.plains.push(plain);
             }
         }
     }
 
-    fn start_routers(&mut self) {
+    fn start_routers(&mut self, more: &str) {
         for router in &self.deployment.routers {
             let text = fleet::settings(&self.deployment, router, Path::new("/nowhere"));
+            let text = format!("{text}\n{more}");
             let settings = RouterSettings::parse(&router.name, &text).expect("valid settings");
-            let shell = start::start(settings, b"secret").expect("the router starts");
+            let shell = start::start(settings, &Secrets::new(b"secret", b"token"))
+                .expect("the router starts");
             self.routers.push(shell);
         }
     }
@@ -146,3 +153,12 @@
         .expect("the loop starts")
         .block_on(test);
 }
+
+#[test]
+fn own_host_differs_each_time() {
+    let hosts: Vec<_> = (0..300)
+        .map(|_| hibiscusrail_load::deployment::own_host())
+        .collect();
+    let distinct: std::collections::BTreeSet<_> = hosts.iter().collect();
+    assert_eq!(distinct.len(), hosts.len());
+}
