--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -1,5 +1,6 @@
 //! Everything that can happen to a router.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hibiscusrail_macros::{id, record, value};
@@ -7,7 +8,7 @@
 use crate::claim;
 use crate::configuration::{Object, Version};
 use crate::ids::{
-    AttemptKey, CallId, Incarnation, RouterId, ServerId, ServiceId, TableOp, WorkspaceId,
+    AttemptKey, CallId, Incarnation, RouterId, ServerId, ServiceId, TableOp, WorkspaceId, ZoneId,
 };
 use crate::message::Message;
 
@@ -105,6 +106,10 @@
 pub struct HostEntry {
     /// The router on the host.
     pub router: RouterId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Where its router takes datagrams.
+    pub address: SocketAddr,
     /// Whether it is leaving.
     pub leaving: bool,
 }
@@ -129,10 +134,16 @@
         /// The message.
         message: Message,
     },
-    /// Configuration objects were read.
+    /// All configuration objects were read from the table.
     Objects(Vec<(Version, Object)>),
+    /// Configuration objects that changed were read from the table.
+    Changes(Vec<(Version, Object)>),
     /// A server reported its load.
     Load(ServerId, LoadReport),
+    /// The router joins the fleet; it takes datagrams at this address.
+    ///
+    /// A router that never joins keeps the members it was given.
+    Join(SocketAddr),
     /// The platform's host list was read.
     Hosts(Vec<HostEntry>),
     /// A timer fell due.
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod config;
 mod exchange;
+mod membership;
 mod silence;
 mod stop;
 
@@ -15,7 +16,8 @@
 
 use crate::attempt::{History, Running};
 use crate::claim::{Claims, Lease, Stored};
-use crate::configuration::{Configuration, Version};
+use crate::configuration::Configuration;
+use crate::configuration::exchange::{Sync, Waiting};
 use crate::dispatch::{Dispatcher, Surroundings};
 use crate::effect::{Effect, Refusal};
 use crate::entry::Entry;
@@ -29,6 +31,7 @@
 use crate::params::Params;
 use crate::retry::Budgets;
 use crate::share::Ledger;
+use membership::Swim;
 
 /// How far the execution claim of a request has come.
 #[derive(Debug)]
@@ -63,6 +66,8 @@
     Flush,
     Deadline(RequestKey),
     Silence(AttemptKey),
+    Probe,
+    Probation,
     Claim(TableOp),
     Queue,
 }
@@ -101,6 +106,9 @@
     totals_seq: u64,
     timers: BTreeSet<(Instant, Timer)>,
     draining: Option<Instant>,
+    swim: Swim,
+    sync: Sync,
+    waited: Option<Waiting>,
     drained: bool,
     claims: Claims,
     budgets: Budgets,
@@ -137,6 +145,9 @@
             totals_seq: 0,
             timers: BTreeSet::from([(first, Timer::Period)]),
             draining: None,
+            swim: Swim::default(),
+            sync: Sync::new(),
+            waited: Some(Waiting::NoSource),
             drained: false,
             claims: Claims::new(),
             budgets,
@@ -180,7 +191,7 @@
         if self.draining.is_some() {
             return Err(Refusal::Stopping);
         }
-        if self.world.config.head() == Version(0) {
+        if !self.sync.is_ready() {
             return Err(Refusal::NotReady);
         }
         Ok(())
@@ -230,7 +241,9 @@
             } => self.on_message(now, from, incarnation, message),
             Event::Objects(objects) => self.objects(now, objects),
             Event::Load(server, report) => self.dispatcher.load(server, report.incarnation),
-            Event::Hosts(_) => {}
+            Event::Changes(objects) => self.changes(now, objects),
+            Event::Join(address) => self.join(now, address),
+            Event::Hosts(hosts) => self.hosts(now, &hosts),
             Event::Tick => self.tick(now),
             Event::Drain { patience } => self.drain(now, patience),
         }
@@ -261,6 +274,8 @@
                     .full(now, service, from, &dispatchers, &self.world.params);
             }
             Message::Room(service) => self.entry.room(service, from),
+            Message::Probe(probe) => self.on_probe(now, from, incarnation, &probe),
+            Message::Exchange(exchange) => self.on_exchange(now, from, exchange),
             Message::Recover(_) | Message::Recovered(_) => {}
         }
     }
@@ -274,6 +289,8 @@
             match timer {
                 Timer::Period => self.period(now),
                 Timer::Flush => {}
+                Timer::Probe => self.probe_tick(now),
+                Timer::Probation => self.end_probation(now),
                 Timer::Deadline(key) => self.expire(key),
                 Timer::Silence(key) => self.check_silence(now, key),
                 Timer::Claim(op) => self.claim_resume(now, op),
