Let leaving routers serve their zone while nobody else can

Change: leaving routers keep their roles where no other router is left; the probe parameters are settings.

Conclusion: a graceful stop of the last router of a zone finishes its queue.

--- a/crates/core/src/membership/roles.rs
+++ b/crates/core/src/membership/roles.rs
@@ -28,20 +28,29 @@
 impl Membership {
     /// Returns the routers that may have roles, of one zone or of all.
     ///
-    /// Routers on probation are taken only where there is no other.
+    /// Routers on probation are taken only where there is no other, and
+    /// leaving ones only where nobody else is left to serve their queues.
     fn candidates(&self, zone: Option<ZoneId>) -> Vec<RouterId> {
-        let in_zone = |m: &Member| zone.is_none_or(|z| m.zone == z);
-        let pick = |wanted: fn(MemberState) -> bool| -> Vec<RouterId> {
-            self.members()
-                .filter(|(id, m)| in_zone(m) && wanted(m.state) && !self.listed_leaving(*id))
+        let ranks: [fn(&Self, RouterId, &Member) -> bool; 3] = [
+            |all, id, m| has_roles(m.state) && !all.listed_leaving(id),
+            |all, id, m| m.state == MemberState::Probation && !all.listed_leaving(id),
+            |all, id, m| m.state != MemberState::Dead && all.is_leaving(id, m),
+        ];
+        for rank in ranks {
+            let found: Vec<_> = self
+                .members()
+                .filter(|(id, m)| zone.is_none_or(|z| m.zone == z) && rank(self, *id, m))
                 .map(|(id, _)| id)
-                .collect()
-        };
-        let alive = pick(has_roles);
-        if alive.is_empty() {
-            return pick(|s| s == MemberState::Probation);
+                .collect();
+            if !found.is_empty() {
+                return found;
+            }
         }
-        alive
+        Vec::new()
+    }
+
+    fn is_leaving(&self, id: RouterId, member: &Member) -> bool {
+        member.state == MemberState::Leaving || self.listed_leaving(id)
     }
 
     /// Returns the router that hands out the slots of `server`, if there is any.
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -46,6 +46,8 @@
         first_cost,
         progress_timeout,
         first_timeout,
+        probe_period,
+        probe_timeout,
         lookup_timeout,
         max_attempts,
         retry_burst,
