--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,7 +1,7 @@
 //! Datagrams between routers.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -9,6 +9,7 @@
 use hibiscusrail_core::{Event, Incarnation, Message, RouterId};
 use hibiscusrail_wire::{Keys, Letter};
 
+use crate::drops::Drops;
 use crate::metrics::{Metrics, RECEIVED, SENT};
 use crate::shell::Shell;
 
@@ -23,7 +24,9 @@
     socket: UdpSocket,
     keys: RefCell<Keys>,
     addresses: RefCell<BTreeMap<RouterId, SocketAddr>>,
+    pinned: RefCell<BTreeSet<RouterId>>,
     seq: Cell<u64>,
+    drops: RefCell<Drops>,
     metrics: Rc<Metrics>,
 }
 
@@ -48,14 +51,26 @@
             socket,
             keys: RefCell::new(Keys::new(me, secret)),
             addresses: RefCell::default(),
+            pinned: RefCell::default(),
             seq: Cell::new(0),
+            drops: RefCell::default(),
             metrics,
         })
     }
 
-    /// Notes where a router takes datagrams.
+    /// Notes where a router takes datagrams according to the settings.
     pub fn add(&self, router: RouterId, address: SocketAddr) {
         self.addresses.borrow_mut().insert(router, address);
+        self.pinned.borrow_mut().insert(router);
+    }
+
+    /// Notes where a router says that it takes datagrams.
+    ///
+    /// An address from the settings goes before it.
+    pub fn learn(&self, router: RouterId, address: SocketAddr) {
+        if !self.pinned.borrow().contains(&router) {
+            self.addresses.borrow_mut().insert(router, address);
+        }
     }
 
     /// Seals and sends a message; a message that can't be sent now is lost.
@@ -119,7 +134,14 @@
         }
         Err(error) => {
             shell.metrics().dropped(error.kind());
-            log::warn!(step = "open", peer:% = address, error:% = error; "datagram_dropped");
+            if shell
+                .peers()
+                .drops
+                .borrow_mut()
+                .note(shell.clock().now(), address, error)
+            {
+                log::warn!(step = "open", peer:% = address, error:% = error; "datagram_dropped");
+            }
         }
     }
 }
