Check, submit and show tickets, and read the audit trail, from the command line

Cause: the command line's ticket and audit commands did nothing. Change: tickets go straight to the table; a lost answer is read back by number and digest; every rejection is a row of the audit trail.

--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -76,6 +76,12 @@
         /// What is wrong.
         source: serde_json::Error,
     },
+    /// A ticket can't be decided by what the table holds.
+    #[snafu(display("deciding: {source}"))]
+    Plan {
+        /// What is wrong.
+        source: hibiscusrail_platform::ticket::transaction::PlanError,
+    },
     /// The peer refused the call.
     #[snafu(display("{step} at {peer}: {message} (code {code})"))]
     Call {
@@ -96,7 +102,9 @@
     pub fn exit(&self) -> Exit {
         match self {
             Self::Flag { .. } | Self::File { .. } => Exit::Usage,
-            Self::Connect { .. } | Self::Status { .. } | Self::Call { .. } => Exit::Failed,
+            Self::Connect { .. } | Self::Status { .. } | Self::Call { .. } | Self::Plan { .. } => {
+                Exit::Failed
+            }
             Self::Http { .. } | Self::Timeout { .. } | Self::Json { .. } => Exit::Unknown,
         }
     }
--- a/crates/ctl/src/flags.rs
+++ b/crates/ctl/src/flags.rs
@@ -50,12 +50,16 @@
             }
         }
 
-        /// Show the audit trail: every accepted and rejected ticket.
+        /// Show the audit trail: every accepted and rejected ticket, every drain.
         cmd audit {
             /// Only rows about this object, written as kind/name.
             optional --object object: String
             /// Only rows after this ticket number.
             optional --after number: u64
+            /// Only rows before this ticket number.
+            optional --before number: u64
+            /// Only rows of this author.
+            optional --author author: String
             /// Rows at most.
             optional --limit rows: usize
         }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod output;
 pub mod rpc;
 pub mod status;
+pub mod submit;
+pub mod table;
 pub mod ticket;
 
 use flags::{HibiscusrailCtl, HibiscusrailCtlCmd, TicketCmd};
