--- a/crates/core/src/configuration/exchange.rs
+++ b/crates/core/src/configuration/exchange.rs
@@ -280,6 +280,12 @@
         self.settle();
     }
 
+    /// Returns whether `from` may know versions that are not in force here.
+    #[must_use]
+    pub fn is_behind(&self, from: RouterId) -> bool {
+        self.behind.contains(&from)
+    }
+
     /// Returns the peers to ask again because an answer was lost.
     pub fn overdue(&mut self, now: Instant) -> Vec<RouterId> {
         let mut overdue = Vec::new();
--- a/crates/core/src/router/config.rs
+++ b/crates/core/src/router/config.rs
@@ -123,7 +123,7 @@
             Exchange::Objects(objects) => {
                 let Objects { objects, push } = objects;
                 let changed = self.put_in_force(now, Some(from), objects, push);
-                if changed && !push {
+                if !push && (changed || self.sync.is_behind(from)) {
                     self.compare(from, 0);
                 }
             }
--- a/crates/fuzzing/src/lib.rs
+++ b/crates/fuzzing/src/lib.rs
@@ -1,3 +1,4 @@
 //! Generators and oracles for stateful fuzzing.
 
 pub mod claims;
+pub mod config;
