--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -41,7 +41,7 @@
     Suspect,
     /// It answers, but vanished too often lately: roles only where no other is left.
     Probation,
-    /// It stops gracefully: no roles, but its running work counts.
+    /// It stops gracefully: roles only where no other is left; its running work counts.
     Leaving,
     /// It does not answer.
     Dead,
--- a/crates/core/src/membership/roles.rs
+++ b/crates/core/src/membership/roles.rs
@@ -20,28 +20,43 @@
     xxh3_64(&bytes)
 }
 
-/// Whether a router in this state may have roles.
-fn has_roles(state: MemberState) -> bool {
-    matches!(state, MemberState::Alive | MemberState::Suspect)
+/// How well a router is fit for roles; better ones come first.
+#[hibiscusrail_macros::id]
+enum Fitness {
+    /// It answers, or is merely suspected.
+    Fit,
+    /// It vanished too often lately.
+    Flapping,
+    /// It stops gracefully, or the platform is about to take its host.
+    Leaving,
 }
 
 impl Membership {
-    /// Returns the routers that may have roles, of one zone or of all.
+    fn fitness(&self, router: RouterId, member: &Member) -> Option<Fitness> {
+        match member.state {
+            MemberState::Dead => None,
+            MemberState::Leaving => Some(Fitness::Leaving),
+            _ if self.listed_leaving(router) => Some(Fitness::Leaving),
+            MemberState::Probation => Some(Fitness::Flapping),
+            MemberState::Alive | MemberState::Suspect => Some(Fitness::Fit),
+        }
+    }
+
+    /// Returns the fittest routers, of one zone or of all.
     ///
-    /// Routers on probation are taken only where there is no other.
+    /// Roles stay with a router that flaps or leaves only where no better one is.
     fn candidates(&self, zone: Option<ZoneId>) -> Vec<RouterId> {
-        let in_zone = |m: &Member| zone.is_none_or(|z| m.zone == z);
-        let pick = |wanted: fn(MemberState) -> bool| -> Vec<RouterId> {
-            self.members()
-                .filter(|(id, m)| in_zone(m) && wanted(m.state) && !self.listed_leaving(*id))
-                .map(|(id, _)| id)
-                .collect()
-        };
-        let alive = pick(has_roles);
-        if alive.is_empty() {
-            return pick(|s| s == MemberState::Probation);
-        }
-        alive
+        let fitness: Vec<(Fitness, RouterId)> = self
+            .members()
+            .filter(|(_, m)| zone.is_none_or(|z| m.zone == z))
+            .filter_map(|(id, m)| Some((self.fitness(id, m)?, id)))
+            .collect();
+        let best = fitness.iter().map(|(f, _)| *f).min();
+        fitness
+            .into_iter()
+            .filter(|(f, _)| Some(*f) == best)
+            .map(|(_, id)| id)
+            .collect()
     }
 
     /// Returns the router that hands out the slots of `server`, if there is any.
--- a/crates/platform/src/ticket/generated.rs
+++ b/crates/platform/src/ticket/generated.rs
@@ -4,12 +4,18 @@
     pub struct ConversionError(::std::borrow::Cow<'static, str>);
     impl ::std::error::Error for ConversionError {}
     impl ::std::fmt::Display for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Display::fmt(&self.0, f)
         }
     }
     impl ::std::fmt::Debug for ConversionError {
-        fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> Result<(), ::std::fmt::Error> {
+        fn fmt(
+            &self,
+            f: &mut ::std::fmt::Formatter<'_>,
+        ) -> Result<(), ::std::fmt::Error> {
             ::std::fmt::Debug::fmt(&self.0, f)
         }
     }
@@ -49,7 +55,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Admission {
     #[serde(rename = "open")]
@@ -67,7 +73,9 @@
 }
 impl ::std::str::FromStr for Admission {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "open" => Ok(Self::Open),
             "closed" => Ok(Self::Closed),
@@ -77,7 +85,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Admission {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -124,7 +134,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum Kind {
     #[serde(rename = "workspace")]
@@ -148,7 +158,9 @@
 }
 impl ::std::str::FromStr for Kind {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "workspace" => Ok(Self::Workspace),
             "service" => Ok(Self::Service),
@@ -160,7 +172,9 @@
 }
 impl ::std::convert::TryFrom<&str> for Kind {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
@@ -308,7 +322,7 @@
     Hash,
     Ord,
     PartialEq,
-    PartialOrd,
+    PartialOrd
 )]
 pub enum ServiceKind {
     #[serde(rename = "model")]
@@ -326,7 +340,9 @@
 }
 impl ::std::str::FromStr for ServiceKind {
     type Err = self::error::ConversionError;
-    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         match value {
             "model" => Ok(Self::Model),
             "plain" => Ok(Self::Plain),
@@ -336,7 +352,9 @@
 }
 impl ::std::convert::TryFrom<&str> for ServiceKind {
     type Error = self::error::ConversionError;
-    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
         value.parse()
     }
 }
--- a/crates/platform/src/ticket/mod.rs
+++ b/crates/platform/src/ticket/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod check;
 #[allow(missing_docs, unused_qualifications, clippy::all, clippy::pedantic)]
+#[rustfmt::skip]
 pub mod generated;
 mod objects;
 pub mod transaction;
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -22,6 +22,9 @@
 /// Datagrams older than this many behind the newest are dropped as replays.
 const WINDOW: u64 = 64;
 
+/// Senders whose numbers are remembered at most.
+pub const MAX_SENDERS: usize = 4_096;
+
 /// Why a datagram was dropped.
 #[derive(Debug, Snafu, PartialEq, Eq, Clone, Copy)]
 pub enum OpenError {
@@ -46,6 +49,9 @@
     /// Meant for another router.
     #[snafu(display("datagram is for another router"))]
     Misdirected,
+    /// More senders than are remembered.
+    #[snafu(display("more than {MAX_SENDERS} senders"))]
+    Crowded,
     /// Seen before, or too old to tell.
     #[snafu(display("datagram is a replay"))]
     Replayed,
@@ -62,6 +68,7 @@
             Self::Forged => "forged",
             Self::Malformed => "malformed",
             Self::Misdirected => "misdirected",
+            Self::Crowded => "crowded",
             Self::Replayed => "replayed",
         }
     }
@@ -167,7 +174,11 @@
     }
 
     fn check_replay(&mut self, letter: &Letter) -> Result<(), OpenError> {
+        let senders = self.received.len();
         let Some(received) = self.received.get_mut(&letter.from) else {
+            if senders >= MAX_SENDERS {
+                return Err(OpenError::Crowded);
+            }
             self.received.insert(
                 letter.from,
                 Received {
