--- /dev/null
+++ b/tests/all/restart.rs
@@ -0,0 +1,61 @@
+//! Routers that start with nothing in memory.
+
+use std::path::Path;
+use std::rc::Rc;
+
+use hibiscusrail_core::configuration::exchange::Waiting;
+use hibiscusrail_load::client::{Ask, Ending, Sending, send};
+use hibiscusrail_load::deployment::{Deployment, RouterSpec};
+use hibiscusrail_load::fleet;
+use hibiscusrail_router::secrets::Secrets;
+use hibiscusrail_router::shell::Shell;
+use hibiscusrail_router::start;
+use hibiscusrail_settings::RouterSettings;
+use hibiscusrail_standin::faults::Faults;
+use hibiscusrail_standin::host::Service;
+
+use crate::support::{Stage, run, until};
+
+/// Starts a router that the others do not know.
+fn start_new(deployment: &Deployment) -> (RouterSpec, Rc<Shell>) {
+    let mut spec = deployment.routers[0].clone();
+    "router-new".clone_into(&mut spec.name);
+    for address in [&mut spec.listen, &mut spec.peer, &mut spec.admin] {
+        address.set_port(address.port() + 5_000);
+    }
+    let text = fleet::settings(deployment, &spec, Path::new("/nowhere"));
+    let settings = RouterSettings::parse("router-new", &text).expect("valid settings");
+    let shell = start::start(settings, &Secrets::new(b"secret", b"token"));
+    (spec, shell.expect("the router starts"))
+}
+
+fn lookup(deployment: &Deployment, router: &RouterSpec) -> Sending {
+    let ask = Ask::lookup(&deployment.plain, "record");
+    Sending::new(router.listen, "a", &deployment.workspaces[0], ask)
+}
+
+#[test]
+fn restart_without_platform_learns_from_peers() {
+    run(async {
+        let stage = Stage::new().await;
+        stage.platform.faults().set(Faults::default().with_down());
+        let (spec, shell) = start_new(&stage.deployment);
+        until(|| shell.with_router(|r| r.readiness().is_ok())).await;
+        let ours = shell.with_router(|r| r.head().digest);
+        let theirs = stage.routers[0].with_router(|r| r.head().digest);
+        assert_eq!(ours, theirs);
+        let received = send(&lookup(&stage.deployment, &spec)).await;
+        assert_eq!(received.ending, Ending::Right, "{received:?}");
+    });
+}
+
+#[test]
+fn restart_without_platform_and_peers_refuses_as_not_run() {
+    run(async {
+        let deployment = Deployment::small();
+        let (spec, shell) = start_new(&deployment);
+        assert_eq!(shell.with_router(|r| r.waiting()), Some(Waiting::NoSource));
+        let received = send(&lookup(&deployment, &spec)).await;
+        assert_eq!(received.ending, Ending::NotRun, "{received:?}");
+    });
+}
