Order flows exactly and take servers over by promise

Cause: the dispatcher scanned all flows and servers per grant, a repeated grant was used twice, a new dispatcher knew nothing of the slots in use, and a lost message of counters stayed lost until the next change.

Change: ordered sets choose flow, entry and server; a grant carries the term of a take-over that every entry has promised to obey; a predecessor hands its table over, and slots in doubt stay counted; counters are sent three times and whole after a change of view; demand goes to a bounded number of dispatchers.

--- /dev/null
+++ b/crates/core/src/entry/affinity.rs
@@ -0,0 +1,37 @@
+//! Which server last served a prompt prefix, from what this entry sent.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::ids::{ServerId, ServiceId};
+
+/// Prefixes remembered at most.
+const MOST_PREFIXES: usize = 4_096;
+
+/// The servers that last served each prefix; the oldest prefixes are forgotten.
+#[derive(Debug, Default)]
+pub struct Affinity {
+    servers: BTreeMap<(ServiceId, u64), ServerId>,
+    order: VecDeque<(ServiceId, u64)>,
+}
+
+impl Affinity {
+    /// Notes that a request with `prefix` was sent to `server`.
+    pub fn note(&mut self, service: ServiceId, prefix: u64, server: ServerId) {
+        let key = (service, prefix);
+        if self.servers.insert(key, server).is_some() {
+            return;
+        }
+        self.order.push_back(key);
+        if self.order.len() > MOST_PREFIXES
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.servers.remove(&oldest);
+        }
+    }
+
+    /// Returns the server that last served `prefix`.
+    #[must_use]
+    pub fn server(&self, service: ServiceId, prefix: u64) -> Option<ServerId> {
+        self.servers.get(&(service, prefix)).copied()
+    }
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -61,6 +61,19 @@
 #[id]
 pub struct GrantId(pub u64);
 
+/// A take-over of a server by a dispatcher; grows within the dispatcher's incarnation.
+#[id]
+pub struct Term(pub u64);
+
+/// One run of one router, as the sender of a message.
+#[id]
+pub struct Peer {
+    /// The router.
+    pub router: RouterId,
+    /// Its run.
+    pub incarnation: Incarnation,
+}
+
 /// A grant together with the dispatcher that issued it.
 #[id]
 pub struct GrantRef {
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -101,6 +101,11 @@
             .map(|(id, _)| *id)
     }
 
+    /// Returns all routers ever heard of, in whatever state.
+    pub fn known(&self) -> impl Iterator<Item = RouterId> + '_ {
+        self.members.keys().copied()
+    }
+
     fn alive(&self) -> impl Iterator<Item = (RouterId, &Member)> {
         self.members
             .iter()
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -7,7 +7,7 @@
 
 use hibiscusrail_macros::{id, record, value};
 
-use crate::ids::{Flow, GrantId, GrantRef, Incarnation, RouterId, ServerId, ServiceId};
+use crate::ids::{Flow, GrantId, GrantRef, Peer, RouterId, ServerId, ServiceId, Term};
 
 /// Waiting requests of one flow at the sending entry.
 #[value]
@@ -18,6 +18,8 @@
     pub waiting: u32,
     /// How long the oldest has waited.
     pub oldest: Duration,
+    /// The oldest's hint of its cost in cost units.
+    pub hint: Option<f64>,
 }
 
 /// An entry's demand, sent to a dispatcher.
@@ -35,6 +37,15 @@
     pub flows: Vec<FlowDemand>,
 }
 
+/// What a dispatcher knows of a server's warmth, as a successor may use it.
+#[value]
+pub struct Warmth {
+    /// Requests that the server may run.
+    pub limit: u32,
+    /// Low bits of the server's incarnation; zero when unknown.
+    pub mark: u32,
+}
+
 /// A slot at a server, leased to one entry for one request.
 #[value]
 pub struct Grant {
@@ -46,8 +57,10 @@
     pub flow: Flow,
     /// `sent` of the demand that the grant answers.
     pub echo: Duration,
-    /// Limit of the server at the dispatcher, as a hint for a successor.
-    pub limit: u32,
+    /// The take-over of the server under which the slot was granted.
+    pub term: Term,
+    /// Warmth of the server at the dispatcher, kept for a successor.
+    pub warmth: Warmth,
 }
 
 /// A slot in use, as its entry reports it.
@@ -61,6 +74,8 @@
     pub flow: Flow,
     /// Cost so far, in cost units.
     pub cost: f64,
+    /// Time left until the request's deadline.
+    pub left: Duration,
 }
 
 /// All slots of the receiving dispatcher that the sender holds.
@@ -77,6 +92,10 @@
 pub enum GrantEnd {
     /// No fitting request was left, or the grant came too late.
     Unused,
+    /// The entry obeys another dispatcher, or another take-over of this one.
+    Fenced,
+    /// The caller gave up.
+    Cancelled,
     /// The request ran to its end.
     Done,
     /// The server refused admission or showed overload.
@@ -89,9 +108,9 @@
 #[value]
 pub struct Release {
     /// The grant.
-    pub grant: GrantId,
-    /// Incarnation of the dispatcher that issued it.
-    pub incarnation: Incarnation,
+    pub grant: GrantRef,
+    /// The server whose slot it was.
+    pub server: ServerId,
     /// How it ended.
     pub end: GrantEnd,
     /// Cost of the request in cost units.
@@ -147,24 +166,71 @@
     /// Fleet totals for a dispatcher.
     Totals(Totals),
     /// A new dispatcher of the server asks which slots are in use there.
-    Recover(ServerId),
+    Recover(Recover),
     /// Answer to [`Message::Recover`].
     Recovered(Recovered),
+    /// A dispatcher hands a server over to the next.
+    Handover(Handover),
 }
 
-/// The slots that an entry holds at one server.
+/// A dispatcher's request to be obeyed as the dispatcher of a server.
+#[value]
+pub struct Recover {
+    /// The server.
+    pub server: ServerId,
+    /// The take-over.
+    pub term: Term,
+}
+
+/// The slots that an entry holds at one server, and whom it obeys there.
 #[record]
 pub struct Recovered {
     /// The server.
     pub server: ServerId,
+    /// The take-over that this answers.
+    pub term: Term,
+    /// The sender's clock at sending.
+    pub sent: Duration,
     /// Who dispatches the server in the sender's view.
     pub dispatcher: Option<RouterId>,
-    /// Last limit the sender heard of; zero when none.
-    pub limit: u32,
+    /// Whom the sender obeyed before.
+    pub previous: Option<RouterId>,
+    /// Last warmth the sender heard of.
+    pub warmth: Option<Warmth>,
     /// The slots in use.
     pub held: Vec<Held>,
 }
 
+/// A slot that is handed over.
+#[value]
+pub struct HandedSlot {
+    /// The grant.
+    pub grant: GrantRef,
+    /// The entry that holds it.
+    pub entry: Peer,
+    /// The flow.
+    pub flow: Flow,
+    /// `sent` of the demand that the grant answered.
+    pub echo: Duration,
+    /// Service charged for it so far, in cost units.
+    pub charged: f64,
+    /// Time after which the slot is free whatever is heard of it.
+    pub left: Duration,
+}
+
+/// All that the dispatcher of a server knows, for the next one.
+#[record]
+pub struct Handover {
+    /// The server.
+    pub server: ServerId,
+    /// Warmth of the server.
+    pub warmth: Warmth,
+    /// Slots that count as in use though nobody is known to hold them.
+    pub presumed: u32,
+    /// The slots in use or on their way.
+    pub slots: Vec<HandedSlot>,
+}
+
 impl Message {
     /// Returns the kind as a short stable name for metrics.
     #[must_use]
@@ -180,6 +246,7 @@
             Self::Totals(_) => "totals",
             Self::Recover(_) => "recover",
             Self::Recovered(_) => "recovered",
+            Self::Handover(_) => "handover",
         }
     }
 }
--- a/crates/core/src/params.rs
+++ b/crates/core/src/params.rs
@@ -28,6 +28,14 @@
     pub demand_delay: Duration,
     /// How long a dispatcher that reported no room is not asked for one slot.
     pub full_memory: Duration,
+    /// Time after which a slot is free whatever is heard of it, once its entry is lost.
+    pub orphan_life: Duration,
+    /// How much later than its measurement a server's load report may arrive.
+    pub report_lag: Duration,
+    /// Time between two requests to obey in one take-over.
+    pub recover_retry: Duration,
+    /// Whether an entry prefers the server that last served the same prompt prefix.
+    pub prefix_affinity: bool,
     /// Cost of a request before any has been measured, in cost units.
     pub first_cost: f64,
     /// Time without a byte after which a stream counts as silent.
@@ -56,6 +64,10 @@
             period: Duration::from_millis(1_000),
             demand_delay: Duration::from_millis(100),
             full_memory: Duration::from_millis(500),
+            orphan_life: Duration::from_secs(120),
+            report_lag: Duration::from_secs(2),
+            recover_retry: Duration::from_millis(100),
+            prefix_affinity: false,
             first_cost: 100.0,
             progress_timeout: Duration::from_secs(5),
             first_timeout: Duration::from_secs(20),
@@ -85,6 +97,20 @@
         self
     }
 
+    /// Sets whether an entry prefers the server that last served the same prefix.
+    #[must_use]
+    pub fn with_prefix_affinity(mut self, affinity: bool) -> Self {
+        self.prefix_affinity = affinity;
+        self
+    }
+
+    /// Sets the time after which the slot of a lost entry is free.
+    #[must_use]
+    pub fn with_orphan_life(mut self, life: Duration) -> Self {
+        self.orphan_life = life;
+        self
+    }
+
     /// Sets the time without a byte after which a stream counts as silent.
     #[must_use]
     pub fn with_progress_timeout(mut self, timeout: Duration) -> Self {
--- a/crates/core/src/router/attempts.rs
+++ b/crates/core/src/router/attempts.rs
@@ -5,7 +5,7 @@
 use crate::attempt::{Attempt, Outcome, Phase};
 use crate::effect::{Counter, Dispatch, Effect, Execution, Refusal};
 use crate::event::{Milestone, Repeat, Stage};
-use crate::ids::{AttemptKey, GrantRef, Incarnation, RouterId};
+use crate::ids::{AttemptKey, GrantRef, Peer};
 use crate::message::{Grant, GrantEnd, Message, Release};
 
 use super::{Router, Timer};
@@ -57,17 +57,15 @@
         end: GrantEnd,
     ) -> Option<Attempt> {
         let attempt = self.attempts.remove(key)?;
-        let _ = now;
-        self.out.send(
-            attempt.grant.dispatcher,
-            Message::Release(Release {
-                grant: attempt.grant.grant,
-                incarnation: attempt.grant.incarnation,
-                end,
-                cost: attempt.cost,
-                first_byte: attempt.first_byte,
-            }),
-        );
+        self.grants.remove(&attempt.grant);
+        let release = Release {
+            grant: attempt.grant,
+            server: attempt.server,
+            end,
+            cost: attempt.cost,
+            first_byte: attempt.first_byte,
+        };
+        self.release(now, release);
         Some(attempt)
     }
 
@@ -105,44 +103,63 @@
         }
     }
 
-    pub(super) fn on_grant(
-        &mut self,
-        now: Instant,
-        from: RouterId,
-        incarnation: Incarnation,
-        grant: &Grant,
-    ) {
+    pub(super) fn on_grant(&mut self, now: Instant, from: Peer, grant: &Grant) {
         let reference = GrantRef {
-            dispatcher: from,
-            incarnation,
+            dispatcher: from.router,
+            incarnation: from.incarnation,
             grant: grant.id,
         };
-        let age = self.entry.clock(now).saturating_sub(grant.echo);
-        let server = self.world.config.server(grant.server);
-        let named = server.and_then(|s| self.world.members.dispatcher(grant.server, s));
-        let address = server.map(|s| s.address);
-        let usable = age < self.world.params.grant_life && named == Some(from);
-        if !usable {
+        let life = self.world.params.grant_life;
+        if !self.obedience.note(now, life, reference) || self.used_by(reference).is_some() {
+            return;
+        }
+        match self.use_grant(now, from, reference, grant) {
+            Ok(()) => self.obedience.keep_warmth(grant.server, grant.warmth),
+            Err(end) => {
+                let release = Release {
+                    grant: reference,
+                    server: grant.server,
+                    end,
+                    cost: 0.0,
+                    first_byte: None,
+                };
+                self.release(now, release);
+            }
+        }
+    }
+
+    /// Sends a waiting request with a grant, or says how the grant ends instead.
+    fn use_grant(
+        &mut self,
+        now: Instant,
+        from: Peer,
+        reference: GrantRef,
+        grant: &Grant,
+    ) -> Result<(), GrantEnd> {
+        let named = self.named(grant.server) == Some(from.router);
+        if !named || !self.obedience.obeys(from, grant) {
             self.out.count(Counter::Stale);
+            return Err(GrantEnd::Fenced);
         }
-        let (true, Some(address)) = (usable, address) else {
-            self.return_grant(reference);
-            return;
-        };
-        let Some(key) = self.entry.take(grant.flow, from) else {
-            self.return_grant(reference);
-            return;
-        };
-        let attempt = self
-            .attempts
-            .insert(Attempt::new(key, reference, grant.server, now));
-        let Some(request) = self.requests.get_mut(key) else {
-            self.attempts.remove(attempt);
-            self.return_grant(reference);
-            return;
-        };
+        let age = self.entry.age(now, grant.echo);
+        if age.is_none_or(|a| a >= self.world.params.grant_life) {
+            self.out.count(Counter::Stale);
+            return Err(GrantEnd::Unused);
+        }
+        let server = self.world.config.server(grant.server);
+        let address = server.map(|s| s.address).ok_or(GrantEnd::Unused)?;
+        let key = self.entry.take(grant.flow, from.router);
+        let key = key.ok_or(GrantEnd::Unused)?;
+        let request = self.requests.get_mut(key).ok_or(GrantEnd::Unused)?;
+        let attempt = Attempt::new(key, reference, grant.server, now);
+        let attempt = self.attempts.insert(attempt);
+        self.grants.insert(reference, attempt);
         request.running = Some(attempt);
         request.attempts += 1;
+        if let Some(prefix) = request.call.prefix {
+            let affinity = self.entry.affinity();
+            affinity.note(grant.flow.service, prefix, grant.server);
+        }
         self.timers.insert((
             now + self.world.params.progress_timeout,
             Timer::Silence(attempt),
@@ -155,19 +172,21 @@
             reuse: request.call.repeat == Repeat::Idempotent,
             resume: (request.tokens > 0).then_some(request.tokens),
         }));
+        Ok(())
     }
 
-    pub(super) fn return_grant(&mut self, grant: GrantRef) {
-        self.out.send(
-            grant.dispatcher,
-            Message::Release(Release {
-                grant: grant.grant,
-                incarnation: grant.incarnation,
-                end: GrantEnd::Unused,
-                cost: 0.0,
-                first_byte: None,
-            }),
-        );
+    /// Tells the dispatcher that granted a slot, and its successor, how it ended.
+    fn release(&mut self, now: Instant, release: Release) {
+        let granted = release.grant.dispatcher;
+        let named = self.named(release.server);
+        for router in [Some(granted), named.filter(|n| *n != granted)] {
+            let Some(router) = router else {
+                continue;
+            };
+            let params = &self.world.params;
+            self.entry.keep_reporting(now, router, params);
+            self.out.send(router, Message::Release(release));
+        }
     }
 
     pub(super) fn check_silence(&mut self, now: Instant, key: AttemptKey) {
--- a/crates/core/src/router/calls.rs
+++ b/crates/core/src/router/calls.rs
@@ -4,6 +4,7 @@
 
 use crate::attempt::{Outcome, Phase};
 use crate::effect::{Counter, Effect, Execution, Refusal, Refused};
+use crate::entry::Arrival;
 use crate::event::Call;
 use crate::ids::{CallId, Flow, RequestKey};
 use crate::message::GrantEnd;
@@ -63,9 +64,16 @@
             return;
         };
         let flow = request.flow;
-        let dispatchers = self.dispatchers(flow.service);
-        self.entry
-            .enqueue(now, flow, key, front, &dispatchers, None);
+        let (hint, prefix) = (request.call.hint, request.call.prefix);
+        let arrival = Arrival {
+            request: key,
+            flow,
+            front,
+            hint,
+            prefer: prefix.and_then(|p| self.prefer(flow.service, p)),
+        };
+        let reach = self.reach(flow);
+        self.entry.enqueue(now, arrival, &reach);
     }
 
     /// Refuses a call, or ends one whose answer was cut.
@@ -109,7 +117,7 @@
         };
         self.out.push(Effect::Cancel(attempt));
         let phase = self.attempts.get(attempt).map(|a| a.phase);
-        self.end_attempt(now, attempt, GrantEnd::Failed);
+        self.end_attempt(now, attempt, GrantEnd::Cancelled);
         match phase {
             Some(Phase::Unsent) => Some(Outcome::NotRun),
             _ => Some(Outcome::Unknown),
--- a/crates/core/src/router/exchange.rs
+++ b/crates/core/src/router/exchange.rs
@@ -1,10 +1,9 @@
 //! The periodic exchange with other routers.
 
-use std::collections::BTreeMap;
 use std::time::Instant;
 
-use crate::ids::RouterId;
-use crate::message::{Held, Message, Totals, Usage};
+use crate::ids::{Flow, Peer};
+use crate::message::{Charges, Message, Totals};
 
 use super::{Router, Timer};
 
@@ -12,7 +11,10 @@
     pub(super) fn period(&mut self, now: Instant) {
         self.timers
             .insert((now + self.world.params.period, Timer::Period));
-        self.entry.period();
+        let reaches = self.reaches();
+        let world = &self.world;
+        self.entry
+            .period(now, &world.params, |flow| reaches.of(world, flow));
         self.report_usage(now);
         let env = self.world.at(now);
         self.dispatcher.period(env, &mut self.out);
@@ -26,38 +28,52 @@
         }
     }
 
-    /// Tells every dispatcher which of its slots are in use here.
-    pub(super) fn report_usage(&mut self, now: Instant) {
-        let mut by_dispatcher: BTreeMap<RouterId, Vec<Held>> = BTreeMap::new();
-        for (id, server) in self.world.config.servers() {
-            if let Some(router) = self.world.members.dispatcher(id, server) {
-                by_dispatcher.entry(router).or_default();
-            }
+    pub(super) fn flush(&mut self, now: Instant) {
+        if let Some(due) = self.entry.flush(now, &self.world.params, &mut self.out) {
+            self.timers.insert((due, Timer::Flush));
         }
-        for attempt in self.attempts.values() {
-            let Some(request) = self.requests.get(attempt.request) else {
-                continue;
-            };
-            let held = Held {
-                grant: attempt.grant,
-                server: attempt.server,
-                flow: request.flow,
-                cost: attempt.cost,
-            };
-            by_dispatcher
-                .entry(attempt.grant.dispatcher)
-                .or_default()
-                .push(held);
+    }
+
+    /// Sets the timer for asking again while a server is being taken over.
+    pub(super) fn schedule_recovery(&mut self, now: Instant) {
+        if self.recovery_due || !self.dispatcher.is_recovering() {
+            return;
         }
-        let sent = self.entry.clock(now);
-        for (router, held) in by_dispatcher {
-            self.out.send(router, Message::Usage(Usage { sent, held }));
+        self.recovery_due = true;
+        let due = now + self.world.params.recover_retry;
+        self.timers.insert((due, Timer::Recover));
+    }
+
+    pub(super) fn retry_recovery(&mut self, now: Instant) {
+        self.recovery_due = false;
+        let env = self.world.at(now);
+        self.dispatcher.retry(env, &mut self.out);
+    }
+
+    /// Takes servers over anew after a pause in which others may have done so.
+    pub(super) fn check_pause(&mut self, now: Instant) {
+        let gap = now.duration_since(self.last);
+        self.last = now;
+        if gap > self.world.params.period * 3 / 2 {
+            let env = self.world.at(now);
+            self.dispatcher.suspect(env, &mut self.out);
         }
     }
 
-    pub(super) fn flush(&mut self, now: Instant) {
-        if let Some(due) = self.entry.flush(now, &self.world.params, &mut self.out) {
-            self.timers.insert((due, Timer::Flush));
+    /// Takes in a dispatcher's counters of the flows that are summed here.
+    pub(super) fn on_charges(&mut self, from: Peer, charges: &Charges) {
+        if self.world.members.get(from.router).is_none() {
+            return;
+        }
+        for total in &charges.flows {
+            if self.knows(total.flow) {
+                self.ledger.record(from, charges.seq, *total);
+            }
         }
     }
+
+    fn knows(&self, flow: Flow) -> bool {
+        let config = &self.world.config;
+        config.workspace(flow.workspace).is_some() && config.service(flow.service).is_some()
+    }
 }
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod config;
 mod exchange;
+mod slots;
 mod stop;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,13 +18,17 @@
 use crate::effect::{Effect, Refusal};
 use crate::entry::Entry;
 use crate::event::{Call, Event};
-use crate::ids::{AttemptKey, CallId, Flow, Incarnation, RequestKey, RouterId, ZoneId};
+use crate::ids::{
+    AttemptKey, CallId, Flow, GrantRef, Incarnation, Peer, RequestKey, RouterId, ZoneId,
+};
 use crate::membership::{Member, Membership};
 use crate::message::Message;
 use crate::outbox::Outbox;
 use crate::params::Params;
 use crate::share::Ledger;
 
+use slots::Obedience;
+
 /// A caller's request inside the reducer.
 #[derive(Debug)]
 struct Request {
@@ -39,6 +44,7 @@
 enum Timer {
     Period,
     Flush,
+    Recover,
     Deadline(RequestKey),
     Silence(AttemptKey),
 }
@@ -71,6 +77,11 @@
     requests: SlotMap<RequestKey, Request>,
     attempts: SlotMap<AttemptKey, Attempt>,
     calls: BTreeMap<CallId, RequestKey>,
+    grants: BTreeMap<GrantRef, AttemptKey>,
+    obedience: Obedience,
+    recovery_due: bool,
+    view: u64,
+    last: Instant,
     entry: Entry,
     dispatcher: Dispatcher,
     ledger: Ledger,
@@ -91,6 +102,10 @@
         now: Instant,
     ) -> Self {
         let first = now + params.period;
+        let peer = Peer {
+            router: me,
+            incarnation,
+        };
         Self {
             me,
             incarnation,
@@ -102,8 +117,13 @@
             requests: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
             calls: BTreeMap::new(),
-            entry: Entry::new(now),
-            dispatcher: Dispatcher::new(incarnation),
+            grants: BTreeMap::new(),
+            obedience: Obedience::default(),
+            recovery_due: false,
+            view: 0,
+            last: now,
+            entry: Entry::new(now, incarnation),
+            dispatcher: Dispatcher::new(peer, now),
             ledger: Ledger::new(),
             totals_seq: 0,
             timers: BTreeSet::from([(first, Timer::Period)]),
@@ -166,7 +186,9 @@
 
     /// Handles one event at time `now` and returns what is to be done.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        self.check_pause(now);
         self.step(now, event);
+        self.check_view(now);
         while let Some(message) = self.out.next_local() {
             self.on_message(now, self.me, self.incarnation, message);
         }
@@ -174,6 +196,7 @@
         while let Some(message) = self.out.next_local() {
             self.on_message(now, self.me, self.incarnation, message);
         }
+        self.schedule_recovery(now);
         self.check_drained(now);
         self.out.take()
     }
@@ -189,7 +212,10 @@
                 message,
             } => self.on_message(now, from, incarnation, message),
             Event::Objects(objects) => self.objects(now, objects),
-            Event::Load(server, report) => self.dispatcher.load(server, report.incarnation),
+            Event::Load(server, report) => {
+                let env = self.world.at(now);
+                self.dispatcher.load(env, server, report, &mut self.out);
+            }
             Event::Hosts(_) => {}
             Event::Tick => self.tick(now),
             Event::Drain { patience } => self.drain(now, patience),
@@ -204,24 +230,35 @@
         message: Message,
     ) {
         let env = self.world.at(now);
+        let peer = Peer {
+            router: from,
+            incarnation,
+        };
         match message {
-            Message::Demand(demand) => self.dispatcher.demand(env, from, &demand, &mut self.out),
-            Message::Release(release) => self.dispatcher.release(env, &release, &mut self.out),
-            Message::Usage(usage) => self.dispatcher.usage(env, from, &usage, &mut self.out),
-            Message::Totals(totals) => self.dispatcher.totals(&totals.flows),
-            Message::Charges(charges) => {
-                for total in charges.flows {
-                    self.ledger.record(from, incarnation, charges.seq, total);
-                }
+            Message::Demand(demand) => self.dispatcher.demand(env, peer, &demand, &mut self.out),
+            Message::Release(release) => {
+                self.dispatcher.release(env, peer, &release, &mut self.out);
             }
-            Message::Grant(grant) => self.on_grant(now, from, incarnation, &grant),
+            Message::Usage(usage) => self.dispatcher.usage(env, peer, &usage, &mut self.out),
+            Message::Totals(totals) => self.dispatcher.totals(env, peer, &totals.flows),
+            Message::Charges(charges) => self.on_charges(peer, &charges),
+            Message::Grant(grant) => self.on_grant(now, peer, &grant),
             Message::Full(service) => {
-                let dispatchers = self.dispatchers(service);
-                self.entry
-                    .full(now, service, from, &dispatchers, &self.world.params);
+                let reaches = self.reaches();
+                let world = &self.world;
+                self.entry.full(now, service, from, &world.params, |flow| {
+                    reaches.of(world, flow)
+                });
             }
             Message::Room(service) => self.entry.room(service, from),
-            Message::Recover(_) | Message::Recovered(_) => {}
+            Message::Recover(recover) => self.on_recover(now, peer, recover),
+            Message::Recovered(answer) => {
+                self.dispatcher.recovered(env, peer, &answer, &mut self.out);
+            }
+            Message::Handover(handover) => {
+                self.dispatcher
+                    .handover(env, peer, &handover, &mut self.out);
+            }
         }
     }
 
@@ -234,6 +271,7 @@
             match timer {
                 Timer::Period => self.period(now),
                 Timer::Flush => {}
+                Timer::Recover => self.retry_recovery(now),
                 Timer::Deadline(key) => self.expire(now, key),
                 Timer::Silence(key) => self.check_silence(now, key),
             }
--- /dev/null
+++ b/crates/core/src/share/accounts.rs
@@ -0,0 +1,198 @@
+//! The service counters of one dispatcher.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::{Flow, RouterId, ServiceId};
+use crate::message::FlowTotal;
+
+use super::{Others, SEND_PERIODS, Tag};
+
+/// Weight of the newest request in a flow's running mean cost.
+const MEAN_WEIGHT: f64 = 0.1;
+/// A hint counts within this factor of the first cost, either way.
+const HINT_FACTOR: f64 = 10.0;
+/// Weight of the newest period in the running mean of a service's pace.
+const PACE_WEIGHT: f64 = 0.2;
+/// Periods' worth of a pool's whole service that one report may add to a flow.
+const JUMP_PERIODS: f64 = 2.0;
+/// Periods without demand or change after which a flow is forgotten.
+const FORGET_PERIODS: u32 = 600;
+
+/// One flow as its dispatcher accounts for it.
+#[derive(Debug, Default)]
+struct Account {
+    own: f64,
+    others: Others,
+    offset: f64,
+    mean: Option<f64>,
+    /// Periods in which the counter still has to be sent.
+    sends: u32,
+    idle: u32,
+}
+
+/// What a dispatcher knows of one service as a whole.
+#[derive(Debug, Default)]
+struct Pace {
+    virtual_time: f64,
+    /// Service given in the current period, here and elsewhere.
+    served: f64,
+    /// Running mean of the service given in one period.
+    mean: Option<f64>,
+}
+
+/// The service counters of one dispatcher.
+#[derive(Debug, Default)]
+pub struct Accounts {
+    flows: BTreeMap<Flow, Account>,
+    paces: BTreeMap<ServiceId, Pace>,
+    seq: u64,
+}
+
+impl Accounts {
+    /// Creates counters at zero.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the normalised service of `flow` at `share`.
+    #[must_use]
+    pub fn tag(&self, flow: Flow, share: f64) -> Tag {
+        let Some(account) = self.flows.get(&flow) else {
+            return Tag(0.0);
+        };
+        Tag((account.own + account.others.counted()) / share + account.offset)
+    }
+
+    /// Returns the normalised service of `flow` at this dispatcher alone.
+    #[must_use]
+    pub fn local_tag(&self, flow: Flow, share: f64) -> Tag {
+        let Some(account) = self.flows.get(&flow) else {
+            return Tag(0.0);
+        };
+        Tag(account.own / share + account.offset)
+    }
+
+    /// Starts a flow that returns from idle at the virtual time of its service.
+    ///
+    /// `tag` is the flow's present tag: time without demand is no credit.
+    pub fn activate(&mut self, flow: Flow, tag: Tag) {
+        let start = self.paces.entry(flow.service).or_default().virtual_time;
+        let account = self.flows.entry(flow).or_default();
+        account.idle = 0;
+        account.sends = SEND_PERIODS;
+        if tag.0 < start {
+            account.offset += start - tag.0;
+        }
+    }
+
+    /// Moves the virtual time of a service forward to the tag of the flow served.
+    pub fn advance(&mut self, service: ServiceId, tag: Tag) {
+        let pace = self.paces.entry(service).or_default();
+        pace.virtual_time = pace.virtual_time.max(tag.0);
+    }
+
+    /// Keeps the tag of a flow when its share changes from `old` to `new`.
+    pub fn rescale(&mut self, flow: Flow, old: f64, new: f64) {
+        if let Some(account) = self.flows.get_mut(&flow) {
+            let served = account.own + account.others.counted();
+            account.offset += served / old - served / new;
+        }
+    }
+
+    /// Charges `cost` to `flow`; a negative cost corrects an estimate.
+    pub fn charge(&mut self, flow: Flow, cost: f64) {
+        if cost == 0.0 {
+            return;
+        }
+        self.paces.entry(flow.service).or_default().served += cost;
+        let account = self.flows.entry(flow).or_default();
+        account.own += cost;
+        account.sends = SEND_PERIODS;
+        account.idle = 0;
+    }
+
+    /// Takes the final cost of a request into the flow's running mean.
+    pub fn observe(&mut self, flow: Flow, cost: f64) {
+        let account = self.flows.entry(flow).or_default();
+        let mean = account.mean.unwrap_or(cost);
+        account.mean = Some(mean + MEAN_WEIGHT * (cost - mean));
+    }
+
+    /// Returns the expected cost of the flow's next request.
+    ///
+    /// A hint counts only until the first request of the flow has ended.
+    #[must_use]
+    pub fn estimate(&self, flow: Flow, hint: Option<f64>, first: f64) -> f64 {
+        let seed = hint.map_or(first, |h| h.clamp(first / HINT_FACTOR, first * HINT_FACTOR));
+        self.flows.get(&flow).and_then(|a| a.mean).unwrap_or(seed)
+    }
+
+    /// Closes a period: updates the pace of every service and forgets idle flows.
+    pub fn close_period(&mut self, active: impl Fn(Flow) -> bool) {
+        for pace in self.paces.values_mut() {
+            let served = std::mem::take(&mut pace.served).max(0.0);
+            let mean = pace.mean.unwrap_or(served);
+            pace.mean = Some(mean + PACE_WEIGHT * (served - mean));
+        }
+        self.flows.retain(|flow, account| {
+            account.idle = if active(*flow) { 0 } else { account.idle + 1 };
+            account.idle < FORGET_PERIODS
+        });
+    }
+
+    /// Takes the counters that are due to be sent.
+    pub fn take_changed(&mut self) -> Vec<FlowTotal> {
+        let mut changed = Vec::new();
+        for (flow, account) in &mut self.flows {
+            if account.sends == 0 {
+                continue;
+            }
+            account.sends -= 1;
+            changed.push(FlowTotal {
+                flow: *flow,
+                cost: account.own,
+            });
+        }
+        changed
+    }
+
+    /// Makes every counter due again, as account holders have changed.
+    pub fn resend(&mut self) {
+        for account in self.flows.values_mut() {
+            account.sends = SEND_PERIODS;
+        }
+    }
+
+    /// Returns the number of the next message of counters.
+    pub fn next_seq(&mut self) -> u64 {
+        self.seq += 1;
+        self.seq
+    }
+
+    /// Sets the service that others gave to `flow`, if the flow is known here.
+    ///
+    /// A flow that is not known starts at the virtual time anyway.
+    pub fn set_others(&mut self, flow: Flow, cost: f64) {
+        let Some(account) = self.flows.get_mut(&flow) else {
+            return;
+        };
+        let pace = self.paces.entry(flow.service).or_default();
+        let most = pace
+            .mean
+            .map_or(f64::INFINITY, |m| m.max(pace.served) * JUMP_PERIODS);
+        let before = account.others.counted();
+        account.others.report(cost, most);
+        pace.served += account.others.counted() - before;
+    }
+
+    /// Returns the service of each flow that this dispatcher gave.
+    pub fn totals(&self) -> impl Iterator<Item = (Flow, f64)> + '_ {
+        self.flows.iter().map(|(f, a)| (*f, a.own))
+    }
+
+    /// Returns the account holders of the flows known here.
+    pub fn holders(&self, holder: impl Fn(Flow) -> RouterId) -> BTreeSet<RouterId> {
+        self.flows.keys().map(|f| holder(*f)).collect()
+    }
+}
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use hibiscusrail_core::message::{
-    Charges, Demand, FlowDemand, FlowTotal, Grant, GrantEnd, Held, Recovered, Release, Totals,
-    Usage,
+    Charges, Demand, FlowDemand, FlowTotal, Grant, GrantEnd, HandedSlot, Handover, Held, Recover,
+    Recovered, Release, Totals, Usage, Warmth,
 };
 use hibiscusrail_core::{
-    Flow, GrantId, GrantRef, Incarnation, Message, RouterId, ServerId, ServiceId, WorkspaceId,
+    Flow, GrantId, GrantRef, Incarnation, Message, Peer, RouterId, ServerId, ServiceId, Term,
+    WorkspaceId,
 };
 use hibiscusrail_macros::record;
 use prost::Message as _;
@@ -75,13 +76,12 @@
             seq: m.seq,
             flows: m.flows.iter().map(total_out).collect(),
         }),
-        Message::Recover(server) => Body::Recover(server.0),
-        Message::Recovered(m) => Body::Recovered(pb::Recovered {
+        Message::Recover(m) => Body::Recover(pb::Recover {
             server: m.server.0,
-            dispatcher: m.dispatcher.map(|r| r.0),
-            limit: m.limit,
-            held: m.held.iter().map(held_out).collect(),
+            term: m.term.0,
         }),
+        Message::Recovered(m) => Body::Recovered(recovered_out(m)),
+        Message::Handover(m) => Body::Handover(handover_out(m)),
     }
 }
 
@@ -104,13 +104,12 @@
             seq: m.seq,
             flows: all(&m.flows, total_in)?,
         }),
-        Body::Recover(server) => Message::Recover(ServerId(server)),
-        Body::Recovered(m) => Message::Recovered(Recovered {
+        Body::Recover(m) => Message::Recover(Recover {
             server: ServerId(m.server),
-            dispatcher: m.dispatcher.map(RouterId),
-            limit: m.limit,
-            held: all(&m.held, held_in)?,
+            term: Term(m.term),
         }),
+        Body::Recovered(m) => Message::Recovered(recovered_in(&m)?),
+        Body::Handover(m) => Message::Handover(handover_in(&m)?),
     })
 }
 
@@ -123,6 +122,10 @@
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Accepts finite costs only.
 fn cost_in(cost: f64) -> Option<f64> {
     cost.is_finite().then_some(cost)
@@ -153,7 +156,8 @@
     let flows = m.flows.iter().map(|f| pb::FlowDemand {
         flow: flow_out(f.flow),
         waiting: f.waiting,
-        oldest_ms: u64::try_from(f.oldest.as_millis()).unwrap_or(u64::MAX),
+        oldest_ms: millis(f.oldest),
+        hint: f.hint.map(cost_out),
     });
     pb::Demand {
         seq: m.seq,
@@ -170,6 +174,7 @@
             flow: flow_in(f.flow)?,
             waiting: f.waiting,
             oldest: Duration::from_millis(f.oldest_ms),
+            hint: f.hint.map(f64::from).filter(|h| h.is_finite()),
         })
     })?;
     Some(Demand {
@@ -187,7 +192,8 @@
         server: m.server.0,
         flow: flow_out(m.flow),
         echo_us: micros(m.echo),
-        limit: m.limit,
+        term: m.term.0,
+        warmth: Some(warmth_out(m.warmth)),
     }
 }
 
@@ -197,7 +203,8 @@
         server: ServerId(m.server),
         flow: flow_in(m.flow)?,
         echo: Duration::from_micros(m.echo_us),
-        limit: m.limit,
+        term: Term(m.term),
+        warmth: warmth_in(m.warmth?),
     })
 }
 
@@ -209,6 +216,7 @@
         server: m.server.0,
         flow: flow_out(m.flow),
         cost: cost_out(m.cost),
+        left_ms: millis(m.left),
     }
 }
 
@@ -222,6 +230,7 @@
         server: ServerId(m.server),
         flow: flow_in(m.flow)?,
         cost: cost_in(f64::from(m.cost))?,
+        left: Duration::from_millis(m.left_ms),
     })
 }
 
@@ -231,10 +240,14 @@
         GrantEnd::Done => pb::GrantEnd::Done,
         GrantEnd::Overload => pb::GrantEnd::Overload,
         GrantEnd::Failed => pb::GrantEnd::Failed,
+        GrantEnd::Fenced => pb::GrantEnd::Fenced,
+        GrantEnd::Cancelled => pb::GrantEnd::Cancelled,
     };
     pb::Release {
-        grant: m.grant.0,
-        incarnation: m.incarnation.0,
+        grant: m.grant.grant.0,
+        incarnation: m.grant.incarnation.0,
+        dispatcher: m.grant.dispatcher.0,
+        server: m.server.0,
         end: end.into(),
         cost: cost_out(m.cost),
         first_byte_us: m.first_byte.map(micros),
@@ -247,10 +260,16 @@
         pb::GrantEnd::Done => GrantEnd::Done,
         pb::GrantEnd::Overload => GrantEnd::Overload,
         pb::GrantEnd::Failed => GrantEnd::Failed,
+        pb::GrantEnd::Fenced => GrantEnd::Fenced,
+        pb::GrantEnd::Cancelled => GrantEnd::Cancelled,
     };
     Some(Release {
-        grant: GrantId(m.grant),
-        incarnation: Incarnation(m.incarnation),
+        grant: GrantRef {
+            dispatcher: RouterId(m.dispatcher),
+            incarnation: Incarnation(m.incarnation),
+            grant: GrantId(m.grant),
+        },
+        server: ServerId(m.server),
         end,
         cost: cost_in(f64::from(m.cost))?,
         first_byte: m.first_byte_us.map(Duration::from_micros),
@@ -270,3 +289,87 @@
         cost: cost_in(m.cost)?,
     })
 }
+
+fn warmth_out(m: Warmth) -> pb::Warmth {
+    pb::Warmth {
+        limit: m.limit,
+        mark: m.mark,
+    }
+}
+
+fn warmth_in(m: pb::Warmth) -> Warmth {
+    Warmth {
+        limit: m.limit,
+        mark: m.mark,
+    }
+}
+
+fn recovered_out(m: &Recovered) -> pb::Recovered {
+    pb::Recovered {
+        server: m.server.0,
+        term: m.term.0,
+        sent_us: micros(m.sent),
+        dispatcher: m.dispatcher.map(|r| r.0),
+        previous: m.previous.map(|r| r.0),
+        warmth: m.warmth.map(warmth_out),
+        held: m.held.iter().map(held_out).collect(),
+    }
+}
+
+fn recovered_in(m: &pb::Recovered) -> Option<Recovered> {
+    Some(Recovered {
+        server: ServerId(m.server),
+        term: Term(m.term),
+        sent: Duration::from_micros(m.sent_us),
+        dispatcher: m.dispatcher.map(RouterId),
+        previous: m.previous.map(RouterId),
+        warmth: m.warmth.map(warmth_in),
+        held: all(&m.held, held_in)?,
+    })
+}
+
+fn handover_out(m: &Handover) -> pb::Handover {
+    let slots = m.slots.iter().map(|s| pb::HandedSlot {
+        dispatcher: s.grant.dispatcher.0,
+        incarnation: s.grant.incarnation.0,
+        grant: s.grant.grant.0,
+        entry: s.entry.router.0,
+        entry_incarnation: s.entry.incarnation.0,
+        flow: flow_out(s.flow),
+        echo_us: micros(s.echo),
+        charged: cost_out(s.charged),
+        left_ms: millis(s.left),
+    });
+    pb::Handover {
+        server: m.server.0,
+        warmth: Some(warmth_out(m.warmth)),
+        presumed: m.presumed,
+        slots: slots.collect(),
+    }
+}
+
+fn handover_in(m: &pb::Handover) -> Option<Handover> {
+    let slots = all(&m.slots, |s| {
+        Some(HandedSlot {
+            grant: GrantRef {
+                dispatcher: RouterId(s.dispatcher),
+                incarnation: Incarnation(s.incarnation),
+                grant: GrantId(s.grant),
+            },
+            entry: Peer {
+                router: RouterId(s.entry),
+                incarnation: Incarnation(s.entry_incarnation),
+            },
+            flow: flow_in(s.flow)?,
+            echo: Duration::from_micros(s.echo_us),
+            charged: cost_in(f64::from(s.charged))?,
+            left: Duration::from_millis(s.left_ms),
+        })
+    })?;
+    Some(Handover {
+        server: ServerId(m.server),
+        warmth: warmth_in(m.warmth?),
+        presumed: m.presumed,
+        slots,
+    })
+}
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -15,7 +15,7 @@
     pub to: u32,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -39,10 +39,12 @@
         Charges(super::Charges),
         #[prost(message, tag = "17")]
         Totals(super::Totals),
-        #[prost(fixed32, tag = "18")]
-        Recover(u32),
+        #[prost(message, tag = "18")]
+        Recover(super::Recover),
         #[prost(message, tag = "19")]
         Recovered(super::Recovered),
+        #[prost(message, tag = "20")]
+        Handover(super::Handover),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -52,7 +54,7 @@
     #[prost(fixed32, tag = "2")]
     pub workspace: u32,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct FlowDemand {
     #[prost(message, optional, tag = "1")]
     pub flow: ::core::option::Option<Flow>,
@@ -61,6 +63,8 @@
     /// Milliseconds.
     #[prost(uint64, tag = "3")]
     pub oldest_ms: u64,
+    #[prost(float, optional, tag = "4")]
+    pub hint: ::core::option::Option<f32>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Demand {
@@ -87,8 +91,17 @@
     /// Microseconds of the entry's clock.
     #[prost(uint64, tag = "4")]
     pub echo_us: u64,
-    #[prost(uint32, tag = "5")]
+    #[prost(uint64, tag = "5")]
+    pub term: u64,
+    #[prost(message, optional, tag = "6")]
+    pub warmth: ::core::option::Option<Warmth>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Warmth {
+    #[prost(uint32, tag = "1")]
     pub limit: u32,
+    #[prost(fixed32, tag = "2")]
+    pub mark: u32,
 }
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct Held {
@@ -104,6 +117,8 @@
     pub flow: ::core::option::Option<Flow>,
     #[prost(float, tag = "6")]
     pub cost: f32,
+    #[prost(uint64, tag = "7")]
+    pub left_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Usage {
@@ -124,6 +139,10 @@
     pub cost: f32,
     #[prost(uint64, optional, tag = "5")]
     pub first_byte_us: ::core::option::Option<u64>,
+    #[prost(fixed32, tag = "6")]
+    pub dispatcher: u32,
+    #[prost(fixed32, tag = "7")]
+    pub server: u32,
 }
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct FlowTotal {
@@ -146,16 +165,61 @@
     #[prost(message, repeated, tag = "2")]
     pub flows: ::prost::alloc::vec::Vec<FlowTotal>,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Recover {
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Recovered {
     #[prost(fixed32, tag = "1")]
     pub server: u32,
-    #[prost(fixed32, optional, tag = "2")]
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(uint64, tag = "3")]
+    pub sent_us: u64,
+    #[prost(fixed32, optional, tag = "4")]
     pub dispatcher: ::core::option::Option<u32>,
+    #[prost(fixed32, optional, tag = "5")]
+    pub previous: ::core::option::Option<u32>,
+    #[prost(message, optional, tag = "6")]
+    pub warmth: ::core::option::Option<Warmth>,
+    #[prost(message, repeated, tag = "7")]
+    pub held: ::prost::alloc::vec::Vec<Held>,
+}
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct HandedSlot {
+    #[prost(fixed32, tag = "1")]
+    pub dispatcher: u32,
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub grant: u64,
+    #[prost(fixed32, tag = "4")]
+    pub entry: u32,
+    #[prost(message, optional, tag = "5")]
+    pub flow: ::core::option::Option<Flow>,
+    #[prost(uint64, tag = "6")]
+    pub echo_us: u64,
+    #[prost(float, tag = "7")]
+    pub charged: f32,
+    #[prost(uint64, tag = "8")]
+    pub left_ms: u64,
+    #[prost(fixed64, tag = "9")]
+    pub entry_incarnation: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Handover {
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    #[prost(message, optional, tag = "2")]
+    pub warmth: ::core::option::Option<Warmth>,
     #[prost(uint32, tag = "3")]
-    pub limit: u32,
+    pub presumed: u32,
     #[prost(message, repeated, tag = "4")]
-    pub held: ::prost::alloc::vec::Vec<Held>,
+    pub slots: ::prost::alloc::vec::Vec<HandedSlot>,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
@@ -164,6 +228,8 @@
     Done = 1,
     Overload = 2,
     Failed = 3,
+    Fenced = 4,
+    Cancelled = 5,
 }
 impl GrantEnd {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -176,6 +242,8 @@
             Self::Done => "GRANT_END_DONE",
             Self::Overload => "GRANT_END_OVERLOAD",
             Self::Failed => "GRANT_END_FAILED",
+            Self::Fenced => "GRANT_END_FENCED",
+            Self::Cancelled => "GRANT_END_CANCELLED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -185,6 +253,8 @@
             "GRANT_END_DONE" => Some(Self::Done),
             "GRANT_END_OVERLOAD" => Some(Self::Overload),
             "GRANT_END_FAILED" => Some(Self::Failed),
+            "GRANT_END_FENCED" => Some(Self::Fenced),
+            "GRANT_END_CANCELLED" => Some(Self::Cancelled),
             _ => None,
         }
     }
