Fuzz several reducers against counting servers and a fairness bound

Cause: nothing checked the limit at a server under faults, nor the gap of service; both were broken.

Change: a fleet of reducers with a bag of messages that lose, repeat and reorder, crashes, pauses and disagreeing views. Mended with it: a restarted dispatcher counted nothing of what its former run held (a standby now keeps each server's warmth, and slots in doubt stay counted); a late load report of a restart freed slots granted after it; two routers that think the other dead both granted (routers lost lately are asked too); small corrections of others' service counted as lost memory; all dispatchers served the same flow at once (each now expects the others to do as they did of late).

--- a/crates/core/src/dispatch/managed.rs
+++ b/crates/core/src/dispatch/managed.rs
@@ -39,8 +39,12 @@
     pub used: u32,
     /// Slots that count as in use though nobody is known to hold them.
     pub presumed: u32,
+    /// Slots that stay presumed should the server report no load.
+    pub presumed_least: u32,
     /// When slots became presumed.
     pub presumed_since: Instant,
+    /// Warmth that the standby routers were told.
+    pub told: Option<Warmth>,
     /// Whether the server takes new work.
     pub open: bool,
     /// Free slots as the pool lists them.
@@ -62,7 +66,9 @@
             asked: now,
             used: 0,
             presumed: 0,
+            presumed_least: 0,
             presumed_since: now,
+            told: None,
             open: false,
             listed: 0,
         }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -127,6 +127,13 @@
             .map(|(id, s)| (*id, s.limit.get(), s.used as usize))
     }
 
+    /// Returns all that is kept of a server, for finding faults.
+    #[must_use]
+    pub fn explain(&self, server: ServerId) -> Option<String> {
+        let managed = self.servers.get(&server)?;
+        Some(format!("{managed:?}"))
+    }
+
     /// Returns whether any server is still being taken over.
     #[must_use]
     pub fn is_recovering(&self) -> bool {
@@ -404,6 +411,13 @@
 
     /// Sends counters to the account holders and drops what is stale.
     pub fn period(&mut self, env: Surroundings<'_>, out: &mut Outbox) {
+        self.drop_stale(env);
+        let pools = &self.pools;
+        self.accounts.close_period(|flow| {
+            pools
+                .get(&flow.service)
+                .is_some_and(|p| p.waits(flow.workspace))
+        });
         let mut by_holder: BTreeMap<RouterId, Vec<FlowTotal>> = BTreeMap::new();
         for total in self.accounts.take_changed() {
             let holder = env.members.account_holder(total.flow);
@@ -413,15 +427,12 @@
             let seq = self.accounts.next_seq();
             out.send(holder, Message::Charges(Charges { seq, flows }));
         }
-        self.drop_stale(env);
-        let pools = &self.pools;
-        self.accounts.close_period(|flow| {
-            pools
-                .get(&flow.service)
-                .is_some_and(|p| p.waits(flow.workspace))
-        });
         self.expire_slots(env);
         self.ask_silent(env, out);
+        let servers: Vec<_> = self.servers.keys().copied().collect();
+        for server in servers {
+            self.tell_standbys(env, server, out);
+        }
         self.serve_all(env, out);
     }
 
--- a/crates/core/src/dispatch/report.rs
+++ b/crates/core/src/dispatch/report.rs
@@ -11,6 +11,8 @@
 
 /// Periods after which an entry with slots that did not report is asked.
 const SILENT_PERIODS: u32 = 2;
+/// Lags of a load report after which no report is waited for.
+const PATIENCE_LAGS: u32 = 2;
 
 impl Dispatcher {
     /// Notes that something came from an entry; returns whether its run is current.
@@ -154,14 +156,13 @@
         let settled = |since: Instant| env.now.duration_since(since) > env.params.report_lag;
         let orphans = self
             .slots
-            .select(|s| s.server == server && s.orphan.is_some_and(|at| restarted || settled(at)));
+            .select(|s| s.server == server && s.orphan.is_some_and(settled));
         let orphaned = u32::try_from(orphans.len()).unwrap_or(u32::MAX);
         let live = managed.used.saturating_sub(orphaned);
         let running = report.running + report.waiting;
-        if restarted {
-            managed.presumed = 0;
-        } else if settled(managed.presumed_since) {
+        if settled(managed.presumed_since) {
             let unknown = running.saturating_sub(live);
+            let unknown = if restarted { 0 } else { unknown };
             managed.presumed = managed.presumed.min(unknown);
         }
         if restarted || running <= live {
@@ -184,10 +185,13 @@
         let life = env.params.orphan_life;
         let servers: Vec<_> = self.servers.keys().copied().collect();
         for server in servers {
-            if let Some(managed) = self.servers.get_mut(&server)
-                && env.now.duration_since(managed.presumed_since) >= life
-            {
-                managed.presumed = 0;
+            if let Some(managed) = self.servers.get_mut(&server) {
+                let age = env.now.duration_since(managed.presumed_since);
+                if age >= life {
+                    managed.presumed = 0;
+                } else if age >= env.params.report_lag * PATIENCE_LAGS {
+                    managed.presumed = managed.presumed.min(managed.presumed_least);
+                }
             }
             self.relist(server);
         }
--- a/crates/core/src/dispatch/takeover.rs
+++ b/crates/core/src/dispatch/takeover.rs
@@ -12,14 +12,16 @@
 //! shows them gone or the longest deadline has passed.
 
 use std::collections::BTreeSet;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::ids::{Flow, Peer, RouterId, ServerId, ServiceId, Term};
-use crate::message::{HandedSlot, Handover, Message, Recover, Recovered, Warmth};
+use crate::message::{HandedSlot, Handover, Message, Recover, Recovered, Standby, Warmth};
 use crate::outbox::Outbox;
 
 use super::managed::{Managed, Phase};
 use super::{Dispatcher, Slot, Surroundings};
+/// Routers that keep the warmth of a server for the dispatcher's successor.
+const STANDBYS: usize = 2;
 
 impl Dispatcher {
     /// Takes over and gives up servers after a change of view or configuration.
@@ -187,8 +189,22 @@
         self.lost.get(&entry.router).copied()
     }
 
-    /// Asks every present router to obey.
+    /// Returns the routers that may hold slots: present ones and those lost lately.
+    ///
+    /// A router that counts as dead may be alive in the view of others.
+    fn concerned(&self, env: Surroundings<'_>) -> BTreeSet<RouterId> {
+        let life = env.params.orphan_life;
+        let lost = self.lost.iter();
+        let lately = lost.filter(|(_, at)| env.now.duration_since(**at) < life);
+        env.members
+            .present()
+            .chain(lately.map(|(r, _)| *r))
+            .collect()
+    }
+
+    /// Asks every router that may hold slots to obey.
     fn ask_all(&mut self, env: Surroundings<'_>, server: ServerId, out: &mut Outbox) {
+        let concerned = self.concerned(env);
         let Some(managed) = self.servers.get_mut(&server) else {
             return;
         };
@@ -197,7 +213,7 @@
             server,
             term: managed.term,
         };
-        for router in env.members.present() {
+        for router in concerned {
             if !managed.obeyed_by(router) {
                 out.send(router, Message::Recover(recover));
             }
@@ -321,15 +337,18 @@
 
     /// Completes the take-overs for which every present router has answered.
     fn check_recovered(&mut self, env: Surroundings<'_>, out: &mut Outbox) {
-        let present: BTreeSet<_> = env.members.present().collect();
+        if !self.is_recovering() {
+            return;
+        }
+        let concerned = self.concerned(env);
         let servers: Vec<_> = self.servers.keys().copied().collect();
         let mut done = false;
         for server in servers {
-            let missing = self.missing(env, server, &present);
+            let missing = self.missing(env, server, &concerned);
             let Some(silent) = missing else {
                 continue;
             };
-            self.complete(env, server, silent);
+            self.complete(env, server, silent, out);
             done = true;
         }
         if done {
@@ -340,27 +359,42 @@
     /// Returns how many silent routers a take-over does without, once it can.
     ///
     /// A router that does not answer is waited for until a grant lifetime has
-    /// passed since it was last heard.
+    /// passed since it was last heard; half of one is enough if it counts as dead.
     fn missing(
         &self,
         env: Surroundings<'_>,
         server: ServerId,
-        present: &BTreeSet<RouterId>,
+        concerned: &BTreeSet<RouterId>,
     ) -> Option<usize> {
         let managed = self.servers.get(&server)?;
         let Phase::Recovering { since, .. } = managed.phase else {
             return None;
         };
-        let missing: Vec<_> = present.iter().filter(|r| !managed.obeyed_by(**r)).collect();
-        let over = |router: &RouterId| {
+        let life = env.params.grant_life;
+        let missing = concerned.iter().filter(|r| !managed.obeyed_by(**r));
+        let mut silent = 0;
+        for router in missing {
+            let lost = self.lost.contains_key(router);
             let heard = self.entries.get(router).map_or(since, |e| e.heard);
-            env.now.duration_since(heard.max(since)) > env.params.grant_life
-        };
-        missing.iter().all(|r| over(r)).then_some(missing.len())
+            let patience = if lost { life / 2 } else { life };
+            let waited = env.now.duration_since(since);
+            if waited <= patience || env.now.duration_since(heard) <= life {
+                return None;
+            }
+            silent += usize::from(!lost);
+        }
+        Some(silent)
     }
 
-    fn complete(&mut self, env: Surroundings<'_>, server: ServerId, silent: usize) {
+    fn complete(
+        &mut self,
+        env: Surroundings<'_>,
+        server: ServerId,
+        silent: usize,
+        out: &mut Outbox,
+    ) {
         let lost = self.lost_since(env.now, env);
+        let heard = self.last_heard(env.now, env.params.orphan_life);
         let Some(managed) = self.servers.get_mut(&server) else {
             return;
         };
@@ -381,11 +415,45 @@
             managed.presumed = match handed {
                 Some(presumed) => presumed,
                 None if all_known => 0,
-                None => warmth.limit.saturating_sub(managed.used),
+                None => managed.limit.max().saturating_sub(managed.used),
             };
-            managed.presumed_since = env.now;
+            managed.presumed_least = warmth.limit.saturating_sub(managed.used);
+            managed.presumed_since = heard;
         }
         self.relist(server);
+        self.tell_standbys(env, server, out);
+    }
+
+    /// Tells a few routers the warmth of a server, should this one be lost.
+    pub(super) fn tell_standbys(
+        &mut self,
+        env: Surroundings<'_>,
+        server: ServerId,
+        out: &mut Outbox,
+    ) {
+        let Some(managed) = self.servers.get_mut(&server) else {
+            return;
+        };
+        let warmth = managed.limit.warmth();
+        if managed.is_recovering() || managed.told == Some(warmth) {
+            return;
+        }
+        managed.told = Some(warmth);
+        for router in env.members.standbys(server).take(STANDBYS) {
+            out.send(router, Message::Standby(Standby { server, warmth }));
+        }
+    }
+
+    /// Returns when a router that was lost lately may last have sent something.
+    fn last_heard(&self, now: Instant, life: Duration) -> Instant {
+        let recent = self
+            .lost
+            .iter()
+            .filter(|(_, at)| now.duration_since(**at) < life);
+        recent
+            .map(|(r, at)| self.entries.get(r).map_or(*at, |e| e.heard))
+            .max()
+            .unwrap_or(self.started)
     }
 
     /// Returns whether a router was lost so lately that its requests may still run.
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -122,6 +122,13 @@
             .max_by_key(|r| weight(*r, KIND_SERVER, id.0, 0))
     }
 
+    /// Returns the present routers other than this one, in an order by `server`.
+    pub fn standbys(&self, server: ServerId) -> impl Iterator<Item = RouterId> {
+        let mut others: Vec<_> = self.present().filter(|r| *r != self.me).collect();
+        others.sort_by_key(|r| std::cmp::Reverse(weight(*r, KIND_SERVER, server.0, 0)));
+        others.into_iter()
+    }
+
     /// Returns the router that sums the service of `flow`.
     #[must_use]
     pub fn account_holder(&self, flow: Flow) -> RouterId {
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -169,10 +169,21 @@
     Recover(Recover),
     /// Answer to [`Message::Recover`].
     Recovered(Recovered),
+    /// A dispatcher tells a server's warmth to a router that may follow it.
+    Standby(Standby),
     /// A dispatcher hands a server over to the next.
     Handover(Handover),
 }
 
+/// The warmth of a server, kept in case its dispatcher is lost.
+#[value]
+pub struct Standby {
+    /// The server.
+    pub server: ServerId,
+    /// Its warmth.
+    pub warmth: Warmth,
+}
+
 /// A dispatcher's request to be obeyed as the dispatcher of a server.
 #[value]
 pub struct Recover {
@@ -246,6 +257,7 @@
             Self::Totals(_) => "totals",
             Self::Recover(_) => "recover",
             Self::Recovered(_) => "recovered",
+            Self::Standby(_) => "standby",
             Self::Handover(_) => "handover",
         }
     }
--- a/crates/core/src/router/exchange.rs
+++ b/crates/core/src/router/exchange.rs
@@ -18,14 +18,7 @@
         self.report_usage(now);
         let env = self.world.at(now);
         self.dispatcher.period(env, &mut self.out);
-        for (router, flows) in self.ledger.take_totals() {
-            self.totals_seq += 1;
-            let totals = Totals {
-                seq: self.totals_seq,
-                flows,
-            };
-            self.out.send(router, Message::Totals(totals));
-        }
+        self.ledger.close_period();
     }
 
     pub(super) fn flush(&mut self, now: Instant) {
@@ -60,16 +53,24 @@
         }
     }
 
-    /// Takes in a dispatcher's counters of the flows that are summed here.
+    /// Takes in a dispatcher's counters, and answers with what others gave.
     pub(super) fn on_charges(&mut self, from: Peer, charges: &Charges) {
         if self.world.members.get(from.router).is_none() {
             return;
         }
+        let mut flows = Vec::new();
         for total in &charges.flows {
             if self.knows(total.flow) {
                 self.ledger.record(from, charges.seq, *total);
+                flows.push(self.ledger.others(from.router, total.flow));
             }
         }
+        self.totals_seq += 1;
+        let totals = Totals {
+            seq: self.totals_seq,
+            flows,
+        };
+        self.out.send(from.router, Message::Totals(totals));
     }
 
     fn knows(&self, flow: Flow) -> bool {
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -255,6 +255,11 @@
             Message::Recovered(answer) => {
                 self.dispatcher.recovered(env, peer, &answer, &mut self.out);
             }
+            Message::Standby(standby) => {
+                if self.named(standby.server) == Some(from) {
+                    self.obedience.keep_warmth(standby.server, standby.warmth);
+                }
+            }
             Message::Handover(handover) => {
                 self.dispatcher
                     .handover(env, peer, &handover, &mut self.out);
--- a/crates/core/src/server.rs
+++ b/crates/core/src/server.rs
@@ -37,6 +37,8 @@
     threshold: f64,
     first_byte: Option<f64>,
     mark: u32,
+    /// Whether the mark comes from a report, not from a predecessor.
+    observed: bool,
 }
 
 impl Limit {
@@ -50,6 +52,7 @@
             threshold: f64::from(max.max(cold)),
             first_byte: None,
             mark: 0,
+            observed: false,
         }
     }
 
@@ -68,6 +71,12 @@
         self.cold
     }
 
+    /// Returns the limit of the server when it is warm.
+    #[must_use]
+    pub fn max(&self) -> u32 {
+        self.max
+    }
+
     /// Returns what a successor may start from.
     #[must_use]
     pub fn warmth(&self) -> Warmth {
@@ -149,7 +158,10 @@
         }
     }
 
-    /// Takes in the start mark of the server process; returns whether it is new.
+    /// Takes in the start mark of the server process.
+    ///
+    /// Returns whether the server restarted since an earlier report reached
+    /// this dispatcher, so that no request from before can still run.
     pub fn observe_incarnation(&mut self, incarnation: u64) -> bool {
         // The low bits tell two starts apart and keep grants small.
         #[allow(clippy::cast_possible_truncation)]
@@ -160,6 +172,6 @@
             self.threshold = f64::from(self.max);
             self.reset();
         }
-        changed
+        std::mem::replace(&mut self.observed, true) && changed
     }
 }
--- a/crates/core/src/share/accounts.rs
+++ b/crates/core/src/share/accounts.rs
@@ -1,8 +1,8 @@
 //! The service counters of one dispatcher.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
-use crate::ids::{Flow, RouterId, ServiceId};
+use crate::ids::{Flow, ServiceId};
 use crate::message::FlowTotal;
 
 use super::{Others, SEND_PERIODS, Tag};
@@ -15,6 +15,12 @@
 const PACE_WEIGHT: f64 = 0.2;
 /// Periods' worth of a pool's whole service that one report may add to a flow.
 const JUMP_PERIODS: f64 = 2.0;
+/// Weight of the newest period in a flow's rates.
+const RATE_WEIGHT: f64 = 0.1;
+/// Mean age of the service that others reported, in periods.
+const REPORT_AGE: f64 = 0.5;
+/// Service of others expected for each unit of own service at most.
+const MOST_RATIO: f64 = 64.0;
 /// Periods without demand or change after which a flow is forgotten.
 const FORGET_PERIODS: u32 = 600;
 
@@ -25,11 +31,59 @@
     others: Others,
     offset: f64,
     mean: Option<f64>,
+    rates: Rates,
     /// Periods in which the counter still has to be sent.
     sends: u32,
     idle: u32,
 }
 
+/// Service of one flow in one period, here and elsewhere.
+///
+/// Dispatchers see the same flow behind and all serve it at once, each without
+/// knowledge of the others until the next exchange. Left alone they overshoot
+/// as often as there are dispatchers. So each one expects that the others
+/// serve the flow as they did of late, in proportion to its own service.
+#[derive(Debug, Default)]
+struct Rates {
+    own: f64,
+    others: f64,
+    /// Own counter when the last period closed.
+    closed: f64,
+    /// Own counter that the reported service of others corresponds to.
+    matched: f64,
+    /// Service of others reported in the current period.
+    reported: f64,
+}
+
+impl Rates {
+    /// Returns the service of others for each unit of own service.
+    fn ratio(&self) -> f64 {
+        if self.own <= 0.0 {
+            return 0.0;
+        }
+        (self.others / self.own).clamp(0.0, MOST_RATIO)
+    }
+
+    /// Takes in that others' service was reported anew.
+    fn match_report(&mut self, added: f64) {
+        self.reported += added;
+        self.matched = self.closed - self.own.max(0.0) * REPORT_AGE;
+    }
+
+    /// Closes a period at which the own counter stands at `own`.
+    fn close(&mut self, own: f64) {
+        self.own += RATE_WEIGHT * (own - self.closed - self.own);
+        self.others += RATE_WEIGHT * (self.reported - self.others);
+        self.closed = own;
+        self.reported = 0.0;
+    }
+
+    /// Returns the service of others that is not reported yet.
+    fn expected(&self, own: f64) -> f64 {
+        (own - self.matched).max(0.0) * self.ratio()
+    }
+}
+
 /// What a dispatcher knows of one service as a whole.
 #[derive(Debug, Default)]
 struct Pace {
@@ -61,7 +115,9 @@
         let Some(account) = self.flows.get(&flow) else {
             return Tag(0.0);
         };
-        Tag((account.own + account.others.counted()) / share + account.offset)
+        let expected = account.rates.expected(account.own);
+        let served = account.own + account.others.counted() + expected;
+        Tag(served / share + account.offset)
     }
 
     /// Returns the normalised service of `flow` at this dispatcher alone.
@@ -136,7 +192,11 @@
             pace.mean = Some(mean + PACE_WEIGHT * (served - mean));
         }
         self.flows.retain(|flow, account| {
+            account.rates.close(account.own);
             account.idle = if active(*flow) { 0 } else { account.idle + 1 };
+            if account.idle == 0 {
+                account.sends = SEND_PERIODS;
+            }
             account.idle < FORGET_PERIODS
         });
     }
@@ -183,16 +243,13 @@
             .map_or(f64::INFINITY, |m| m.max(pace.served) * JUMP_PERIODS);
         let before = account.others.counted();
         account.others.report(cost, most);
-        pace.served += account.others.counted() - before;
+        let added = account.others.counted() - before;
+        account.rates.match_report(added);
+        pace.served += added;
     }
 
     /// Returns the service of each flow that this dispatcher gave.
     pub fn totals(&self) -> impl Iterator<Item = (Flow, f64)> + '_ {
         self.flows.iter().map(|(f, a)| (*f, a.own))
     }
-
-    /// Returns the account holders of the flows known here.
-    pub fn holders(&self, holder: impl Fn(Flow) -> RouterId) -> BTreeSet<RouterId> {
-        self.flows.keys().map(|f| holder(*f)).collect()
-    }
 }
--- a/crates/core/src/share/ledger.rs
+++ b/crates/core/src/share/ledger.rs
@@ -5,8 +5,6 @@
 use crate::ids::{Flow, Peer, RouterId};
 use crate::message::FlowTotal;
 
-use super::SEND_PERIODS;
-
 /// Periods after which a counter that nobody sends is forgotten.
 const FORGET_PERIODS: u32 = 600;
 
@@ -24,8 +22,6 @@
 #[derive(Debug, Default)]
 struct Sum {
     parts: BTreeMap<RouterId, Part>,
-    /// Periods in which the sum still has to be sent.
-    sends: u32,
 }
 
 /// Sums of the flows whose account holder this router is.
@@ -60,30 +56,27 @@
         part.seq = seq;
         part.current = total.cost;
         part.idle = 0;
-        sum.sends = SEND_PERIODS;
     }
 
-    /// Takes the sums that are due, for each dispatcher that serves the flow.
-    ///
-    /// Each dispatcher is told what all the others gave.
-    pub fn take_totals(&mut self) -> BTreeMap<RouterId, Vec<FlowTotal>> {
-        let mut out: BTreeMap<RouterId, Vec<FlowTotal>> = BTreeMap::new();
-        for (flow, sum) in &mut self.sums {
-            if sum.sends == 0 {
-                continue;
-            }
-            sum.sends -= 1;
-            let whole: f64 = sum.parts.values().map(|p| p.past + p.current).sum();
-            for (router, part) in &sum.parts {
-                let total = FlowTotal {
-                    flow: *flow,
-                    cost: whole - part.current,
-                };
-                out.entry(*router).or_default().push(total);
-            }
-        }
+    /// Returns what dispatchers other than `router` gave to a flow.
+    #[must_use]
+    pub fn others(&self, router: RouterId, flow: Flow) -> FlowTotal {
+        let parts = self.sums.get(&flow).into_iter().flat_map(|s| &s.parts);
+        let cost = parts
+            .map(|(r, p)| {
+                if *r == router {
+                    p.past
+                } else {
+                    p.past + p.current
+                }
+            })
+            .sum();
+        FlowTotal { flow, cost }
+    }
+
+    /// Closes a period.
+    pub fn close_period(&mut self) {
         self.forget();
-        out
     }
 
     /// Drops the flows that no dispatcher has served for long.
--- a/crates/core/src/share/others.rs
+++ b/crates/core/src/share/others.rs
@@ -5,10 +5,10 @@
 
 /// Service given elsewhere, as it counts for the order of flows.
 ///
-/// The counted service never falls, and one report raises it by a bounded
-/// amount. A sum that falls for good, because an account holder lost its
-/// memory, becomes the new base. What a rejoining part of the fleet reports
-/// beyond the bound is never counted.
+/// One report changes the counted service by a bounded amount. A sum that falls
+/// by more for good, because an account holder lost its memory, becomes the
+/// new base. What a rejoining part of the fleet reports beyond the bound is
+/// never counted.
 #[derive(Debug, Default)]
 pub struct Others {
     counted: f64,
@@ -23,11 +23,11 @@
         self.counted
     }
 
-    /// Takes in a reported sum; it may raise the counted service by `most`.
+    /// Takes in a reported sum; it may change the counted service by `most`.
     pub fn report(&mut self, sum: f64, most: f64) {
         let base = *self.base.get_or_insert(self.counted - sum);
         let wanted = sum + base;
-        if wanted < self.counted {
+        if wanted < self.counted - most {
             self.lower += 1;
             if self.lower >= LOWER_REPORTS {
                 self.base = Some(self.counted - sum);
--- /dev/null
+++ b/crates/fuzzing/src/fleet/layout.rs
@@ -0,0 +1,150 @@
+//! What a fleet consists of.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use hibiscusrail_core::configuration::{
+    Admission, Object, Server, Service, ServiceKind, Version, Workspace, Zone,
+};
+use hibiscusrail_core::{Flow, RouterId, ServerId, ServiceId, WorkspaceId, ZoneId};
+use hibiscusrail_macros::record;
+
+/// The one service.
+const SERVICE: &str = "model";
+
+/// Sizes and shares of a fleet.
+#[record]
+pub struct Layout {
+    /// Routers, spread over the zones in turn.
+    pub routers: usize,
+    /// Servers, spread over the zones in turn.
+    pub servers: usize,
+    /// Zones.
+    pub zones: usize,
+    /// Requests that a cold server bears.
+    pub cold: u32,
+    /// Requests that a warm server bears.
+    pub max: u32,
+    /// Share of each workspace.
+    pub shares: Vec<f64>,
+    /// Requests that may wait at one router.
+    pub queue_limit: u32,
+}
+
+impl Layout {
+    /// Returns a layout with one zone and two workspaces of equal shares.
+    #[must_use]
+    pub fn new(routers: usize, servers: usize) -> Self {
+        Self {
+            routers,
+            servers,
+            zones: 1,
+            cold: 2,
+            max: 8,
+            shares: vec![1.0, 1.0],
+            queue_limit: 1_000,
+        }
+    }
+
+    /// Sets the shares of the workspaces.
+    #[must_use]
+    pub fn with_shares(mut self, shares: Vec<f64>) -> Self {
+        self.shares = shares;
+        self
+    }
+
+    /// Sets the number of zones.
+    #[must_use]
+    pub fn with_zones(mut self, zones: usize) -> Self {
+        self.zones = zones;
+        self
+    }
+
+    /// Sets the requests that a server bears, cold and warm.
+    #[must_use]
+    pub fn with_limits(mut self, cold: u32, max: u32) -> Self {
+        self.cold = cold;
+        self.max = max;
+        self
+    }
+
+    /// Returns the identifier of a router.
+    #[must_use]
+    pub fn router(&self, index: usize) -> RouterId {
+        RouterId::new(&format!("router-{index}"))
+    }
+
+    /// Returns the zone of the router or server with this number.
+    #[must_use]
+    pub fn zone(&self, index: usize) -> ZoneId {
+        ZoneId::new(&self.zone_name(index))
+    }
+
+    fn zone_name(&self, index: usize) -> String {
+        format!("zone-{}", index % self.zones)
+    }
+
+    /// Returns the identifiers of the servers.
+    pub fn servers(&self) -> impl Iterator<Item = ServerId> + use<> {
+        (0..self.servers).map(|i| ServerId::new(&format!("server-{i}")))
+    }
+
+    /// Returns the flow of a workspace.
+    #[must_use]
+    pub fn flow(&self, workspace: usize) -> Flow {
+        Flow {
+            service: ServiceId::new(SERVICE),
+            workspace: WorkspaceId::new(&format!("workspace-{workspace}")),
+        }
+    }
+
+    /// Returns a server as configured, with the given admission.
+    #[must_use]
+    pub fn server(&self, index: usize, admission: Admission) -> Object {
+        Object::Server(Server {
+            name: format!("server-{index}"),
+            service: ServiceId::new(SERVICE),
+            zone: self.zone(index),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            cold_limit: self.cold,
+            max_limit: self.max,
+            admission,
+        })
+    }
+
+    /// Returns a zone as configured, with the given admission.
+    #[must_use]
+    pub fn zone_object(&self, index: usize, admission: Admission) -> Object {
+        Object::Zone(Zone {
+            name: self.zone_name(index),
+            admission,
+        })
+    }
+
+    /// Returns all objects at the first version.
+    #[must_use]
+    pub fn objects(&self) -> Vec<(Version, Object)> {
+        let service = Object::Service(Service {
+            name: SERVICE.to_owned(),
+            kind: ServiceKind::Model,
+            prompt_weight: 0.0,
+            output_weight: 1.0,
+        });
+        let zones = (0..self.zones).map(|i| self.zone_object(i, Admission::Open));
+        let servers = (0..self.servers).map(|i| self.server(i, Admission::Open));
+        let workspaces = self.shares.iter().enumerate().map(|(i, share)| {
+            Object::Workspace(Workspace {
+                name: format!("workspace-{i}"),
+                share: *share,
+                key_hash: [u8::try_from(i % 256).unwrap_or(0); 32],
+                queue_limit: self.queue_limit,
+                retry_fraction: 0.1,
+            })
+        });
+        std::iter::once(service)
+            .chain(zones)
+            .chain(servers)
+            .chain(workspaces)
+            .map(|object| (Version(1), object))
+            .collect()
+    }
+}
--- a/crates/fuzzing/src/lib.rs
+++ b/crates/fuzzing/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! Generators and oracles for stateful fuzzing.
+//!
+//! * [`fleet`]: several reducers, a bag of messages and servers that count;
+//! * [`fair_queue`]: the single ideal queue that the fleet is compared with.
+
+pub mod fair_queue;
+pub mod fleet;
+
+pub use fair_queue::FairQueue;
+pub use fleet::Fleet;
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -4,7 +4,7 @@
 
 use hibiscusrail_core::message::{
     Charges, Demand, FlowDemand, FlowTotal, Grant, GrantEnd, HandedSlot, Handover, Held, Recover,
-    Recovered, Release, Totals, Usage, Warmth,
+    Recovered, Release, Standby, Totals, Usage, Warmth,
 };
 use hibiscusrail_core::{
     Flow, GrantId, GrantRef, Incarnation, Message, Peer, RouterId, ServerId, ServiceId, Term,
@@ -81,6 +81,10 @@
             term: m.term.0,
         }),
         Message::Recovered(m) => Body::Recovered(recovered_out(m)),
+        Message::Standby(m) => Body::Standby(pb::Standby {
+            server: m.server.0,
+            warmth: Some(warmth_out(m.warmth)),
+        }),
         Message::Handover(m) => Body::Handover(handover_out(m)),
     }
 }
@@ -109,6 +113,10 @@
             term: Term(m.term),
         }),
         Body::Recovered(m) => Message::Recovered(recovered_in(&m)?),
+        Body::Standby(m) => Message::Standby(Standby {
+            server: ServerId(m.server),
+            warmth: warmth_in(m.warmth?),
+        }),
         Body::Handover(m) => Message::Handover(handover_in(&m)?),
     })
 }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -15,7 +15,7 @@
     pub to: u32,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -45,6 +45,8 @@
         Recovered(super::Recovered),
         #[prost(message, tag = "20")]
         Handover(super::Handover),
+        #[prost(message, tag = "21")]
+        Standby(super::Standby),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -189,6 +191,13 @@
     #[prost(message, repeated, tag = "7")]
     pub held: ::prost::alloc::vec::Vec<Held>,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Standby {
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    #[prost(message, optional, tag = "2")]
+    pub warmth: ::core::option::Option<Warmth>,
+}
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct HandedSlot {
     #[prost(fixed32, tag = "1")]
