--- a/crates/core/src/entry/link.rs
+++ b/crates/core/src/entry/link.rs
@@ -23,7 +23,8 @@
     pub asking: bool,
     pub prefer: Option<ServerId>,
     pub full: BTreeMap<ServiceId, Instant>,
-    pub report_until: Option<Instant>,
+    /// Periods in which slots are still reported.
+    reports: u32,
 }
 
 impl Link {
@@ -65,16 +66,25 @@
         self.dirty.extend(self.told.keys().copied());
     }
 
-    pub fn keep_reporting(&mut self, now: Instant, params: &Params) {
-        let until = now + params.grant_life + params.period * REPORT_PERIODS;
-        self.report_until = Some(until);
+    /// Makes reports of slots due for as long as a grant may still be used.
+    pub fn keep_reporting(&mut self, params: &Params) {
+        let life = params.grant_life.as_millis() / params.period.as_millis().max(1);
+        let life = u32::try_from(life).unwrap_or(u32::MAX);
+        self.reports = REPORT_PERIODS.saturating_add(life);
+    }
+
+    /// Returns whether a report of slots is due in this period.
+    pub fn take_report(&mut self) -> bool {
+        let due = self.reports > 0;
+        self.reports = self.reports.saturating_sub(1);
+        due
     }
 
     /// Returns whether nothing of the exchange needs to be remembered.
     pub fn is_idle(&self, now: Instant) -> bool {
         self.told.is_empty()
             && self.dirty.is_empty()
-            && self.report_until.is_none_or(|until| until <= now)
+            && self.reports == 0
             && self.full.values().all(|until| *until <= now)
     }
 }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -91,12 +91,23 @@
         &mut self.affinity
     }
 
+    /// Returns the server that last served a prompt prefix.
+    #[must_use]
+    pub fn preferred(&self, service: ServiceId, prefix: u64) -> Option<ServerId> {
+        self.affinity.server(service, prefix)
+    }
+
     /// Returns the requests that wait in the queue of `flow`.
     #[must_use]
     pub fn waiting(&self, flow: Flow) -> usize {
         self.queues.get(&flow).map_or(0, Queue::len)
     }
 
+    /// Returns each queue's flow and length.
+    pub fn queues(&self) -> impl Iterator<Item = (Flow, usize)> + '_ {
+        self.queues.iter().map(|(f, q)| (*f, q.len()))
+    }
+
     /// Returns all waiting requests.
     #[must_use]
     pub fn total_waiting(&self) -> usize {
@@ -300,7 +311,7 @@
         }
         self.seq += 1;
         link.last = Some(now);
-        link.keep_reporting(now, params);
+        link.keep_reporting(params);
         out.send(
             router,
             Message::Demand(Demand {
@@ -360,20 +371,15 @@
     }
 
     /// Keeps reporting slots to a dispatcher that has just granted or freed one.
-    pub fn keep_reporting(&mut self, now: Instant, router: RouterId, params: &Params) {
-        self.links
-            .entry(router)
-            .or_default()
-            .keep_reporting(now, params);
+    pub fn keep_reporting(&mut self, router: RouterId, params: &Params) {
+        self.links.entry(router).or_default().keep_reporting(params);
     }
 
     /// Returns the dispatchers that a report of slots is due to, used or not.
-    #[must_use]
-    pub fn due_reports(&self, now: Instant) -> Vec<RouterId> {
-        let links = self.links.iter();
+    pub fn take_due_reports(&mut self) -> Vec<RouterId> {
+        let links = self.links.iter_mut();
         links
-            .filter(|(_, l)| l.report_until.is_some_and(|until| now < until))
-            .map(|(r, _)| *r)
+            .filter_map(|(router, link)| link.take_report().then_some(*router))
             .collect()
     }
 }
--- a/crates/core/src/router/slots.rs
+++ b/crates/core/src/router/slots.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
+use crate::attempt::Running;
 use crate::ids::{AttemptKey, GrantRef, Peer, RouterId, ServerId, ServiceId, Term};
 use crate::message::{Grant, Held, Message, Recover, Recovered, Usage, Warmth};
 
@@ -101,7 +102,7 @@
 
     /// Returns the slots in use for which `which` holds.
     fn held(&self, now: Instant, which: impl Fn(GrantRef, ServerId) -> bool) -> Vec<Held> {
-        let attempts = self.attempts.values();
+        let attempts = self.attempts.values().map(Running::facts);
         attempts
             .filter(|a| which(a.grant, a.server))
             .filter_map(|a| {
@@ -120,7 +121,7 @@
     /// Tells every dispatcher that may think so which slots are in use here.
     pub(super) fn report_usage(&mut self, now: Instant) {
         let mut by_dispatcher: BTreeMap<RouterId, Vec<Held>> = BTreeMap::new();
-        for router in self.entry.due_reports(now) {
+        for router in self.entry.take_due_reports() {
             by_dispatcher.entry(router).or_default();
         }
         for held in self.held(now, |_, _| true) {
@@ -138,15 +139,11 @@
     }
 
     /// Returns the dispatcher and the server that last served a prompt prefix.
-    pub(super) fn prefer(
-        &mut self,
-        service: ServiceId,
-        prefix: u64,
-    ) -> Option<(RouterId, ServerId)> {
+    pub(super) fn prefer(&self, service: ServiceId, prefix: u64) -> Option<(RouterId, ServerId)> {
         if !self.world.params.prefix_affinity {
             return None;
         }
-        let server = self.entry.affinity().server(service, prefix)?;
+        let server = self.entry.preferred(service, prefix)?;
         Some((self.named(server)?, server))
     }
 
--- a/crates/fuzzing/src/fleet/mod.rs
+++ b/crates/fuzzing/src/fleet/mod.rs
@@ -369,7 +369,12 @@
             Effect::Finish(call) => {
                 self.jobs.remove(&call);
             }
-            Effect::Log(_) | Effect::Count(_) | Effect::Drained { .. } => {}
+            Effect::Log(_)
+            | Effect::Count(_)
+            | Effect::Suspect(_)
+            | Effect::Claim(..)
+            | Effect::Replay(..)
+            | Effect::Drained { .. } => {}
         }
     }
 
--- a/crates/fuzzing/src/lib.rs
+++ b/crates/fuzzing/src/lib.rs
@@ -1,8 +1,10 @@
 //! Generators and oracles for stateful fuzzing.
 //!
 //! * [`fleet`]: several reducers, a bag of messages and servers that count;
-//! * [`fair_queue`]: the single ideal queue that the fleet is compared with.
+//! * [`fair_queue`]: the single ideal queue that the fleet is compared with;
+//! * [`claims`]: claims of keyed requests at the platform's table.
 
+pub mod claims;
 pub mod fair_queue;
 pub mod fleet;
 
--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -76,6 +76,8 @@
     pub model: String,
     /// Name of the plain service.
     pub plain: String,
+    /// Further flags of the engines' stand-ins.
+    pub engine_flags: Vec<String>,
 }
 
 /// First port of a deployment on loopback.
@@ -108,11 +110,17 @@
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let count = COUNT.fetch_add(1, Ordering::Relaxed);
     let number = std::process::id().wrapping_mul(64).wrapping_add(count);
-    let [_, b, c, d] = number.to_be_bytes();
-    // Neither 127.0.0.1, which callers send from, nor the broadcast address.
-    Ipv4Addr::new(127, b.clamp(1, 254), c, d.clamp(1, 254))
+    // Every number has its own host: none is 127.0.0.1, which callers send
+    // from, or a broadcast address.
+    let [d, rest] = [number % HOST_DIGITS, number / HOST_DIGITS];
+    let [c, b] = [rest % 256, rest / 256 % HOST_DIGITS];
+    let digit = |n: u32| u8::try_from(n).unwrap_or(u8::MAX);
+    Ipv4Addr::new(127, digit(b + 1), digit(c), digit(d + 1))
 }
 
+/// Values of the second and last byte of a deployment's address.
+const HOST_DIGITS: u32 = 254;
+
 impl Deployment {
     /// Returns the Consorcio's deployment: 3 zones, 7 routers, 10 engines, 3 plain servers.
     #[must_use]
@@ -180,7 +188,26 @@
             workspaces,
             model: model.to_owned(),
             plain: plain.to_owned(),
+            engine_flags: Vec::new(),
+        }
+    }
+
+    /// Sets the requests that engines bear when cold and when warm.
+    #[must_use]
+    pub fn with_engine_limits(mut self, cold: u32, warm: u32) -> Self {
+        for server in self.servers.iter_mut().filter(|s| s.model) {
+            server.cold = cold;
+            server.warm = warm;
         }
+        self
+    }
+
+    /// Adds a flag of the engines' stand-ins, like `--step-ms`.
+    #[must_use]
+    pub fn with_engine_flag(mut self, flag: &str, value: u64) -> Self {
+        self.engine_flags.push(flag.to_owned());
+        self.engine_flags.push(value.to_string());
+        self
     }
 
     /// Returns the configuration objects of the deployment.
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -7,15 +7,17 @@
 use hibiscusrail_load::client::{Ask, Received, Sending, send};
 use hibiscusrail_load::deployment::Deployment;
 use hibiscusrail_load::fleet;
-use hibiscusrail_net::server::Handler;
-use hibiscusrail_net::{Limits, bind, serve};
+use hibiscusrail_net::bind;
+use hibiscusrail_router::secrets::Secrets;
 use hibiscusrail_router::shell::Shell;
 use hibiscusrail_router::start;
 use hibiscusrail_settings::RouterSettings;
 use hibiscusrail_standin::engine::{Engine, EngineSpec};
-use hibiscusrail_standin::http_util::handler;
+use hibiscusrail_standin::faults::Faults;
+use hibiscusrail_standin::host::{self, Service};
 use hibiscusrail_standin::plain::Plain;
 use hibiscusrail_standin::platform::Platform;
+use hibiscusrail_standin::runs::Run;
 
 /// Pause between two looks at something that is to happen.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
@@ -27,7 +29,6 @@
     /// What it consists of.
     pub deployment: Deployment,
     /// The platform.
-    #[expect(dead_code, reason = "for tests of platform outages")]
     pub platform: Rc<Platform>,
     /// The engines, in the order of the deployment.
     pub engines: Vec<Rc<Engine>>,
@@ -37,17 +38,22 @@
     pub routers: Vec<Rc<Shell>>,
 }
 
-fn listen(address: std::net::SocketAddr, handler: Handler) {
+fn listen<S: Service>(address: std::net::SocketAddr, service: &Rc<S>) {
     let listener = bind(address).expect("the loopback address is free");
-    compio::runtime::spawn(serve(listener, Limits::new(), handler)).detach();
+    compio::runtime::spawn(host::serve(listener, Rc::clone(service))).detach();
 }
 
 impl Stage {
     /// Starts a small deployment and waits until its routers are ready.
     pub async fn new() -> Self {
+        Self::with_settings("").await
+    }
+
+    /// Starts a small deployment whose routers have further settings.
+    pub async fn with_settings(more: &str) -> Self {
         let deployment = Deployment::small();
         let platform = Rc::new(Platform::default());
-        listen(deployment.platform, handler(&platform));
+        listen(deployment.platform, &platform);
         let mut stage = Self {
             deployment,
             platform,
@@ -59,7 +65,7 @@
         fleet::seed(&stage.deployment)
             .await
             .expect("the seed is accepted");
-        stage.start_routers();
+        stage.start_routers(more);
         for shell in &stage.routers {
             until(|| shell.with_router(|r| r.readiness().is_ok())).await;
         }
@@ -73,21 +79,23 @@
                     EngineSpec::new(server.cold, server.warm).with_step(Duration::from_millis(2));
                 let engine = Rc::new(Engine::new(spec));
                 compio::runtime::spawn(Rc::clone(&engine).generate()).detach();
-                listen(server.address, handler(&engine));
+                listen(server.address, &engine);
                 self.engines.push(engine);
             } else {
                 let plain = Rc::new(Plain::new(Duration::from_millis(1), server.warm));
-                listen(server.address, handler(&plain));
+                listen(server.address, &plain);
                 self.plains.push(plain);
             }
         }
     }
 
-    fn start_routers(&mut self) {
+    fn start_routers(&mut self, more: &str) {
         for router in &self.deployment.routers {
             let text = fleet::settings(&self.deployment, router, Path::new("/nowhere"));
+            let text = format!("{text}\n{more}");
             let settings = RouterSettings::parse(&router.name, &text).expect("valid settings");
-            let shell = start::start(settings, b"secret").expect("the router starts");
+            let shell = start::start(settings, &Secrets::new(b"secret", b"token"))
+                .expect("the router starts");
             self.routers.push(shell);
         }
     }
@@ -95,15 +103,8 @@
     /// Returns a request of the first workspace at router `index`.
     pub fn sending(&self, index: usize, id: &str, ask: Ask) -> Sending {
         let workspace = &self.deployment.workspaces[0];
-        Sending {
-            router: self.deployment.routers[index].listen,
-            id: id.to_owned(),
-            workspace: workspace.name.clone(),
-            key: workspace.key(),
-            ask,
-            idempotency: None,
-            deadline: Duration::from_secs(20),
-        }
+        let router = self.deployment.routers[index].listen;
+        Sending::new(router, id, workspace, ask).with_deadline(Duration::from_secs(20))
     }
 
     /// Returns a draft of `tokens` tokens.
@@ -129,6 +130,40 @@
     }
 }
 
+impl Stage {
+    /// Sends a keyed filing to router `index`.
+    pub async fn file(&self, index: usize, id: &str, key: &str, path: &str) -> Received {
+        let ask = self.plain(http::Method::POST, path);
+        let mut sending = self.sending(index, id, ask);
+        sending.idempotency = Some(key.to_owned());
+        send(&sending).await
+    }
+
+    /// Sets the faults of all plain services.
+    pub fn plains_fail(&self, faults: &Faults) {
+        for plain in &self.plains {
+            plain.faults().set(faults.clone());
+        }
+    }
+
+    /// Sets the faults of all engines.
+    pub fn engines_fail(&self, faults: &Faults) {
+        for engine in &self.engines {
+            engine.faults().set(faults.clone());
+        }
+    }
+
+    /// Returns the runs at all plain services.
+    pub fn plain_runs(&self) -> Vec<Run> {
+        self.plains.iter().flat_map(|p| p.runs.all()).collect()
+    }
+
+    /// Returns the runs at all engines.
+    pub fn engine_runs(&self) -> Vec<Run> {
+        self.engines.iter().flat_map(|e| e.runs.all()).collect()
+    }
+}
+
 /// Waits until `done` holds.
 pub async fn until(done: impl Fn() -> bool) {
     for _ in 0..LOOKS {
@@ -146,3 +181,12 @@
         .expect("the loop starts")
         .block_on(test);
 }
+
+#[test]
+fn own_host_differs_each_time() {
+    let hosts: Vec<_> = (0..300)
+        .map(|_| hibiscusrail_load::deployment::own_host())
+        .collect();
+    let distinct: std::collections::BTreeSet<_> = hosts.iter().collect();
+    assert_eq!(distinct.len(), hosts.len());
+}
