--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -16,6 +16,9 @@
 /// Time to connect to a router.
 const CONNECT_TIME: Duration = Duration::from_secs(2);
 
+/// Code of a request for which there was no connection to the router.
+pub const NO_CONNECTION: &str = "no_connection";
+
 /// What a caller asks for.
 #[record]
 pub enum Ask {
@@ -201,6 +204,7 @@
 
 async fn exchange(sending: &Sending, started: Instant, received: &mut Received) {
     let Ok(mut connection) = connect(sending.router, CONNECT_TIME).await else {
+        NO_CONNECTION.clone_into(&mut received.code);
         return;
     };
     let Ok(answer) = connection.send_request(build(sending)).await else {
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -36,6 +36,7 @@
 
 experiments! {
     fairness,
+    faults,
     utilisation,
 }
 
