Wait less for the first byte of answers that are not streamed

Cause: an unstreamed draft on a silent connection waited 20 s for its first byte, longer than its caller did. The experiment reads the records of both servers before it kills them.

--- a/crates/core/src/router/silence.rs
+++ b/crates/core/src/router/silence.rs
@@ -52,20 +52,20 @@
         let service = request.call.service;
         let streamed = request.call.resumable;
         let usual = self.latencies.usual(service, streamed);
+        let Some(usual) = usual else {
+            return params.first_timeout;
+        };
+        let longest = params.first_timeout.max(usual);
+        if request.call.repeat != Repeat::Idempotent {
+            return longest;
+        }
         let kind = self.world.config.service(service).map(|s| s.kind);
         let floor = match kind {
             Some(ServiceKind::Plain) => params.lookup_timeout,
-            _ if streamed => params.progress_timeout,
-            _ => return params.first_timeout.max(usual.unwrap_or_default()),
-        };
-        let Some(usual) = usual.filter(|_| request.call.repeat == Repeat::Idempotent) else {
-            return params.first_timeout;
+            Some(ServiceKind::Model) | None => params.progress_timeout,
         };
         let doubled = 2_u32.saturating_pow(request.attempts.saturating_sub(1));
-        floor
-            .max(usual)
-            .saturating_mul(doubled)
-            .min(params.first_timeout)
+        floor.max(usual).saturating_mul(doubled).min(longest)
     }
 
     /// Looks at the attempt again when it counts as silent unless something arrives.
--- a/crates/load/src/experiment/faults/phase.rs
+++ b/crates/load/src/experiment/faults/phase.rs
@@ -225,13 +225,15 @@
 /// They run nothing from before their records are read, so that no run is
 /// missing from the records.
 async fn kill_servers(lab: &mut Lab) -> Result<Vec<ServerRuns>, ExperimentError> {
-    let mut lost = Vec::new();
-    for name in [first(lab, true), first(lab, false)] {
-        lab.set_faults(&name, &Faults::default().with_down())
-            .await?;
-        let all = lab.runs().await?;
-        lost.extend(all.into_iter().filter(|s| s.server.name == name));
-        lab.signal(&name, Signal::Kill)?;
+    let names = [first(lab, true), first(lab, false)];
+    for name in &names {
+        let down = Faults::default().with_down();
+        lab.set_faults(name, &down).await?;
+    }
+    let mut lost = lab.runs().await?;
+    lost.retain(|s| names.contains(&s.server.name));
+    for name in &names {
+        lab.signal(name, Signal::Kill)?;
     }
     compio::time::sleep(LEAD).await;
     for runs in &lost {
