--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -3,16 +3,20 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use compio::runtime::JoinHandle;
 use futures_channel::mpsc;
 use hibiscusrail_core::effect::{Dispatch, Effect, Level, Record, Refused};
 use hibiscusrail_core::{AttemptKey, CallId, Clock, Event, Router};
+use hibiscusrail_net::Connections;
 use hibiscusrail_settings::RouterSettings;
 use http::{HeaderMap, Method, StatusCode};
 
+use crate::caller::Reserved;
 use crate::claims;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::replay;
@@ -42,6 +46,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Place of the body in the router's memory.
+    pub reserved: Reserved,
     /// Request id.
     pub request: String,
     /// Whether the answer is a stream of events.
@@ -95,10 +101,15 @@
     tasks: RefCell<BTreeMap<AttemptKey, JoinHandle<()>>>,
     finished: RefCell<Vec<AttemptKey>>,
     next_call: Cell<u64>,
+    delivering: Cell<usize>,
+    held: Cell<usize>,
     peers: Peers,
+    metrics: Rc<Metrics>,
+    connections: Rc<Connections>,
     pool: Rc<Pool>,
     wake: mpsc::UnboundedSender<()>,
     drained: RefCell<Option<mpsc::UnboundedSender<u32>>>,
+    stop: RefCell<Option<mpsc::UnboundedSender<Duration>>>,
 }
 
 impl std::fmt::Debug for Shell {
@@ -115,6 +126,8 @@
         clock: Box<dyn Clock>,
         settings: RouterSettings,
         peers: Peers,
+        metrics: Rc<Metrics>,
+        connections: Rc<Connections>,
         wake: mpsc::UnboundedSender<()>,
     ) -> Self {
         Self {
@@ -125,10 +138,15 @@
             tasks: RefCell::default(),
             finished: RefCell::default(),
             next_call: Cell::new(0),
+            delivering: Cell::new(0),
+            held: Cell::new(0),
             peers,
+            metrics,
+            connections,
             pool: Rc::default(),
             wake,
             drained: RefCell::new(None),
+            stop: RefCell::new(None),
         }
     }
 
@@ -150,6 +168,55 @@
         &self.peers
     }
 
+    /// Returns the metrics.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Returns the account of callers' connections.
+    #[must_use]
+    pub fn connections(&self) -> &Rc<Connections> {
+        &self.connections
+    }
+
+    /// Returns the requests whose answers are on their way to callers.
+    #[must_use]
+    pub fn delivering(&self) -> usize {
+        self.delivering.get()
+    }
+
+    /// Reserves memory for a caller's request; false when there is none left.
+    pub fn reserve(&self, bytes: usize) -> bool {
+        let held = self.held.get() + bytes;
+        if held > self.settings.held_bytes {
+            return false;
+        }
+        self.held.set(held);
+        true
+    }
+
+    /// Returns the bytes of callers' requests that are held.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
+    /// Gives reserved memory back.
+    pub fn give_back(&self, bytes: usize) {
+        self.held.set(self.held.get() - bytes);
+    }
+
+    /// Counts a delivery that begins.
+    pub fn begin_delivery(&self) {
+        self.delivering.set(self.delivering.get() + 1);
+    }
+
+    /// Counts a delivery that ended.
+    pub fn end_delivery(&self) {
+        self.delivering.set(self.delivering.get() - 1);
+    }
+
     /// Returns the idle connections to servers.
     #[must_use]
     pub fn pool(&self) -> &Rc<Pool> {
@@ -166,6 +233,23 @@
         *self.drained.borrow_mut() = Some(sender);
     }
 
+    /// Names who is told when an operator asks for a stop.
+    pub fn on_stop(&self, sender: mpsc::UnboundedSender<Duration>) {
+        *self.stop.borrow_mut() = Some(sender);
+    }
+
+    /// Starts a graceful stop that leaves running work `patience` to end.
+    pub fn ask_stop(self: &Rc<Self>, patience: Duration) {
+        let told = self
+            .stop
+            .borrow()
+            .as_ref()
+            .is_some_and(|s| s.unbounded_send(patience).is_ok());
+        if !told {
+            self.event(Event::Drain { patience });
+        }
+    }
+
     /// Registers a call and returns its number.
     pub fn open_call(&self, state: CallState) -> CallId {
         let id = CallId(self.next_call.get());
@@ -232,7 +316,7 @@
                 }
             }
             Effect::Log(record) => write_log(&record),
-            Effect::Count(_) => {}
+            Effect::Count(counter) => self.metrics.decision(counter),
             Effect::Drained { cut } => {
                 if let Some(sender) = self.drained.borrow().as_ref() {
                     let _ = sender.unbounded_send(cut);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! A program reads its sections through a [`Reader`], which collects every
 //! error instead of stopping at the first, and counts keys that nobody asked
-//! for as errors too. [`router`] holds the settings of the router daemon.
+//! for as errors too. [`router`] holds the settings of the router daemon,
+//! [`policy`] those of the reducer's policies.
 
+pub mod policy;
 pub mod reader;
 pub mod router;
 pub mod value;
 
 pub use reader::{Reader, SettingError, SettingErrors};
 pub use router::{Peer, RouterSettings};
-pub use value::PolicyMode;
