Test answers byte by byte against a raw server

Cause: stand-ins answer in good HTTP; cuts that look whole, overlong answers and refusals meant for another request were not tested, and a test still passed when idle peers of a silent connection were kept. Change: tests/all/answers.rs with raw.rs, and one more test in silence.rs.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,11 +1,13 @@
 //! Tests of the whole path, in one program with a module for each topic.
 
 mod admin;
+mod answers;
 mod claims;
 mod http;
 mod interface;
 mod limits;
 mod path;
+mod raw;
 mod retries;
 mod silence;
 mod standins;
--- a/tests/all/retries.rs
+++ b/tests/all/retries.rs
@@ -1,12 +1,16 @@
 //! What is sent again, how often, and where.
 
+use std::net::SocketAddr;
+
 use futures_util::future::join_all;
 use hibiscusrail_core::Params;
 use hibiscusrail_load::client::{Ending, send};
+use hibiscusrail_platform::object::ObjectRow;
 use hibiscusrail_standin::faults::Faults;
 use hibiscusrail_standin::host::Service;
 use http::Method;
 
+use crate::raw::move_server;
 use crate::support::{Stage, run};
 
 #[test]
@@ -44,9 +48,7 @@
         let fraction = workspace
             .iter()
             .find_map(|o| match o {
-                hibiscusrail_platform::object::ObjectRow::Workspace { retry_fraction, .. } => {
-                    Some(*retry_fraction)
-                }
+                ObjectRow::Workspace { retry_fraction, .. } => Some(*retry_fraction),
                 _ => None,
             })
             .expect("the deployment has a workspace");
@@ -72,9 +74,11 @@
 fn retry_not_run_is_marked_and_true() {
     run(async {
         let stage = Stage::new().await;
-        for server in &stage.deployment.servers {
-            for shell in &stage.routers {
-                shell.event(unreachable(server));
+        for row in stage.deployment.objects() {
+            if let ObjectRow::Server { address, .. } = &row {
+                // Nothing listens there.
+                let nowhere = SocketAddr::new(address.ip(), 1);
+                move_server(&stage, row, nowhere);
             }
         }
         let received = stage.ask(0, "a", stage.plain(Method::POST, "filing")).await;
@@ -83,24 +87,6 @@
     });
 }
 
-/// Returns a change of a server's address to one where nothing listens.
-fn unreachable(server: &hibiscusrail_load::deployment::ServerSpec) -> hibiscusrail_core::Event {
-    use hibiscusrail_core::configuration::{Admission, Object, Server, Version};
-    use hibiscusrail_core::{ServiceId, ZoneId};
-    let mut address = server.address;
-    address.set_port(1);
-    let moved = Object::Server(Server {
-        name: server.name.clone(),
-        service: ServiceId::new(&server.service),
-        zone: ZoneId::new(&server.zone),
-        address,
-        cold_limit: server.cold,
-        max_limit: server.warm,
-        admission: Admission::Open,
-    });
-    hibiscusrail_core::Event::Objects(vec![(Version(2), moved)])
-}
-
 #[test]
 fn retry_crossed_answer_reaches_nobody() {
     run(async {
--- a/tests/all/silence.rs
+++ b/tests/all/silence.rs
@@ -52,6 +52,30 @@
     });
 }
 
+#[test]
+fn silent_connection_makes_its_idle_peers_suspect() {
+    run(async {
+        let stage = Stage::new().await;
+        let lookups = (0..12).map(|i| {
+            let ask = stage.plain(Method::GET, "record/1");
+            let sending = stage.sending(0, &format!("warm{i}"), ask);
+            async move { hibiscusrail_load::client::send(&sending).await }
+        });
+        futures_util::future::join_all(lookups).await;
+        let pool = stage.routers[0].pool();
+        let idle = || -> Vec<usize> {
+            let servers = stage.deployment.servers.iter().filter(|s| !s.model);
+            servers.map(|s| pool.idle(s.address)).collect()
+        };
+        until(|| idle().iter().all(|n| *n > 1)).await;
+        stage.plains_fail(&Faults::default().with_silent());
+        let ask = stage.plain(Method::GET, "record/2");
+        let received = stage.ask(0, "a", ask).await;
+        assert_eq!(received.ending, Ending::Right, "{received:?}");
+        assert!(idle().contains(&0), "{:?}", idle());
+    });
+}
+
 #[test]
 fn silent_stream_is_resumed() {
     run(async {
