--- a/crates/core/src/router/attempts.rs
+++ b/crates/core/src/router/attempts.rs
@@ -6,7 +6,7 @@
 use crate::claim::State;
 use crate::effect::{Counter, Dispatch, Effect, Refusal};
 use crate::event::{Milestone, Repeat};
-use crate::ids::{AttemptKey, GrantRef, Incarnation, RequestKey, RouterId};
+use crate::ids::{AttemptKey, GrantRef, Peer, RequestKey, RouterId};
 use crate::message::{Grant, GrantEnd, Message, Release};
 
 use super::{Claim, Request, Router, Timer};
@@ -71,16 +71,14 @@
             Outcome::Failed => GrantEnd::Failed,
             _ => end,
         };
-        self.out.send(
-            facts.grant.dispatcher,
-            Message::Release(Release {
-                grant: facts.grant.grant,
-                incarnation: facts.grant.incarnation,
-                end,
-                cost: facts.cost,
-                first_byte: facts.first_byte,
-            }),
-        );
+        self.grants.remove(&facts.grant);
+        self.release(Release {
+            grant: facts.grant,
+            server: facts.server,
+            end,
+            cost: facts.cost,
+            first_byte: facts.first_byte,
+        });
         Some(ended)
     }
 
@@ -184,37 +182,54 @@
         taken
     }
 
-    pub(super) fn on_grant(
-        &mut self,
-        now: Instant,
-        from: RouterId,
-        incarnation: Incarnation,
-        grant: &Grant,
-    ) {
+    pub(super) fn on_grant(&mut self, now: Instant, from: Peer, grant: &Grant) {
         let reference = GrantRef {
-            dispatcher: from,
-            incarnation,
+            dispatcher: from.router,
+            incarnation: from.incarnation,
             grant: grant.id,
         };
-        let age = self.entry.clock(now).saturating_sub(grant.echo);
-        let server = self.world.config.server(grant.server);
-        let named = server.and_then(|s| self.world.members.dispatcher(grant.server, s));
-        let address = server.map(|s| s.address);
-        let open = server.is_some_and(|s| self.world.config.is_open(s));
-        let usable = open && age < self.world.params.grant_life && named == Some(from);
-        if !usable {
+        let life = self.world.params.grant_life;
+        if !self.obedience.note(now, life, reference) || self.used_by(reference).is_some() {
+            return;
+        }
+        match self.use_grant(now, from, reference, grant) {
+            Ok(()) => self.obedience.keep_warmth(grant.server, grant.warmth),
+            Err(end) => self.release(Release {
+                grant: reference,
+                server: grant.server,
+                end,
+                cost: 0.0,
+                first_byte: None,
+            }),
+        }
+    }
+
+    /// Sends a waiting request with a grant, or says how the grant ends instead.
+    fn use_grant(
+        &mut self,
+        now: Instant,
+        from: Peer,
+        reference: GrantRef,
+        grant: &Grant,
+    ) -> Result<(), GrantEnd> {
+        let named = self.named(grant.server) == Some(from.router);
+        if !named || !self.obedience.obeys(from, grant) {
             self.out.count(Counter::Stale);
+            return Err(GrantEnd::Fenced);
         }
-        let (true, Some(address)) = (usable, address) else {
-            self.return_grant(reference);
-            return;
-        };
-        let Some(key) = self.take_request(now, from, grant) else {
-            self.return_grant(reference);
-            return;
-        };
+        let age = self.entry.age(now, grant.echo);
+        if age.is_none_or(|a| a >= self.world.params.grant_life) {
+            self.out.count(Counter::Stale);
+            return Err(GrantEnd::Unused);
+        }
+        let server = self.world.config.server(grant.server);
+        let open = server.filter(|s| self.world.config.is_open(s));
+        let address = open.map(|s| s.address).ok_or(GrantEnd::Unused)?;
+        let key = self.take_request(now, from.router, grant);
+        let key = key.ok_or(GrantEnd::Unused)?;
         let facts = Facts::new(key, reference, grant.server, address, now);
         self.dispatch(key, facts);
+        Ok(())
     }
 
     /// Sends a request to the server whose slot it holds.
@@ -224,24 +239,26 @@
         };
         let running = Running::new(facts.with_tokens(request.tokens));
         let attempt = self.attempts.insert(running);
+        self.grants.insert(facts.grant, attempt);
         request.running = Some(attempt);
         request.attempts += 1;
         let order = request.order(attempt, &facts);
+        if let Some(prefix) = request.call.prefix {
+            let affinity = self.entry.affinity();
+            affinity.note(request.flow.service, prefix, facts.server);
+        }
         self.out.push(Effect::Dispatch(order));
         self.watch(attempt);
     }
 
-    pub(super) fn return_grant(&mut self, grant: GrantRef) {
-        self.out.send(
-            grant.dispatcher,
-            Message::Release(Release {
-                grant: grant.grant,
-                incarnation: grant.incarnation,
-                end: GrantEnd::Unused,
-                cost: 0.0,
-                first_byte: None,
-            }),
-        );
+    /// Tells the dispatcher that granted a slot, and its successor, how it ended.
+    fn release(&mut self, release: Release) {
+        let granted = release.grant.dispatcher;
+        let named = self.named(release.server).filter(|n| *n != granted);
+        for router in std::iter::once(granted).chain(named) {
+            self.entry.keep_reporting(router, &self.world.params);
+            self.out.send(router, Message::Release(release));
+        }
     }
 }
 
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -15,7 +15,7 @@
     pub to: u32,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 30, 31, 32, 33, 34, 35, 36, 37"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 30, 31, 32, 33, 34, 35, 36, 37, 20, 21"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -39,8 +39,8 @@
         Charges(super::Charges),
         #[prost(message, tag = "17")]
         Totals(super::Totals),
-        #[prost(fixed32, tag = "18")]
-        Recover(u32),
+        #[prost(message, tag = "18")]
+        Recover(super::Recover),
         #[prost(message, tag = "19")]
         Recovered(super::Recovered),
         /// A probe of the membership.
@@ -62,6 +62,10 @@
         Pull(super::Pull),
         #[prost(message, tag = "37")]
         Objects(super::Objects),
+        #[prost(message, tag = "20")]
+        Handover(super::Handover),
+        #[prost(message, tag = "21")]
+        Standby(super::Standby),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -71,7 +75,7 @@
     #[prost(fixed32, tag = "2")]
     pub workspace: u32,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct FlowDemand {
     #[prost(message, optional, tag = "1")]
     pub flow: ::core::option::Option<Flow>,
@@ -80,6 +84,8 @@
     /// Milliseconds.
     #[prost(uint64, tag = "3")]
     pub oldest_ms: u64,
+    #[prost(float, optional, tag = "4")]
+    pub hint: ::core::option::Option<f32>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Demand {
@@ -106,8 +112,17 @@
     /// Microseconds of the entry's clock.
     #[prost(uint64, tag = "4")]
     pub echo_us: u64,
-    #[prost(uint32, tag = "5")]
+    #[prost(uint64, tag = "5")]
+    pub term: u64,
+    #[prost(message, optional, tag = "6")]
+    pub warmth: ::core::option::Option<Warmth>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Warmth {
+    #[prost(uint32, tag = "1")]
     pub limit: u32,
+    #[prost(fixed32, tag = "2")]
+    pub mark: u32,
 }
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct Held {
@@ -123,6 +138,8 @@
     pub flow: ::core::option::Option<Flow>,
     #[prost(float, tag = "6")]
     pub cost: f32,
+    #[prost(uint64, tag = "7")]
+    pub left_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Usage {
@@ -143,6 +160,10 @@
     pub cost: f32,
     #[prost(uint64, optional, tag = "5")]
     pub first_byte_us: ::core::option::Option<u64>,
+    #[prost(fixed32, tag = "6")]
+    pub dispatcher: u32,
+    #[prost(fixed32, tag = "7")]
+    pub server: u32,
 }
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct FlowTotal {
@@ -165,16 +186,68 @@
     #[prost(message, repeated, tag = "2")]
     pub flows: ::prost::alloc::vec::Vec<FlowTotal>,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Recover {
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Recovered {
     #[prost(fixed32, tag = "1")]
     pub server: u32,
-    #[prost(fixed32, optional, tag = "2")]
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(uint64, tag = "3")]
+    pub sent_us: u64,
+    #[prost(fixed32, optional, tag = "4")]
     pub dispatcher: ::core::option::Option<u32>,
+    #[prost(fixed32, optional, tag = "5")]
+    pub previous: ::core::option::Option<u32>,
+    #[prost(message, optional, tag = "6")]
+    pub warmth: ::core::option::Option<Warmth>,
+    #[prost(message, repeated, tag = "7")]
+    pub held: ::prost::alloc::vec::Vec<Held>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Standby {
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    #[prost(message, optional, tag = "2")]
+    pub warmth: ::core::option::Option<Warmth>,
+}
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct HandedSlot {
+    #[prost(fixed32, tag = "1")]
+    pub dispatcher: u32,
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub grant: u64,
+    #[prost(fixed32, tag = "4")]
+    pub entry: u32,
+    #[prost(message, optional, tag = "5")]
+    pub flow: ::core::option::Option<Flow>,
+    #[prost(uint64, tag = "6")]
+    pub echo_us: u64,
+    #[prost(float, tag = "7")]
+    pub charged: f32,
+    #[prost(uint64, tag = "8")]
+    pub left_ms: u64,
+    #[prost(fixed64, tag = "9")]
+    pub entry_incarnation: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Handover {
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    #[prost(message, optional, tag = "2")]
+    pub warmth: ::core::option::Option<Warmth>,
     #[prost(uint32, tag = "3")]
-    pub limit: u32,
+    pub presumed: u32,
     #[prost(message, repeated, tag = "4")]
-    pub held: ::prost::alloc::vec::Vec<Held>,
+    pub slots: ::prost::alloc::vec::Vec<HandedSlot>,
 }
 /// What the sender has in force, in brief.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -342,6 +415,8 @@
     Done = 1,
     Overload = 2,
     Failed = 3,
+    Fenced = 4,
+    Cancelled = 5,
 }
 impl GrantEnd {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -354,6 +429,8 @@
             Self::Done => "GRANT_END_DONE",
             Self::Overload => "GRANT_END_OVERLOAD",
             Self::Failed => "GRANT_END_FAILED",
+            Self::Fenced => "GRANT_END_FENCED",
+            Self::Cancelled => "GRANT_END_CANCELLED",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -363,6 +440,8 @@
             "GRANT_END_DONE" => Some(Self::Done),
             "GRANT_END_OVERLOAD" => Some(Self::Overload),
             "GRANT_END_FAILED" => Some(Self::Failed),
+            "GRANT_END_FENCED" => Some(Self::Fenced),
+            "GRANT_END_CANCELLED" => Some(Self::Cancelled),
             _ => None,
         }
     }
