--- /dev/null
+++ b/crates/wire/benches/codec.rs
@@ -0,0 +1,92 @@
+//! Time to seal and open the datagrams between routers.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use hibiscusrail_core::message::{Demand, FlowDemand, FlowTotal, Totals};
+use hibiscusrail_core::{Flow, Incarnation, Message, RouterId, ServiceId, WorkspaceId};
+use hibiscusrail_wire::{Keys, Letter, decode, encode};
+
+/// Flows of a small and of a large message.
+const SIZES: [usize; 2] = [2, 420];
+
+fn flow(number: usize) -> Flow {
+    Flow {
+        service: ServiceId::new("model"),
+        workspace: WorkspaceId::new(&format!("workspace-{number}")),
+    }
+}
+
+fn letter(seq: u64, message: Message) -> Letter {
+    Letter {
+        from: RouterId::new("a"),
+        incarnation: Incarnation(1_780_000_000_000),
+        seq,
+        to: RouterId::new("b"),
+        message,
+    }
+}
+
+fn demand(flows: usize) -> Message {
+    let item = |number| FlowDemand {
+        flow: flow(number),
+        waiting: 12,
+        oldest: Duration::from_millis(1_500),
+        hint: Default::default(),
+    };
+    Message::Demand(Demand {
+        seq: 1_000,
+        sent: Duration::from_secs(1_000),
+        ask: false,
+        prefer: None,
+        flows: (0..flows).map(item).collect(),
+    })
+}
+
+fn totals(flows: usize) -> Message {
+    let item = |number| FlowTotal {
+        flow: flow(number),
+        cost: 123_456.0,
+    };
+    Message::Totals(Totals {
+        seq: 1_000,
+        flows: (0..flows).map(item).collect(),
+    })
+}
+
+fn codec(c: &mut Criterion) {
+    for flows in SIZES {
+        for message in [demand(flows), totals(flows)] {
+            let name = format!("{} of {flows}", message.kind());
+            let letter = letter(1, message);
+            let bytes = encode(&letter);
+            c.bench_function(&format!("encode {name}"), |b| {
+                b.iter(|| encode(black_box(&letter)));
+            });
+            c.bench_function(&format!("decode {name}"), |b| {
+                b.iter(|| decode(black_box(&bytes)));
+            });
+        }
+    }
+}
+
+fn seal(c: &mut Criterion) {
+    let keys = Keys::new(RouterId::new("a"), b"secret");
+    let letter = letter(1, demand(2));
+    let datagram = keys.seal(&letter);
+    c.bench_function("seal demand of 2", |b| {
+        b.iter(|| keys.seal(black_box(&letter)));
+    });
+    c.bench_function("open demand of 2", |b| {
+        // Fresh keys each time, since a second copy is a replay.
+        b.iter_batched(
+            || Keys::new(RouterId::new("b"), b"secret"),
+            |mut keys| keys.open(black_box(&datagram)),
+            BatchSize::SmallInput,
+        );
+    });
+}
+
+criterion_group!(benches, codec, seal);
+criterion_main!(benches);
