End started processes when the load tool is told to stop

Cause: a stop by a signal left the routers and stand-ins running. Change: pids of started processes are kept until they are waited for; SIGINT and SIGTERM end them by pid.

--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -6,9 +6,11 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use hibiscusrail_macros::{id, record};
+use rustix::process::Pid;
 use snafu::{ResultExt, Snafu};
 
 use crate::deployment::{Deployment, RouterSpec, ServerSpec};
@@ -127,7 +129,7 @@
     ///
     /// Fails when the process has ended.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
-        let pid = rustix::process::Pid::from_child(&self.child);
+        let pid = Pid::from_child(&self.child);
         Ok(rustix::process::kill_process(pid, signal.into())?)
     }
 
@@ -136,6 +138,7 @@
         let until = Instant::now() + limit;
         while Instant::now() < until {
             if let Ok(Some(status)) = self.child.try_wait() {
+                self.forget();
                 return Some(status);
             }
             std::thread::sleep(LOOK_PAUSE);
@@ -143,11 +146,36 @@
         None
     }
 
+    /// Forgets the pid, which may now be given to another process.
+    fn forget(&self) {
+        let pid = Pid::from_child(&self.child);
+        let mut started = STARTED.lock().expect("no holder panics");
+        started.retain(|p| *p != pid);
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         // Fails only when the process has ended already.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        self.forget();
+    }
+}
+
+/// Processes that were started here and not yet waited for.
+static STARTED: Mutex<Vec<Pid>> = Mutex::new(Vec::new());
+
+/// Ends every process that was started here, by pid.
+///
+/// For a tool that is stopped by a signal and can't drop its fleet.
+///
+/// # Panics
+///
+/// When another thread panicked while it started a process.
+pub fn kill_started() {
+    for pid in STARTED.lock().expect("no holder panics").drain(..) {
+        // Fails only for a process that has ended.
+        let _ = rustix::process::kill_process(pid, rustix::process::Signal::KILL);
     }
 }
 
@@ -293,6 +321,10 @@
             .stderr(log)
             .spawn()
             .context(StartSnafu { name })?;
+        STARTED
+            .lock()
+            .expect("no holder panics")
+            .push(Pid::from_child(&child));
         self.processes.retain(|p| p.name != name);
         self.processes.push(Process {
             name: name.to_owned(),
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -9,7 +9,7 @@
 use hibiscusrail_load::deployment::Deployment;
 use hibiscusrail_load::experiment::lab::Lab;
 use hibiscusrail_load::experiment::{self, Context};
-use hibiscusrail_load::fleet::RouterOptions;
+use hibiscusrail_load::fleet::{self, RouterOptions};
 use hibiscusrail_load::generator::{Load, Mix};
 use hibiscusrail_load::report::Report;
 
@@ -62,6 +62,10 @@
     let flags = flags::HibiscusrailLoad::from_env_or_exit();
     let out = flags.out.unwrap_or_else(|| PathBuf::from("out"));
     let seed = flags.seed.unwrap_or(1);
+    if let Err(error) = end_on_signal() {
+        eprintln!("hibiscusrail-load: signals: {error}");
+        return ExitCode::FAILURE;
+    }
     let result = match flags.subcommand {
         flags::HibiscusrailLoadCmd::Demo(d) => demo(&out, seed, &d),
         flags::HibiscusrailLoadCmd::Experiment(e) => {
@@ -84,6 +88,25 @@
     }
 }
 
+/// Exit code after a signal.
+const EXIT_SIGNAL: i32 = 130;
+
+/// Ends the processes that were started here when this one is told to stop.
+fn end_on_signal() -> std::io::Result<()> {
+    use signal_hook::consts::{SIGINT, SIGTERM};
+    let (mut read, write) = std::os::unix::net::UnixStream::pair()?;
+    for signal in [SIGINT, SIGTERM] {
+        signal_hook::low_level::pipe::register(signal, write.try_clone()?)?;
+    }
+    std::thread::spawn(move || {
+        if std::io::Read::read_exact(&mut read, &mut [0]).is_ok() {
+            fleet::kill_started();
+            std::process::exit(EXIT_SIGNAL);
+        }
+    });
+    Ok(())
+}
+
 /// Load of the demo where no flag says otherwise.
 const RATE: f64 = 60.0;
 const SECONDS: u64 = 10;
