--- a/crates/load/src/experiment/cold.rs
+++ b/crates/load/src/experiment/cold.rs
@@ -16,6 +16,7 @@
 use super::{Context, ExperimentError, Outcome, Verdict};
 use crate::client::Ending;
 use crate::fleet::RouterOptions;
+use crate::report::Report;
 
 /// Cold starts during the run.
 const STARTS: usize = 50;
@@ -43,6 +44,8 @@
     runs: usize,
     /// Requests that ended otherwise than with the right answer.
     not_right: usize,
+    /// Summary of what callers received.
+    report: Report,
 }
 
 /// Runs the experiment.
@@ -58,6 +61,7 @@
             "{policy}: admitted above the limit {}, refused {}, of {} runs; not right {}",
             found.admitted, found.refused, found.runs, found.not_right
         );
+        println!("  endings {:?}, codes {:?}", found.report.endings, found.report.codes);
         figures.push(found);
     }
     #[allow(clippy::cast_precision_loss)]
@@ -96,6 +100,7 @@
                 .iter()
                 .filter(|r| r.ending != Ending::Right)
                 .count(),
+            report: Report::new(&received),
         })
     })
 }
