--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -161,14 +161,25 @@
         verdicts.extend(outcome.verdicts);
     }
     if name == "all" {
-        println!("\nsummary");
-        for verdict in &verdicts {
-            println!("  {verdict}");
-        }
+        summarise(context, &verdicts)?;
     }
     Ok(verdicts.iter().all(|v| v.ok))
 }
 
+/// Prints one table of all verdicts and writes it as JSON.
+fn summarise(context: &Context, verdicts: &[Verdict]) -> Result<(), RunError> {
+    println!("\nsummary");
+    for v in verdicts {
+        let word = if v.ok { "ok" } else { "short" };
+        println!("{:<28} {:>16.4} {:>12} {word}", v.name, v.measured, v.bound);
+    }
+    let outcome = Outcome {
+        verdicts: verdicts.to_vec(),
+        ..Outcome::default()
+    };
+    write("summary", context, &outcome)
+}
+
 fn write(name: &str, context: &Context, outcome: &Outcome) -> Result<(), RunError> {
     let file = ResultFile {
         experiment: name,
--- a/crates/load/src/experiment/utilisation.rs
+++ b/crates/load/src/experiment/utilisation.rs
@@ -26,8 +26,13 @@
         figures.push(found);
     }
     let own = figures[0].utilisation;
+    let baselines = figures[1..].iter().map(|f| f.utilisation);
+    let better = baselines.fold(0.0, f64::max);
     Ok(Outcome {
-        verdicts: vec![Verdict::at_least("utilisation", own, USED)],
+        verdicts: vec![
+            Verdict::at_least("utilisation-of-baselines", own, better),
+            Verdict::at_least("utilisation", own, USED),
+        ],
         settings: contention::settings(measured),
         figures: json!(figures),
     })
--- /dev/null
+++ b/crates/load/tests/service.rs
@@ -0,0 +1,130 @@
+//! The figures of experiments, from records made by hand.
+
+use hibiscusrail_load::deployment::{Deployment, ServerSpec, WorkspaceSpec};
+use hibiscusrail_load::experiment::contention::Contention;
+use hibiscusrail_load::experiment::lab::ServerRuns;
+use hibiscusrail_load::experiment::service::{ServiceSeries, slots};
+use hibiscusrail_load::experiment::verdict::Verdict;
+use hibiscusrail_load::metrics::Metrics;
+use hibiscusrail_standin::runs::Run;
+
+const START_MS: u64 = 10_000;
+
+/// A run from `start` to `end`, in milliseconds after the start of the load.
+fn run(workspace: &str, start: u64, end: Option<u64>, work: u64) -> Run {
+    Run {
+        request: String::new(),
+        workspace: workspace.to_owned(),
+        key: None,
+        start_ms: START_MS + start,
+        first_ms: Some(START_MS + start),
+        end_ms: end.map(|ms| START_MS + ms),
+        prefill: 0,
+        work,
+        complete: end.is_some(),
+        running: 1,
+        bearable: 1,
+    }
+}
+
+/// An engine that bears two requests when cold and four when warm.
+fn engine(runs: Vec<Run>) -> ServerRuns {
+    let mut servers = Deployment::small().with_engine_limits(2, 4).servers;
+    let server: ServerSpec = servers.swap_remove(0);
+    ServerRuns {
+        server,
+        runs,
+        refused: 0,
+    }
+}
+
+fn contention(runs: Vec<Run>) -> Contention {
+    let workspace = |name: &str, share| WorkspaceSpec {
+        name: name.to_owned(),
+        share,
+    };
+    Contention {
+        policy: "fleet_fair".to_owned(),
+        workspaces: vec![workspace("a", 1.0), workspace("b", 3.0)],
+        servers: vec![engine(runs)],
+        start_ms: START_MS,
+        warm_ms: START_MS,
+        end_ms: START_MS + 1_000,
+        received: Vec::new(),
+    }
+}
+
+fn close(measured: f64, expected: f64) -> bool {
+    (measured - expected).abs() < 1e-9
+}
+
+#[test]
+fn series_spreads_work_over_time() {
+    let servers = [engine(vec![run("a", 250, Some(750), 100)])];
+    let series = ServiceSeries::new(&servers, START_MS, START_MS + 1_000);
+    assert_eq!(series.cumulative("a"), [0.0, 50.0, 100.0, 100.0]);
+}
+
+#[test]
+fn series_counts_what_runs_at_the_end() {
+    let servers = [engine(vec![run("a", 500, None, 100)])];
+    let series = ServiceSeries::new(&servers, START_MS, START_MS + 1_000);
+    assert!(close(series.total(0..series.len()), 100.0));
+}
+
+#[test]
+fn gap_of_service_by_share_is_zero() {
+    let fair = contention(vec![
+        run("a", 0, Some(1_000), 100),
+        run("b", 0, Some(1_000), 300),
+    ]);
+    let figures = fair.figures();
+    assert!(close(figures.gap_s, 0.0) && close(figures.portion, 0.0));
+}
+
+#[test]
+fn gap_of_equal_service_at_unequal_shares() {
+    let unfair = contention(vec![
+        run("a", 0, Some(1_000), 100),
+        run("b", 0, Some(1_000), 100),
+    ]);
+    let figures = unfair.figures();
+    // 200 tokens/s over four shares: "a" got two seconds' worth, "b" two thirds.
+    assert!(close(figures.gap_s, 4.0 / 3.0), "{}", figures.gap_s);
+    assert!(close(figures.portion, 1.0), "{}", figures.portion);
+}
+
+#[test]
+fn gap_counts_a_workspace_without_service() {
+    let starved = contention(vec![run("a", 0, Some(1_000), 100)]);
+    assert!(close(starved.figures().gap_s, 4.0));
+}
+
+#[test]
+fn slots_bearable_grow_with_completed_work() {
+    let runs = vec![
+        run("a", 0, Some(500), 1),
+        run("a", 0, Some(500), 1),
+        run("a", 500, Some(1_000), 1),
+    ];
+    let (used, bearable) = slots(&[engine(runs)], START_MS, START_MS + 1_000);
+    assert!(close(used, 1.5));
+    // Two for half a second, then three after two of four completed requests.
+    assert!(close(bearable, 2.5), "{bearable}");
+}
+
+#[test]
+fn verdict_of_no_number_is_short() {
+    assert!(!Verdict::at_most("a", f64::NAN, 1.0).ok);
+    assert!(!Verdict::at_least("a", f64::NAN, 1.0).ok);
+    let line = Verdict::at_most("a", 0.5, 2.0).to_string();
+    assert_eq!(line, "a measured=0.5000 bound=2 ok");
+}
+
+#[test]
+fn metrics_parse_labels() {
+    let page = "# HELP x y\nx{direction=\"sent\",kind=\"grant\"} 3\nx{direction=\"sent\",kind=\"demand\"} 4\ny 1.5\n";
+    let metrics = Metrics::parse(page);
+    assert!(close(metrics.sums("x", "kind")["grant"], 3.0));
+    assert!(close(metrics.sum("x"), 7.0) && close(metrics.sum("y"), 1.5));
+}
