Let hyper read and write sockets without buffers in between

Change: SocketStream passes bytes straight between socket and hyper once the loop says that the socket is ready.

--- /dev/null
+++ b/crates/load/src/experiment/mod.rs
@@ -0,0 +1,3 @@
+//! Experiments on real processes.
+
+pub mod path;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod client;
 pub mod deployment;
+pub mod experiment;
 pub mod fleet;
 pub mod generator;
 pub mod report;
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use hyper::client::conn::http1;
 use snafu::{ResultExt, Snafu};
 
 use crate::body::Body;
+use crate::socket::SocketStream;
 
 /// An open connection that requests can be sent on, one after the other.
 pub type Connection = http1::SendRequest<Body>;
@@ -55,7 +55,8 @@
     let stream = stream.context(RefusedSnafu { peer })?;
     // Without it small requests wait for the peer's delayed acknowledgement.
     stream.set_nodelay(true).context(RefusedSnafu { peer })?;
-    let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+    let stream = SocketStream::new(stream).context(RefusedSnafu { peer })?;
+    let (sender, connection) = http1::handshake(stream)
         .await
         .context(HandshakeSnafu { peer })?;
     compio::runtime::spawn(async move {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod logs;
 pub mod server;
+pub mod socket;
 pub mod stall;
 
 pub use body::{Body, BodySender, channel, empty, full, json};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared};
@@ -20,6 +20,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::body::Body;
+use crate::socket::SocketStream;
 use crate::stall::Stall;
 
 /// Limits on connections.
@@ -283,7 +284,10 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
-    let stream = Stall::new(HyperStream::new_plain(stream), limits.stall_time);
+    let Ok(stream) = SocketStream::new(stream) else {
+        return;
+    };
+    let stream = Stall::new(stream, limits.stall_time);
     let serving = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.head_time)
--- /dev/null
+++ b/crates/net/src/socket.rs
@@ -0,0 +1,119 @@
+//! A TCP socket as hyper reads and writes it, without buffers of its own.
+//!
+//! A connection that waits holds no memory beyond hyper's: bytes go straight
+//! between the socket and hyper's buffers once the loop says that the socket
+//! is ready. The stream of `cyper-core` keeps two buffers for every
+//! connection, which thousands of open streams can't afford.
+
+use std::cell::RefCell;
+use std::io::{self, Read as _};
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use compio::net::TcpStream;
+use compio::runtime::fd::PollFd;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use socket2::Socket;
+
+/// Bytes taken from a socket by one read at most.
+const READ_BYTES: usize = 16 * 1024;
+
+thread_local! {
+    /// Every read of the loop's thread passes through this one buffer.
+    static BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
+}
+
+/// A connected socket.
+#[derive(Debug)]
+pub struct SocketStream {
+    socket: PollFd<Socket>,
+}
+
+impl SocketStream {
+    /// Takes a connection over.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the socket can't be made non-blocking or watched.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        let socket = stream.into_poll_fd()?;
+        socket.set_nonblocking(true)?;
+        Ok(Self { socket })
+    }
+
+    /// Tries `send` until it does not have to wait, and waits in between.
+    fn poll_send(
+        &self,
+        cx: &mut Context<'_>,
+        send: impl Fn(&Socket) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            match send(&self.socket) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    std::task::ready!(self.socket.poll_write_ready(cx))?;
+                }
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+}
+
+/// Reads what is there into `buf`.
+fn receive(mut socket: &Socket, buf: &mut ReadBufCursor<'_>) -> io::Result<()> {
+    BUFFER.with_borrow_mut(|buffer| {
+        let room = buf.remaining().min(buffer.len());
+        let count = socket.read(&mut buffer[..room])?;
+        buf.put_slice(&buffer[..count]);
+        Ok(())
+    })
+}
+
+impl Read for SocketStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            match receive(&self.socket, &mut buf) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    std::task::ready!(self.socket.poll_read_ready(cx))?;
+                }
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+}
+
+impl Write for SocketStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_send(cx, |socket| socket.send(buf))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_send(cx, |socket| socket.send_vectored(bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.socket.shutdown(Shutdown::Write))
+    }
+}
