--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -5,7 +5,9 @@
 mod claims;
 mod config;
 mod exchange;
+mod membership;
 mod silence;
+mod slots;
 mod stop;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,13 +17,15 @@
 
 use crate::attempt::{History, Running};
 use crate::claim::{Claims, Lease, Stored};
-use crate::configuration::{Configuration, Version};
+use crate::configuration::Configuration;
+use crate::configuration::exchange::{Sync, Waiting};
 use crate::dispatch::{Dispatcher, Surroundings};
 use crate::effect::{Effect, Refusal};
 use crate::entry::Entry;
 use crate::event::{Call, Event};
 use crate::ids::{
-    AttemptKey, CallId, Flow, Incarnation, RequestKey, RouterId, ServerId, TableOp, ZoneId,
+    AttemptKey, CallId, Flow, GrantRef, Incarnation, Peer, RequestKey, RouterId, ServerId, TableOp,
+    ZoneId,
 };
 use crate::membership::{Member, Membership};
 use crate::message::Message;
@@ -29,6 +33,9 @@
 use crate::params::Params;
 use crate::retry::Budgets;
 use crate::share::Ledger;
+use membership::Swim;
+
+use slots::Obedience;
 
 /// How far the execution claim of a request has come.
 #[derive(Debug)]
@@ -61,8 +68,11 @@
 enum Timer {
     Period,
     Flush,
+    Recover,
     Deadline(RequestKey),
     Silence(AttemptKey),
+    Probe,
+    Probation,
     Claim(TableOp),
     Queue,
 }
@@ -95,12 +105,20 @@
     requests: SlotMap<RequestKey, Request>,
     attempts: SlotMap<AttemptKey, Running>,
     calls: BTreeMap<CallId, RequestKey>,
+    grants: BTreeMap<GrantRef, AttemptKey>,
+    obedience: Obedience,
+    recovery_due: bool,
+    view: u64,
+    last: Instant,
     entry: Entry,
     dispatcher: Dispatcher,
     ledger: Ledger,
     totals_seq: u64,
     timers: BTreeSet<(Instant, Timer)>,
     draining: Option<Instant>,
+    swim: Swim,
+    sync: Sync,
+    waited: Option<Waiting>,
     drained: bool,
     claims: Claims,
     budgets: Budgets,
@@ -119,6 +137,10 @@
         now: Instant,
     ) -> Self {
         let first = now + params.period;
+        let peer = Peer {
+            router: me,
+            incarnation,
+        };
         let budgets = Budgets::new(params.retry_burst);
         Self {
             me,
@@ -131,12 +153,20 @@
             requests: SlotMap::with_key(),
             attempts: SlotMap::with_key(),
             calls: BTreeMap::new(),
-            entry: Entry::new(now),
-            dispatcher: Dispatcher::new(incarnation),
+            grants: BTreeMap::new(),
+            obedience: Obedience::default(),
+            recovery_due: false,
+            view: 0,
+            last: now,
+            entry: Entry::new(now, incarnation),
+            dispatcher: Dispatcher::new(peer, now),
             ledger: Ledger::new(),
             totals_seq: 0,
             timers: BTreeSet::from([(first, Timer::Period)]),
             draining: None,
+            swim: Swim::default(),
+            sync: Sync::new(),
+            waited: Some(Waiting::NoSource),
             drained: false,
             claims: Claims::new(),
             budgets,
@@ -180,7 +210,7 @@
         if self.draining.is_some() {
             return Err(Refusal::Stopping);
         }
-        if self.world.config.head() == Version(0) {
+        if !self.sync.is_ready() {
             return Err(Refusal::NotReady);
         }
         Ok(())
@@ -205,7 +235,9 @@
 
     /// Handles one event at time `now` and returns what is to be done.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        self.check_pause(now);
         self.step(now, event);
+        self.check_view(now);
         while let Some(message) = self.out.next_local() {
             self.on_message(now, self.me, self.incarnation, message);
         }
@@ -213,6 +245,7 @@
         while let Some(message) = self.out.next_local() {
             self.on_message(now, self.me, self.incarnation, message);
         }
+        self.schedule_recovery(now);
         self.check_drained(now);
         self.out.take()
     }
@@ -229,8 +262,13 @@
                 message,
             } => self.on_message(now, from, incarnation, message),
             Event::Objects(objects) => self.objects(now, objects),
-            Event::Load(server, report) => self.dispatcher.load(server, report.incarnation),
-            Event::Hosts(_) => {}
+            Event::Changes(objects) => self.changes(now, objects),
+            Event::Join(address) => self.join(now, address),
+            Event::Hosts(hosts) => self.hosts(now, &hosts),
+            Event::Load(server, report) => {
+                let env = self.world.at(now);
+                self.dispatcher.load(env, server, report, &mut self.out);
+            }
             Event::Tick => self.tick(now),
             Event::Drain { patience } => self.drain(now, patience),
         }
@@ -244,24 +282,42 @@
         message: Message,
     ) {
         let env = self.world.at(now);
+        let peer = Peer {
+            router: from,
+            incarnation,
+        };
         match message {
-            Message::Demand(demand) => self.dispatcher.demand(env, from, &demand, &mut self.out),
-            Message::Release(release) => self.dispatcher.release(env, &release, &mut self.out),
-            Message::Usage(usage) => self.dispatcher.usage(env, from, &usage, &mut self.out),
-            Message::Totals(totals) => self.dispatcher.totals(&totals.flows),
-            Message::Charges(charges) => {
-                for total in charges.flows {
-                    self.ledger.record(from, incarnation, charges.seq, total);
-                }
+            Message::Demand(demand) => self.dispatcher.demand(env, peer, &demand, &mut self.out),
+            Message::Release(release) => {
+                self.dispatcher.release(env, peer, &release, &mut self.out);
             }
-            Message::Grant(grant) => self.on_grant(now, from, incarnation, &grant),
+            Message::Usage(usage) => self.dispatcher.usage(env, peer, &usage, &mut self.out),
+            Message::Totals(totals) => self.dispatcher.totals(env, peer, &totals.flows),
+            Message::Charges(charges) => self.on_charges(peer, &charges),
+            Message::Grant(grant) => self.on_grant(now, peer, &grant),
             Message::Full(service) => {
-                let dispatchers = self.dispatchers(service);
-                self.entry
-                    .full(now, service, from, &dispatchers, &self.world.params);
+                let reaches = self.reaches();
+                let world = &self.world;
+                self.entry.full(now, service, from, &world.params, |flow| {
+                    reaches.of(world, flow)
+                });
             }
             Message::Room(service) => self.entry.room(service, from),
-            Message::Recover(_) | Message::Recovered(_) => {}
+            Message::Probe(probe) => self.on_probe(now, from, incarnation, &probe),
+            Message::Exchange(exchange) => self.on_exchange(now, from, exchange),
+            Message::Recover(recover) => self.on_recover(now, peer, recover),
+            Message::Recovered(answer) => {
+                self.dispatcher.recovered(env, peer, &answer, &mut self.out);
+            }
+            Message::Standby(standby) => {
+                if self.named(standby.server) == Some(from) {
+                    self.obedience.keep_warmth(standby.server, standby.warmth);
+                }
+            }
+            Message::Handover(handover) => {
+                self.dispatcher
+                    .handover(env, peer, &handover, &mut self.out);
+            }
         }
     }
 
@@ -274,6 +330,9 @@
             match timer {
                 Timer::Period => self.period(now),
                 Timer::Flush => {}
+                Timer::Probe => self.probe_tick(now),
+                Timer::Probation => self.end_probation(now),
+                Timer::Recover => self.retry_recovery(now),
                 Timer::Deadline(key) => self.expire(key),
                 Timer::Silence(key) => self.check_silence(now, key),
                 Timer::Claim(op) => self.claim_resume(now, op),
--- a/crates/core/src/router/silence.rs
+++ b/crates/core/src/router/silence.rs
@@ -52,24 +52,37 @@
         let service = request.call.service;
         let streamed = request.call.resumable;
         let usual = self.latencies.usual(service, streamed);
+        let Some(usual) = usual else {
+            return params.first_timeout;
+        };
+        let longest = params.first_timeout.max(usual);
+        if request.call.repeat != Repeat::Idempotent {
+            return longest;
+        }
         let kind = self.world.config.service(service).map(|s| s.kind);
         let floor = match kind {
             Some(ServiceKind::Plain) => params.lookup_timeout,
-            _ if streamed => params.progress_timeout,
-            _ => return params.first_timeout.max(usual.unwrap_or_default()),
-        };
-        let Some(usual) = usual.filter(|_| request.call.repeat == Repeat::Idempotent) else {
-            return params.first_timeout;
+            Some(ServiceKind::Model) | None => params.progress_timeout,
         };
         let doubled = 2_u32.saturating_pow(request.attempts.saturating_sub(1));
-        floor
-            .max(usual)
-            .saturating_mul(doubled)
-            .min(params.first_timeout)
+        floor.max(usual).saturating_mul(doubled).min(longest)
+    }
+
+    /// Looks at the attempt again when it counts as silent unless something arrives.
+    pub(super) fn watch(&mut self, key: AttemptKey) {
+        let Some(due) = self.attempts.get(key).map(|r| self.silent_at(r)) else {
+            return;
+        };
+        let Some(running) = self.attempts.get_mut(key) else {
+            return;
+        };
+        let check = std::mem::replace(&mut running.facts_mut().check, due);
+        self.timers.remove(&(check, Timer::Silence(key)));
+        self.timers.insert((due, Timer::Silence(key)));
     }
 
     /// Returns when the attempt counts as silent unless something arrives.
-    pub(super) fn silent_at(&self, running: &Running) -> Instant {
+    fn silent_at(&self, running: &Running) -> Instant {
         let facts = running.facts();
         let request = self.requests.get(facts.request);
         let patience = match (running, request) {
@@ -95,9 +108,8 @@
         let Some(running) = self.attempts.get(key) else {
             return;
         };
-        let due = self.silent_at(running);
-        if due > now {
-            self.timers.insert((due, Timer::Silence(key)));
+        if self.silent_at(running) > now {
+            self.watch(key);
             return;
         }
         let stage = match running {
--- a/crates/load/src/experiment/path.rs
+++ b/crates/load/src/experiment/path.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -17,8 +18,12 @@
 use http::{Method, Request, header};
 use http_body_util::BodyExt;
 use serde::Serialize;
+use serde_json::json;
 
+use super::lab::Lab;
+use super::{Context, ExperimentError, Outcome, Verdict};
 use crate::deployment::{Deployment, own_host};
+use crate::fleet::RouterOptions;
 
 /// Time to connect.
 const CONNECT_TIME: Duration = Duration::from_secs(5);
@@ -48,6 +53,93 @@
 /// Resident memory of one router at most, in bytes.
 pub const MEMORY: u64 = 64 << 20;
 
+/// Time of each comparison and of the throughput.
+const MEASURED: Duration = Duration::from_secs(10);
+
+/// Runs the experiment.
+///
+/// # Errors
+///
+/// Fails when a fleet does not start.
+pub fn run(context: &Context) -> Result<Outcome, ExperimentError> {
+    let time = context.duration(MEASURED);
+    compio::runtime::Runtime::new()?.block_on(async {
+        let dir = context.out.join("path");
+        let lab = Lab::start(compared(), &dir, RouterOptions::default()).await?;
+        let plain = compare(&lab.deployment, false, time).await;
+        println!("{plain}");
+        let stream = compare(&lab.deployment, true, time).await;
+        println!("{stream}");
+        drop(lab);
+        let throughput = {
+            let (lab, pid) = start_lone(&dir).await?;
+            throughput(&lab.deployment, pid, time).await
+        };
+        println!("{throughput}");
+        let streams = {
+            let (lab, pid) = start_lone(&dir).await?;
+            streams(&lab.deployment, pid).await
+        };
+        println!("{streams}");
+        Ok(Outcome {
+            verdicts: verdicts(&plain, &stream, &throughput, &streams),
+            settings: json!({"rate_per_s": RATE, "senders": SENDERS, "streams": STREAMS}),
+            figures: json!({
+                "plain": plain,
+                "stream": stream,
+                "throughput": throughput,
+                "streams": streams,
+            }),
+        })
+    })
+}
+
+async fn start_lone(dir: &Path) -> Result<(Lab, u32), ExperimentError> {
+    let mut lab = Lab::start(lone(), dir, RouterOptions::default()).await?;
+    let name = lab.deployment.routers[0].name.clone();
+    let pid = lab.fleet.process(&name).map_or(0, |p| p.pid());
+    Ok((lab, pid))
+}
+
+fn verdicts(
+    plain: &Comparison,
+    stream: &Comparison,
+    throughput: &Throughput,
+    streams: &Streams,
+) -> Vec<Verdict> {
+    let mut verdicts = Vec::new();
+    for compared in [plain, stream] {
+        let name = |what: &str| format!("path_{}_{what}", compared.kind);
+        let (p50, p99) = (compared.added_p50_ms(), compared.added_p99_ms());
+        verdicts.push(Verdict::at_most(&name("added_p50_ms"), p50, ms(ADDED_P50)));
+        verdicts.push(Verdict::at_most(&name("added_p99_ms"), p99, ms(ADDED_P99)));
+        verdicts.push(Verdict::at_most(&name("wrong"), count(compared.wrong), 0.0));
+    }
+    let asked = count(streams.asked as u64);
+    let whole = count(streams.whole as u64);
+    let open = count(streams.open as u64);
+    verdicts.extend([
+        Verdict::at_most("path_throughput_wrong", count(throughput.wrong), 0.0),
+        Verdict::at_least("path_streams_whole", whole, asked),
+        Verdict::at_least("path_streams_open", open, asked),
+        Verdict::at_most("path_memory_mib", mib(streams.memory), mib(MEMORY)),
+        Verdict::at_least("path", throughput.rate, PLAIN_RATE),
+    ]);
+    verdicts
+}
+
+/// Returns a time in milliseconds.
+fn ms(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e3
+}
+
+/// Returns a count as a figure.
+fn count(count: u64) -> f64 {
+    #[allow(clippy::cast_precision_loss)]
+    let count = count as f64;
+    count
+}
+
 /// Which way a request takes.
 #[id]
 pub enum Way {
@@ -419,9 +511,7 @@
 
 /// Returns bytes as mebibytes.
 fn mib(bytes: u64) -> f64 {
-    #[allow(clippy::cast_precision_loss)]
-    let bytes = bytes as f64;
-    bytes / f64::from(1 << 20)
+    count(bytes) / f64::from(1 << 20)
 }
 
 /// How many streams are where.
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -96,9 +96,8 @@
     secrets::read(path).context(SecretSnafu { path })
 }
 
-fn make_router(settings: &RouterSettings, clock: &dyn Clock) -> Router {
+fn make_router(settings: &RouterSettings, incarnation: Incarnation, clock: &dyn Clock) -> Router {
     let me = RouterId::new(&settings.name);
-    let incarnation = Incarnation(clock.epoch_ms());
     let zone = ZoneId::new(&settings.zone);
     let mut router = Router::new(me, zone, incarnation, settings.params.clone(), clock.now());
     for peer in &settings.peers {
@@ -106,7 +105,9 @@
             zone: ZoneId::new(&peer.zone),
             state: MemberState::Alive,
         };
-        router.add_member(RouterId::new(&peer.name), member);
+        let id = RouterId::new(&peer.name);
+        router.add_member(id, member);
+        router.add_address(id, peer.address);
     }
     router
 }
@@ -118,12 +119,13 @@
 /// Fails when an address can't be opened.
 pub fn start(settings: RouterSettings, secrets: &Secrets) -> Result<Rc<Shell>, StartError> {
     let clock = SystemClock;
-    let router = make_router(&settings, &clock);
+    let incarnation = Incarnation(clock.epoch_ms());
+    let router = make_router(&settings, incarnation, &clock);
     let me = RouterId::new(&settings.name);
     let metrics = Rc::new(Metrics::new());
     let peers = Peers::new(
         me,
-        Incarnation(clock.epoch_ms()),
+        incarnation,
         settings.peer_listen,
         &secrets.fleet,
         Rc::clone(&metrics),
@@ -159,7 +161,8 @@
         wake,
     ));
     compio::runtime::spawn(timers(Rc::clone(&shell), woken)).detach();
-    compio::runtime::spawn(platform::poll(Rc::clone(&shell))).detach();
+    shell.event(Event::Join(shell.settings().peer_listen));
+    compio::runtime::spawn(platform::poll::poll(Rc::clone(&shell))).detach();
     compio::runtime::spawn(receive(Rc::clone(&shell))).detach();
     let served = serve_counted(
         listener,
