--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -37,6 +37,7 @@
 experiments! {
     fairness,
     faults,
+    path,
     utilisation,
     cold,
     control,
