--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -6,6 +6,7 @@
 use hibiscusrail_macros::record;
 use hibiscusrail_platform::object::{ObjectRow, VersionedRow};
 use hibiscusrail_platform::table::{Condition, TransactRequest, Write};
+use hibiscusrail_platform::ticket::WorkspaceState;
 use hibiscusrail_standin::relay::{Carrier, Route};
 use sha2::{Digest, Sha256};
 
@@ -97,6 +98,10 @@
     format!("{from}>{to}")
 }
 
+/// Requests of a workspace that may wait at one router, per service.
+const QUEUE_LIMIT: u32 = 10_000;
+/// Retries of a workspace per request.
+const RETRY_FRACTION: f64 = 0.1;
 /// Workspaces of today's users, and how many of them are large.
 const WORKSPACES: usize = 16;
 const LARGE: usize = 3;
@@ -287,6 +292,19 @@
         self
     }
 
+    /// Returns the whole state of a workspace as tickets carry it.
+    #[must_use]
+    pub fn workspace_state(&self, number: usize) -> WorkspaceState {
+        let workspace = &self.workspaces[number];
+        WorkspaceState {
+            name: workspace.name.clone(),
+            share: workspace.share,
+            key_hash: hex::encode(Sha256::digest(workspace.key().as_bytes())),
+            queue_limit: QUEUE_LIMIT,
+            retry_fraction: RETRY_FRACTION,
+        }
+    }
+
     /// Returns the configuration objects of the deployment.
     #[must_use]
     pub fn objects(&self) -> Vec<ObjectRow> {
@@ -321,8 +339,8 @@
             name: w.name.clone(),
             share: w.share,
             key_hash: hex::encode(Sha256::digest(w.key().as_bytes())),
-            queue_limit: 10_000,
-            retry_fraction: 0.1,
+            queue_limit: QUEUE_LIMIT,
+            retry_fraction: RETRY_FRACTION,
         }));
         objects
     }
--- a/crates/load/src/experiment/fairness.rs
+++ b/crates/load/src/experiment/fairness.rs
@@ -47,6 +47,7 @@
         ],
         settings: contention::settings(measured),
         figures: json!(figures),
+        ..Outcome::default()
     })
 }
 
--- a/crates/load/src/experiment/lab.rs
+++ b/crates/load/src/experiment/lab.rs
@@ -87,6 +87,11 @@
         Err(format!("{} does not get ready", router.name).into())
     }
 
+    /// Sets further settings of routers that are started from now on.
+    pub fn set_options(&mut self, options: RouterOptions) {
+        self.fleet.set_options(options);
+    }
+
     /// Returns a router by name.
     ///
     /// # Panics
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -16,6 +16,7 @@
 pub mod lab;
 pub mod plot;
 pub mod service;
+pub mod tickets;
 pub mod verdict;
 
 pub use verdict::Verdict;
@@ -37,6 +38,8 @@
 experiments! {
     fairness,
     utilisation,
+    zone,
+    config,
 }
 
 /// An experiment in the list.
@@ -82,6 +85,9 @@
 pub struct Outcome {
     /// The judged figures; the last one is the experiment's own.
     pub verdicts: Vec<Verdict>,
+    /// One line that sums up a result of several figures, printed last.
+    #[serde(skip)]
+    pub summary: String,
     /// Everything else that was measured.
     pub figures: Value,
     /// What it was run with.
@@ -155,6 +161,9 @@
         for verdict in &outcome.verdicts {
             println!("{verdict}");
         }
+        if !outcome.summary.is_empty() {
+            println!("{}", outcome.summary);
+        }
         verdicts.extend(outcome.verdicts);
     }
     if name == "all" {
--- a/crates/load/src/experiment/utilisation.rs
+++ b/crates/load/src/experiment/utilisation.rs
@@ -30,5 +30,6 @@
         verdicts: vec![Verdict::at_least("utilisation", own, USED)],
         settings: contention::settings(measured),
         figures: json!(figures),
+        ..Outcome::default()
     })
 }
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -207,6 +207,11 @@
         self
     }
 
+    /// Sets further settings of routers that are started from now on.
+    pub fn set_options(&mut self, options: RouterOptions) {
+        self.options = options;
+    }
+
     fn start_platform(&mut self, address: SocketAddr) -> Result<(), FleetError> {
         let listen = address.to_string();
         let args = ["--listen", &listen, "platform"];
