--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -8,7 +8,7 @@
 use hibiscusrail_macros::{id, record, value};
 
 use crate::configuration::exchange::Exchange;
-use crate::ids::{Flow, GrantId, GrantRef, Incarnation, RouterId, ServerId, ServiceId};
+use crate::ids::{Flow, GrantId, GrantRef, Peer, RouterId, ServerId, ServiceId, Term};
 use crate::membership::update::Probe;
 
 /// Waiting requests of one flow at the sending entry.
@@ -20,6 +20,8 @@
     pub waiting: u32,
     /// How long the oldest has waited.
     pub oldest: Duration,
+    /// The oldest's hint of its cost in cost units.
+    pub hint: Option<f64>,
 }
 
 /// An entry's demand, sent to a dispatcher.
@@ -37,6 +39,15 @@
     pub flows: Vec<FlowDemand>,
 }
 
+/// What a dispatcher knows of a server's warmth, as a successor may use it.
+#[value]
+pub struct Warmth {
+    /// Requests that the server may run.
+    pub limit: u32,
+    /// Low bits of the server's incarnation; zero when unknown.
+    pub mark: u32,
+}
+
 /// A slot at a server, leased to one entry for one request.
 #[value]
 pub struct Grant {
@@ -48,8 +59,10 @@
     pub flow: Flow,
     /// `sent` of the demand that the grant answers.
     pub echo: Duration,
-    /// Limit of the server at the dispatcher, as a hint for a successor.
-    pub limit: u32,
+    /// The take-over of the server under which the slot was granted.
+    pub term: Term,
+    /// Warmth of the server at the dispatcher, kept for a successor.
+    pub warmth: Warmth,
 }
 
 /// A slot in use, as its entry reports it.
@@ -63,6 +76,8 @@
     pub flow: Flow,
     /// Cost so far, in cost units.
     pub cost: f64,
+    /// Time left until the request's deadline.
+    pub left: Duration,
 }
 
 /// All slots of the receiving dispatcher that the sender holds.
@@ -79,6 +94,10 @@
 pub enum GrantEnd {
     /// No fitting request was left, or the grant came too late.
     Unused,
+    /// The entry obeys another dispatcher, or another take-over of this one.
+    Fenced,
+    /// The caller gave up.
+    Cancelled,
     /// The request ran to its end.
     Done,
     /// The server refused admission or showed overload.
@@ -91,9 +110,9 @@
 #[value]
 pub struct Release {
     /// The grant.
-    pub grant: GrantId,
-    /// Incarnation of the dispatcher that issued it.
-    pub incarnation: Incarnation,
+    pub grant: GrantRef,
+    /// The server whose slot it was.
+    pub server: ServerId,
     /// How it ended.
     pub end: GrantEnd,
     /// Cost of the request in cost units.
@@ -149,28 +168,86 @@
     /// Fleet totals for a dispatcher.
     Totals(Totals),
     /// A new dispatcher of the server asks which slots are in use there.
-    Recover(ServerId),
+    Recover(Recover),
     /// Answer to [`Message::Recover`].
     Recovered(Recovered),
     /// A probe of the membership, or its answer.
     Probe(Probe),
     /// Exchange of configuration.
     Exchange(Exchange),
+    /// A dispatcher tells a server's warmth to a router that may follow it.
+    Standby(Standby),
+    /// A dispatcher hands a server over to the next.
+    Handover(Handover),
+}
+
+/// The warmth of a server, kept in case its dispatcher is lost.
+#[value]
+pub struct Standby {
+    /// The server.
+    pub server: ServerId,
+    /// Its warmth.
+    pub warmth: Warmth,
+}
+
+/// A dispatcher's request to be obeyed as the dispatcher of a server.
+#[value]
+pub struct Recover {
+    /// The server.
+    pub server: ServerId,
+    /// The take-over.
+    pub term: Term,
 }
 
-/// The slots that an entry holds at one server.
+/// The slots that an entry holds at one server, and whom it obeys there.
 #[record]
 pub struct Recovered {
     /// The server.
     pub server: ServerId,
+    /// The take-over that this answers.
+    pub term: Term,
+    /// The sender's clock at sending.
+    pub sent: Duration,
     /// Who dispatches the server in the sender's view.
     pub dispatcher: Option<RouterId>,
-    /// Last limit the sender heard of; zero when none.
-    pub limit: u32,
+    /// Whom the sender obeyed before.
+    pub previous: Option<RouterId>,
+    /// Last warmth the sender heard of.
+    pub warmth: Option<Warmth>,
     /// The slots in use.
     pub held: Vec<Held>,
 }
 
+/// A slot that is handed over.
+#[value]
+pub struct HandedSlot {
+    /// The grant.
+    pub grant: GrantRef,
+    /// The entry that holds it.
+    pub entry: Peer,
+    /// The flow.
+    pub flow: Flow,
+    /// `sent` of the demand that the grant answered.
+    pub echo: Duration,
+    /// Service charged for it so far, in cost units.
+    pub charged: f64,
+    /// Time after which the slot is free whatever is heard of it.
+    pub left: Duration,
+}
+
+/// All that the dispatcher of a server knows, for the next one.
+#[record]
+pub struct Handover {
+    /// The server.
+    pub server: ServerId,
+    /// Warmth of the server.
+    pub warmth: Warmth,
+    /// Slots that count as in use though nobody is known to hold them.
+    pub presumed: u32,
+    /// The slots in use or on their way.
+    pub slots: Vec<HandedSlot>,
+}
+
 impl Message {
     /// Returns the kind as a short stable name for metrics.
     #[must_use]
@@ -188,6 +265,8 @@
             Self::Recovered(_) => "recovered",
             Self::Probe(probe) => probe.kind(),
             Self::Exchange(exchange) => exchange.kind(),
+            Self::Standby(_) => "standby",
+            Self::Handover(_) => "handover",
         }
     }
 }
--- a/crates/core/src/router/calls.rs
+++ b/crates/core/src/router/calls.rs
@@ -5,6 +5,7 @@
 use crate::attempt::{History, Running};
 use crate::claim::State;
 use crate::effect::{Counter, Effect, Execution, Refusal, Refused};
+use crate::entry::Arrival;
 use crate::event::{Call, Repeat};
 use crate::ids::{CallId, Flow, RequestKey, RouterId, ServerId, ServiceId};
 use crate::message::GrantEnd;
@@ -79,10 +80,17 @@
             return;
         };
         let flow = request.flow;
-        let dispatchers = self.dispatchers(flow.service);
-        let prefer = self.elsewhere(request);
-        self.entry
-            .enqueue(now, flow, key, front, &dispatchers, prefer);
+        let prefix = request.call.prefix;
+        let usual = || self.prefer(flow.service, prefix?);
+        let arrival = Arrival {
+            request: key,
+            flow,
+            front,
+            hint: request.call.hint,
+            prefer: self.elsewhere(request).or_else(usual),
+        };
+        let reach = self.reach(flow);
+        self.entry.enqueue(now, arrival, &reach);
     }
 
     /// Returns the open servers of `service` other than `avoid`, with their dispatchers.
@@ -157,7 +165,9 @@
             None => self.entry.remove(request.flow, key),
             Some(attempt) => {
                 self.out.push(Effect::Cancel(attempt));
-                if let Some(ended) = self.take_attempt(attempt, GrantEnd::Unused, Running::cancel) {
+                if let Some(ended) =
+                    self.take_attempt(attempt, GrantEnd::Cancelled, Running::cancel)
+                {
                     request.history.add(ended.outcome);
                 }
             }
--- a/crates/load/src/experiment/mod.rs
+++ b/crates/load/src/experiment/mod.rs
@@ -37,6 +37,7 @@
 
 experiments! {
     fairness,
+    faults,
     utilisation,
     zone,
     config,
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -93,3 +93,11 @@
         count.checked_mul(*factor).filter(|n| *n > 0).map(Self)
     }
 }
+
+impl Value for bool {
+    const ALLOWED: &'static str = "true or false";
+
+    fn parse(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
