Turn away from a dispatcher that leaves an entry unanswered

Cause: after a zone was cut off, its entries went on asking dispatchers that they could no longer reach until these were declared dead. Change: an ask without an answer within 25 ms goes to another dispatcher, and the silent one is not asked for 2 s.

--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -177,19 +177,30 @@
         }
     }
 
-    /// Takes in that `router` has no free slot: its askers turn to others.
+    /// Returns the dispatchers that left a request for one slot unanswered.
+    pub fn silent(&self, now: Instant, params: &Params) -> BTreeSet<(ServiceId, RouterId)> {
+        let asks = self.asks();
+        asks.filter(|(_, _, at)| *at + params.ask_timeout <= now)
+            .map(|(service, router, _)| (service, router))
+            .collect()
+    }
+
+    fn asks(&self) -> impl Iterator<Item = (ServiceId, RouterId, Instant)> + '_ {
+        let queues = self.queues.iter().filter(|(_, q)| !q.is_spread());
+        queues.flat_map(|(flow, q)| q.asks().map(|(router, at)| (flow.service, router, at)))
+    }
+
+    /// Takes in that `router` has no free slot for a while: its askers turn to others.
     pub fn full(
         &mut self,
         now: Instant,
         service: ServiceId,
         router: RouterId,
-        params: &Params,
+        memory: Duration,
         reach: impl Fn(Flow) -> Reach,
     ) {
-        let Some(link) = self.links.get_mut(&router) else {
-            return;
-        };
-        link.full.insert(service, now + params.full_memory);
+        let link = self.links.entry(router).or_default();
+        link.full.insert(service, now + memory);
         let flows: Vec<Flow> = self
             .queues
             .iter()
@@ -215,16 +226,16 @@
             return;
         }
         match self.pick(now, flow.service, reach, None) {
-            Some(next) if next != router => self.move_asks(flow, router, next),
+            Some(next) if next != router => self.move_asks(now, flow, router, next),
             _ => self.spread(flow, reach),
         }
     }
 
-    fn move_asks(&mut self, flow: Flow, from: RouterId, to: RouterId) {
+    fn move_asks(&mut self, now: Instant, flow: Flow, from: RouterId, to: RouterId) {
         let Some(queue) = self.queues.get_mut(&flow) else {
             return;
         };
-        queue.move_asks(from, to);
+        queue.move_asks(now, from, to);
         self.links.entry(from).or_default().dirty.insert(flow);
         self.links.entry(to).or_default().ask(flow);
     }
@@ -276,7 +287,8 @@
 
     /// Sends due demand; returns when the next is due.
     pub fn flush(&mut self, now: Instant, params: &Params, out: &mut Outbox) -> Option<Instant> {
-        let mut next: Option<Instant> = None;
+        let silences = self.asks().map(|(_, _, at)| at + params.ask_timeout);
+        let mut next: Option<Instant> = silences.min();
         let routers: Vec<_> = self.links.keys().copied().collect();
         for router in routers {
             let Some(due) = self.links[&router].due(now, params) else {
--- a/crates/core/src/entry/queue.rs
+++ b/crates/core/src/entry/queue.rs
@@ -16,6 +16,8 @@
     pub hint: Option<f64>,
     /// The dispatcher that was asked for it, unless the flow is spread.
     pub asked: Option<RouterId>,
+    /// When it was asked.
+    pub asked_at: Instant,
 }
 
 impl Waiting {
@@ -25,6 +27,7 @@
             since: now,
             hint: arrival.hint,
             asked,
+            asked_at: now,
         }
     }
 }
@@ -76,6 +79,12 @@
         self.waiting.iter().filter_map(|w| w.asked)
     }
 
+    /// Returns the dispatchers that single requests ask, and since when.
+    pub fn asks(&self) -> impl Iterator<Item = (RouterId, Instant)> + '_ {
+        let waiting = self.waiting.iter().filter(|_| !self.spread);
+        waiting.filter_map(|w| Some((w.asked?, w.asked_at)))
+    }
+
     /// Returns whether anything here waits for `router`.
     pub fn waits_for(&self, router: RouterId) -> bool {
         self.targets.contains(&router) || self.asked().any(|r| r == router)
@@ -122,10 +131,11 @@
         next
     }
 
-    pub fn move_asks(&mut self, from: RouterId, to: RouterId) {
+    pub fn move_asks(&mut self, now: Instant, from: RouterId, to: RouterId) {
         for waiting in &mut self.waiting {
             if waiting.asked == Some(from) {
                 waiting.asked = Some(to);
+                waiting.asked_at = now;
             }
         }
     }
--- a/crates/core/src/params.rs
+++ b/crates/core/src/params.rs
@@ -42,6 +42,10 @@
     pub progress_timeout: Duration,
     /// Time from sending a request to the first byte of its answer at most.
     pub first_timeout: Duration,
+    /// Time after which an entry turns away from a dispatcher that left it unanswered.
+    pub ask_timeout: Duration,
+    /// How long a dispatcher that left an entry unanswered is not asked for one slot.
+    pub silence_memory: Duration,
     /// Period of the probes of other routers.
     pub probe_period: Duration,
     /// Time after which an unanswered probe is repeated through other routers.
@@ -77,6 +81,8 @@
             first_cost: 100.0,
             progress_timeout: Duration::from_secs(5),
             first_timeout: Duration::from_secs(20),
+            ask_timeout: Duration::from_millis(25),
+            silence_memory: Duration::from_secs(2),
             probe_period: Duration::from_millis(1_000),
             probe_timeout: Duration::from_millis(350),
             lookup_timeout: Duration::from_secs(1),
--- a/crates/core/src/router/exchange.rs
+++ b/crates/core/src/router/exchange.rs
@@ -21,7 +21,23 @@
         self.ledger.close_period();
     }
 
+    /// Turns away from dispatchers that don't answer, as when a zone is cut off.
+    fn leave_silent(&mut self, now: Instant) {
+        let silent = self.entry.silent(now, &self.world.params);
+        if silent.is_empty() {
+            return;
+        }
+        let reaches = self.reaches();
+        let world = &self.world;
+        let memory = world.params.silence_memory;
+        for (service, router) in silent {
+            self.entry
+                .full(now, service, router, memory, |flow| reaches.of(world, flow));
+        }
+    }
+
     pub(super) fn flush(&mut self, now: Instant) {
+        self.leave_silent(now);
         if let Some(due) = self.entry.flush(now, &self.world.params, &mut self.out) {
             self.timers.insert((due, Timer::Flush));
         }
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -298,9 +298,10 @@
             Message::Full(service) => {
                 let reaches = self.reaches();
                 let world = &self.world;
-                self.entry.full(now, service, from, &world.params, |flow| {
-                    reaches.of(world, flow)
-                });
+                self.entry
+                    .full(now, service, from, world.params.full_memory, |flow| {
+                        reaches.of(world, flow)
+                    });
             }
             Message::Room(service) => self.entry.room(service, from),
             Message::Probe(probe) => self.on_probe(now, from, incarnation, &probe),
--- a/crates/load/src/experiment/faults/mod.rs
+++ b/crates/load/src/experiment/faults/mod.rs
@@ -172,6 +172,7 @@
     let broken = doubled + untrue + wrong + cut;
     let runs: usize = servers.iter().map(|s| s.runs.len()).sum();
     Outcome {
+        summary: String::new(),
         verdicts: vec![Verdict::at_most(&name, broken as f64, 0.0)],
         settings: json!({"rate_per_s": RATE, "phases": phases.len()}),
         figures: json!({"phases": phases, "runs": runs, "claims": cost, "audit": audit}),
