--- a/crates/load/src/experiment/utilisation.rs
+++ b/crates/load/src/experiment/utilisation.rs
@@ -35,5 +35,6 @@
         ],
         settings: contention::settings(measured),
         figures: json!(figures),
+        ..Outcome::default()
     })
 }
