Bound the gap of service across lost exchanges, idle time and cut zones

Cause: a lost exchange of counters was healed only a period later, a late answer could undo a newer one, and a zone that rejoined was made to pay for all that its part of the fleet had served: a gap of 12.4 s of the pool's service after a cut of 30 s.

Change: counters without an answer are sent again after a quarter period, answers are numbered, and one report adds four periods of a flow's fair service at most.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -28,7 +28,9 @@
     Flow, GrantId, GrantRef, Incarnation, Peer, RouterId, ServerId, ServiceId, WorkspaceId,
 };
 use crate::membership::Membership;
-use crate::message::{Charges, Demand, FlowDemand, FlowTotal, Grant, GrantEnd, Message, Release};
+use crate::message::{
+    Charges, Demand, FlowDemand, FlowTotal, Grant, GrantEnd, Message, Release, Totals,
+};
 use crate::outbox::Outbox;
 use crate::params::{Params, Policy};
 use crate::share::{Accounts, Tag};
@@ -93,6 +95,10 @@
     started: Instant,
     shares: BTreeMap<WorkspaceId, f64>,
     accounts: Accounts,
+    /// Counters that an account holder has not answered in this period.
+    unanswered: BTreeMap<RouterId, Vec<FlowTotal>>,
+    /// The latest answer of each account holder.
+    answers: BTreeMap<RouterId, (Incarnation, u64)>,
 }
 
 impl Dispatcher {
@@ -111,6 +117,8 @@
             lost: BTreeMap::new(),
             shares: BTreeMap::new(),
             accounts: Accounts::new(),
+            unanswered: BTreeMap::new(),
+            answers: BTreeMap::new(),
         }
     }
 
@@ -400,10 +408,21 @@
     }
 
     /// Takes in the service that others gave.
-    pub fn totals(&mut self, env: Surroundings<'_>, from: Peer, flows: &[FlowTotal]) {
-        for total in flows {
+    pub fn totals(&mut self, env: Surroundings<'_>, from: Peer, totals: &Totals) {
+        if env.members.get(from.router).is_none() {
+            return;
+        }
+        let number = (from.incarnation, totals.seq);
+        let latest = self.answers.get(&from.router);
+        if latest.is_some_and(|l| *l >= number) {
+            return;
+        }
+        self.answers.insert(from.router, number);
+        self.unanswered.remove(&from.router);
+        for total in &totals.flows {
             if env.members.account_holder(total.flow) == from.router {
-                self.accounts.set_others(total.flow, total.cost);
+                let share = env.share(total.flow.workspace);
+                self.accounts.set_others(total.flow, share, total.cost);
                 self.rerank(env, total.flow);
             }
         }
@@ -423,10 +442,8 @@
             let holder = env.members.account_holder(total.flow);
             by_holder.entry(holder).or_default().push(total);
         }
-        for (holder, flows) in by_holder {
-            let seq = self.accounts.next_seq();
-            out.send(holder, Message::Charges(Charges { seq, flows }));
-        }
+        self.unanswered = by_holder;
+        self.send_charges(out);
         self.expire_slots(env);
         self.ask_silent(env, out);
         let servers: Vec<_> = self.servers.keys().copied().collect();
@@ -436,6 +453,15 @@
         self.serve_all(env, out);
     }
 
+    /// Sends the counters that account holders have not answered.
+    pub fn send_charges(&mut self, out: &mut Outbox) {
+        for (holder, flows) in &self.unanswered {
+            let seq = self.accounts.next_seq();
+            let flows = flows.clone();
+            out.send(*holder, Message::Charges(Charges { seq, flows }));
+        }
+    }
+
     /// Drops demand that was not refreshed.
     fn drop_stale(&mut self, env: Surroundings<'_>) {
         let life = env.params.period * DEMAND_PERIODS;
--- a/crates/core/src/router/exchange.rs
+++ b/crates/core/src/router/exchange.rs
@@ -11,6 +11,8 @@
     pub(super) fn period(&mut self, now: Instant) {
         self.timers
             .insert((now + self.world.params.period, Timer::Period));
+        self.timers
+            .insert((now + self.world.params.period / 4, Timer::Exchange));
         let reaches = self.reaches();
         let world = &self.world;
         self.entry
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -66,6 +66,7 @@
     Period,
     Flush,
     Recover,
+    Exchange,
     Deadline(RequestKey),
     Silence(AttemptKey),
     Claim(TableOp),
@@ -279,7 +280,7 @@
                 self.dispatcher.release(env, peer, &release, &mut self.out);
             }
             Message::Usage(usage) => self.dispatcher.usage(env, peer, &usage, &mut self.out),
-            Message::Totals(totals) => self.dispatcher.totals(env, peer, &totals.flows),
+            Message::Totals(totals) => self.dispatcher.totals(env, peer, &totals),
             Message::Charges(charges) => self.on_charges(peer, &charges),
             Message::Grant(grant) => self.on_grant(now, peer, &grant),
             Message::Full(service) => {
@@ -315,6 +316,7 @@
             match timer {
                 Timer::Period => self.period(now),
                 Timer::Flush => {}
+                Timer::Exchange => self.dispatcher.send_charges(&mut self.out),
                 Timer::Recover => self.retry_recovery(now),
                 Timer::Deadline(key) => self.expire(key),
                 Timer::Silence(key) => self.check_silence(now, key),
--- a/crates/core/src/share/accounts.rs
+++ b/crates/core/src/share/accounts.rs
@@ -13,8 +13,10 @@
 const HINT_FACTOR: f64 = 10.0;
 /// Weight of the newest period in the running mean of a service's pace.
 const PACE_WEIGHT: f64 = 0.2;
-/// Periods' worth of a pool's whole service that one report may add to a flow.
-const JUMP_PERIODS: f64 = 2.0;
+/// Periods' worth of a flow's fair service that one report may add to it.
+const JUMP_PERIODS: f64 = 4.0;
+/// Requests of mean cost that one report may add to it besides.
+const JUMP_REQUESTS: f64 = 8.0;
 /// Weight of the newest period in a flow's rates.
 const RATE_WEIGHT: f64 = 0.1;
 /// Mean age of the service that others reported, in periods.
@@ -37,6 +39,14 @@
     idle: u32,
 }
 
+impl Account {
+    fn tag(&self, share: f64) -> Tag {
+        let expected = self.rates.expected(self.own);
+        let served = self.own + self.others.counted() + expected;
+        Tag(served / share + self.offset)
+    }
+}
+
 /// Service of one flow in one period, here and elsewhere.
 ///
 /// Dispatchers see the same flow behind and all serve it at once, each without
@@ -88,10 +98,10 @@
 #[derive(Debug, Default)]
 struct Pace {
     virtual_time: f64,
-    /// Service given in the current period, here and elsewhere.
-    served: f64,
-    /// Running mean of the service given in one period.
-    mean: Option<f64>,
+    /// Virtual time when the last period closed.
+    closed: f64,
+    /// Running mean of the virtual time that one period adds.
+    advance: Option<f64>,
 }
 
 /// The service counters of one dispatcher.
@@ -115,9 +125,7 @@
         let Some(account) = self.flows.get(&flow) else {
             return Tag(0.0);
         };
-        let expected = account.rates.expected(account.own);
-        let served = account.own + account.others.counted() + expected;
-        Tag(served / share + account.offset)
+        account.tag(share)
     }
 
     /// Returns the normalised service of `flow` at this dispatcher alone.
@@ -161,7 +169,6 @@
         if cost == 0.0 {
             return;
         }
-        self.paces.entry(flow.service).or_default().served += cost;
         let account = self.flows.entry(flow).or_default();
         account.own += cost;
         account.sends = SEND_PERIODS;
@@ -187,9 +194,10 @@
     /// Closes a period: updates the pace of every service and forgets idle flows.
     pub fn close_period(&mut self, active: impl Fn(Flow) -> bool) {
         for pace in self.paces.values_mut() {
-            let served = std::mem::take(&mut pace.served).max(0.0);
-            let mean = pace.mean.unwrap_or(served);
-            pace.mean = Some(mean + PACE_WEIGHT * (served - mean));
+            let added = pace.virtual_time - pace.closed;
+            let advance = pace.advance.unwrap_or(added);
+            pace.advance = Some(advance + PACE_WEIGHT * (added - advance));
+            pace.closed = pace.virtual_time;
         }
         self.flows.retain(|flow, account| {
             account.rates.close(account.own);
@@ -233,19 +241,21 @@
     /// Sets the service that others gave to `flow`, if the flow is known here.
     ///
     /// A flow that is not known starts at the virtual time anyway.
-    pub fn set_others(&mut self, flow: Flow, cost: f64) {
+    /// A part of the fleet that was cut off brings no debt beyond a few periods.
+    pub fn set_others(&mut self, flow: Flow, share: f64, cost: f64) {
         let Some(account) = self.flows.get_mut(&flow) else {
             return;
         };
         let pace = self.paces.entry(flow.service).or_default();
-        let most = pace
-            .mean
-            .map_or(f64::INFINITY, |m| m.max(pace.served) * JUMP_PERIODS);
+        let running = pace.virtual_time - pace.closed;
+        let most = pace.advance.map_or(f64::INFINITY, |mean| {
+            let fair = mean.max(running) * share;
+            fair * JUMP_PERIODS + account.mean.unwrap_or(0.0) * JUMP_REQUESTS
+        });
         let before = account.others.counted();
         account.others.report(cost, most);
         let added = account.others.counted() - before;
         account.rates.match_report(added);
-        pace.served += added;
     }
 
     /// Returns the service of each flow that this dispatcher gave.
--- a/crates/fuzzing/src/fleet/mod.rs
+++ b/crates/fuzzing/src/fleet/mod.rs
@@ -311,11 +311,14 @@
     }
 
     /// Tops the queue of a workspace at a node up to `depth` requests.
+    ///
+    /// Their hints are `hint` times their true cost.
     pub fn top_up(
         &mut self,
         node: usize,
         workspace: usize,
         depth: usize,
+        hint: Option<f64>,
         mut length: impl FnMut(&mut SmallRng) -> Duration,
     ) {
         if self.nodes[node].paused.is_some() || self.nodes[node].router.is_none() {
@@ -324,7 +327,8 @@
         while self.waiting(node, workspace) < depth {
             let length = length(&mut self.rng);
             let before = self.waiting(node, workspace) + self.running_at(node);
-            self.submit(node, workspace, length, None);
+            let hint = hint.map(|h| h * length.as_secs_f64() * 1_000.0);
+            self.submit(node, workspace, length, hint);
             if self.waiting(node, workspace) + self.running_at(node) <= before {
                 return;
             }
--- a/crates/fuzzing/tests/limits.rs
+++ b/crates/fuzzing/tests/limits.rs
@@ -55,7 +55,7 @@
     while fleet.now() < end {
         for node in 0..ROUTERS {
             for workspace in 0..2 {
-                fleet.top_up(node, workspace, DEPTH, |rng| {
+                fleet.top_up(node, workspace, DEPTH, None, |rng| {
                     Duration::from_millis(rng.random_range(20..900))
                 });
             }
