--- a/crates/core/src/membership/roles.rs
+++ b/crates/core/src/membership/roles.rs
@@ -76,7 +76,7 @@
     }
 
     /// Returns the present routers other than this one, in an order by `server`.
-    pub fn standbys(&self, server: ServerId) -> impl Iterator<Item = RouterId> {
+    pub fn standbys(&self, server: ServerId) -> impl Iterator<Item = RouterId> + use<> {
         let mut others: Vec<_> = self.present().filter(|r| *r != self.me()).collect();
         others.sort_by_key(|r| std::cmp::Reverse(weight(*r, KIND_SERVER, server.0, 0)));
         others.into_iter()
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -171,14 +171,14 @@
     Recover(Recover),
     /// Answer to [`Message::Recover`].
     Recovered(Recovered),
-    /// A probe of the membership, or its answer.
-    Probe(Probe),
-    /// Exchange of configuration.
-    Exchange(Exchange),
     /// A dispatcher tells a server's warmth to a router that may follow it.
     Standby(Standby),
     /// A dispatcher hands a server over to the next.
     Handover(Handover),
+    /// A probe of the membership, or its answer.
+    Probe(Probe),
+    /// Exchange of configuration.
+    Exchange(Exchange),
 }
 
 /// The warmth of a server, kept in case its dispatcher is lost.
@@ -263,10 +263,10 @@
             Self::Totals(_) => "totals",
             Self::Recover(_) => "recover",
             Self::Recovered(_) => "recovered",
-            Self::Probe(probe) => probe.kind(),
-            Self::Exchange(exchange) => exchange.kind(),
             Self::Standby(_) => "standby",
             Self::Handover(_) => "handover",
+            Self::Probe(probe) => probe.kind(),
+            Self::Exchange(exchange) => exchange.kind(),
         }
     }
 }
--- a/crates/core/src/router/attempts.rs
+++ b/crates/core/src/router/attempts.rs
@@ -4,6 +4,7 @@
 
 use crate::attempt::{Ended, Facts, Outcome, Running};
 use crate::claim::State;
+use crate::configuration::ServiceKind;
 use crate::effect::{Counter, Dispatch, Effect, Refusal};
 use crate::event::{Milestone, Repeat};
 use crate::ids::{AttemptKey, GrantRef, Peer, RequestKey, RouterId};
@@ -72,16 +73,30 @@
             _ => end,
         };
         self.grants.remove(&facts.grant);
+        let first_byte = facts.first_byte.filter(|_| self.is_prompt(facts.request));
         self.release(Release {
             grant: facts.grant,
             server: facts.server,
             end,
             cost: facts.cost,
-            first_byte: facts.first_byte,
+            first_byte,
         });
         Some(ended)
     }
 
+    /// Returns whether the first byte of a request's answer comes as soon as the
+    /// server starts on it.
+    ///
+    /// A model's answer that is not streamed comes whole at its end: its first
+    /// byte tells how long the answer was, nothing of the server.
+    fn is_prompt(&self, request: RequestKey) -> bool {
+        let Some(call) = self.requests.get(request).map(|r| &r.call) else {
+            return false;
+        };
+        let service = self.world.config.service(call.service);
+        call.resumable || service.is_some_and(|s| s.kind == ServiceKind::Plain)
+    }
+
     /// Ends an attempt; its request is finished, sent again or refused.
     pub(super) fn end_attempt(
         &mut self,
@@ -222,9 +237,9 @@
             self.out.count(Counter::Stale);
             return Err(GrantEnd::Unused);
         }
-        let server = self.world.config.server(grant.server);
-        let open = server.filter(|s| self.world.config.is_open(s));
-        let address = open.map(|s| s.address).ok_or(GrantEnd::Unused)?;
+        let config = &self.world.config;
+        let server = config.server(grant.server).filter(|s| config.is_open(s));
+        let address = server.map(|s| s.address).ok_or(GrantEnd::Unused)?;
         let key = self.take_request(now, from.router, grant);
         let key = key.ok_or(GrantEnd::Unused)?;
         let facts = Facts::new(key, reference, grant.server, address, now);
--- a/crates/core/src/router/config.rs
+++ b/crates/core/src/router/config.rs
@@ -1,6 +1,7 @@
 //! Objects put in force, exchanged with other routers, and roles assigned anew.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Instant;
 
 use crate::configuration::exchange::{
@@ -9,23 +10,12 @@
 use crate::configuration::{Object, ObjectId, Version};
 use crate::effect::Level;
 use crate::entry::reach::Reach;
-use crate::ids::{Flow, RouterId, ServiceId};
+use crate::ids::{Flow, RouterId, ServerId, ServiceId};
 use crate::message::Message;
 
 use super::{Router, World};
 
 impl Router {
-    /// Returns the routers that hand out slots of `service`.
-    pub(super) fn dispatchers(&self, service: ServiceId) -> Vec<RouterId> {
-        let mut routers = BTreeSet::new();
-        for (id, server) in self.world.config.servers() {
-            if server.service == service && self.world.config.is_open(server) {
-                routers.extend(self.world.members.dispatcher(id, server));
-            }
-        }
-        routers.into_iter().collect()
-    }
-
     /// Takes in what the table holds, read whole.
     pub(super) fn objects(&mut self, now: Instant, objects: Vec<(Version, Object)>) {
         let first = !self.sync.is_ready();
@@ -197,9 +187,10 @@
     }
 
     pub(super) fn reassign(&mut self, now: Instant) {
+        let reaches = Rc::new(Reaches::new(&self.world));
+        self.reaches = Rc::clone(&reaches);
         let env = self.world.at(now);
         self.dispatcher.reassign(env, &mut self.out);
-        let reaches = self.reaches();
         let world = &self.world;
         self.entry.reassign(now, |flow| reaches.of(world, flow));
         self.obedience
@@ -207,36 +198,44 @@
         self.ledger
             .retain(|flow| world.members.account_holder(flow) == world.members.me());
     }
-
-    /// Returns the dispatchers of every service, and the sum of all shares.
-    pub(super) fn reaches(&self) -> Reaches {
-        let config = &self.world.config;
-        let services = config.services().map(|(id, _)| id);
-        Reaches {
-            dispatchers: services.map(|s| (s, self.dispatchers(s))).collect(),
-            shares: config.workspaces().map(|(_, w)| w.share).sum(),
-        }
-    }
-
-    /// Returns the dispatchers of a flow and its portion of the capacity.
-    pub(super) fn reach(&self, flow: Flow) -> Reach {
-        let config = &self.world.config;
-        let shares: f64 = config.workspaces().map(|(_, w)| w.share).sum();
-        Reach {
-            dispatchers: self.dispatchers(flow.service),
-            portion: portion(&self.world, flow, shares),
-        }
-    }
 }
 
-/// The dispatchers of every service.
-#[derive(Debug)]
+/// Who dispatches what in the present view.
+#[derive(Debug, Default)]
 pub(super) struct Reaches {
     dispatchers: BTreeMap<ServiceId, Vec<RouterId>>,
+    named: BTreeMap<ServerId, RouterId>,
     shares: f64,
 }
 
 impl Reaches {
+    fn new(world: &World) -> Self {
+        let config = &world.config;
+        let mut open: BTreeMap<ServiceId, BTreeSet<RouterId>> = BTreeMap::new();
+        let mut named = BTreeMap::new();
+        for (id, server) in config.servers() {
+            let Some(router) = world.members.dispatcher(id, server) else {
+                continue;
+            };
+            named.insert(id, router);
+            if config.is_open(server) {
+                open.entry(server.service).or_default().insert(router);
+            }
+        }
+        let open = open.into_iter();
+        Self {
+            dispatchers: open.map(|(s, r)| (s, r.into_iter().collect())).collect(),
+            named,
+            shares: config.workspaces().map(|(_, w)| w.share).sum(),
+        }
+    }
+
+    /// Returns the dispatcher of a server.
+    pub(super) fn named(&self, server: ServerId) -> Option<RouterId> {
+        self.named.get(&server).copied()
+    }
+
+    /// Returns the dispatchers of a flow and its portion of the capacity.
     pub(super) fn of(&self, world: &World, flow: Flow) -> Reach {
         let dispatchers = self.dispatchers.get(&flow.service);
         Reach {
--- a/crates/core/src/router/exchange.rs
+++ b/crates/core/src/router/exchange.rs
@@ -1,5 +1,6 @@
 //! The periodic exchange with other routers.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use crate::ids::{Flow, Peer};
@@ -11,7 +12,9 @@
     pub(super) fn period(&mut self, now: Instant) {
         self.timers
             .insert((now + self.world.params.period, Timer::Period));
-        let reaches = self.reaches();
+        self.timers
+            .insert((now + self.world.params.period / 4, Timer::Charges));
+        let reaches = Rc::clone(&self.reaches);
         let world = &self.world;
         self.entry
             .period(now, &world.params, |flow| reaches.of(world, flow));
@@ -27,7 +30,7 @@
         if silent.is_empty() {
             return;
         }
-        let reaches = self.reaches();
+        let reaches = Rc::clone(&self.reaches);
         let world = &self.world;
         let memory = world.params.silence_memory;
         for (service, router) in silent {
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -11,6 +11,7 @@
 mod stop;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use std::time::Instant;
 
 use slotmap::SlotMap;
@@ -35,6 +36,7 @@
 use crate::share::Ledger;
 use membership::Swim;
 
+use config::Reaches;
 use slots::Obedience;
 
 /// How far the execution claim of a request has come.
@@ -69,6 +71,7 @@
     Period,
     Flush,
     Recover,
+    Charges,
     Deadline(RequestKey),
     Silence(AttemptKey),
     Probe,
@@ -109,6 +112,7 @@
     obedience: Obedience,
     recovery_due: bool,
     view: u64,
+    reaches: Rc<Reaches>,
     last: Instant,
     entry: Entry,
     dispatcher: Dispatcher,
@@ -157,6 +161,7 @@
             obedience: Obedience::default(),
             recovery_due: false,
             view: 0,
+            reaches: Rc::default(),
             last: now,
             entry: Entry::new(now, incarnation),
             dispatcher: Dispatcher::new(peer, now),
@@ -262,13 +267,13 @@
                 message,
             } => self.on_message(now, from, incarnation, message),
             Event::Objects(objects) => self.objects(now, objects),
-            Event::Changes(objects) => self.changes(now, objects),
-            Event::Join(address) => self.join(now, address),
-            Event::Hosts(hosts) => self.hosts(now, &hosts),
             Event::Load(server, report) => {
                 let env = self.world.at(now);
                 self.dispatcher.load(env, server, report, &mut self.out);
             }
+            Event::Changes(objects) => self.changes(now, objects),
+            Event::Join(address) => self.join(now, address),
+            Event::Hosts(hosts) => self.hosts(now, &hosts),
             Event::Tick => self.tick(now),
             Event::Drain { patience } => self.drain(now, patience),
         }
@@ -292,11 +297,11 @@
                 self.dispatcher.release(env, peer, &release, &mut self.out);
             }
             Message::Usage(usage) => self.dispatcher.usage(env, peer, &usage, &mut self.out),
-            Message::Totals(totals) => self.dispatcher.totals(env, peer, &totals.flows),
+            Message::Totals(totals) => self.dispatcher.totals(env, peer, &totals),
             Message::Charges(charges) => self.on_charges(peer, &charges),
             Message::Grant(grant) => self.on_grant(now, peer, &grant),
             Message::Full(service) => {
-                let reaches = self.reaches();
+                let reaches = Rc::clone(&self.reaches);
                 let world = &self.world;
                 self.entry
                     .full(now, service, from, world.params.full_memory, |flow| {
@@ -304,8 +309,6 @@
                     });
             }
             Message::Room(service) => self.entry.room(service, from),
-            Message::Probe(probe) => self.on_probe(now, from, incarnation, &probe),
-            Message::Exchange(exchange) => self.on_exchange(now, from, exchange),
             Message::Recover(recover) => self.on_recover(now, peer, recover),
             Message::Recovered(answer) => {
                 self.dispatcher.recovered(env, peer, &answer, &mut self.out);
@@ -319,6 +322,8 @@
                 self.dispatcher
                     .handover(env, peer, &handover, &mut self.out);
             }
+            Message::Probe(probe) => self.on_probe(now, from, incarnation, &probe),
+            Message::Exchange(exchange) => self.on_exchange(now, from, exchange),
         }
     }
 
@@ -331,9 +336,10 @@
             match timer {
                 Timer::Period => self.period(now),
                 Timer::Flush => {}
+                Timer::Charges => self.dispatcher.send_charges(&mut self.out),
+                Timer::Recover => self.retry_recovery(now),
                 Timer::Probe => self.probe_tick(now),
                 Timer::Probation => self.end_probation(now),
-                Timer::Recover => self.retry_recovery(now),
                 Timer::Deadline(key) => self.expire(key),
                 Timer::Silence(key) => self.check_silence(now, key),
                 Timer::Claim(op) => self.claim_resume(now, op),
--- a/crates/core/src/router/slots.rs
+++ b/crates/core/src/router/slots.rs
@@ -67,8 +67,7 @@
 impl Router {
     /// Returns the dispatcher of a server in this router's view.
     pub(super) fn named(&self, server: ServerId) -> Option<RouterId> {
-        let object = self.world.config.server(server)?;
-        self.world.members.dispatcher(server, object)
+        self.reaches.named(server)
     }
 
     /// Answers a dispatcher that takes a server over.
--- a/crates/load/src/experiment/cold.rs
+++ b/crates/load/src/experiment/cold.rs
@@ -69,6 +69,7 @@
     Ok(Outcome {
         verdicts: vec![Verdict::at_most("cold", above, ABOVE)],
         settings: json!({ "starts": STARTS, "down_s": DOWN.as_secs_f64() }),
+        summary: String::new(),
         figures: json!(figures),
     })
 }
--- a/crates/load/src/experiment/control.rs
+++ b/crates/load/src/experiment/control.rs
@@ -154,6 +154,7 @@
             "one_backlogged_of": BACKLOGGED, "outstanding": OUTSTANDING,
             "measured_s": measured.as_secs_f64(),
         }),
+        summary: String::new(),
         figures: json!(figures),
     })
 }
--- a/crates/load/src/experiment/path.rs
+++ b/crates/load/src/experiment/path.rs
@@ -84,6 +84,7 @@
         Ok(Outcome {
             verdicts: verdicts(&plain, &stream, &throughput, &streams),
             settings: json!({"rate_per_s": RATE, "senders": SENDERS, "streams": STREAMS}),
+            summary: String::new(),
             figures: json!({
                 "plain": plain,
                 "stream": stream,
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -15,7 +15,7 @@
     pub to: u32,
     #[prost(
         oneof = "envelope::Body",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 30, 31, 32, 33, 34, 35, 36, 37, 20, 21"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 30, 31, 32, 33, 34, 35, 36, 37"
     )]
     pub body: ::core::option::Option<envelope::Body>,
 }
@@ -43,6 +43,10 @@
         Recover(super::Recover),
         #[prost(message, tag = "19")]
         Recovered(super::Recovered),
+        #[prost(message, tag = "20")]
+        Handover(super::Handover),
+        #[prost(message, tag = "21")]
+        Standby(super::Standby),
         /// A probe of the membership.
         #[prost(message, tag = "30")]
         Ping(super::Probe),
@@ -62,10 +66,6 @@
         Pull(super::Pull),
         #[prost(message, tag = "37")]
         Objects(super::Objects),
-        #[prost(message, tag = "20")]
-        Handover(super::Handover),
-        #[prost(message, tag = "21")]
-        Standby(super::Standby),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
