Leave servers that do not answer alone for a while

Cause: a server that is gone ends its requests faster than any other, draws ever more of them and uses up the retry budgets. Change: health.rs, kept by the server's dispatcher: after three failures in a row without a first byte a server gets nothing, after a pause one request. The first byte is reported before an answer is known to be crossed, and no longer for a failed status. The fuzzer's test claim_not_run_is_given_back lets time pass between its four attempts, as the fourth now comes after the pause; what it checks is unchanged.

--- a/crates/core/src/dispatch/managed.rs
+++ b/crates/core/src/dispatch/managed.rs
@@ -4,8 +4,9 @@
 use std::time::Instant;
 
 use crate::configuration::Server;
+use crate::health::Health;
 use crate::ids::{Incarnation, RouterId, ServiceId, Term};
-use crate::message::Warmth;
+use crate::message::{GrantEnd, Release, Warmth};
 use crate::server::Limit;
 
 /// Whether the dispatcher knows every slot in use at the server.
@@ -29,6 +30,8 @@
 pub(super) struct Managed {
     pub service: ServiceId,
     pub limit: Limit,
+    /// Whether it answers at all.
+    pub health: Health,
     pub phase: Phase,
     pub term: Term,
     /// Entries that have promised to obey this take-over.
@@ -56,6 +59,7 @@
         Self {
             service: server.service,
             limit: Limit::new(server.cold_limit, server.max_limit),
+            health: Health::new(),
             phase: Phase::Recovering {
                 since: now,
                 warmth: None,
@@ -79,13 +83,24 @@
         if !self.open || self.is_recovering() {
             return 0;
         }
-        self.limit.get().saturating_sub(self.used + self.presumed)
+        let limit = self.health.cap(self.limit.get());
+        limit.saturating_sub(self.used + self.presumed)
     }
 
     pub fn is_recovering(&self) -> bool {
         matches!(self.phase, Phase::Recovering { .. })
     }
 
+    /// Takes in the end of a request.
+    pub fn observe(&mut self, now: Instant, release: &Release) {
+        self.limit.observe(release.end, release.first_byte);
+        match (release.end, release.first_byte) {
+            (GrantEnd::Done, _) | (_, Some(_)) => self.health.answer(),
+            (GrantEnd::Failed, None) => self.health.fail(now),
+            _ => {}
+        }
+    }
+
     /// Begins a new take-over; what is known of slots is kept.
     pub fn restart(&mut self, term: Term, now: Instant) {
         self.phase = Phase::Recovering {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -370,7 +370,7 @@
                 GrantEnd::Cancelled | GrantEnd::Overload | GrantEnd::Failed => {}
             }
             if let Some(managed) = self.servers.get_mut(&slot.server) {
-                managed.limit.observe(release.end, release.first_byte);
+                managed.observe(env.now, release);
             }
             self.relist(slot.server);
             if let (GrantEnd::Fenced, Some(term)) = (release.end, slot.term) {
@@ -431,11 +431,20 @@
         self.ask_silent(env, out);
         let servers: Vec<_> = self.servers.keys().copied().collect();
         for server in servers {
+            self.try_again(env, server);
             self.tell_standbys(env, server, out);
         }
         self.serve_all(env, out);
     }
 
+    /// Tries a server that failed, once it has been left alone for long enough.
+    fn try_again(&mut self, env: Surroundings<'_>, server: ServerId) {
+        let managed = self.servers.get_mut(&server);
+        if managed.is_some_and(|m| m.health.tick(env.now)) {
+            self.relist(server);
+        }
+    }
+
     /// Drops demand that was not refreshed.
     fn drop_stale(&mut self, env: Surroundings<'_>) {
         let life = env.params.period * DEMAND_PERIODS;
--- a/crates/core/src/dispatch/report.rs
+++ b/crates/core/src/dispatch/report.rs
@@ -153,6 +153,9 @@
             return;
         };
         let restarted = managed.limit.observe_incarnation(report.incarnation);
+        if restarted {
+            managed.health.answer();
+        }
         let settled = |since: Instant| env.now.duration_since(since) > env.params.report_lag;
         let orphans = self
             .slots
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`server`]: the concurrency limit of one server and its warm-up;
 //! * [`attempt`]: what became of a request sent to a server;
 //! * [`claim`]: at most one run for each idempotency key;
+//! * [`health`]: whether a server answers at all;
 //! * [`retry`]: how many retries a workspace may cause;
 //! * [`configuration`]: the versioned objects in force;
 //! * [`membership`]: which routers are alive, and which role each one has.
@@ -25,6 +26,7 @@
 pub mod effect;
 pub mod entry;
 pub mod event;
+pub mod health;
 pub mod ids;
 pub mod membership;
 pub mod message;
--- a/crates/fuzzing/tests/claims.rs
+++ b/crates/fuzzing/tests/claims.rs
@@ -85,6 +85,8 @@
     let mut world = play(&[keyed(0), table(TableFate::Answered)]);
     for _ in 0..4 {
         world.step(&server(Fate::NoConnection));
+        // A server that fails in a row is left alone for a while.
+        world.step(&Step::Wait { ms: 2_000 });
     }
     world.step(&table(TableFate::Answered));
     let row = world.table().row("key-0").expect("the key was claimed");
--- a/crates/router/src/upstream/mod.rs
+++ b/crates/router/src/upstream/mod.rs
@@ -76,18 +76,20 @@
         let headers = answered.answer.headers();
         let status = answered.answer.status();
         if !echoes(headers, &self.state.request.request) || !has_end(&answered.answer) {
+            // It is not the answer asked for, but the server does answer.
+            self.report(Milestone::FirstByte);
             return Err(Milestone::Mismatch);
         }
         if status == StatusCode::SERVICE_UNAVAILABLE && headers.contains_key(NOT_ADMITTED) {
             return Err(Milestone::Refused);
         }
-        self.report(Milestone::FirstByte);
         if status.is_server_error() {
             return Err(Milestone::Done {
                 cost: self.state.request.prompt_weight,
                 status: status.as_u16(),
             });
         }
+        self.report(Milestone::FirstByte);
         if self.state.request.stream && status.is_success() {
             return stream::pass_on(self, answered).await;
         }
