--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`health`]: whether a server answers at all;
 //! * [`retry`]: how many retries a workspace may cause;
 //! * [`configuration`]: the versioned objects in force;
+//! * [`ticket`]: which change tickets are accepted;
 //! * [`membership`]: which routers are alive, and which role each one has.
 
 pub mod attempt;
@@ -36,6 +37,7 @@
 pub mod router;
 pub mod server;
 pub mod share;
+pub mod ticket;
 
 pub use clock::{Clock, ManualClock, SystemClock};
 pub use effect::Effect;
--- /dev/null
+++ b/crates/core/src/membership/roles.rs
@@ -0,0 +1,107 @@
+//! Roles: which router does what, by rendezvous hashing over the view.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Member, MemberState, Membership};
+use crate::configuration::Server;
+use crate::ids::{Flow, RouterId, ServerId, ZoneId};
+
+const KIND_SERVER: u8 = 1;
+const KIND_FLOW: u8 = 2;
+const KIND_PUSH: u8 = 3;
+
+/// Rendezvous weight of `router` for an item.
+fn weight(router: RouterId, kind: u8, a: u32, b: u32) -> u64 {
+    let mut bytes = [0; 13];
+    bytes[0] = kind;
+    bytes[1..5].copy_from_slice(&router.0.to_le_bytes());
+    bytes[5..9].copy_from_slice(&a.to_le_bytes());
+    bytes[9..13].copy_from_slice(&b.to_le_bytes());
+    xxh3_64(&bytes)
+}
+
+/// How well a router is fit for roles; better ones come first.
+#[hibiscusrail_macros::id]
+enum Fitness {
+    /// It answers, or is merely suspected.
+    Fit,
+    /// It vanished too often lately.
+    Flapping,
+    /// It stops gracefully, or the platform is about to take its host.
+    Leaving,
+}
+
+impl Membership {
+    fn fitness(&self, router: RouterId, member: &Member) -> Option<Fitness> {
+        match member.state {
+            MemberState::Dead => None,
+            MemberState::Leaving => Some(Fitness::Leaving),
+            _ if self.listed_leaving(router) => Some(Fitness::Leaving),
+            MemberState::Probation => Some(Fitness::Flapping),
+            MemberState::Alive | MemberState::Suspect => Some(Fitness::Fit),
+        }
+    }
+
+    /// Returns the fittest routers, of one zone or of all.
+    ///
+    /// Roles stay with a router that flaps or leaves only where no better one is.
+    fn candidates(&self, zone: Option<ZoneId>) -> Vec<RouterId> {
+        let fitness: Vec<(Fitness, RouterId)> = self
+            .members()
+            .filter(|(_, m)| zone.is_none_or(|z| m.zone == z))
+            .filter_map(|(id, m)| Some((self.fitness(id, m)?, id)))
+            .collect();
+        let best = fitness.iter().map(|(f, _)| *f).min();
+        fitness
+            .into_iter()
+            .filter(|(f, _)| Some(*f) == best)
+            .map(|(_, id)| id)
+            .collect()
+    }
+
+    /// Returns the router that hands out the slots of `server`, if there is any.
+    ///
+    /// It is a router of the server's own zone. A router of another zone takes
+    /// over only once the platform's host list names no live host in the zone:
+    /// a zone that is merely cut off may still be serving itself.
+    #[must_use]
+    pub fn dispatcher(&self, id: ServerId, server: &Server) -> Option<RouterId> {
+        let mut candidates = self.candidates(Some(server.zone));
+        if candidates.is_empty() && self.zone_gone(server.zone) {
+            candidates = self.candidates(None);
+        }
+        candidates
+            .into_iter()
+            .max_by_key(|r| weight(*r, KIND_SERVER, id.0, 0))
+    }
+
+    /// Returns the present routers other than this one, in an order by `server`.
+    pub fn standbys(&self, server: ServerId) -> impl Iterator<Item = RouterId> {
+        let mut others: Vec<_> = self.present().filter(|r| *r != self.me()).collect();
+        others.sort_by_key(|r| std::cmp::Reverse(weight(*r, KIND_SERVER, server.0, 0)));
+        others.into_iter()
+    }
+
+    /// Returns the router that sums the service of `flow`.
+    #[must_use]
+    pub fn account_holder(&self, flow: Flow) -> RouterId {
+        self.candidates(None)
+            .into_iter()
+            .max_by_key(|r| weight(*r, KIND_FLOW, flow.service.0, flow.workspace.0))
+            .unwrap_or(self.me())
+    }
+
+    /// Returns `count` members that are told of a change first, different for each change.
+    #[must_use]
+    pub fn push_targets(&self, change: u64, but: Option<RouterId>, count: usize) -> Vec<RouterId> {
+        let [a, b, c, d, ..] = change.to_le_bytes();
+        let change = u32::from_le_bytes([a, b, c, d]);
+        let mut routers: Vec<_> = self
+            .present()
+            .filter(|r| *r != self.me() && Some(*r) != but)
+            .collect();
+        routers.sort_by_key(|r| weight(*r, KIND_PUSH, change, self.me().0));
+        routers.truncate(count);
+        routers
+    }
+}
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -7,7 +7,9 @@
 
 use hibiscusrail_macros::{id, record, value};
 
+use crate::configuration::exchange::Exchange;
 use crate::ids::{Flow, GrantId, GrantRef, Peer, RouterId, ServerId, ServiceId, Term};
+use crate::membership::update::Probe;
 
 /// Waiting requests of one flow at the sending entry.
 #[value]
@@ -169,6 +171,10 @@
     Recover(Recover),
     /// Answer to [`Message::Recover`].
     Recovered(Recovered),
+    /// A probe of the membership, or its answer.
+    Probe(Probe),
+    /// Exchange of configuration.
+    Exchange(Exchange),
     /// A dispatcher tells a server's warmth to a router that may follow it.
     Standby(Standby),
     /// A dispatcher hands a server over to the next.
@@ -257,6 +263,8 @@
             Self::Totals(_) => "totals",
             Self::Recover(_) => "recover",
             Self::Recovered(_) => "recovered",
+            Self::Probe(probe) => probe.kind(),
+            Self::Exchange(exchange) => exchange.kind(),
             Self::Standby(_) => "standby",
             Self::Handover(_) => "handover",
         }
--- a/crates/core/src/router/attempts.rs
+++ b/crates/core/src/router/attempts.rs
@@ -223,7 +223,8 @@
             return Err(GrantEnd::Unused);
         }
         let server = self.world.config.server(grant.server);
-        let address = server.map(|s| s.address).ok_or(GrantEnd::Unused)?;
+        let open = server.filter(|s| self.world.config.is_open(s));
+        let address = open.map(|s| s.address).ok_or(GrantEnd::Unused)?;
         let key = self.take_request(now, from.router, grant);
         let key = key.ok_or(GrantEnd::Unused)?;
         let facts = Facts::new(key, reference, grant.server, address, now);
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod config;
 mod exchange;
+mod membership;
 mod silence;
 mod slots;
 mod stop;
@@ -16,7 +17,8 @@
 
 use crate::attempt::{History, Running};
 use crate::claim::{Claims, Lease, Stored};
-use crate::configuration::{Configuration, Version};
+use crate::configuration::Configuration;
+use crate::configuration::exchange::{Sync, Waiting};
 use crate::dispatch::{Dispatcher, Surroundings};
 use crate::effect::{Effect, Refusal};
 use crate::entry::Entry;
@@ -31,6 +33,7 @@
 use crate::params::Params;
 use crate::retry::Budgets;
 use crate::share::Ledger;
+use membership::Swim;
 
 use slots::Obedience;
 
@@ -68,6 +71,8 @@
     Recover,
     Deadline(RequestKey),
     Silence(AttemptKey),
+    Probe,
+    Probation,
     Claim(TableOp),
     Queue,
 }
@@ -111,6 +116,9 @@
     totals_seq: u64,
     timers: BTreeSet<(Instant, Timer)>,
     draining: Option<Instant>,
+    swim: Swim,
+    sync: Sync,
+    waited: Option<Waiting>,
     drained: bool,
     claims: Claims,
     budgets: Budgets,
@@ -156,6 +164,9 @@
             totals_seq: 0,
             timers: BTreeSet::from([(first, Timer::Period)]),
             draining: None,
+            swim: Swim::default(),
+            sync: Sync::new(),
+            waited: Some(Waiting::NoSource),
             drained: false,
             claims: Claims::new(),
             budgets,
@@ -199,7 +210,7 @@
         if self.draining.is_some() {
             return Err(Refusal::Stopping);
         }
-        if self.world.config.head() == Version(0) {
+        if !self.sync.is_ready() {
             return Err(Refusal::NotReady);
         }
         Ok(())
@@ -251,11 +262,13 @@
                 message,
             } => self.on_message(now, from, incarnation, message),
             Event::Objects(objects) => self.objects(now, objects),
+            Event::Changes(objects) => self.changes(now, objects),
+            Event::Join(address) => self.join(now, address),
+            Event::Hosts(hosts) => self.hosts(now, &hosts),
             Event::Load(server, report) => {
                 let env = self.world.at(now);
                 self.dispatcher.load(env, server, report, &mut self.out);
             }
-            Event::Hosts(_) => {}
             Event::Tick => self.tick(now),
             Event::Drain { patience } => self.drain(now, patience),
         }
@@ -290,6 +303,8 @@
                 });
             }
             Message::Room(service) => self.entry.room(service, from),
+            Message::Probe(probe) => self.on_probe(now, from, incarnation, &probe),
+            Message::Exchange(exchange) => self.on_exchange(now, from, exchange),
             Message::Recover(recover) => self.on_recover(now, peer, recover),
             Message::Recovered(answer) => {
                 self.dispatcher.recovered(env, peer, &answer, &mut self.out);
@@ -315,6 +330,8 @@
             match timer {
                 Timer::Period => self.period(now),
                 Timer::Flush => {}
+                Timer::Probe => self.probe_tick(now),
+                Timer::Probation => self.end_probation(now),
                 Timer::Recover => self.retry_recovery(now),
                 Timer::Deadline(key) => self.expire(key),
                 Timer::Silence(key) => self.check_silence(now, key),
--- a/crates/core/src/router/stop.rs
+++ b/crates/core/src/router/stop.rs
@@ -25,6 +25,7 @@
             return;
         }
         self.draining = Some(now + patience);
+        self.leave(now);
         self.claims.stop();
         self.timers.insert((now + patience / 2, Timer::Queue));
         self.timers.insert((now + patience, Timer::Flush));
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -1,7 +1,11 @@
 //! Conversion between the reducer's messages and the generated types.
 
+mod configuration;
+mod membership;
+
 use std::time::Duration;
 
+use hibiscusrail_core::configuration::exchange::Exchange;
 use hibiscusrail_core::message::{
     Charges, Demand, FlowDemand, FlowTotal, Grant, GrantEnd, HandedSlot, Handover, Held, Recover,
     Recovered, Release, Standby, Totals, Usage, Warmth,
@@ -76,6 +80,8 @@
             seq: m.seq,
             flows: m.flows.iter().map(total_out).collect(),
         }),
+        Message::Probe(probe) => membership::probe_out(probe),
+        Message::Exchange(exchange) => configuration::exchange_out(exchange),
         Message::Recover(m) => Body::Recover(pb::Recover {
             server: m.server.0,
             term: m.term.0,
@@ -108,6 +114,14 @@
             seq: m.seq,
             flows: all(&m.flows, total_in)?,
         }),
+        Body::Ping(m) => Message::Probe(membership::ping_in(&m)?),
+        Body::Ack(m) => Message::Probe(membership::ack_in(&m)?),
+        Body::PingRequest(m) => Message::Probe(membership::request_in(&m)?),
+        Body::Compare(m) => Message::Exchange(configuration::compare_in(m)?),
+        Body::Same(_) => Message::Exchange(Exchange::Same),
+        Body::Versions(m) => Message::Exchange(configuration::versions_in(&m)?),
+        Body::Pull(m) => Message::Exchange(configuration::pull_in(&m)?),
+        Body::Objects(m) => Message::Exchange(configuration::objects_in(m)?),
         Body::Recover(m) => Message::Recover(Recover {
             server: ServerId(m.server),
             term: Term(m.term),
@@ -122,7 +136,7 @@
 }
 
 /// Converts every item; none when one fails.
-fn all<A, B>(items: &[A], convert: impl Fn(&A) -> Option<B>) -> Option<Vec<B>> {
+pub(super) fn all<A, B>(items: &[A], convert: impl Fn(&A) -> Option<B>) -> Option<Vec<B>> {
     items.iter().map(convert).collect()
 }
 
@@ -135,7 +149,7 @@
 }
 
 /// Accepts finite costs only.
-fn cost_in(cost: f64) -> Option<f64> {
+pub(super) fn cost_in(cost: f64) -> Option<f64> {
     cost.is_finite().then_some(cost)
 }
 
