--- a/crates/router/src/platform/mod.rs
+++ b/crates/router/src/platform/mod.rs
@@ -1,8 +1,9 @@
 //! Calls of the platform.
 //!
-//! [`call`] sends one question; [`poll`] follows the configuration and the
+//! [`call`] sends one question; [`audit`] adds rows to the audit trail; [`poll`] follows the configuration and the
 //! host list within the budget that [`pacer`] hands out.
 
+pub mod audit;
 pub mod pacer;
 pub mod poll;
 
--- a/crates/router/src/platform/pacer.rs
+++ b/crates/router/src/platform/pacer.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// Least time between two calls: the budget of one router.
-const CALL_INTERVAL: Duration = Duration::from_millis(200);
+const CALL_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest pause between two rounds after failures.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 /// Jitter of a pause, as a fraction of it either way.
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -14,13 +14,19 @@
 use hibiscusrail_core::{Event, Router};
 use hibiscusrail_macros::id;
 use hibiscusrail_net::Connections;
+use hibiscusrail_platform::audit::Outcome;
 
+use crate::platform::audit;
 use crate::shell::Shell;
 use crate::signals::Signals;
 
 /// Pause between two looks at connections that are still writing.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
 
+/// Author of a stop in the audit trail.
+const BY_SIGNAL: &str = "signal";
+const BY_OPERATOR: &str = "operator";
+
 /// How the daemon stopped.
 #[id]
 pub enum Stopped {
@@ -41,16 +47,20 @@
     signals: &mut Signals,
     asked: &mut mpsc::UnboundedReceiver<Duration>,
 ) -> io::Result<Stopped> {
-    let patience = futures_util::select! {
+    let (author, patience) = futures_util::select! {
         signal = signals.next().fuse() => {
             signal?;
-            shell.settings().drain
+            (BY_SIGNAL, shell.settings().drain)
+        }
+        patience = asked.next() => {
+            (BY_OPERATOR, patience.unwrap_or(shell.settings().drain))
         }
-        patience = asked.next() => patience.unwrap_or(shell.settings().drain),
     };
     let running = shell.with_router(Router::running);
     let patience_ms = u64::try_from(patience.as_millis()).unwrap_or(u64::MAX);
     log::info!(running = running, patience_ms = patience_ms; "drain_started");
+    let started = audit::drain(Rc::clone(shell), author, Outcome::Started);
+    compio::runtime::spawn(started).detach();
     let until = Instant::now() + patience;
     let cut = futures_util::select! {
         cut = drain(shell, connections, until).fuse() => cut,
@@ -60,6 +70,12 @@
         }
     };
     log::info!(cut = cut; "stopped");
+    let outcome = if cut == 0 {
+        Outcome::Done
+    } else {
+        Outcome::Cut
+    };
+    audit::drain(Rc::clone(shell), author, outcome).await;
     Ok(if cut == 0 {
         Stopped::Whole
     } else {
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -18,7 +18,7 @@
 /// Bytes of the MAC that are sent.
 const MAC_LEN: usize = 16;
 /// Bytes before the envelope.
-const HEADER_LEN: usize = 1 + MAC_LEN;
+pub const HEADER_LEN: usize = 1 + MAC_LEN;
 /// Datagrams older than this many behind the newest are dropped as replays.
 const WINDOW: u64 = 64;
 
--- a/tests/all/tickets.rs
+++ b/tests/all/tickets.rs
@@ -174,3 +174,22 @@
         assert_eq!(read(filter).await, [(5, accepted)]);
     });
 }
+
+#[test]
+fn audit_names_drains() {
+    run(async {
+        let stage = Stage::new().await;
+        let shell = std::rc::Rc::clone(&stage.routers[0]);
+        let object = format!("router/{}", shell.settings().name);
+        hibiscusrail_router::platform::audit::drain(shell, "operator", Outcome::Started).await;
+        let filter = Filter {
+            object: Some(object),
+            ..Filter::default()
+        };
+        let rows = audit::read(&table(&stage), &filter, 100).await;
+        let rows = rows.expect("the table answers");
+        assert_eq!(rows.len(), 1);
+        assert_eq!(rows[0].author, "operator");
+        assert_eq!(rows[0].outcome, Outcome::Started);
+    });
+}
