Start the servers of a returned zone at their cold limit

Cause: a server that was taken out and brought back kept the limit it had before, though it may have turned cold meanwhile.

--- a/crates/core/src/dispatch/takeover.rs
+++ b/crates/core/src/dispatch/takeover.rs
@@ -42,7 +42,12 @@
             }
             if let Some(managed) = self.servers.get_mut(&id) {
                 managed.limit.configure(server.cold_limit, server.max_limit);
-                managed.open = env.config.is_open(server);
+                let open = env.config.is_open(server);
+                if open && !managed.open {
+                    // What it bore before it was taken out says nothing now.
+                    managed.limit.reset();
+                }
+                managed.open = open;
             }
             self.relist(id);
         }
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -50,6 +50,8 @@
         first_cost,
         progress_timeout,
         first_timeout,
+        ask_timeout,
+        silence_memory,
         probe_period,
         probe_timeout,
         lookup_timeout,
--- a/tests/all/zones.rs
+++ b/tests/all/zones.rs
@@ -1,5 +1,6 @@
 //! Zones that are taken out, brought back, and cut off from the platform.
 
+use hibiscusrail_core::ServerId;
 use hibiscusrail_ctl::submit::submit;
 use hibiscusrail_ctl::table::Table;
 use hibiscusrail_load::client::{Ending, send};
@@ -17,6 +18,15 @@
     in_force(stage, zone, number).await;
 }
 
+/// Returns the limit of a server at its dispatcher.
+fn limit(stage: &Stage, server: &str) -> u32 {
+    let id = ServerId::new(server);
+    let limits = stage.routers.iter().filter_map(|shell| {
+        shell.with_router(|r| r.dispatcher().servers().find(|s| s.0 == id).map(|s| s.1))
+    });
+    limits.max().expect("a router dispatches the server")
+}
+
 #[test]
 fn zone_out_gets_no_new_work_and_ends_what_runs() {
     run(async {
@@ -44,15 +54,24 @@
 fn zone_back_gets_work_again() {
     run(async {
         let stage = Stage::new().await;
-        let zone = stage.deployment.servers[0].zone.clone();
+        let server = stage.deployment.servers[0].clone();
+        let zone = server.zone.clone();
+        for i in 0..30 {
+            let ask = stage.draft("first", 5, true);
+            let received = stage.ask(i % 3, &format!("a{i}"), ask).await;
+            assert_eq!(received.ending, Ending::Right, "{received:?}");
+        }
+        assert!(limit(&stage, &server.name) > server.cold);
         change(&stage, 5, &zone, "closed").await;
         change(&stage, 6, &zone, "open").await;
+        assert_eq!(limit(&stage, &server.name), server.cold);
+        let before = stage.engines[0].runs.all().len();
         for i in 0..30 {
             let ask = stage.draft("more", 5, true);
             let received = stage.ask(i % 3, &format!("b{i}"), ask).await;
             assert_eq!(received.ending, Ending::Right, "{received:?}");
         }
-        assert!(!stage.engines[0].runs.all().is_empty());
+        assert!(stage.engines[0].runs.all().len() > before);
     });
 }
 
