--- a/crates/router/src/caller/watch.rs
+++ b/crates/router/src/caller/watch.rs
@@ -76,6 +76,7 @@
             code,
             total,
         });
+        let total_us = u64::try_from(total.as_micros()).unwrap_or(u64::MAX);
         log::log!(
             level,
             request = self.request.as_str(),
@@ -83,7 +84,7 @@
             service = self.service.as_str(),
             outcome = outcome,
             code = code,
-            total_us = u64::try_from(total.as_micros()).unwrap_or(u64::MAX);
+            total_us = total_us;
             "request_ended"
         );
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod interface;
 mod limits;
+mod logs;
 mod membership;
 mod path;
 mod raw;
