Hold a stream back while its caller does not read

Cause: an answer waited for its caller without bound in the router's memory. A caller that reads nothing at all is cut off after stall_time as before.

--- a/crates/router/src/caller/deliver.rs
+++ b/crates/router/src/caller/deliver.rs
@@ -12,6 +12,7 @@
 
 use super::Submitted;
 use super::watch::Watch;
+use crate::delivery::Delivery;
 use crate::refusal::{self, Code, REQUEST_ID, execution_name};
 use crate::shell::{Shell, ToCaller};
 
@@ -19,6 +20,7 @@
 struct HangupGuard {
     shell: Rc<Shell>,
     call: CallId,
+    delivery: Rc<Delivery>,
     watch: Watch,
 }
 
@@ -34,6 +36,7 @@
     let mut guard = HangupGuard {
         shell,
         call: submitted.call,
+        delivery: submitted.delivery,
         watch: submitted.watch,
     };
     let (status, headers) = match receiver.next().await {
@@ -65,7 +68,10 @@
     let frames =
         futures_util::stream::unfold((guard, receiver), |(mut guard, mut receiver)| async move {
             let item = match receiver.next().await {
-                Some(ToCaller::Data(data)) => Ok(http_body::Frame::data(data)),
+                Some(ToCaller::Data(data)) => {
+                    guard.delivery.taken(data.len());
+                    Ok(http_body::Frame::data(data))
+                }
                 Some(ToCaller::End | ToCaller::Head(..)) => {
                     guard.watch.answered();
                     return None;
--- a/crates/router/src/caller/mod.rs
+++ b/crates/router/src/caller/mod.rs
@@ -24,6 +24,7 @@
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 
+use crate::delivery::Delivery;
 use crate::metrics::{Ended, Metrics};
 use crate::refusal::{self, Code};
 use crate::shell::{CallState, Shell, ToCaller};
@@ -59,6 +60,7 @@
 struct Submitted {
     call: CallId,
     receiver: mpsc::UnboundedReceiver<ToCaller>,
+    delivery: Rc<Delivery>,
     watch: Watch,
 }
 
@@ -116,7 +118,9 @@
     let (caller, receiver) = mpsc::unbounded();
     let resumable = routed.outgoing.stream;
     let repeat = digest::add(asked.repeat, &routed.outgoing);
-    let call = shell.open_call(CallState::new(routed.outgoing, caller));
+    let state = CallState::new(routed.outgoing, caller);
+    let delivery = Rc::clone(&state.delivery);
+    let call = shell.open_call(state);
     shell.event(Event::Submit(Call {
         id: call,
         request: id.to_owned(),
@@ -131,6 +135,7 @@
     Ok(Submitted {
         call,
         receiver,
+        delivery,
         watch,
     })
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admin;
 pub mod caller;
 pub mod claims;
+pub mod delivery;
 pub mod drops;
 pub mod metrics;
 pub mod peers;
--- a/crates/router/src/shell.rs
+++ b/crates/router/src/shell.rs
@@ -16,6 +16,7 @@
 
 use crate::caller::Reserved;
 use crate::claims;
+use crate::delivery::Delivery;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::pool::Pool;
@@ -60,15 +61,6 @@
     pub model: bool,
 }
 
-/// What a caller has received of its answer, over all attempts.
-#[derive(Debug, Default)]
-pub struct Delivery {
-    /// Whether status and headers were passed on.
-    pub head: Cell<bool>,
-    /// Tokens that were passed on.
-    pub tokens: Cell<u64>,
-}
-
 /// A call in progress.
 #[derive(Debug, Clone)]
 pub struct CallState {
--- a/crates/router/src/upstream/stream.rs
+++ b/crates/router/src/upstream/stream.rs
@@ -4,6 +4,7 @@
 //! that a cut never leaves the caller with an event that the resumed answer
 //! would repeat.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
@@ -86,6 +87,7 @@
                     return Ok(self.done());
                 }
             }
+            self.wait_for_room().await;
         }
         self.report();
         Err(Milestone::Broken(Stage::AfterOutput))
@@ -138,9 +140,21 @@
         if self.exchange.is_keyed() && self.kept.len() <= STORED_BYTES {
             self.kept.extend_from_slice(&data);
         }
+        state.delivery.sent(data.len());
         let _ = caller.unbounded_send(ToCaller::Data(data));
     }
 
+    /// Waits while too much waits for the caller; the server is not silent meanwhile.
+    async fn wait_for_room(&mut self) {
+        let delivery = Rc::clone(&self.exchange.state.delivery);
+        while !delivery.has_room() {
+            let room = compio::time::timeout(PROGRESS_PERIOD, delivery.room());
+            if room.await.is_err() {
+                self.report();
+            }
+        }
+    }
+
     fn report(&mut self) {
         self.reported = Instant::now();
         self.exchange.report(Milestone::Progress {
