--- a/crates/core/src/membership/flap.rs
+++ b/crates/core/src/membership/flap.rs
@@ -2,7 +2,7 @@
 //!
 //! A router learns from others that it was declared dead while it ran. The
 //! first time it contradicts at once and has its roles back. Each further time
-//! within [`MEMORY`] it puts itself on probation, twice as long as before, and
+//! within `MEMORY` it puts itself on probation, twice as long as before, and
 //! says so, so that every router withholds the same roles for the same time.
 
 use std::time::{Duration, Instant};
