--- a/crates/platform/src/ticket/mod.rs
+++ b/crates/platform/src/ticket/mod.rs
@@ -1,7 +1,7 @@
 //! Change tickets: their file format, their checks and their transaction.
 //!
 //! [`generated`] holds the types made from `schema/ticket.schema.json`,
-//! [`check`] reads a file and says what is wrong with it, and [`transaction`]
+//! [`check()`] reads a file and says what is wrong with it, and [`transaction`]
 //! decides on a ticket from rows of the table and makes the one transaction
 //! that accepts it whole.
 
