Judge servers by the first byte of streams and plain calls only

Change: the release of an unstreamed model answer carries no time to first byte. Not yet measured with real processes.

--- a/crates/core/src/router/attempts.rs
+++ b/crates/core/src/router/attempts.rs
@@ -4,6 +4,7 @@
 
 use crate::attempt::{Ended, Facts, Outcome, Running};
 use crate::claim::State;
+use crate::configuration::ServiceKind;
 use crate::effect::{Counter, Dispatch, Effect, Refusal};
 use crate::event::{Milestone, Repeat};
 use crate::ids::{AttemptKey, GrantRef, Peer, RequestKey, RouterId};
@@ -72,16 +73,32 @@
             _ => end,
         };
         self.grants.remove(&facts.grant);
+        let first_byte = facts
+            .first_byte
+            .filter(|_| self.shows_latency(facts.request));
         self.release(Release {
             grant: facts.grant,
             server: facts.server,
             end,
             cost: facts.cost,
-            first_byte: facts.first_byte,
+            first_byte,
         });
         Some(ended)
     }
 
+    /// Returns whether the time to first byte says something about the server.
+    ///
+    /// A model answer that is not streamed comes whole: its first byte takes as
+    /// long as the answer is.
+    fn shows_latency(&self, request: RequestKey) -> bool {
+        let Some(request) = self.requests.get(request) else {
+            return false;
+        };
+        let service = self.world.config.service(request.call.service);
+        let plain = service.is_some_and(|s| s.kind == ServiceKind::Plain);
+        plain || request.call.resumable
+    }
+
     /// Ends an attempt; its request is finished, sent again or refused.
     pub(super) fn end_attempt(
         &mut self,
