--- a/crates/core/src/router/attempts.rs
+++ b/crates/core/src/router/attempts.rs
@@ -73,7 +73,9 @@
             _ => end,
         };
         self.grants.remove(&facts.grant);
-        let first_byte = facts.first_byte.filter(|_| self.is_prompt(facts.request));
+        let first_byte = facts
+            .first_byte
+            .filter(|_| self.shows_latency(facts.request));
         self.release(Release {
             grant: facts.grant,
             server: facts.server,
@@ -84,17 +86,17 @@
         Some(ended)
     }
 
-    /// Returns whether the first byte of a request's answer comes as soon as the
-    /// server starts on it.
+    /// Returns whether the time to first byte says something about the server.
     ///
-    /// A model's answer that is not streamed comes whole at its end: its first
-    /// byte tells how long the answer was, nothing of the server.
-    fn is_prompt(&self, request: RequestKey) -> bool {
-        let Some(call) = self.requests.get(request).map(|r| &r.call) else {
+    /// A model answer that is not streamed comes whole: its first byte takes as
+    /// long as the answer is.
+    fn shows_latency(&self, request: RequestKey) -> bool {
+        let Some(request) = self.requests.get(request) else {
             return false;
         };
-        let service = self.world.config.service(call.service);
-        call.resumable || service.is_some_and(|s| s.kind == ServiceKind::Plain)
+        let service = self.world.config.service(request.call.service);
+        let plain = service.is_some_and(|s| s.kind == ServiceKind::Plain);
+        plain || request.call.resumable
     }
 
     /// Ends an attempt; its request is finished, sent again or refused.
