--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -465,12 +465,17 @@
     /// Drops demand that was not refreshed.
     fn drop_stale(&mut self, env: Surroundings<'_>) {
         let life = env.params.period * DEMAND_PERIODS;
+        self.drop_wants(env, |_, w| env.now.duration_since(w.heard) < life);
+    }
+
+    /// Drops the wants for which `keep` does not hold.
+    fn drop_wants(&mut self, env: Surroundings<'_>, keep: impl Fn(RouterId, &Want) -> bool) {
         let services: Vec<_> = self.pools.keys().copied().collect();
         for service in services {
             let workspaces = self.pools[&service].workspaces();
             for workspace in workspaces {
                 if let Some(pool) = self.pools.get_mut(&service) {
-                    pool.retain(workspace, |_, w| env.now.duration_since(w.heard) < life);
+                    pool.retain(workspace, &keep);
                 }
                 self.rerank(env, Flow { service, workspace });
                 if let Some(pool) = self.pools.get_mut(&service) {
--- a/crates/core/src/dispatch/report.rs
+++ b/crates/core/src/dispatch/report.rs
@@ -176,6 +176,7 @@
 
     /// Frees orphans past their deadline and presumed slots that are too old.
     pub(super) fn expire_slots(&mut self, env: Surroundings<'_>) {
+        self.note_silent(env);
         let over = self
             .slots
             .select(|s| s.orphan.is_some() && s.deadline <= env.now);
@@ -197,6 +198,19 @@
         }
     }
 
+    /// Gives up the slots of routers that count as dead and are silent as well.
+    fn note_silent(&mut self, env: Surroundings<'_>) {
+        let patience = env.params.period * SILENT_PERIODS;
+        let silent = |router: &RouterId| {
+            let state = self.entries.get(router);
+            state.is_none_or(|s| env.now.duration_since(s.heard) > patience)
+        };
+        let lost: Vec<_> = self.lost.keys().copied().filter(silent).collect();
+        for router in lost {
+            self.slots.set_lost(router, env.now);
+        }
+    }
+
     /// Asks entries that hold slots here and have not reported for long.
     pub(super) fn ask_silent(&mut self, env: Surroundings<'_>, out: &mut Outbox) {
         let patience = env.params.period * SILENT_PERIODS;
--- a/crates/core/src/dispatch/takeover.rs
+++ b/crates/core/src/dispatch/takeover.rs
@@ -73,8 +73,11 @@
             }
         }
         for router in env.members.known().filter(|r| !present.contains(r)) {
-            self.lost.entry(router).or_insert(env.now);
-            self.slots.set_lost(router, env.now);
+            let since = *self.lost.entry(router).or_insert(env.now);
+            if since == env.now {
+                self.slots.set_lost(router, env.now);
+                self.drop_wants(env, |entry, _| entry != router);
+            }
         }
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod caller;
 pub mod claims;
 pub mod drops;
+pub mod load;
 pub mod metrics;
 pub mod peers;
 pub mod platform;
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -21,7 +21,7 @@
 use crate::shell::Shell;
 use crate::signals::Signals;
 use crate::stop::{self, Stopped};
-use crate::{admin, caller, platform};
+use crate::{admin, caller, load, platform};
 
 /// Exit code when work was cut at the stop deadline.
 const EXIT_CUT: u8 = 3;
@@ -163,6 +163,7 @@
     compio::runtime::spawn(timers(Rc::clone(&shell), woken)).detach();
     shell.event(Event::Join(shell.settings().peer_listen));
     compio::runtime::spawn(platform::poll::poll(Rc::clone(&shell))).detach();
+    compio::runtime::spawn(load::poll(Rc::clone(&shell))).detach();
     compio::runtime::spawn(receive(Rc::clone(&shell))).detach();
     let served = serve_counted(
         listener,
