--- a/crates/fuzzing/src/fleet/mod.rs
+++ b/crates/fuzzing/src/fleet/mod.rs
@@ -378,7 +378,6 @@
             | Effect::Suspect(_)
             | Effect::Claim(..)
             | Effect::Replay(..)
-            | Effect::Address(..)
             | Effect::Drained { .. } => {}
         }
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claims;
 pub mod delivery;
 pub mod drops;
+pub mod load;
 pub mod metrics;
 pub mod peers;
 pub mod platform;
