--- a/crates/fuzzing/src/fleet/mod.rs
+++ b/crates/fuzzing/src/fleet/mod.rs
@@ -373,7 +373,8 @@
             Effect::Finish(call) => {
                 self.jobs.remove(&call);
             }
-            Effect::Log(_)
+            Effect::Address(..)
+            | Effect::Log(_)
             | Effect::Count(_)
             | Effect::Suspect(_)
             | Effect::Claim(..)
