Charge whole answers by their time and wait for long ones

Cause: a model answer that is not streamed shows nothing until its end. Its cost was charged only then, and not at all when it was cancelled; and one that took eight times the mean was given up for silent and run again, though it was only long. A flow whose last demand was used up between two updates of its entry counted as idle and lost what it was owed.

Change: running whole answers are charged by time at the cost rate of their service, also when they are cancelled or fail; they are given up after whole_timeout (60 s). A flow is idle after two periods without demand.

--- a/crates/core/src/params.rs
+++ b/crates/core/src/params.rs
@@ -42,6 +42,8 @@
     pub progress_timeout: Duration,
     /// Time from sending a request to the first byte of its answer at most.
     pub first_timeout: Duration,
+    /// Time to a model's answer that is not streamed at most.
+    pub whole_timeout: Duration,
     /// Time after which an entry turns away from a dispatcher that left it unanswered.
     pub ask_timeout: Duration,
     /// How long a dispatcher that left an entry unanswered is not asked for one slot.
@@ -80,6 +82,7 @@
             prefix_affinity: false,
             first_cost: 100.0,
             progress_timeout: Duration::from_secs(5),
+            whole_timeout: Duration::from_secs(60),
             first_timeout: Duration::from_secs(20),
             ask_timeout: Duration::from_millis(25),
             silence_memory: Duration::from_secs(2),
--- a/crates/core/src/router/attempts.rs
+++ b/crates/core/src/router/attempts.rs
@@ -44,6 +44,8 @@
             }
             Milestone::Done { cost, status } => {
                 running.facts_mut().cost = cost;
+                let facts = *running.facts();
+                self.observe_cost(now, &facts);
                 self.end_attempt(now, key, GrantEnd::Done, |r| r.finish(now, status));
             }
             Milestone::Refused => {
@@ -65,8 +67,14 @@
         end: GrantEnd,
         how: impl FnOnce(Running) -> Ended,
     ) -> Option<Ended> {
-        let ended = how(self.attempts.remove(key)?);
+        let running = self.attempts.remove(key)?;
+        let spent = self.cost_so_far(self.now, &running);
+        let ended = how(running);
         let facts = ended.facts;
+        let cost = match ended.outcome {
+            Outcome::Answered => facts.cost,
+            _ => spent,
+        };
         self.timers.remove(&(facts.check, Timer::Silence(key)));
         let end = match ended.outcome {
             Outcome::Failed => GrantEnd::Failed,
@@ -80,7 +88,7 @@
             grant: facts.grant,
             server: facts.server,
             end,
-            cost: facts.cost,
+            cost,
             first_byte,
         });
         Some(ended)
--- a/crates/core/src/router/calls.rs
+++ b/crates/core/src/router/calls.rs
@@ -158,19 +158,20 @@
 
     /// Drops a request from its queue or cancels its attempt, and says so.
     pub(super) fn give_up(&mut self, key: RequestKey, reason: Refusal) {
+        let running = self.requests.get(key).and_then(|r| r.running);
+        // What the attempt cost is worked out from its request.
+        let ended = running.and_then(|attempt| {
+            self.out.push(Effect::Cancel(attempt));
+            self.take_attempt(attempt, GrantEnd::Cancelled, Running::cancel)
+        });
         let Some(mut request) = self.forget(key) else {
             return;
         };
-        match request.running {
-            None => self.entry.remove(request.flow, key),
-            Some(attempt) => {
-                self.out.push(Effect::Cancel(attempt));
-                if let Some(ended) =
-                    self.take_attempt(attempt, GrantEnd::Cancelled, Running::cancel)
-                {
-                    request.history.add(ended.outcome);
-                }
-            }
+        if running.is_none() {
+            self.entry.remove(request.flow, key);
+        }
+        if let Some(ended) = ended {
+            request.history.add(ended.outcome);
         }
         self.dismiss(request, reason);
     }
--- a/crates/core/src/router/mod.rs
+++ b/crates/core/src/router/mod.rs
@@ -6,6 +6,7 @@
 mod config;
 mod exchange;
 mod membership;
+mod progress;
 mod silence;
 mod slots;
 mod stop;
@@ -126,7 +127,10 @@
     drained: bool,
     claims: Claims,
     budgets: Budgets,
+    /// Time of the event at hand.
+    now: Instant,
     latencies: silence::Latencies,
+    cost_rates: progress::CostRates,
     out: Outbox,
 }
 
@@ -175,7 +179,9 @@
             drained: false,
             claims: Claims::new(),
             budgets,
+            now,
             latencies: silence::Latencies::new(),
+            cost_rates: progress::CostRates::default(),
             out: Outbox::new(me),
         }
     }
@@ -240,6 +246,7 @@
 
     /// Handles one event at time `now` and returns what is to be done.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        self.now = now;
         self.check_pause(now);
         self.step(now, event);
         self.check_view(now);
--- a/crates/core/src/router/silence.rs
+++ b/crates/core/src/router/silence.rs
@@ -47,10 +47,18 @@
     /// A request that may be repeated is tried elsewhere once the wait is
     /// unusual, and waits twice as long at each further attempt, so that a
     /// service that has become slow is still answered.
+    ///
+    /// A model's answer that is not streamed shows nothing until its end: a
+    /// long one can't be told from a dead connection, and is not given up for
+    /// being longer than others.
     fn first_patience(&self, request: &Request) -> Duration {
         let params = &self.world.params;
         let service = request.call.service;
         let streamed = request.call.resumable;
+        let kind = self.world.config.service(service).map(|s| s.kind);
+        if kind == Some(ServiceKind::Model) && !streamed {
+            return params.whole_timeout;
+        }
         let usual = self.latencies.usual(service, streamed);
         let Some(usual) = usual else {
             return params.first_timeout;
@@ -59,7 +67,6 @@
         if request.call.repeat != Repeat::Idempotent {
             return longest;
         }
-        let kind = self.world.config.service(service).map(|s| s.kind);
         let floor = match kind {
             Some(ServiceKind::Plain) => params.lookup_timeout,
             Some(ServiceKind::Model) | None => params.progress_timeout,
--- a/crates/core/src/router/slots.rs
+++ b/crates/core/src/router/slots.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
-use crate::attempt::Running;
 use crate::ids::{AttemptKey, GrantRef, Peer, RouterId, ServerId, ServiceId, Term};
 use crate::message::{Grant, Held, Message, Recover, Recovered, Usage, Warmth};
 
@@ -101,16 +100,17 @@
 
     /// Returns the slots in use for which `which` holds.
     fn held(&self, now: Instant, which: impl Fn(GrantRef, ServerId) -> bool) -> Vec<Held> {
-        let attempts = self.attempts.values().map(Running::facts);
-        attempts
-            .filter(|a| which(a.grant, a.server))
-            .filter_map(|a| {
+        self.attempts
+            .values()
+            .filter(|r| which(r.facts().grant, r.facts().server))
+            .filter_map(|running| {
+                let a = running.facts();
                 let request = self.requests.get(a.request)?;
                 Some(Held {
                     grant: a.grant,
                     server: a.server,
                     flow: request.flow,
-                    cost: a.cost,
+                    cost: self.cost_so_far(now, running),
                     left: request.call.deadline.saturating_duration_since(now),
                 })
             })
--- a/crates/core/src/share/accounts.rs
+++ b/crates/core/src/share/accounts.rs
@@ -23,6 +23,8 @@
 const REPORT_AGE: f64 = 0.5;
 /// Service of others expected for each unit of own service at most.
 const MOST_RATIO: f64 = 64.0;
+/// Periods without demand or change after which a flow counts as idle.
+const IDLE_PERIODS: u32 = 2;
 /// Periods without demand or change after which a flow is forgotten.
 const FORGET_PERIODS: u32 = 600;
 
@@ -139,12 +141,18 @@
 
     /// Starts a flow that returns from idle at the virtual time of its service.
     ///
-    /// `tag` is the flow's present tag: time without demand is no credit.
+    /// `tag` is the flow's present tag: time without demand is no credit. A
+    /// flow whose last demand was used up a moment ago, before the entry's next
+    /// word arrived, was not idle and keeps what it is owed.
     pub fn activate(&mut self, flow: Flow, tag: Tag) {
         let start = self.paces.entry(flow.service).or_default().virtual_time;
+        let known = self.flows.contains_key(&flow);
         let account = self.flows.entry(flow).or_default();
-        account.idle = 0;
+        let idle = std::mem::take(&mut account.idle);
         account.sends = SEND_PERIODS;
+        if known && idle < IDLE_PERIODS {
+            return;
+        }
         if tag.0 < start {
             account.offset += start - tag.0;
         }
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -50,6 +50,7 @@
         first_cost,
         progress_timeout,
         first_timeout,
+        whole_timeout,
         ask_timeout,
         silence_memory,
         probe_period,
