Start unknown flows at the mean cost of their service

Cause: the first estimates (100 units, or a hint up to ten times that) were charged at the cold start, moved the virtual time and were taken back when the requests ended. Flows that came a moment later started at the inflated virtual time, by 22 to 362 units of normalised service at different dispatchers, and never agreed again (seen in a log of each flow's offset).

Change: a flow without a mean of its own is estimated at the mean of its service, and at one unit before any request ended.

--- a/crates/core/src/params.rs
+++ b/crates/core/src/params.rs
@@ -80,7 +80,7 @@
             report_lag: Duration::from_secs(2),
             recover_retry: Duration::from_millis(100),
             prefix_affinity: false,
-            first_cost: 100.0,
+            first_cost: 1.0,
             progress_timeout: Duration::from_secs(5),
             whole_timeout: Duration::from_secs(60),
             first_timeout: Duration::from_secs(20),
--- a/crates/core/src/share/accounts.rs
+++ b/crates/core/src/share/accounts.rs
@@ -104,6 +104,8 @@
     closed: f64,
     /// Running mean of the virtual time that one period adds.
     advance: Option<f64>,
+    /// Running mean of the cost of a request of any flow.
+    mean: Option<f64>,
 }
 
 /// The service counters of one dispatcher.
@@ -188,15 +190,24 @@
         let account = self.flows.entry(flow).or_default();
         let mean = account.mean.unwrap_or(cost);
         account.mean = Some(mean + MEAN_WEIGHT * (cost - mean));
+        let pace = self.paces.entry(flow.service).or_default();
+        let mean = pace.mean.unwrap_or(cost);
+        pace.mean = Some(mean + MEAN_WEIGHT * (cost - mean));
     }
 
     /// Returns the expected cost of the flow's next request.
     ///
-    /// A hint counts only until the first request of the flow has ended.
+    /// That is the flow's own mean, else the mean of all flows of its service.
+    /// A hint counts only until a request of the service has ended here, and
+    /// little: an estimate that is too high moves the virtual time, at which
+    /// other flows start, and is taken back when the request ends; the flow
+    /// would keep the difference as credit.
     #[must_use]
     pub fn estimate(&self, flow: Flow, hint: Option<f64>, first: f64) -> f64 {
+        let own = self.flows.get(&flow).and_then(|a| a.mean);
+        let all = self.paces.get(&flow.service).and_then(|p| p.mean);
         let seed = hint.map_or(first, |h| h.clamp(first / HINT_FACTOR, first * HINT_FACTOR));
-        self.flows.get(&flow).and_then(|a| a.mean).unwrap_or(seed)
+        own.or(all).unwrap_or(seed)
     }
 
     /// Closes a period: updates the pace of every service and forgets idle flows.
