Let one exchange serve the command line's calls

Cause: calls of a router's admin port and of the platform's table each carried out the same HTTP exchange, line for line. Change: crates/ctl/src/exchange.rs serves both; steps, peers, times and errors are as before. Conclusion: an exchange fails in one way.

--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod context;
 pub mod drain;
 pub mod error;
+pub mod exchange;
 pub mod exit;
 pub mod flags;
 pub mod output;
--- a/crates/ctl/src/rpc.rs
+++ b/crates/ctl/src/rpc.rs
@@ -1,20 +1,17 @@
 //! JSON-RPC calls of a router's admin port.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use hibiscusrail_admin::RPC_PATH;
 use http::{Method, Request, header};
-use http_body_util::BodyExt;
 use jsonrpsee_types::{Id, Request as Call, Response, ResponsePayload};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 
 use crate::context::Context;
-use crate::error::{
-    CallSnafu, ConnectSnafu, CtlError, HttpSnafu, JsonSnafu, StatusSnafu, TimeoutSnafu,
-};
+use crate::error::{CallSnafu, CtlError, JsonSnafu};
+use crate::exchange::exchange;
 
 /// Time for one call.
 const CALL_TIME: Duration = Duration::from_secs(5);
@@ -31,25 +28,7 @@
 {
     let peer = context.router()?;
     let token = context.token()?;
-    let exchange = exchange(peer, token, method, params);
-    compio::time::timeout(CALL_TIME, exchange)
-        .await
-        .unwrap_or_else(|_| TimeoutSnafu { step: method, peer }.fail())
-}
-
-async fn exchange<Q, A>(
-    peer: SocketAddr,
-    token: &str,
-    step: &'static str,
-    params: &Q,
-) -> Result<A, CtlError>
-where
-    Q: Serialize,
-    A: DeserializeOwned + Clone,
-{
-    let mut connection = hibiscusrail_net::connect(peer, CALL_TIME)
-        .await
-        .context(ConnectSnafu { step })?;
+    let step = method;
     let params = serde_json::value::to_raw_value(params).context(JsonSnafu { step, peer })?;
     let call = Call::owned(step.to_owned(), Some(params), Id::Number(1));
     let request = Request::builder()
@@ -59,20 +38,7 @@
         .header(header::AUTHORIZATION, format!("Bearer {token}"))
         .body(hibiscusrail_net::json(&call))
         .expect("the request is made of valid parts");
-    let answer = connection
-        .send_request(request)
-        .await
-        .context(HttpSnafu { step, peer })?;
-    let status = answer.status();
-    if !status.is_success() {
-        return StatusSnafu { step, peer, status }.fail();
-    }
-    let body = answer
-        .into_body()
-        .collect()
-        .await
-        .context(HttpSnafu { step, peer })?
-        .to_bytes();
+    let body = exchange(peer, step, CALL_TIME, request).await?;
     let response: Response<A> = serde_json::from_slice(&body).context(JsonSnafu { step, peer })?;
     match response.payload {
         ResponsePayload::Success(result) => Ok(result.into_owned()),
--- a/crates/ctl/src/table.rs
+++ b/crates/ctl/src/table.rs
@@ -12,12 +12,12 @@
     ReadAnswer, ReadRequest, Row, ScanAnswer, ScanRequest, TransactAnswer, TransactRequest,
 };
 use http::{Method, Request, header};
-use http_body_util::BodyExt;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 
-use crate::error::{ConnectSnafu, CtlError, HttpSnafu, JsonSnafu, StatusSnafu, TimeoutSnafu};
+use crate::error::{CtlError, JsonSnafu};
+use crate::exchange::exchange;
 
 /// Time for one call.
 const CALL_TIME: Duration = Duration::from_secs(3);
@@ -69,20 +69,6 @@
         question: &Q,
     ) -> Result<A, CtlError> {
         let peer = self.peer;
-        compio::time::timeout(CALL_TIME, self.exchange(step, question))
-            .await
-            .unwrap_or_else(|_| TimeoutSnafu { step, peer }.fail())
-    }
-
-    async fn exchange<Q: Serialize, A: DeserializeOwned>(
-        &self,
-        step: &'static str,
-        question: &Q,
-    ) -> Result<A, CtlError> {
-        let peer = self.peer;
-        let mut connection = hibiscusrail_net::connect(peer, CALL_TIME)
-            .await
-            .context(ConnectSnafu { step })?;
         let request = Request::builder()
             .method(Method::POST)
             .uri(step)
@@ -90,20 +76,7 @@
             .header(header::CONTENT_TYPE, "application/json")
             .body(hibiscusrail_net::json(question))
             .expect("the request is made of valid parts");
-        let answer = connection
-            .send_request(request)
-            .await
-            .context(HttpSnafu { step, peer })?;
-        let status = answer.status();
-        if !status.is_success() {
-            return StatusSnafu { step, peer, status }.fail();
-        }
-        let body = answer
-            .into_body()
-            .collect()
-            .await
-            .context(HttpSnafu { step, peer })?
-            .to_bytes();
+        let body = exchange(peer, step, CALL_TIME, request).await?;
         serde_json::from_slice(&body).context(JsonSnafu { step, peer })
     }
 }
