--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -23,6 +23,8 @@
 const WITHIN_PART: f64 = 0.7;
 /// The same for a request of a workspace that has its share already.
 const BEYOND_PART: f64 = 0.3;
+/// Part of the allowed time that a prompt may wait which alone takes longer to read.
+const LONG_PROMPT_WAIT: f64 = 0.3;
 /// How much a token that is read again weighs against one that waits: it takes
 /// an engine's time from everybody.
 const READ_WEIGHT: f64 = 2.0;
@@ -44,9 +46,21 @@
     score: Duration,
     /// When the request would begin.
     begin: Duration,
+    /// How long it would wait for others before.
+    wait: Duration,
     inputs: Inputs,
 }
 
+impl Candidate {
+    /// Returns whether the request may begin here.
+    ///
+    /// A prompt that takes longer to read than is allowed would be refused for
+    /// ever; it may begin wherever it hardly waits for others.
+    fn fits(&self, allowed: Duration) -> bool {
+        self.begin <= allowed || self.wait <= allowed.mul_f64(LONG_PROMPT_WAIT)
+    }
+}
+
 /// What all candidates for one request have in common.
 struct Situation<'a> {
     now: Instant,
@@ -107,11 +121,11 @@
             return Err((Reason::NoServer, SHORT_WAIT));
         };
         let allowed = allowance(now, request, standing);
-        if best.begin <= allowed {
+        if best.fits(allowed) {
             return Ok(take(candidates, |c| c.score));
         }
         let soonest = take(candidates, |c| c.begin);
-        if soonest.begin <= allowed {
+        if soonest.fits(allowed) {
             return Ok(soonest);
         }
         let wait = (soonest.begin - allowed).clamp(WAITS.0, WAITS.1);
@@ -210,14 +224,18 @@
     ) -> Candidate {
         let load = server.load();
         let sheet = self.params.read_rate;
-        let (read, begin) = match situation.prompt {
+        let (read, wait, begin) = match situation.prompt {
             Some(prompt) => {
                 let home = rank == Some(0) && !server.is_cold(situation.now);
                 let read = server.unread(prompt, home);
-                let begin = server.reading_time(load.unread + u64::from(read), sheet);
-                (read, begin)
+                let wait = server.reading_time(load.unread, sheet);
+                let begin = wait + server.reading_time(u64::from(read), sheet);
+                (read, wait, begin)
+            }
+            None => {
+                let wait = plain_wait(server, load);
+                (0, wait, wait)
             }
-            None => (0, plain_wait(server, load)),
         };
         let mut score = begin + server.reading_time(u64::from(read), sheet).mul_f64(READ_WEIGHT);
         score += ERROR_DETOUR.mul_f64(server.health.errors());
@@ -228,6 +246,7 @@
             key,
             score,
             begin,
+            wait,
             inputs: Inputs {
                 unread: load.unread,
                 running: load.running,
