--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -12,9 +12,18 @@
 use crate::cold::ColdBucket;
 use crate::health::Health;
 use crate::objects::Backend;
+use crate::window::Window;
 
+/// Window over which the reading of an engine is averaged: several prompts long,
+/// and a fraction of the time that a stream takes.
+pub const BUSY_WINDOW: Duration = Duration::from_millis(1_000);
 /// Weight of the newest observation in the reading rate.
 const RATE_WEIGHT: f64 = 0.05;
+/// Weight of the newest observation in the pace: an engine sends some ten events
+/// to each router in the time in which its batch changes.
+const PACE_WEIGHT: f64 = 0.1;
+/// Age from which a pace says nothing of an engine's present batch.
+const PACE_LIFE: Duration = Duration::from_millis(1_000);
 /// Reading rate at which an engine is taken to be slow, relative to its data sheet.
 const SLOWEST: f64 = 0.1;
 /// Prompt parts remembered for each engine; bounds the memory of a router.
@@ -109,8 +118,16 @@
     pub others: Load,
     /// When its entry lapsed, while that may be the store's fault.
     pub lapsed: Option<Instant>,
+    /// Prompt tokens sent from here to be read since this router's start.
+    pub sent: u64,
+    /// When that last grew.
+    pub sent_at: Option<Instant>,
+    /// Prompt tokens sent by all routers in the last [`BUSY_WINDOW`].
+    reads: Window,
     /// Observed reading rate relative to the data sheet.
     rate: f64,
+    /// Observed time that a stream takes for each token, and when it was last seen.
+    pace: Option<(Duration, Instant)>,
     parts: BTreeMap<u64, Instant>,
 }
 
@@ -129,7 +146,11 @@
             own: Load::default(),
             others: Load::default(),
             lapsed: None,
+            sent: 0,
+            sent_at: None,
+            reads: Window::new(BUSY_WINDOW),
             rate: 1.0,
+            pace: None,
             parts: BTreeMap::new(),
         }
     }
@@ -170,6 +191,29 @@
         Duration::from_secs_f64(tokens as f64 / (sheet * self.rate) / 1e3)
     }
 
+    /// Notes prompt tokens that another router sent.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn others_read(&mut self, now: Instant, tokens: u64) {
+        self.reads.add(now, tokens as f64);
+    }
+
+    /// Notes prompt tokens that are sent from here.
+    pub fn send_read(&mut self, now: Instant, tokens: u32) {
+        self.sent += u64::from(tokens);
+        self.sent_at = Some(now);
+        self.reads.add(now, f64::from(tokens));
+    }
+
+    /// Returns the part of its time that an engine spends on reading prompts.
+    ///
+    /// Streams slow down by the inverse of the rest: an engine that reads all
+    /// the time ends no stream.
+    #[must_use]
+    pub fn reading_share(&self, now: Instant, sheet: f64) -> f64 {
+        let capacity = sheet * BUSY_WINDOW.as_secs_f64() * 1e3;
+        self.reads.clone().sum(now) / capacity
+    }
+
     /// Notes the parts of a prompt that the server reads.
     pub fn note_parts(&mut self, now: Instant, prompt: &Prompt) {
         for part in &prompt.parts[..prompt.parts.len().saturating_sub(1)] {
@@ -195,6 +239,26 @@
         self.rate += RATE_WEIGHT * (seen - self.rate);
     }
 
+    /// Takes in the time that a stream took for each token since its last event.
+    pub fn observe_pace(&mut self, now: Instant, each: Duration) {
+        let mean = match self.pace {
+            Some((mean, seen)) if now.saturating_duration_since(seen) < PACE_LIFE => {
+                mean.mul_f64(1.0 - PACE_WEIGHT) + each.mul_f64(PACE_WEIGHT)
+            }
+            _ => each,
+        };
+        self.pace = Some((mean, now));
+    }
+
+    /// Returns the time that a stream takes for each token; zero when none was seen lately.
+    #[must_use]
+    pub fn pace(&self, now: Instant) -> Duration {
+        match self.pace {
+            Some((mean, seen)) if now.saturating_duration_since(seen) < PACE_LIFE => mean,
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Forgets what a restarted server no longer holds.
     pub fn forget(&mut self) {
         self.parts.clear();
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -159,6 +159,8 @@
     Submit(Ask),
     /// The first byte of the answer arrived.
     FirstByte(RequestKey),
+    /// A stream went on, taking this time for each token since its last event.
+    Paced(RequestKey, Duration),
     /// An attempt ended.
     Ended(RequestKey, Outcome),
     /// The operator's orders were read.
@@ -294,6 +296,7 @@
         match event {
             Event::Submit(ask) => self.submit(now, ask),
             Event::FirstByte(key) => self.first_byte(now, key),
+            Event::Paced(key, each) => self.paced(now, key, each),
             Event::Ended(key, outcome) => self.ended(now, key, outcome),
             Event::Orders(revision, orders) => self.take_orders(revision, orders),
             Event::Servers(revision, servers) => self.take_servers(now, revision, &servers),
@@ -309,11 +312,15 @@
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn report(&mut self, now: Instant) -> Report {
         self.sequence += 1;
-        let loads = self.roster.all().filter(|s| s.own != Load::default());
+        let loads = self.roster.all().filter(|s| {
+            let sent_lately = |at| now.saturating_duration_since(at) < self.params.report_life;
+            s.own != Load::default() || s.sent_at.is_some_and(sent_lately)
+        });
         let loads = loads.map(|s| ServerLoad {
             server: s.hash,
             unread: s.own.unread,
             running: s.own.running,
+            sent: s.sent,
         });
         let recent = self.params.quota_window;
         let totals = self.totals.iter().filter(|(_, t)| {
@@ -433,6 +440,13 @@
         }
     }
 
+    fn paced(&mut self, now: Instant, key: RequestKey, each: Duration) {
+        let attempt = self.requests.get(&key).and_then(|r| r.attempt.as_ref());
+        if let Some(server) = attempt.and_then(|a| self.roster.get_mut(a.server)) {
+            server.observe_pace(now, each);
+        }
+    }
+
     /// Takes the attempt of a request off its server.
     fn release(&mut self, key: RequestKey) -> Option<Attempt> {
         let attempt = self.requests.get_mut(&key)?.attempt.take()?;
@@ -584,6 +598,11 @@
                 }
             }
         }
+        for (hash, tokens) in change.reads {
+            if let Some(server) = self.roster.by_hash_mut(hash) {
+                server.others_read(now, tokens);
+            }
+        }
         #[allow(clippy::cast_precision_loss)]
         for (workspace, asked, admitted) in change.tokens {
             let workspace = WorkspaceHash(workspace);
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -25,6 +25,23 @@
 const BEYOND_PART: f64 = 0.3;
 /// Part of the allowed time that a prompt may wait which alone takes longer to read.
 const LONG_PROMPT_WAIT: f64 = 0.3;
+/// Part of its time that an engine may spend on reading prompts while requests
+/// within their share are admitted: streams then take up to seven times as long
+/// as on an idle engine, and still end in the time that callers have.
+const READING_WITHIN: f64 = 0.85;
+/// The same for requests beyond their share: streams take twice as long.
+const READING_BEYOND: f64 = 0.55;
+/// The same for those whose shared prefix the engine would have to read as well.
+const READING_ELSEWHERE: f64 = 0.3;
+/// Time for each token up to which requests within their share are admitted;
+/// the longest answers, of about a thousand tokens, then end in ten seconds.
+const PACE_WITHIN: Duration = Duration::from_millis(11);
+/// The same for requests beyond their share.
+const PACE_BEYOND: Duration = Duration::from_millis(8);
+/// Tokens whose time counts as a detour when engines are compared.
+const PACE_DETOUR: u32 = 25;
+/// Wait named to a caller while engines read as much as they may.
+const BUSY_WAIT: Duration = Duration::from_millis(500);
 /// How much a token that is read again weighs against one that waits: it takes
 /// an engine's time from everybody.
 const READ_WEIGHT: f64 = 2.0;
@@ -48,10 +65,30 @@
     begin: Duration,
     /// How long it would wait for others before.
     wait: Duration,
+    /// Part of its time that the server spends on reading prompts.
+    reading: f64,
+    /// Time that a stream takes there for each token.
+    pace: Duration,
+    /// Whether the server is among those that hold the prompt's shared prefix.
+    ranked: bool,
     inputs: Inputs,
 }
 
 impl Candidate {
+    /// Returns whether the server can read more without slowing its streams too much.
+    fn has_room(&self, standing: Standing) -> bool {
+        let most = match (standing, self.ranked) {
+            (Standing::Within, _) => READING_WITHIN,
+            (Standing::Beyond, true) => READING_BEYOND,
+            (Standing::Beyond, false) => READING_ELSEWHERE,
+        };
+        let slowest = match standing {
+            Standing::Within => PACE_WITHIN,
+            Standing::Beyond => PACE_BEYOND,
+        };
+        self.reading <= most && self.pace <= slowest
+    }
+
     /// Returns whether the request may begin here.
     ///
     /// A prompt that takes longer to read than is allowed would be refused for
@@ -116,9 +153,18 @@
             standing,
             routers: self.routers(),
         };
-        let candidates = self.candidates(&situation, request);
-        let Some(best) = candidates.iter().min_by_key(|c| c.score) else {
+        let mut candidates = self.candidates(&situation, request);
+        if candidates.is_empty() {
             return Err((Reason::NoServer, SHORT_WAIT));
+        }
+        if !request.begun {
+            candidates.retain(|c| c.has_room(standing));
+        }
+        let Some(best) = candidates.iter().min_by_key(|c| c.score) else {
+            return Err(match standing {
+                Standing::Within => (Reason::Busy, BUSY_WAIT),
+                Standing::Beyond => (Reason::OverShare, self.params.quota_window / 4),
+            });
         };
         let allowed = allowance(now, request, standing);
         if best.fits(allowed) {
@@ -238,6 +284,12 @@
             }
         };
         let mut score = begin + server.reading_time(u64::from(read), sheet).mul_f64(READ_WEIGHT);
+        let reading = match situation.prompt {
+            Some(_) => server.reading_share(situation.now, sheet),
+            None => 0.0,
+        };
+        let pace = server.pace(situation.now);
+        score += pace * PACE_DETOUR;
         score += ERROR_DETOUR.mul_f64(server.health.errors());
         if server.backend.zone != self.params.zone {
             score += ZONE_DETOUR;
@@ -247,6 +299,9 @@
             score,
             begin,
             wait,
+            reading,
+            pace,
+            ranked: rank.is_some() || situation.prompt.is_none(),
             inputs: Inputs {
                 unread: load.unread,
                 running: load.running,
@@ -289,6 +344,7 @@
             running: 1,
         };
         server.own.add(load);
+        server.send_read(now, candidate.inputs.read);
         if let Some(prompt) = &request.ask.prompt {
             server.note_parts(now, prompt);
         }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -27,6 +27,9 @@
     /// Requests under way.
     #[prost(uint32, tag = "3")]
     pub running: u32,
+    /// Prompt tokens sent there to be read since the sender's start.
+    #[prost(uint64, tag = "4")]
+    pub sent: u64,
 }
 
 /// Tokens of a workspace at the sender since its start.
@@ -79,6 +82,7 @@
     /// Work at servers by the hash of their id.
     pub loads: BTreeMap<u32, Load>,
     totals: BTreeMap<u64, (u64, u64)>,
+    sent: BTreeMap<u32, u64>,
 }
 
 /// What a report changes.
@@ -88,6 +92,8 @@
     pub before: BTreeMap<u32, Load>,
     /// Tokens asked for and admitted since the last report, by workspace.
     pub tokens: Vec<(u64, u64, u64)>,
+    /// Prompt tokens sent to be read since the last report, by server.
+    pub reads: Vec<(u32, u64)>,
 }
 
 /// Everything heard from other routers.
@@ -111,9 +117,18 @@
         let same = known
             .as_ref()
             .is_some_and(|s| s.incarnation == report.incarnation);
-        let (before, mut totals) = known.map(|s| (s.loads, s.totals)).unwrap_or_default();
+        let (before, mut totals, mut sent) = known
+            .map(|s| (s.loads, s.totals, s.sent))
+            .unwrap_or_default();
         if !same {
             totals.clear();
+            sent.clear();
+        }
+        let mut reads = Vec::new();
+        for load in &report.loads {
+            if let Some(before) = sent.insert(load.server, load.sent) {
+                reads.push((load.server, load.sent.saturating_sub(before)));
+            }
         }
         let mut tokens = Vec::new();
         for total in &report.totals {
@@ -140,9 +155,14 @@
                 sequence: report.sequence,
                 loads: loads.collect(),
                 totals,
+                sent,
             },
         );
-        Some(Change { before, tokens })
+        Some(Change {
+            before,
+            tokens,
+            reads,
+        })
     }
 
     /// Returns the newest loads of a router.
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -25,6 +25,7 @@
     service: String,
     started: Instant,
     attempts: u32,
+    events: u32,
     server: String,
     open: bool,
 }
@@ -48,6 +49,7 @@
             service: service.to_owned(),
             started,
             attempts: 0,
+            events: 0,
             server: String::new(),
             open: true,
         }
@@ -65,10 +67,22 @@
         server.clone_into(&mut self.server);
     }
 
+    /// Counts events that were passed on.
+    pub fn events(&mut self, count: u32) {
+        self.events += count;
+    }
+
     /// Notes the first byte of the answer.
     pub fn first_byte(&self) {
         let after = self.shell.now().saturating_duration_since(self.started);
         self.shell.metrics().first_byte(&self.service, after);
+        log::info!(
+            request = self.request.as_str(),
+            call = self.key.0,
+            server = self.server.as_str(),
+            after_ms = millis(after);
+            "first_byte"
+        );
     }
 
     /// Reports how an attempt failed and returns what is to be done.
@@ -123,6 +137,7 @@
             outcome = outcome,
             reason = reason,
             attempts = self.attempts,
+            events = self.events,
             server = self.server.as_str(),
             total_ms = millis(total);
             "request_ended"
@@ -172,7 +187,15 @@
             }
             let flow = self.flow.as_mut()?;
             match flow.next(&self.shell).await {
-                Ok(Piece::Events(events)) => return Some(Ok(Frame::data(events))),
+                Ok(Piece::Events { bytes, count, gap }) => {
+                    let tokens = count * self.plan.event_tokens;
+                    self.account.events(count);
+                    if tokens > 0 {
+                        let paced = Event::Paced(self.account.key(), gap / tokens);
+                        self.shell.event(paced);
+                    }
+                    return Some(Ok(Frame::data(bytes)));
+                }
                 Ok(Piece::End) => {
                     if let Some(flow) = self.flow.take() {
                         flow.finish(&self.shell);
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use hibiscusrail_fleet::objects::{Deployment, Repeat, Route};
+use hibiscusrail_fleet::objects::{Deployment, EngineFacts, Repeat, Route};
 use hibiscusrail_fleet::placement::name_hash;
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::{Ask, Event, fleet};
@@ -60,7 +60,7 @@
     service: String,
     workspace: Option<String>,
     body_bytes: usize,
-    engine: bool,
+    engine: Option<EngineFacts>,
 }
 
 /// A request that is refused before a server was asked for.
@@ -152,7 +152,7 @@
     let engine = deployment
         .services
         .get(&service)
-        .is_some_and(|s| s.engine.is_some());
+        .and_then(|s| s.engine.clone());
     Ok(Routed {
         route: route.clone(),
         service,
@@ -218,6 +218,7 @@
     } = routed;
     let deadline = started + caller_time(shell, &parts.headers).min(route.timeout);
     let prompt = engine
+        .is_some()
         .then(|| (shell.shape().prompt)(&parts.headers))
         .flatten();
     let repeatable = route.repeat == Repeat::Idempotent || route.resumable;
@@ -231,11 +232,13 @@
             deadline,
         )),
         stream: route.stream,
+        event_tokens: engine.map_or(0, |e| e.event_tokens),
         repeatable,
         patience: repeatable.then_some(patience),
     };
     let key = shell.next_request();
     let request = text(&parts.headers, &shell.shape().request_id);
+    log::info!(request=request, out = prompt.as_ref().map_or(0, |p| p.output), hint = parts.headers.get("length-hint").and_then(|v| v.to_str().ok()).unwrap_or(""); "trial_output");
     let name = workspace.as_deref().unwrap_or_default();
     let account = Account::new(shell, key, request, name, &service, started);
     let next = shell.event(Event::Submit(Ask {
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -219,7 +219,7 @@
 }
 
 fn log_send(request: RequestKey, server: &str, expected: Duration, inputs: &Inputs) {
-    log::debug!(
+    log::info!(
         call = request.0,
         server = server,
         expected_ms = millis(expected),
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -31,6 +31,8 @@
     pub outgoing: Rc<Outgoing>,
     /// Whether the answer is a stream of events.
     pub stream: bool,
+    /// Tokens in one event of the stream; zero when unknown.
+    pub event_tokens: u32,
     /// Whether running the request twice does no harm.
     pub repeatable: bool,
     /// Longest wait for the first byte, and for each further one; none for requests
@@ -100,13 +102,22 @@
     deadline: Instant,
     /// Id of the last event that was taken.
     pub last: Option<u64>,
+    /// When the last events arrived.
+    arrived: Instant,
 }
 
 /// What came next in a stream.
 #[derive(Debug)]
 pub enum Piece {
     /// Whole events.
-    Events(Bytes),
+    Events {
+        /// Their bytes.
+        bytes: Bytes,
+        /// How many they are.
+        count: u32,
+        /// Time since the events before.
+        gap: Duration,
+    },
     /// The stream is complete.
     End,
 }
@@ -289,9 +300,10 @@
         patience: plan.patience,
         deadline: plan.outgoing.deadline,
         last: resume,
+        arrived: shell.now(),
     };
     let first = match flow.next(shell).await? {
-        Piece::Events(events) => events,
+        Piece::Events { bytes, .. } => bytes,
         // A stream without an event is none.
         Piece::End => return Err(Outcome::Broken.into()),
     };
@@ -324,16 +336,20 @@
                 continue;
             };
             self.splitter.push(&data);
-            let events = self.take_events();
-            if !events.is_empty() {
-                return Ok(Piece::Events(events));
+            let (bytes, count) = self.take_events();
+            if !bytes.is_empty() {
+                let now = shell.now();
+                let before = std::mem::replace(&mut self.arrived, now);
+                let gap = now.saturating_duration_since(before);
+                return Ok(Piece::Events { bytes, count, gap });
             }
         }
     }
 
     /// Takes the whole events, without those that were taken before.
-    fn take_events(&mut self) -> Bytes {
+    fn take_events(&mut self) -> (Bytes, u32) {
         let mut events = BytesMut::new();
+        let mut count = 0;
         while let Some(event) = self.splitter.next_event() {
             let id = event.id();
             if id.is_some() && id <= self.last {
@@ -341,8 +357,9 @@
             }
             self.last = id.or(self.last);
             events.extend_from_slice(&event.0);
+            count += 1;
         }
-        events.freeze()
+        (events.freeze(), count)
     }
 
     /// Gives the connection of a complete stream back.
--- a/crates/settings/src/front.rs
+++ b/crates/settings/src/front.rs
@@ -118,7 +118,7 @@
         },
         report_period: r.optional(ENGINES, "report_period", Duration::from_millis(100)),
         report_life: r.optional(ENGINES, "report_life", Duration::from_millis(1_500)),
-        read_rate: r.optional(ENGINES, "read_rate", 50.0),
+        read_rate: r.optional(ENGINES, "read_rate", 55.0),
         routers: r.optional::<u32>(ENGINES, "routers", 8) as usize,
         lapse_grace: r.optional(STORE, "lapse_grace", Duration::from_millis(2_500)),
         store_silence: r.optional(STORE, "silence", Duration::from_millis(2_500)),
