Let routers tell each other which engines hold which prefix

Cause: a quarter to two thirds of the shared draft tokens went to engines that did not hold them: rendezvous homes are uneven with few prefixes, and a router knew only of its own detours. Ruled out: evicted prefixes (a part comes again within two seconds).

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -14,6 +14,8 @@
 use crate::objects::Backend;
 use crate::window::Window;
 
+/// Part of an engine's memory, as a divisor, that holds prefixes beside running requests.
+const KEPT_PART: u64 = 2;
 /// Window over which the reading of an engine is averaged: several prompts long,
 /// and a fraction of the time that a stream takes.
 pub const BUSY_WINDOW: Duration = Duration::from_millis(1_000);
@@ -128,7 +130,10 @@
     rate: f64,
     /// Observed time that a stream takes for each token, and when it was last seen.
     pace: Option<(Duration, Instant)>,
-    parts: BTreeMap<u64, Instant>,
+    /// Prompt tokens sent by all routers since the record was made.
+    total: u64,
+    /// Last parts of prefixes that were sent there, each with the total at that time.
+    parts: BTreeMap<u64, u64>,
 }
 
 impl Server {
@@ -151,6 +156,7 @@
             reads: Window::new(BUSY_WINDOW),
             rate: 1.0,
             pace: None,
+            total: 0,
             parts: BTreeMap::new(),
         }
     }
@@ -169,19 +175,22 @@
         load
     }
 
-    /// Returns the tokens that the server would have to read for a prompt.
+    /// Returns the tokens of a prompt's shared prefix that the server holds.
+    ///
+    /// Parts that were not used for long yield to what was read since.
     #[must_use]
-    pub fn unread(&self, prompt: &Prompt, is_home: bool) -> u32 {
-        if is_home {
-            return prompt.input.saturating_sub(prompt.shared_tokens());
+    pub fn held(&self, prompt: &Prompt, memory: u64) -> u32 {
+        let kept = memory / KEPT_PART;
+        let mut held = 0;
+        let mut prefix = 0;
+        for part in &prompt.parts[..prompt.parts.len().saturating_sub(1)] {
+            prefix += part.tokens;
+            let used = self.parts.get(&part.id);
+            if used.is_some_and(|at| self.total.saturating_sub(*at) < kept) {
+                held = prefix;
+            }
         }
-        let shared = &prompt.parts[..prompt.parts.len().saturating_sub(1)];
-        let kept: u32 = shared
-            .iter()
-            .take_while(|p| self.parts.contains_key(&p.id))
-            .map(|p| p.tokens)
-            .sum();
-        prompt.input.saturating_sub(kept)
+        held
     }
 
     /// Returns the time in which the server reads `tokens` at `sheet` tokens a millisecond.
@@ -194,6 +203,7 @@
     /// Notes prompt tokens that another router sent.
     #[allow(clippy::cast_precision_loss)]
     pub fn others_read(&mut self, now: Instant, tokens: u64) {
+        self.total += tokens;
         self.reads.add(now, tokens as f64);
     }
 
@@ -201,6 +211,7 @@
     pub fn send_read(&mut self, now: Instant, tokens: u32) {
         self.sent += u64::from(tokens);
         self.sent_at = Some(now);
+        self.total += u64::from(tokens);
         self.reads.add(now, f64::from(tokens));
     }
 
@@ -214,11 +225,9 @@
         self.reads.clone().sum(now) / capacity
     }
 
-    /// Notes the parts of a prompt that the server reads.
-    pub fn note_parts(&mut self, now: Instant, prompt: &Prompt) {
-        for part in &prompt.parts[..prompt.parts.len().saturating_sub(1)] {
-            self.parts.insert(part.id, now);
-        }
+    /// Notes that the server reads the shared prefix that ends with a part.
+    pub fn note_part(&mut self, part: u64) {
+        self.parts.insert(part, self.total);
         while self.parts.len() > PARTS {
             let oldest = self.parts.iter().min_by_key(|(_, at)| **at);
             let Some(id) = oldest.map(|(id, _)| *id) else {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -2,7 +2,7 @@
 
 mod choice;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -11,12 +11,15 @@
 use crate::engine::{Load, Prompt};
 use crate::objects::{Orders, Repeat, Revision, Service, Servers};
 use crate::params::Params;
-use crate::peers::{Peers, Report, RouterHash, ServerLoad, Total};
+use crate::peers::{Peers, Placement, Report, RouterHash, ServerLoad, Total};
 use crate::placement::name_hash;
 use crate::quota::{Quota, Standing, WorkspaceHash};
 use crate::retry::RetryWindow;
 use crate::roster::{Roster, ServerKey};
 
+/// Reports that repeat a placement; all of them are seldom lost.
+const PLACED_REPORTS: u32 = 3;
+
 /// A caller's request, as the daemon numbers it.
 #[id]
 pub struct RequestKey(pub u64);
@@ -104,6 +107,8 @@
     pub running: u32,
     /// Tokens of this prompt that the server has to read.
     pub read: u32,
+    /// Tokens of the prompt that other requests share.
+    pub shared: u32,
     /// Whether the server is the home of the prompt's shared prefix.
     pub home: bool,
     /// How the workspace stands towards its share.
@@ -221,6 +226,7 @@
     retries: BTreeMap<String, RetryWindow>,
     totals: BTreeMap<WorkspaceHash, OwnTotal>,
     peers: Peers,
+    placed: VecDeque<(Instant, Placement)>,
     store_heard: Instant,
     lapse_until: Option<Instant>,
     out: Vec<Decision>,
@@ -243,6 +249,7 @@
             retries: BTreeMap::new(),
             totals: BTreeMap::new(),
             peers: Peers::default(),
+            placed: VecDeque::new(),
             store_heard: now,
             lapse_until: None,
             out: Vec::new(),
@@ -322,6 +329,9 @@
             running: s.own.running,
             sent: s.sent,
         });
+        let repeated = self.params.report_period * PLACED_REPORTS;
+        self.placed
+            .retain(|(at, _)| now.saturating_duration_since(*at) < repeated);
         let recent = self.params.quota_window;
         let totals = self.totals.iter().filter(|(_, t)| {
             t.changed
@@ -341,6 +351,7 @@
                     admitted: t.admitted as u64,
                 })
                 .collect(),
+            placed: self.placed.iter().map(|(_, placement)| *placement).collect(),
         }
     }
 
@@ -598,6 +609,11 @@
                 }
             }
         }
+        for placement in &report.placed {
+            if let Some(server) = self.roster.by_hash_mut(placement.server) {
+                server.note_part(placement.part);
+            }
+        }
         for (hash, tokens) in change.reads {
             if let Some(server) = self.roster.by_hash_mut(hash) {
                 server.others_read(now, tokens);
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -9,7 +9,8 @@
 
 use crate::engine::{Load, Prompt, Server};
 use crate::objects::Service;
-use crate::placement::{self, RANKED};
+use crate::peers::Placement;
+use crate::placement;
 use crate::quota::Standing;
 use crate::roster::ServerKey;
 
@@ -187,12 +188,12 @@
             .of(&request.ask.service)
             .filter(|(key, server)| self.is_open(situation, request, *key, server))
             .collect();
-        let homes = homes(&open, situation.prompt);
+        let homes = homes(&open, situation);
         open.into_iter()
             .filter(|(_, s)| self.has_place(situation, s))
             .map(|(key, server)| {
-                let rank = homes.iter().position(|h| *h == key);
-                self.weigh(situation, key, server, rank)
+                let home = homes.contains(&key);
+                self.weigh(situation, key, server, home)
             })
             .collect()
     }
@@ -266,14 +267,17 @@
         situation: &Situation<'_>,
         key: ServerKey,
         server: &Server,
-        rank: Option<usize>,
+        home: bool,
     ) -> Candidate {
         let load = server.load();
         let sheet = self.params.read_rate;
         let (read, wait, begin) = match situation.prompt {
             Some(prompt) => {
-                let home = rank == Some(0) && !server.is_cold(situation.now);
-                let read = server.unread(prompt, home);
+                let held = match home {
+                    true => prompt.shared_tokens(),
+                    false => server.held(prompt, memory(situation)),
+                };
+                let read = prompt.input.saturating_sub(held);
                 let wait = server.reading_time(load.unread, sheet);
                 let begin = wait + server.reading_time(u64::from(read), sheet);
                 (read, wait, begin)
@@ -301,12 +305,13 @@
             wait,
             reading,
             pace,
-            ranked: rank.is_some() || situation.prompt.is_none(),
+            ranked: home || situation.prompt.is_none(),
             inputs: Inputs {
                 unread: load.unread,
                 running: load.running,
                 read,
-                home: rank == Some(0),
+                shared: situation.prompt.map_or(0, Prompt::shared_tokens),
+                home,
                 standing: situation.standing,
                 revision: self.roster.revision(),
             },
@@ -345,8 +350,10 @@
         };
         server.own.add(load);
         server.send_read(now, candidate.inputs.read);
-        if let Some(prompt) = &request.ask.prompt {
-            server.note_parts(now, prompt);
+        if let Some(part) = request.ask.prompt.as_ref().and_then(Prompt::shared) {
+            server.note_part(part);
+            let server = server.hash;
+            self.placed.push_back((now, Placement { part, server }));
         }
         request.attempt = Some(Attempt {
             server: candidate.key,
@@ -394,17 +401,37 @@
     }
 }
 
-/// Returns the servers that a prompt's shared prefix ranks first, its home ahead.
-fn homes(open: &[(ServerKey, &Server)], prompt: Option<&Prompt>) -> Vec<ServerKey> {
-    let Some(part) = prompt.and_then(Prompt::shared) else {
+/// Returns the servers that hold a prompt's shared prefix.
+///
+/// Where none is known to hold it, all routers take the same one for its home.
+fn homes(open: &[(ServerKey, &Server)], situation: &Situation<'_>) -> Vec<ServerKey> {
+    let Some(prompt) = situation.prompt else {
         return Vec::new();
     };
-    let mut ranked: Vec<(u64, ServerKey)> = open
+    let Some(part) = prompt.shared() else {
+        return Vec::new();
+    };
+    let whole = prompt.shared_tokens();
+    let holders: Vec<ServerKey> = open
         .iter()
-        .map(|(key, server)| (placement::weight(part, server.hash), *key))
+        .filter(|(_, server)| server.held(prompt, memory(situation)) >= whole)
+        .map(|(key, _)| *key)
         .collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
-    ranked.into_iter().take(RANKED).map(|(_, key)| key).collect()
+    if !holders.is_empty() {
+        return holders;
+    }
+    open.iter()
+        .filter(|(_, server)| !server.is_cold(situation.now))
+        .max_by_key(|(_, server)| placement::weight(part, server.hash))
+        .map(|(key, _)| *key)
+        .into_iter()
+        .collect()
+}
+
+/// Returns the tokens that fit into the memory of an engine of the service.
+fn memory(situation: &Situation<'_>) -> u64 {
+    let engine = situation.service.engine.as_ref();
+    engine.map_or(0, |e| e.memory)
 }
 
 /// Estimates the wait at a plain server from what is under way there.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -32,6 +32,17 @@
     pub sent: u64,
 }
 
+/// A prompt that the sender sent to a server lately.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Placement {
+    /// Last part of the prompt that other requests share.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Hash of the server's id.
+    #[prost(fixed32, tag = "2")]
+    pub server: u32,
+}
+
 /// Tokens of a workspace at the sender since its start.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Total {
@@ -70,6 +81,9 @@
     /// Tokens of the workspaces that changed lately.
     #[prost(message, repeated, tag = "7")]
     pub totals: Vec<Total>,
+    /// Prompts that it sent in its last few reports' time.
+    #[prost(message, repeated, tag = "8")]
+    pub placed: Vec<Placement>,
 }
 
 /// The last report of one router, as far as it still counts.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -6,9 +6,6 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Servers that may hold a part: its home and the one that takes over when it is full.
-pub const RANKED: usize = 2;
-
 /// Returns the rank weight of a server for a part; the highest is its home.
 #[must_use]
 pub fn weight(part: u64, server: u32) -> u64 {
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -226,6 +226,7 @@
         unread = inputs.unread,
         running = inputs.running,
         read = inputs.read,
+        shared = inputs.shared,
         home = inputs.home,
         standing:? = inputs.standing,
         revision = inputs.revision.0;
