--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -19,6 +19,7 @@
 use crate::answer::{self, Account};
 use crate::outgoing::Outgoing;
 use crate::refusal;
+use crate::stop;
 use crate::shell::{Next, Shell, Verdict, millis};
 use crate::upstream::{self, Plan, Reply, Whole};
 
@@ -81,6 +82,13 @@
         find_route(shell, deployment, &parts)
     });
     let routed = match routed {
+        Ok(routed) if !stop::has_time(shell, routed.route.stream) => {
+            let early = Early {
+                status: StatusCode::SERVICE_UNAVAILABLE,
+                reason: "the router is stopping",
+            };
+            return refuse_early(shell, &parts, &early);
+        }
         Ok(routed) => routed,
         Err(early) => return refuse_early(shell, &parts, &early),
     };
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -60,7 +60,7 @@
     metrics: Metrics,
     connections: Rc<Connections>,
     next: Cell<u64>,
-    stopping: Cell<bool>,
+    stopping: Cell<Option<Instant>>,
 }
 
 impl std::fmt::Debug for Shell {
@@ -84,7 +84,7 @@
             metrics: Metrics::new(),
             connections: Rc::new(Connections::new()),
             next: Cell::new(0),
-            stopping: Cell::new(false),
+            stopping: Cell::new(None),
         }
     }
 
@@ -141,12 +141,19 @@
     /// Returns whether the router is stopping.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.stopping.get().is_some()
+    }
+
+    /// Returns how long the router has been stopping.
+    #[must_use]
+    pub fn stopping_for(&self) -> Option<Duration> {
+        let since = self.stopping.get()?;
+        Some(self.now().saturating_duration_since(since))
     }
 
     /// Notes that the router is stopping.
     pub fn stop(&self) {
-        self.stopping.set(true);
+        self.stopping.set(Some(self.now()));
     }
 
     /// Returns whether callers may be sent here.
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -14,14 +14,30 @@
 
 /// Time in which callers notice that the router is not ready: two questions a
 /// second apart, and the way of their last connections.
-const NOTICE_TIME: Duration = Duration::from_millis(2_600);
+pub const NOTICE_TIME: Duration = Duration::from_millis(2_600);
 /// Part of the grace that is left to the end of the process itself.
 const EXIT_TIME: Duration = Duration::from_millis(350);
+/// Time before the end of the grace in which a plain request is not begun any more.
+const PLAIN_TIME: Duration = Duration::from_millis(2_000);
 /// Pause between two looks at what still runs.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 /// Pause in which answers that are complete reach their callers.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 
+/// Returns whether a request that arrives now can be expected to end within the grace.
+#[must_use]
+pub fn has_time(shell: &Shell, stream: bool) -> bool {
+    let Some(elapsed) = shell.stopping_for() else {
+        return true;
+    };
+    let limit = if stream {
+        NOTICE_TIME
+    } else {
+        shell.settings().grace.saturating_sub(PLAIN_TIME)
+    };
+    elapsed <= limit
+}
+
 /// Waits for a stop signal and ends what runs; returns how many requests were cut.
 ///
 /// # Errors
