Test the fleet's decisions and the path of a request

Two faults were found by the tests and are mended: routers that may not use a cold server sent it one request each (24 in a second with 14 routers, bound 20), and the window of repeats forgot up to a sixteenth of itself early (172 repeats with 86 routers, 158 allowed).

--- a/crates/fleet/src/cold.rs
+++ b/crates/fleet/src/cold.rs
@@ -27,6 +27,10 @@
 
     /// Returns whether a request may be sent at `rate` requests a second.
     pub fn has_room(&mut self, now: Instant, rate: f64) -> bool {
+        if rate <= 0.0 {
+            // This router is not among those that may use the server.
+            return false;
+        }
         let elapsed = now.saturating_duration_since(self.filled);
         self.filled = now;
         self.tokens = (self.tokens + elapsed.as_secs_f64() * rate).min(BURST);
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -46,7 +46,7 @@
 pub struct Prompt {
     /// Prompt tokens.
     pub input: u32,
-    /// Tokens to generate at most.
+    /// Tokens to generate, as the caller expects.
     pub output: u32,
     /// The parts of the prompt in order; the last belongs to the request alone.
     pub parts: Vec<Part>,
--- a/crates/fleet/src/retry.rs
+++ b/crates/fleet/src/retry.rs
@@ -12,6 +12,10 @@
 /// between the routers' windows and the observer's.
 const USED: f64 = 0.7;
 
+/// Window in which repeats are counted, relative to the bound's: a window
+/// forgets an amount up to two of its sixteen parts early.
+const REPEATS_WINDOW: f64 = 1.125;
+
 /// The fleet's bound on repeats.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBound {
@@ -38,7 +42,8 @@
         Self {
             bound,
             requests: Window::new(bound.window),
-            repeats: Window::new(bound.window),
+            // Counted for longer than an observer does, who may begin anywhere.
+            repeats: Window::new(bound.window.mul_f64(REPEATS_WINDOW)),
         }
     }
 
--- /dev/null
+++ b/crates/fleet/tests/all/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the fleet's decisions, without I/O and on a clock moved by hand.
+
+mod cold_return;
+mod engines;
+mod outcomes;
+mod overload;
+mod placement;
+mod quota;
+mod reports;
+mod retries;
+mod roster;
+mod support;
--- /dev/null
+++ b/crates/fleet/tests/all/outcomes.rs
@@ -0,0 +1,103 @@
+//! What becomes of a request whose attempt failed.
+
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::fleet::{Execution, Reason};
+use hibiscusrail_fleet::objects::Repeat;
+use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey};
+
+use super::support::{self, ask, given_up, plain, prompt, sent};
+
+/// Submits a plain request, fails its attempts with `outcomes`, and returns the last decisions.
+fn fail(repeat: Repeat, outcomes: &[Outcome]) -> Vec<Decision> {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    let mut last = fleet.handle(now, Event::Submit(plain(1, repeat, now)));
+    for outcome in outcomes {
+        assert!(sent(&last).is_some(), "nothing was sent that could end with {outcome:?}");
+        last = fleet.handle(now, Event::Ended(RequestKey(1), *outcome));
+    }
+    last
+}
+
+fn execution(decisions: &[Decision]) -> Option<Execution> {
+    decisions.iter().find_map(|d| match d {
+        Decision::GiveUp { execution, .. } => Some(*execution),
+        _ => None,
+    })
+}
+
+#[test]
+fn ended_request_that_may_have_run_once_is_not_sent_again() {
+    for outcome in [Outcome::Broken, Outcome::Silent] {
+        let decisions = fail(Repeat::Once, &[outcome]);
+        assert_eq!(execution(&decisions), Some(Execution::Unknown));
+    }
+    let decisions = fail(Repeat::Once, &[Outcome::Failed]);
+    assert_eq!(execution(&decisions), Some(Execution::Failed));
+}
+
+#[test]
+fn ended_request_that_did_not_run_goes_to_another_server() {
+    for outcome in [Outcome::NotRun, Outcome::Misdirected, Outcome::Unreachable] {
+        assert!(sent(&fail(Repeat::Once, &[outcome])).is_some());
+    }
+}
+
+#[test]
+fn ended_not_run_is_said_only_when_no_attempt_may_have_run() {
+    let refused = fail(Repeat::Once, &[Outcome::NotRun, Outcome::NotRun]);
+    assert_eq!(execution(&refused), Some(Execution::NotRun));
+    let broken = fail(Repeat::Idempotent, &[Outcome::Broken, Outcome::NotRun]);
+    assert_eq!(execution(&broken), Some(Execution::Unknown));
+}
+
+#[test]
+fn ended_no_more_servers_than_the_route_allows() {
+    let decisions = fail(Repeat::Idempotent, &[Outcome::Failed, Outcome::Failed]);
+    assert_eq!(given_up(&decisions), Some(Reason::Exhausted));
+}
+
+#[test]
+fn ended_stream_that_broke_goes_on_elsewhere_only_when_it_may() {
+    let now = Instant::now();
+    for resumable in [true, false] {
+        let mut fleet = support::router("r", 3, now);
+        let mut request = ask(1, 1, prompt(1, 10), now);
+        request.resumable = resumable;
+        fleet.handle(now, Event::Submit(request));
+        fleet.handle(now, Event::FirstByte(RequestKey(1)));
+        let decisions = fleet.handle(now, Event::Ended(RequestKey(1), Outcome::Broken));
+        assert_eq!(sent(&decisions).is_some(), resumable);
+    }
+}
+
+#[test]
+fn ended_deadline_passed_is_given_up_as_expired() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    fleet.handle(now, Event::Submit(plain(1, Repeat::Idempotent, now)));
+    let late = now + Duration::from_secs(3);
+    let decisions = fleet.handle(late, Event::Ended(RequestKey(1), Outcome::Silent));
+    assert_eq!(given_up(&decisions), Some(Reason::Expired));
+}
+
+#[test]
+fn ended_caller_that_left_frees_the_server() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    fleet.handle(now, Event::Submit(plain(1, Repeat::Idempotent, now)));
+    let running = |fleet: &Fleet| -> u32 { fleet.roster().all().map(|s| s.own.running).sum() };
+    assert_eq!(running(&fleet), 1);
+    fleet.handle(now, Event::Ended(RequestKey(1), Outcome::Left));
+    assert_eq!(running(&fleet), 0);
+    assert_eq!(fleet.requests(), 0);
+}
+
+#[test]
+fn submit_without_configuration_is_refused_as_not_run() {
+    let now = Instant::now();
+    let mut fleet = Fleet::new("r", 1, support::params(), now);
+    let decisions = fleet.handle(now, Event::Submit(plain(1, Repeat::Once, now)));
+    assert_eq!(execution(&decisions), Some(Execution::NotRun));
+}
--- /dev/null
+++ b/crates/fleet/tests/all/overload.rs
@@ -0,0 +1,91 @@
+//! Load pattern: several workspaces ask for many times what the engines give.
+
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::fleet::Reason;
+use hibiscusrail_fleet::{Decision, Event, Fleet, RequestKey};
+
+use super::support::{self, ask, given_up, prompt, sent};
+
+/// Lets a workspace ask until the router refuses it.
+fn flood(fleet: &mut Fleet, workspace: u64, now: Instant) -> Vec<Decision> {
+    for key in 0..1_000 {
+        let request = ask(1_000 + key, workspace, prompt(key, 2_000), now);
+        let decisions = fleet.handle(now, Event::Submit(request));
+        if given_up(&decisions).is_some() {
+            return decisions;
+        }
+    }
+    Vec::new()
+}
+
+#[test]
+fn submit_flood_of_one_workspace_leaves_room_for_another() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 4, now);
+    // Another workspace asks, so that the throughput is shared.
+    fleet.handle(now, Event::Submit(ask(1, 2, prompt(5_000, 500), now)));
+    let refused = flood(&mut fleet, 1, now);
+    assert_eq!(given_up(&refused), Some(Reason::OverShare));
+    let decisions = fleet.handle(now, Event::Submit(ask(2, 2, prompt(5_000, 500), now)));
+    assert!(sent(&decisions).is_some(), "{decisions:?}");
+}
+
+#[test]
+fn submit_refusal_names_when_to_come_back() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 2, now);
+    let refused = flood(&mut fleet, 1, now);
+    let wait = refused.iter().find_map(|d| match d {
+        Decision::GiveUp { retry_after, .. } => Some(*retry_after),
+        _ => None,
+    });
+    let wait = wait.expect("the flood is refused");
+    assert!(wait >= Duration::from_millis(200) && wait <= Duration::from_secs(3));
+}
+
+#[test]
+fn submit_longest_prompt_begins_on_an_idle_engine() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 2, now);
+    // Its reading alone takes longer than the whole target.
+    let decisions = fleet.handle(now, Event::Submit(ask(1, 1, prompt(1, 60_000), now)));
+    assert!(sent(&decisions).is_some());
+}
+
+#[test]
+fn submit_engine_that_reads_all_the_time_receives_no_more() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 1, start);
+    let mut admitted = 0.0;
+    // Ten seconds of requests whose prompts are read at once.
+    for step in 0..1_000_u64 {
+        let now = start + Duration::from_millis(step * 10);
+        let decisions = fleet.handle(now, Event::Submit(ask(step, step, prompt(1, 3_000), now)));
+        if sent(&decisions).is_some() {
+            admitted += 3_000.0;
+            fleet.handle(now, Event::FirstByte(RequestKey(step)));
+            fleet.handle(now, Event::Ended(RequestKey(step), hibiscusrail_fleet::Outcome::Answered));
+        }
+    }
+    // 55 tokens a millisecond for ten seconds, of which streams need a part.
+    let capacity = 55.0 * 10_000.0;
+    assert!(admitted <= capacity, "{admitted} of {capacity} tokens");
+    assert!(admitted >= capacity / 2.0, "{admitted} of {capacity} tokens");
+}
+
+#[test]
+fn submit_engine_whose_streams_are_slow_receives_no_more() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 1, start);
+    fleet.handle(start, Event::Submit(ask(1, 1, prompt(1, 100), start)));
+    fleet.handle(start, Event::FirstByte(RequestKey(1)));
+    for step in 1..=20 {
+        let now = start + Duration::from_millis(100 * step);
+        let each = Duration::from_millis(15);
+        fleet.handle(now, Event::Paced(RequestKey(1), each));
+    }
+    let now = start + Duration::from_secs(2);
+    let decisions = fleet.handle(now, Event::Submit(ask(2, 1, prompt(1, 100), now)));
+    assert_eq!(given_up(&decisions), Some(Reason::Busy));
+}
--- /dev/null
+++ b/crates/fleet/tests/all/quota.rs
@@ -0,0 +1,97 @@
+//! Max-min shares.
+
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::quota::{Quota, Standing, WorkspaceHash};
+use proptest::prelude::*;
+
+const WINDOW: Duration = Duration::from_secs(4);
+const SMALL: WorkspaceHash = WorkspaceHash(1);
+const LARGE: WorkspaceHash = WorkspaceHash(2);
+
+#[test]
+fn standing_small_workspace_gets_all_it_asks_for() {
+    let now = Instant::now();
+    let mut quota = Quota::new(WINDOW);
+    quota.ask(now, SMALL, 1_000.0);
+    quota.ask(now, LARGE, 1_000_000.0);
+    quota.admit(now, SMALL, 900.0);
+    quota.admit(now, LARGE, 50_000.0);
+    assert_eq!(quota.standing(now, SMALL, 10_000.0), Standing::Within);
+    assert_eq!(quota.standing(now, LARGE, 10_000.0), Standing::Beyond);
+}
+
+#[test]
+fn standing_unused_share_goes_to_who_asks_more() {
+    let now = Instant::now();
+    let mut quota = Quota::new(WINDOW);
+    quota.ask(now, SMALL, 1_000.0);
+    quota.ask(now, LARGE, 1_000_000.0);
+    // 40,000 tokens in a window less the 1,000 of the small one.
+    quota.admit(now, LARGE, 38_000.0);
+    assert_eq!(quota.standing(now, LARGE, 10_000.0), Standing::Within);
+    quota.admit(now, LARGE, 1_000.0);
+    assert_eq!(quota.standing(now, LARGE, 10_000.0), Standing::Beyond);
+}
+
+#[test]
+fn standing_is_within_while_all_demand_fits() {
+    let now = Instant::now();
+    let mut quota = Quota::new(WINDOW);
+    quota.ask(now, LARGE, 39_000.0);
+    quota.admit(now, LARGE, 39_000.0);
+    assert_eq!(quota.standing(now, LARGE, 10_000.0), Standing::Within);
+}
+
+#[test]
+fn standing_idle_time_is_no_credit() {
+    let start = Instant::now();
+    let mut quota = Quota::new(WINDOW);
+    let later = start + Duration::from_secs(60);
+    quota.ask(later, SMALL, 100_000.0);
+    quota.ask(later, LARGE, 100_000.0);
+    quota.admit(later, SMALL, 20_000.0);
+    assert_eq!(quota.standing(later, SMALL, 10_000.0), Standing::Beyond);
+}
+
+#[test]
+fn standing_forgets_what_left_the_window() {
+    let start = Instant::now();
+    let mut quota = Quota::new(WINDOW);
+    quota.ask(start, LARGE, 100_000.0);
+    quota.admit(start, LARGE, 100_000.0);
+    let later = start + WINDOW + Duration::from_millis(1);
+    quota.ask(later, LARGE, 100_000.0);
+    assert_eq!(quota.standing(later, LARGE, 10_000.0), Standing::Within);
+}
+
+proptest! {
+    /// What workspaces may take before they are beyond their share adds up to the
+    /// throughput, and nobody who asks for less than another gets cut first.
+    #[test]
+    fn standing_shares_add_up_to_the_throughput(asked in prop::collection::vec(1.0_f64..1e6, 1..20)) {
+        let now = Instant::now();
+        let throughput = 50_000.0;
+        let capacity = throughput * WINDOW.as_secs_f64();
+        let mut taken = 0.0;
+        for (who, demand) in asked.iter().enumerate() {
+            let mut quota = Quota::new(WINDOW);
+            for (other, demand) in asked.iter().enumerate() {
+                quota.ask(now, WorkspaceHash(other as u64), *demand);
+            }
+            let who = WorkspaceHash(who as u64);
+            // Steps of a thousandth of the capacity until the share is used up.
+            let step = capacity / 1_000.0;
+            let mut got = 0.0;
+            while got < *demand && quota.standing(now, who, throughput) == Standing::Within {
+                quota.admit(now, who, step);
+                got += step;
+            }
+            taken += got.min(*demand);
+        }
+        let demand: f64 = asked.iter().sum();
+        let slack = capacity / 1_000.0 * asked.len() as f64;
+        prop_assert!(taken <= demand.min(capacity) + slack);
+        prop_assert!(taken >= demand.min(capacity) - slack);
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/all/retries.rs
@@ -0,0 +1,46 @@
+//! The budget of repeats.
+
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::retry::{RetryBound, RetryWindow};
+
+const BOUND: RetryBound = RetryBound {
+    ratio: 0.2,
+    constant: 54.0,
+    window: Duration::from_secs(10),
+};
+
+#[test]
+fn repeat_stays_within_the_fleets_bound_in_every_window() {
+    for routers in [1_usize, 7, 86] {
+        let start = Instant::now();
+        let mut windows: Vec<RetryWindow> = (0..routers).map(|_| RetryWindow::new(BOUND)).collect();
+        let mut repeats: Vec<Duration> = Vec::new();
+        let mut requests: Vec<Duration> = Vec::new();
+        // Every request fails, and every failure asks for a repeat.
+        for step in 0..2_500_u64 {
+            let elapsed = Duration::from_millis(step * 10);
+            let window = &mut windows[step as usize % routers];
+            window.request(start + elapsed);
+            requests.push(elapsed);
+            if window.repeat(start + elapsed, routers) {
+                repeats.push(elapsed);
+            }
+        }
+        for from in &repeats {
+            let end = *from + BOUND.window;
+            let inside = |all: &[Duration]| all.iter().filter(|at| *at >= from && **at < end).count();
+            let allowed = BOUND.ratio * inside(&requests) as f64 + BOUND.constant;
+            let seen = inside(&repeats) as f64;
+            assert!(seen <= allowed, "{routers} routers: {seen} repeats, {allowed} allowed");
+        }
+    }
+}
+
+#[test]
+fn repeat_is_possible_for_a_quiet_service() {
+    let now = Instant::now();
+    let mut window = RetryWindow::new(BOUND);
+    window.request(now);
+    assert!(window.repeat(now, 7));
+}
--- /dev/null
+++ b/crates/fleet/tests/all/roster.rs
@@ -0,0 +1,108 @@
+//! Servers that start, leave, lapse and are born again.
+
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::Event;
+use hibiscusrail_fleet::objects::Revision;
+
+use super::support::{self, ENGINES, PLAIN, ask, backend, given_up, plain, prompt, sent};
+use hibiscusrail_fleet::objects::Repeat;
+
+#[test]
+fn submit_leaving_server_receives_nothing() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 2, now);
+    let mut servers = support::servers(2);
+    servers.get_mut("e0").expect("there is one").leaving = true;
+    fleet.handle(now, Event::Servers(Revision(2), servers));
+    for key in 0..20 {
+        let decisions = fleet.handle(now, Event::Submit(ask(key, 1, prompt(key, 10), now)));
+        assert_ne!(sent(&decisions), Some("e0"));
+    }
+}
+
+#[test]
+fn submit_evacuated_zone_receives_nothing_until_it_is_taken_back() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 2, now);
+    fleet.handle(now, Event::Orders(Revision(2), support::orders(&["a"])));
+    let decisions = fleet.handle(now, Event::Submit(plain(1, Repeat::Idempotent, now)));
+    assert!(given_up(&decisions).is_some());
+    fleet.handle(now, Event::Orders(Revision(3), support::orders(&[])));
+    let decisions = fleet.handle(now, Event::Submit(plain(2, Repeat::Idempotent, now)));
+    assert!(sent(&decisions).is_some());
+}
+
+#[test]
+fn orders_older_revision_never_comes_back() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    fleet.handle(now, Event::Orders(Revision(5), support::orders(&["b"])));
+    fleet.handle(now, Event::Orders(Revision(4), support::orders(&[])));
+    assert!(fleet.orders().evacuated.contains("b"));
+    assert_eq!(fleet.orders_revision(), Revision(5));
+}
+
+#[test]
+fn orders_without_configuration_leave_the_one_in_force() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    let mut orders = support::orders(&[]);
+    orders.deployment = None;
+    fleet.handle(now, Event::Orders(Revision(2), orders));
+    assert!(fleet.orders().deployment.is_some());
+}
+
+#[test]
+fn servers_lapsed_while_the_store_was_away_stay_for_the_grace() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 1, start);
+    let back = start + Duration::from_secs(4);
+    fleet.handle(back, Event::StoreAnswered);
+    fleet.handle(back, Event::Servers(Revision(2), support::servers(0)));
+    let decisions = fleet.handle(back, Event::Submit(ask(1, 1, prompt(1, 10), back)));
+    assert_eq!(sent(&decisions), Some("e0"), "its entry may only have lapsed");
+    let late = back + Duration::from_secs(3);
+    fleet.handle(late, Event::Tick);
+    let decisions = fleet.handle(late, Event::Submit(ask(2, 1, prompt(1, 10), late)));
+    assert_eq!(sent(&decisions), None);
+}
+
+#[test]
+fn servers_missing_while_the_store_answers_are_gone_at_once() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 1, start);
+    fleet.handle(start, Event::StoreAnswered);
+    fleet.handle(start, Event::Servers(Revision(2), support::servers(0)));
+    let decisions = fleet.handle(start, Event::Submit(ask(1, 1, prompt(1, 10), start)));
+    assert_eq!(sent(&decisions), None);
+}
+
+#[test]
+fn servers_id_born_again_starts_without_load_and_cold() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 1, start);
+    for key in 0..5 {
+        fleet.handle(start, Event::Submit(ask(key, 1, prompt(1, 1_000), start)));
+    }
+    let mut servers = support::servers(1);
+    let again = servers.get_mut("e0").expect("there is one");
+    again.born = 2;
+    again.sequence = 0;
+    again.cold = Duration::from_secs(3);
+    fleet.handle(start, Event::Servers(Revision(2), servers));
+    let server = fleet.roster().of(ENGINES).next().expect("it is there").1;
+    assert_eq!(server.load().running, 0);
+    assert!(server.is_cold(start));
+}
+
+#[test]
+fn servers_address_used_by_another_service_moves_with_it() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    let mut servers = support::servers(1);
+    servers.insert("e0".to_owned(), backend(PLAIN, 0));
+    fleet.handle(now, Event::Servers(Revision(2), servers));
+    assert_eq!(fleet.roster().of(ENGINES).count(), 0);
+    assert_eq!(fleet.roster().of(PLAIN).count(), 4);
+}
--- /dev/null
+++ b/crates/fleet/tests/all/support.rs
@@ -0,0 +1,205 @@
+//! A deployment of engines and plain servers for the tests.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::engine::{Part, Prompt};
+use hibiscusrail_fleet::fleet::Reason;
+use hibiscusrail_fleet::objects::{
+    Backend, Deployment, EngineFacts, Limits, Orders, Repeat, Revision, Route, Servers, Service,
+    Target, Workspace,
+};
+use hibiscusrail_fleet::quota::WorkspaceHash;
+use hibiscusrail_fleet::retry::RetryBound;
+use hibiscusrail_fleet::{Ask, Decision, Event, Fleet, Params, RequestKey};
+
+/// Name of the service with engines.
+pub const ENGINES: &str = "engines";
+/// Name of the plain service.
+pub const PLAIN: &str = "plain";
+/// Tokens a second that the engines are said to give: less than one of them reads.
+pub const THROUGHPUT: f64 = 20_000.0;
+
+/// Parameters with the bounds of a deployment of today.
+pub fn params() -> Params {
+    Params {
+        zone: "a".to_owned(),
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+        quota_window: Duration::from_secs(4),
+        retries: RetryBound {
+            ratio: 0.2,
+            constant: 54.0,
+            window: Duration::from_secs(10),
+        },
+        report_period: Duration::from_millis(100),
+        report_life: Duration::from_millis(1_500),
+        read_rate: 55.0,
+        routers: 8,
+        lapse_grace: Duration::from_millis(2_500),
+        store_silence: Duration::from_millis(2_500),
+    }
+}
+
+fn service(engine: Option<EngineFacts>) -> Service {
+    let cold = engine.is_some();
+    Service {
+        health: "/health".to_owned(),
+        connections: 360,
+        cold_time: Duration::from_secs(if cold { 3 } else { 0 }),
+        cold_rate: if cold { 10.0 } else { 0.0 },
+        engine,
+    }
+}
+
+fn route(service: &str, repeat: Repeat) -> Route {
+    Route {
+        name: service.to_owned(),
+        host: "host".to_owned(),
+        prefix: format!("/{service}/"),
+        targets: vec![Target {
+            service: service.to_owned(),
+            weight: 1,
+        }],
+        repeat,
+        stream: service == ENGINES,
+        resumable: service == ENGINES,
+        public: false,
+        timeout: Duration::from_secs(12),
+        target: Duration::from_secs(1),
+        attempts: 2,
+    }
+}
+
+/// The operator's orders, with the given zones taken out.
+pub fn orders(evacuated: &[&str]) -> Orders {
+    let facts = EngineFacts {
+        slots: 64,
+        memory: 460_000,
+        event_tokens: 7,
+    };
+    let deployment = Deployment {
+        version: 1,
+        routes: vec![route(ENGINES, Repeat::Once), route(PLAIN, Repeat::Idempotent)],
+        services: BTreeMap::from([
+            (ENGINES.to_owned(), service(Some(facts))),
+            (PLAIN.to_owned(), service(None)),
+        ]),
+        workspaces: vec![Workspace {
+            name: "w".to_owned(),
+            keys: vec!["key".to_owned()],
+        }],
+        limits: Limits {
+            head_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            idle: Duration::from_secs(15),
+            throughput: THROUGHPUT,
+        },
+    };
+    Orders {
+        deployment: Some(deployment),
+        evacuated: evacuated
+            .iter()
+            .map(|z| (*z).to_owned())
+            .collect::<BTreeSet<_>>(),
+    }
+}
+
+/// A warm server of a service in zone `a`.
+pub fn backend(service: &str, number: u16) -> Backend {
+    Backend {
+        service: service.to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number)),
+        zone: "a".to_owned(),
+        leaving: false,
+        slots: if service == ENGINES { 64 } else { 6 },
+        cold: Duration::ZERO,
+        sequence: 1,
+        born: 1,
+    }
+}
+
+/// `engines` engines and three plain servers.
+pub fn servers(engines: u16) -> Servers {
+    let mut servers = Servers::new();
+    for number in 0..engines {
+        servers.insert(format!("e{number}"), backend(ENGINES, number));
+    }
+    for number in 0..3 {
+        servers.insert(format!("p{number}"), backend(PLAIN, 100 + number));
+    }
+    servers
+}
+
+/// A router that knows the deployment.
+pub fn router(name: &str, engines: u16, now: Instant) -> Fleet {
+    let mut fleet = Fleet::new(name, 1, params(), now);
+    fleet.handle(now, Event::Orders(Revision(1), orders(&[])));
+    fleet.handle(now, Event::Servers(Revision(1), servers(engines)));
+    fleet
+}
+
+/// A prompt whose shared part `shared` has 5,000 tokens.
+pub fn prompt(shared: u64, own: u32) -> Prompt {
+    Prompt {
+        input: 5_000 + own,
+        output: 300,
+        parts: vec![
+            Part {
+                id: shared,
+                tokens: 5_000,
+            },
+            Part {
+                id: u64::MAX,
+                tokens: own,
+            },
+        ],
+    }
+}
+
+/// A request for an engine that may go on elsewhere.
+pub fn ask(key: u64, workspace: u64, prompt: Prompt, now: Instant) -> Ask {
+    Ask {
+        key: RequestKey(key),
+        workspace: Some(WorkspaceHash(workspace)),
+        service: ENGINES.to_owned(),
+        prompt: Some(prompt),
+        target: now + Duration::from_secs(1),
+        deadline: now + Duration::from_secs(12),
+        repeat: Repeat::Once,
+        resumable: true,
+        attempts: 2,
+    }
+}
+
+/// A request for a plain server.
+pub fn plain(key: u64, repeat: Repeat, now: Instant) -> Ask {
+    Ask {
+        key: RequestKey(key),
+        workspace: None,
+        service: PLAIN.to_owned(),
+        prompt: None,
+        target: now + Duration::from_millis(300),
+        deadline: now + Duration::from_secs(3),
+        repeat,
+        resumable: false,
+        attempts: 2,
+    }
+}
+
+/// The server that a request was sent to.
+pub fn sent(decisions: &[Decision]) -> Option<&str> {
+    decisions.iter().find_map(|d| match d {
+        Decision::Send { id, .. } => Some(id.as_str()),
+        _ => None,
+    })
+}
+
+/// Why a request was given up.
+pub fn given_up(decisions: &[Decision]) -> Option<Reason> {
+    decisions.iter().find_map(|d| match d {
+        Decision::GiveUp { reason, .. } => Some(*reason),
+        _ => None,
+    })
+}
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -246,7 +246,6 @@
     };
     let key = shell.next_request();
     let request = text(&parts.headers, &shell.shape().request_id);
-    log::info!(request=request, out = prompt.as_ref().map_or(0, |p| p.output), hint = parts.headers.get("length-hint").and_then(|v| v.to_str().ok()).unwrap_or(""); "trial_output");
     let name = workspace.as_deref().unwrap_or_default();
     let account = Account::new(shell, key, request, name, &service, started);
     let next = shell.event(Event::Submit(Ask {
--- /dev/null
+++ b/crates/front/tests/all/requests.rs
@@ -0,0 +1,93 @@
+//! Requests as servers receive them, and those that no server receives.
+
+use super::support::{Act, Front, Server, header, run, status, whole};
+
+async fn seen(path: &str, extra: &str) -> String {
+    let server = Server::start(vec![Act::Write(whole("200 OK", "body"))]);
+    let front = Front::start(&[&server]);
+    assert_eq!(status(&front.call(path, extra).await), 200);
+    server.seen().remove(0)
+}
+
+#[test]
+fn request_names_workspace_and_server_but_not_the_key() {
+    run(async {
+        let head = seen("/once/x?q=%2F1", "x-workspace: forged\r\nx-internal: forged\r\n").await;
+        assert!(head.starts_with("POST /once/x?q=%2F1 HTTP/1.1\r\n"));
+        assert_eq!(header(&head, "x-workspace").as_deref(), Some("w"));
+        assert_eq!(header(&head, "x-server").as_deref(), Some("plain0"));
+        assert_eq!(header(&head, "host").as_deref(), Some("host"));
+        assert!(!head.contains("key") && !head.contains("forged"));
+    });
+}
+
+#[test]
+fn request_on_a_public_route_has_no_workspace() {
+    run(async {
+        let head = seen("/public/x", "x-workspace: forged\r\n").await;
+        assert_eq!(header(&head, "x-workspace"), None);
+    });
+}
+
+#[test]
+fn request_deadline_counts_down() {
+    run(async {
+        let head = seen("/once/x", "").await;
+        let left: u64 = header(&head, "x-wait-ms").expect("it is set").parse().expect("a number");
+        assert!(left <= 5_000 && left > 0);
+    });
+}
+
+#[test]
+fn request_body_in_chunks_arrives_whole() {
+    run(async {
+        let server = Server::start(vec![Act::Write(whole("200 OK", "body"))]);
+        let front = Front::start(&[&server]);
+        let text = "POST /once/x HTTP/1.1\r\nhost: host\r\nauthorization: Bearer key\r\nx-id: r\r\n\
+                    connection: close\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        assert_eq!(status(&front.raw(text).await), 200);
+        let head = server.seen().remove(0);
+        assert!(head.ends_with("\r\n\r\nabcde"), "{head}");
+    });
+}
+
+#[test]
+fn request_refused_reaches_no_server() {
+    run(async {
+        let server = Server::start(vec![Act::Write(whole("200 OK", "body"))]);
+        let front = Front::start(&[&server]);
+        let long = "x".repeat(1_001);
+        let body = format!("content-length: 1001\r\n\r\n{long}");
+        assert_eq!(status(&front.call("/nowhere/x", "").await), 404);
+        assert_eq!(status(&front.call("/once/x", &body).await), 413);
+        let wrong = "POST /once/x HTTP/1.1\r\nhost: host\r\nauthorization: Bearer wrong\r\n\
+                     connection: close\r\n\r\n";
+        assert_eq!(status(&front.raw(wrong).await), 401);
+        assert_eq!(status(&front.raw("nonsense\r\n\r\n").await), 400);
+        assert!(server.seen().is_empty());
+    });
+}
+
+#[test]
+fn request_without_server_is_refused_at_once() {
+    run(async {
+        let answer = Front::start(&[]).call("/once/x", "").await;
+        assert_eq!(status(&answer), 503);
+        assert!(header(&answer, "retry-after").is_some());
+    });
+}
+
+#[test]
+fn request_at_a_stopping_router_closes_its_connection() {
+    run(async {
+        let server = Server::start(vec![Act::Write(whole("200 OK", "body"))]);
+        let front = Front::start(&[&server]);
+        front.shell.stop();
+        assert!(!front.shell.is_ready());
+        let text = "POST /once/x HTTP/1.1\r\nhost: host\r\nauthorization: Bearer key\r\nx-id: r\r\n\r\n";
+        // The call ends only when the router closes the connection.
+        let answer = front.raw(text).await;
+        assert_eq!(status(&answer), 200);
+        assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
+    });
+}
--- /dev/null
+++ b/crates/front/tests/all/support.rs
@@ -0,0 +1,327 @@
+//! A router with stand-ins for servers and callers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::BufResult;
+use compio::io::{AsyncRead, AsyncWriteExt};
+use compio::net::TcpStream;
+use hibiscusrail_core::SystemClock;
+use hibiscusrail_fleet::Event;
+use hibiscusrail_fleet::engine::Prompt;
+use hibiscusrail_fleet::objects::{
+    Backend, Deployment, EngineFacts, Limits, Orders, Repeat, Revision, Route, Service, Target,
+    Workspace,
+};
+use hibiscusrail_front::caller;
+use hibiscusrail_front::shape::Shape;
+use hibiscusrail_front::shell::Shell;
+use hibiscusrail_net::{bind, serve};
+use hibiscusrail_settings::FrontSettings;
+use http::HeaderName;
+
+/// Limit of every wait in these tests.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// What a stand-in does with one request.
+#[derive(Clone)]
+pub enum Act {
+    /// Writes the bytes and keeps the connection; `{id}` stands for the request's id.
+    Write(String),
+    /// Writes the bytes and closes the connection.
+    Close(String),
+    /// Writes the bytes and stays silent until the other end closes.
+    Hang(String),
+}
+
+/// A stand-in for a server; acts are taken one after the other, the last again and again.
+#[derive(Clone)]
+pub struct Server {
+    pub address: SocketAddr,
+    seen: Rc<RefCell<Vec<String>>>,
+    left: Rc<Cell<usize>>,
+}
+
+impl Server {
+    pub fn start(acts: Vec<Act>) -> Self {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback is there");
+        let server = Self {
+            address: listener.local_addr().expect("it is bound"),
+            seen: Rc::default(),
+            left: Rc::default(),
+        };
+        let (own, at) = (server.clone(), Rc::new(Cell::new(0)));
+        compio::runtime::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let serving = own.clone().serve(stream, acts.clone(), Rc::clone(&at));
+                compio::runtime::spawn(serving).detach();
+            }
+        })
+        .detach();
+        server
+    }
+
+    /// Heads of the requests that arrived.
+    pub fn seen(&self) -> Vec<String> {
+        self.seen.borrow().clone()
+    }
+
+    /// Connections that the other end closed while an answer was under way.
+    pub fn left(&self) -> usize {
+        self.left.get()
+    }
+
+    async fn serve(self, mut stream: TcpStream, acts: Vec<Act>, at: Rc<Cell<usize>>) {
+        while let Some(head) = read_head(&mut stream).await {
+            let id = header(&head, "x-id").unwrap_or_default();
+            self.seen.borrow_mut().push(head);
+            let act = acts[at.get().min(acts.len() - 1)].clone();
+            at.set(at.get() + 1);
+            let (Act::Write(text) | Act::Close(text) | Act::Hang(text)) = &act;
+            let bytes = text.replace("{id}", &id).into_bytes();
+            let BufResult(written, _) = stream.write_all(bytes).await;
+            match (written, act) {
+                (Ok(()), Act::Write(_)) => {}
+                (Ok(()), Act::Hang(_)) => {
+                    let BufResult(read, _) = stream.read(vec![0; 1]).await;
+                    if matches!(read, Ok(0) | Err(_)) {
+                        self.left.set(self.left.get() + 1);
+                    }
+                    return;
+                }
+                _ => return,
+            }
+        }
+    }
+}
+
+/// Reads a head and the body that it announces.
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut text = String::new();
+    loop {
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length = header(&text, "content-length").map_or(0, |l| l.parse().unwrap_or(0));
+            if text.len() >= end + 4 + length {
+                return Some(text);
+            }
+        }
+        let BufResult(read, buffer) = stream.read(vec![0; 4_096]).await;
+        match read {
+            Ok(count) if count > 0 => {
+                text.push_str(std::str::from_utf8(&buffer[..count]).expect("heads are text"));
+            }
+            _ => return None,
+        }
+    }
+}
+
+/// Returns the value of a header in a head.
+pub fn header(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|line| {
+        let (key, value) = line.split_once(':')?;
+        key.eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_owned())
+    })
+}
+
+/// Status of an answer.
+pub fn status(answer: &str) -> u16 {
+    let word = answer.split(' ').nth(1).unwrap_or_default();
+    word.parse().unwrap_or_default()
+}
+
+/// A whole answer with a seal.
+pub fn whole(status: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nx-id: {{id}}\r\nx-seal: s\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Head of a stream that ends with its connection.
+pub const STREAM: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// A chunk of a stream.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// The end of a stream.
+pub const END: &str = "0\r\n\r\n";
+
+fn shape() -> Shape {
+    Shape {
+        request_id: HeaderName::from_static("x-id"),
+        deadline: HeaderName::from_static("x-wait-ms"),
+        last_event: HeaderName::from_static("last-event-id"),
+        seal: HeaderName::from_static("x-seal"),
+        workspace: HeaderName::from_static("x-workspace"),
+        expect_server: HeaderName::from_static("x-server"),
+        not_run: HeaderName::from_static("x-not-run"),
+        reserved: vec![HeaderName::from_static("x-internal")],
+        ready_path: "/ready",
+        prompt: |_| Some(Prompt::default()),
+    }
+}
+
+const SETTINGS: &str = "[front]
+name = r
+zone = a
+listen = 127.0.0.1:1
+ready_listen = 127.0.0.1:2
+peer_listen = 127.0.0.1:3
+metrics_listen = 127.0.0.1:4
+[store]
+address = 127.0.0.1:5
+";
+
+fn route(name: &str, repeat: Repeat, stream: bool, resumable: bool) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "host".to_owned(),
+        prefix: format!("/{name}/"),
+        targets: vec![Target {
+            service: if stream { "engines" } else { "plain" }.to_owned(),
+            weight: 1,
+        }],
+        repeat,
+        stream,
+        resumable,
+        public: name == "public",
+        timeout: Duration::from_secs(5),
+        target: Duration::from_millis(300),
+        attempts: 2,
+    }
+}
+
+fn deployment() -> Deployment {
+    let service = |engine| Service {
+        health: "/health".to_owned(),
+        connections: 100,
+        cold_time: Duration::ZERO,
+        cold_rate: 0.0,
+        engine,
+    };
+    let facts = EngineFacts {
+        slots: 8,
+        memory: 1_000,
+        event_tokens: 1,
+    };
+    Deployment {
+        version: 1,
+        routes: vec![
+            route("once", Repeat::Once, false, false),
+            route("again", Repeat::Idempotent, false, false),
+            route("public", Repeat::Once, false, false),
+            route("stream", Repeat::Once, true, false),
+            route("resume", Repeat::Once, true, true),
+        ],
+        services: BTreeMap::from([
+            ("plain".to_owned(), service(None)),
+            ("engines".to_owned(), service(Some(facts))),
+        ]),
+        workspaces: vec![Workspace {
+            name: "w".to_owned(),
+            keys: vec!["key".to_owned()],
+        }],
+        limits: Limits {
+            head_bytes: 16 << 10,
+            body_bytes: 1_000,
+            idle: Duration::from_secs(15),
+            throughput: 0.0,
+        },
+    }
+}
+
+/// A router whose plain servers and engines are the same stand-ins.
+pub struct Front {
+    pub shell: Rc<Shell>,
+    pub address: SocketAddr,
+}
+
+impl Front {
+    pub fn start(servers: &[&Server]) -> Self {
+        let settings = FrontSettings::parse("test", SETTINGS).expect("the settings are valid");
+        let shell = Rc::new(Shell::new(settings, shape(), Box::new(SystemClock)));
+        let orders = Orders {
+            deployment: Some(deployment()),
+            evacuated: BTreeSet::new(),
+        };
+        shell.event(Event::Orders(Revision(1), orders));
+        let mut entries = BTreeMap::new();
+        for service in ["plain", "engines"] {
+            for (number, server) in servers.iter().enumerate() {
+                let backend = Backend {
+                    service: service.to_owned(),
+                    address: server.address,
+                    zone: "a".to_owned(),
+                    leaving: false,
+                    slots: 8,
+                    cold: Duration::ZERO,
+                    sequence: 1,
+                    born: 1,
+                };
+                entries.insert(format!("{service}{number}"), backend);
+            }
+        }
+        shell.event(Event::Servers(Revision(1), entries));
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback is there");
+        let address = listener.local_addr().expect("it is bound");
+        let limits = hibiscusrail_net::Limits::new();
+        compio::runtime::spawn(serve(listener, limits, caller::handler(&shell))).detach();
+        Self { shell, address }
+    }
+
+    /// Sends a request and returns all that comes back until the connection closes.
+    pub async fn call(&self, path: &str, extra: &str) -> String {
+        let text = format!(
+            "POST {path} HTTP/1.1\r\nhost: host\r\nauthorization: Bearer key\r\nx-id: r1\r\n\
+             x-wait-ms: 5000\r\nconnection: close\r\n{extra}\r\n"
+        );
+        self.raw(&text).await
+    }
+
+    /// Sends bytes and returns all that comes back until the connection closes.
+    pub async fn raw(&self, text: &str) -> String {
+        let mut stream = TcpStream::connect(self.address).await.expect("it listens");
+        let BufResult(written, _) = stream.write_all(text.as_bytes().to_vec()).await;
+        written.expect("the router reads");
+        compio::time::timeout(PATIENCE, read_all(&mut stream))
+            .await
+            .expect("the router answers in time")
+    }
+}
+
+/// Reads until the connection closes.
+pub async fn read_all(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    loop {
+        let BufResult(read, buffer) = stream.read(vec![0; 4_096]).await;
+        match read {
+            Ok(count) if count > 0 => text.push_str(&String::from_utf8_lossy(&buffer[..count])),
+            _ => return text,
+        }
+    }
+}
+
+/// Runs a test on a loop of its own.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = compio::runtime::Runtime::new().expect("a loop can be made");
+    runtime.block_on(test);
+}
+
+/// Waits until something holds.
+pub async fn until(holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    compio::time::timeout(PATIENCE, waiting)
+        .await
+        .expect("it holds in time");
+}
+
