Answer connections over the limit and share what lies beyond the promise evenly

They are refused with 503; refused callers are asked to close while connections are scarce; the limit follows the descriptors of the machine.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -174,6 +174,8 @@
     Servers(Revision, Servers),
     /// The store answered a call.
     StoreAnswered,
+    /// The servers' entries have not changed since they were last read.
+    ServersUnchanged,
     /// Another router reported.
     Report(Report),
     /// The routers that are registered, this one among them.
@@ -228,7 +230,8 @@
     peers: Peers,
     placed: VecDeque<(Instant, Placement)>,
     store_heard: Instant,
-    lapse_until: Option<Instant>,
+    /// Whether the next list of servers is the first since the store was away.
+    lapsing: bool,
     out: Vec<Decision>,
 }
 
@@ -251,7 +254,7 @@
             peers: Peers::default(),
             placed: VecDeque::new(),
             store_heard: now,
-            lapse_until: None,
+            lapsing: false,
             out: Vec::new(),
             params,
         }
@@ -308,6 +311,7 @@
             Event::Orders(revision, orders) => self.take_orders(revision, orders),
             Event::Servers(revision, servers) => self.take_servers(now, revision, &servers),
             Event::StoreAnswered => self.store_answered(now),
+            Event::ServersUnchanged => self.lapsing = false,
             Event::Report(report) => self.take_report(now, &report),
             Event::Members(names) => self.take_members(&names),
             Event::Tick => self.tick(now),
@@ -572,7 +576,8 @@
         if revision <= self.roster.revision() {
             return;
         }
-        let lapse = self.lapse_until.is_some_and(|until| now < until);
+        // Only what is missing at once may have lapsed; what goes later has left.
+        let lapse = std::mem::take(&mut self.lapsing);
         let changes = self.roster.apply(now, revision, servers, lapse);
         let lists = [
             ("server_started", changes.started),
@@ -592,7 +597,7 @@
         let away = now.saturating_duration_since(self.store_heard);
         self.store_heard = now;
         if away > self.params.store_silence {
-            self.lapse_until = Some(now + self.params.lapse_grace);
+            self.lapsing = true;
             self.log("store_back", "store", format!("away_ms={}", away.as_millis()));
         }
     }
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -46,6 +46,12 @@
 /// How much a token that is read again weighs against one that waits: it takes
 /// an engine's time from everybody.
 const READ_WEIGHT: f64 = 2.0;
+/// How much the limits fall for each even share that a workspace has in excess.
+const EXCESS_WEIGHT: f64 = 0.5;
+/// Least part of the limits: a workspace alone is not held back by its past.
+const LEAST_PRIORITY: f64 = 0.4;
+/// Most: what a workspace without anything may use beyond others.
+const MOST_PRIORITY: f64 = 1.25;
 /// Detour that an error rate of one is worth.
 const ERROR_DETOUR: Duration = Duration::from_millis(2_000);
 /// Detour that a server in another zone is worth: both ways between zones, and priced bytes.
@@ -78,14 +84,17 @@
 impl Candidate {
     /// Returns whether the server can read more without slowing its streams too much.
     fn has_room(&self, standing: Standing) -> bool {
-        let most = match (standing, self.ranked) {
-            (Standing::Within, _) => READING_WITHIN,
-            (Standing::Beyond, true) => READING_BEYOND,
-            (Standing::Beyond, false) => READING_ELSEWHERE,
-        };
-        let slowest = match standing {
-            Standing::Within => PACE_WITHIN,
-            Standing::Beyond => PACE_BEYOND,
+        let (most, slowest) = match standing {
+            Standing::Within => (READING_WITHIN, PACE_WITHIN),
+            Standing::Beyond { excess } => {
+                let part = priority(excess);
+                let most = if self.ranked {
+                    READING_BEYOND
+                } else {
+                    READING_ELSEWHERE
+                };
+                (most * part, PACE_BEYOND.mul_f64(part))
+            }
         };
         self.reading <= most && self.pace <= slowest
     }
@@ -99,6 +108,14 @@
     }
 }
 
+/// Returns the part of the limits beyond the share that applies at an excess.
+///
+/// Below an even share it is more than one, above it less: the limits settle
+/// where what was given is even.
+fn priority(excess: f64) -> f64 {
+    (1.0 - EXCESS_WEIGHT * (excess - 1.0)).clamp(LEAST_PRIORITY, MOST_PRIORITY)
+}
+
 /// What all candidates for one request have in common.
 struct Situation<'a> {
     now: Instant,
@@ -164,7 +181,7 @@
         let Some(best) = candidates.iter().min_by_key(|c| c.score) else {
             return Err(match standing {
                 Standing::Within => (Reason::Busy, BUSY_WAIT),
-                Standing::Beyond => (Reason::OverShare, self.params.quota_window / 4),
+                Standing::Beyond { .. } => (Reason::OverShare, self.params.quota_window / 4),
             });
         };
         let allowed = allowance(now, request, standing);
@@ -178,7 +195,7 @@
         let wait = (soonest.begin - allowed).clamp(WAITS.0, WAITS.1);
         match standing {
             Standing::Within => Err((Reason::Busy, wait)),
-            Standing::Beyond => Err((Reason::OverShare, wait.max(self.params.quota_window / 4))),
+            Standing::Beyond { .. } => Err((Reason::OverShare, wait.max(self.params.quota_window / 4))),
         }
     }
 
@@ -397,7 +414,7 @@
     }
     match standing {
         Standing::Within => left.mul_f64(WITHIN_PART),
-        Standing::Beyond => left.mul_f64(BEYOND_PART),
+        Standing::Beyond { .. } => left.mul_f64(BEYOND_PART),
     }
 }
 
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -5,11 +5,16 @@
 //! A workspace that asks for less than an even share gets all of it; what it
 //! leaves is shared evenly by the rest. Idle time earns no credit: the window
 //! forgets it.
+//!
+//! The engines mostly give more than the operator promises. What lies beyond
+//! the promise is shared the same way: a workspace beyond its promised share
+//! is told how much more it has received than an even share of all that was
+//! given, so that those with the least come first.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use hibiscusrail_macros::id;
+use hibiscusrail_macros::{id, value};
 
 use crate::window::Window;
 
@@ -18,12 +23,23 @@
 pub struct WorkspaceHash(pub u64);
 
 /// How a workspace stands towards its share.
-#[id]
+#[value]
 pub enum Standing {
-    /// It has received less than its share.
+    /// It has received less than its promised share.
     Within,
-    /// It has received its share or more.
-    Beyond,
+    /// It has received its promised share or more.
+    Beyond {
+        /// What it has received, relative to an even share of all that was given.
+        excess: f64,
+    },
+}
+
+impl Standing {
+    /// Returns whether the workspace has received less than its promised share.
+    #[must_use]
+    pub fn is_within(self) -> bool {
+        self == Self::Within
+    }
 }
 
 /// Tokens of one workspace in the window.
@@ -78,31 +94,35 @@
         if throughput <= 0.0 {
             return Standing::Within;
         }
-        let asked: Vec<f64> = self
-            .accounts
-            .values_mut()
-            .map(|a| a.asked.sum(now))
-            .collect();
-        let level = level(asked, throughput * self.length.as_secs_f64());
+        let mut given = 0.0;
+        let mut asked = Vec::with_capacity(self.accounts.len());
+        for account in self.accounts.values_mut() {
+            asked.push(account.asked.sum(now));
+            given += account.admitted.sum(now);
+        }
+        asked.sort_by(f64::total_cmp);
         let admitted = self.account(workspace).admitted.sum(now);
-        if admitted < level {
-            Standing::Within
-        } else {
-            Standing::Beyond
+        let promised = throughput * self.length.as_secs_f64();
+        if admitted < level(&asked, promised) {
+            return Standing::Within;
+        }
+        let even = level(&asked, given);
+        Standing::Beyond {
+            excess: if even.is_finite() { admitted / even } else { 1.0 },
         }
     }
 }
 
 /// Returns the share at which `capacity` is used up, each taking the lesser of
-/// its demand and the share; infinite when it is not used up.
-fn level(mut asked: Vec<f64>, capacity: f64) -> f64 {
-    asked.sort_by(f64::total_cmp);
+/// its demand and the share; infinite when it is not used up. The demands are
+/// in ascending order.
+fn level(asked: &[f64], capacity: f64) -> f64 {
     let mut left = capacity;
     let mut count = asked.len();
     for demand in asked {
         #[allow(clippy::cast_precision_loss)]
         let even = left / count as f64;
-        if demand > even {
+        if *demand > even {
             return even;
         }
         left -= demand;
--- a/crates/fleet/tests/all/overload.rs
+++ b/crates/fleet/tests/all/overload.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::fleet::Reason;
-use hibiscusrail_fleet::{Decision, Event, Fleet, RequestKey};
+use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey};
 
 use super::support::{self, ask, given_up, prompt, sent};
 
@@ -65,7 +65,7 @@
         if sent(&decisions).is_some() {
             admitted += 3_000.0;
             fleet.handle(now, Event::FirstByte(RequestKey(step)));
-            fleet.handle(now, Event::Ended(RequestKey(step), hibiscusrail_fleet::Outcome::Answered));
+            fleet.handle(now, Event::Ended(RequestKey(step), Outcome::Answered));
         }
     }
     // 55 tokens a millisecond for ten seconds, of which streams need a part.
@@ -89,3 +89,32 @@
     let decisions = fleet.handle(now, Event::Submit(ask(2, 1, prompt(1, 100), now)));
     assert_eq!(given_up(&decisions), Some(Reason::Busy));
 }
+
+#[test]
+fn submit_workspaces_beyond_their_promise_receive_alike() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 2, start);
+    let mut admitted = [0_u32; 3];
+    // The first workspace began two seconds before the others and asks most often.
+    for step in 0..4_000_u64 {
+        let now = start + Duration::from_micros(step * 2_500);
+        let others = step > 800;
+        let who = match step % 8 {
+            3 if others => 1,
+            7 if others => 2,
+            _ => 0,
+        };
+        let request = ask(step, who, prompt(step % 8, 2_000), now);
+        let decisions = fleet.handle(now, Event::Submit(request));
+        if sent(&decisions).is_some() {
+            if step > 2_400 {
+                admitted[usize::try_from(who).expect("there are three")] += 1;
+            }
+            fleet.handle(now, Event::FirstByte(RequestKey(step)));
+            fleet.handle(now, Event::Ended(RequestKey(step), Outcome::Answered));
+        }
+    }
+    let least = admitted.iter().min().expect("there are three");
+    let most = admitted.iter().max().expect("there are three");
+    assert!(least * 2 > *most, "{admitted:?}");
+}
--- a/crates/fleet/tests/all/quota.rs
+++ b/crates/fleet/tests/all/quota.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hibiscusrail_fleet::quota::{Quota, Standing, WorkspaceHash};
+use hibiscusrail_fleet::quota::{Quota, WorkspaceHash};
 use proptest::prelude::*;
 
 const WINDOW: Duration = Duration::from_secs(4);
@@ -17,8 +17,8 @@
     quota.ask(now, LARGE, 1_000_000.0);
     quota.admit(now, SMALL, 900.0);
     quota.admit(now, LARGE, 50_000.0);
-    assert_eq!(quota.standing(now, SMALL, 10_000.0), Standing::Within);
-    assert_eq!(quota.standing(now, LARGE, 10_000.0), Standing::Beyond);
+    assert!(quota.standing(now, SMALL, 10_000.0).is_within());
+    assert!(!quota.standing(now, LARGE, 10_000.0).is_within());
 }
 
 #[test]
@@ -29,9 +29,9 @@
     quota.ask(now, LARGE, 1_000_000.0);
     // 40,000 tokens in a window less the 1,000 of the small one.
     quota.admit(now, LARGE, 38_000.0);
-    assert_eq!(quota.standing(now, LARGE, 10_000.0), Standing::Within);
+    assert!(quota.standing(now, LARGE, 10_000.0).is_within());
     quota.admit(now, LARGE, 1_000.0);
-    assert_eq!(quota.standing(now, LARGE, 10_000.0), Standing::Beyond);
+    assert!(!quota.standing(now, LARGE, 10_000.0).is_within());
 }
 
 #[test]
@@ -40,7 +40,7 @@
     let mut quota = Quota::new(WINDOW);
     quota.ask(now, LARGE, 39_000.0);
     quota.admit(now, LARGE, 39_000.0);
-    assert_eq!(quota.standing(now, LARGE, 10_000.0), Standing::Within);
+    assert!(quota.standing(now, LARGE, 10_000.0).is_within());
 }
 
 #[test]
@@ -51,7 +51,7 @@
     quota.ask(later, SMALL, 100_000.0);
     quota.ask(later, LARGE, 100_000.0);
     quota.admit(later, SMALL, 20_000.0);
-    assert_eq!(quota.standing(later, SMALL, 10_000.0), Standing::Beyond);
+    assert!(!quota.standing(later, SMALL, 10_000.0).is_within());
 }
 
 #[test]
@@ -62,7 +62,7 @@
     quota.admit(start, LARGE, 100_000.0);
     let later = start + WINDOW + Duration::from_millis(1);
     quota.ask(later, LARGE, 100_000.0);
-    assert_eq!(quota.standing(later, LARGE, 10_000.0), Standing::Within);
+    assert!(quota.standing(later, LARGE, 10_000.0).is_within());
 }
 
 proptest! {
@@ -83,7 +83,7 @@
             // Steps of a thousandth of the capacity until the share is used up.
             let step = capacity / 1_000.0;
             let mut got = 0.0;
-            while got < *demand && quota.standing(now, who, throughput) == Standing::Within {
+            while got < *demand && quota.standing(now, who, throughput).is_within() {
                 quota.admit(now, who, step);
                 got += step;
             }
--- a/crates/fleet/tests/all/roster.rs
+++ b/crates/fleet/tests/all/roster.rs
@@ -68,6 +68,25 @@
     assert_eq!(sent(&decisions), None);
 }
 
+#[test]
+fn servers_removed_after_the_store_came_back_are_gone_at_once() {
+    let start = Instant::now();
+    for first in [
+        Event::ServersUnchanged,
+        Event::Servers(Revision(2), support::servers(1)),
+    ] {
+        let mut fleet = support::router("r", 1, start);
+        let back = start + Duration::from_secs(4);
+        fleet.handle(back, Event::StoreAnswered);
+        fleet.handle(back, first);
+        let now = back + Duration::from_secs(1);
+        fleet.handle(now, Event::StoreAnswered);
+        fleet.handle(now, Event::Servers(Revision(3), support::servers(0)));
+        let decisions = fleet.handle(now, Event::Submit(ask(1, 1, prompt(1, 10), now)));
+        assert_eq!(sent(&decisions), None);
+    }
+}
+
 #[test]
 fn servers_missing_while_the_store_answers_are_gone_at_once() {
     let start = Instant::now();
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -45,7 +45,9 @@
                 let name = shell.shape().request_id.clone();
                 answer.headers_mut().insert(name, id);
             }
-            if shell.is_stopping() {
+            // A refused caller comes back on a new connection.
+            let refused = answer.status() == StatusCode::SERVICE_UNAVAILABLE;
+            if shell.is_stopping() || (refused && shell.is_crowded()) {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(header::CONNECTION, close);
             }
--- a/crates/front/src/refusal.rs
+++ b/crates/front/src/refusal.rs
@@ -9,6 +9,9 @@
 /// Part of its time left that a caller is told to wait at most.
 const LONGEST_PART: u32 = 3;
 
+/// Wait named to callers on connections over the limit.
+const CROWDED_WAIT: Duration = Duration::from_secs(1);
+
 /// Returns the answer to a request that is given up.
 ///
 /// Only [`StatusCode::SERVICE_UNAVAILABLE`] says that the request has not run.
@@ -32,6 +35,15 @@
     answer
 }
 
+/// Returns the answer on a connection over the limit; `id` names the request.
+#[must_use]
+pub fn crowded(id: Option<&HeaderValue>) -> Response<Body> {
+    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
+    set_retry_after(&mut answer, CROWDED_WAIT);
+    log::info!(request:? = id, status = 503; "connection_refused");
+    answer
+}
+
 /// Sets when asking again makes sense, in seconds with a fraction.
 pub fn set_retry_after(answer: &mut Response<Body>, wait: Duration) {
     let text = format!("{:.3}", wait.as_secs_f64());
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -11,8 +11,10 @@
 use hibiscusrail_net::pool::Pool;
 use hibiscusrail_net::{Channel, Connections};
 use hibiscusrail_settings::FrontSettings;
+use http::HeaderMap;
 
 use crate::metrics::Metrics;
+use crate::refusal;
 use crate::shape::Shape;
 
 /// Time for which an idle connection to a server is used again; servers close
@@ -74,6 +76,9 @@
     #[must_use]
     pub fn new(settings: FrontSettings, shape: Shape, clock: Box<dyn Clock>) -> Self {
         let params = settings.params.clone();
+        let name = shape.request_id.clone();
+        let refuse = move |headers: &HeaderMap| refusal::crowded(headers.get(&name));
+        let connections = Connections::new().with_refuse(Rc::new(refuse));
         let fleet = Fleet::new(&settings.name, clock.epoch_ms(), params, clock.now());
         Self {
             fleet: RefCell::new(fleet),
@@ -82,7 +87,7 @@
             shape,
             pool: Rc::new(Pool::new().with_limit(IDLE_LIMIT)),
             metrics: Metrics::new(),
-            connections: Rc::new(Connections::new()),
+            connections: Rc::new(connections),
             next: Cell::new(0),
             stopping: Cell::new(None),
         }
@@ -138,6 +143,12 @@
         &self.connections
     }
 
+    /// Returns whether callers' connections are getting scarce.
+    #[must_use]
+    pub fn is_crowded(&self) -> bool {
+        self.connections.open() > self.settings.borrow().connections() / 2
+    }
+
     /// Returns whether the router is stopping.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -139,7 +139,7 @@
     let settings = shell.settings();
     let address = settings.listen;
     let listener = bind(address).context(ListenSnafu { address })?;
-    let limits = limits(settings.connections as usize);
+    let limits = limits(settings.connections());
     let connections = Rc::clone(shell.connections());
     let handler = caller::handler(shell);
     compio::runtime::spawn(serve_counted(listener, limits, handler, connections)).detach();
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -147,12 +147,14 @@
 pub async fn follow_servers(shell: Rc<Shell>, store: Rc<impl Store>) {
     let mut link = Link::new("servers");
     loop {
-        let call = store.servers(LONG_POLL);
-        let limit = LONG_POLL + ANSWER_TIME;
-        if let Some(reading) = link.call(&shell, limit, call).await {
-            if let Some(servers) = reading.value {
-                shell.event(Event::Servers(reading.revision, servers));
-            }
+        // What changed while the store was away is there at once.
+        let wait = if link.lost { Duration::ZERO } else { LONG_POLL };
+        let call = store.servers(wait);
+        if let Some(reading) = link.call(&shell, wait + ANSWER_TIME, call).await {
+            shell.event(match reading.value {
+                Some(servers) => Event::Servers(reading.revision, servers),
+                None => Event::ServersUnchanged,
+            });
             compio::time::sleep(SERVERS_PAUSE).await;
         }
     }
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -19,7 +19,7 @@
 use hibiscusrail_front::caller;
 use hibiscusrail_front::shape::Shape;
 use hibiscusrail_front::shell::Shell;
-use hibiscusrail_net::{bind, serve};
+use hibiscusrail_net::{bind, serve_counted};
 use hibiscusrail_settings::FrontSettings;
 use http::HeaderName;
 
@@ -244,6 +244,11 @@
 
 impl Front {
     pub fn start(servers: &[&Server]) -> Self {
+        Self::start_with(servers, 100)
+    }
+
+    /// Starts a router that takes `connections` of callers.
+    pub fn start_with(servers: &[&Server], connections: usize) -> Self {
         let settings = FrontSettings::parse("test", SETTINGS).expect("the settings are valid");
         let shell = Rc::new(Shell::new(settings, shape(), Box::new(SystemClock)));
         let orders = Orders {
@@ -270,8 +275,11 @@
         shell.event(Event::Servers(Revision(1), entries));
         let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback is there");
         let address = listener.local_addr().expect("it is bound");
-        let limits = hibiscusrail_net::Limits::new();
-        compio::runtime::spawn(serve(listener, limits, caller::handler(&shell))).detach();
+        let mut limits = hibiscusrail_net::Limits::new();
+        limits.connections = connections;
+        let account = Rc::clone(shell.connections());
+        let serving = serve_counted(listener, limits, caller::handler(&shell), account);
+        compio::runtime::spawn(serving).detach();
         Self { shell, address }
     }
 
--- a/crates/settings/src/front.rs
+++ b/crates/settings/src/front.rs
@@ -39,15 +39,26 @@
     pub log_rate: u32,
     /// Time from a stop signal to the end of the process.
     pub grace: Duration,
-    /// Callers' connections at the same time.
-    pub connections: u32,
+    /// Descriptors that the process may have open.
+    pub descriptors: u32,
     /// Address of the store.
     pub store: SocketAddr,
     /// Parameters of the decisions.
     pub params: Params,
 }
 
+/// Part of the descriptors that callers' connections may take; the rest is for
+/// servers, routers, the store and files.
+const CALLERS_PART: f64 = 0.8;
+
 impl FrontSettings {
+    /// Returns how many callers' connections may be open.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn connections(&self) -> usize {
+        (f64::from(self.descriptors) * CALLERS_PART) as usize
+    }
+
     /// Loads and checks the settings file at `path`.
     ///
     /// # Errors
@@ -83,7 +94,7 @@
     let log_level = r.optional(FRONT, "log_level", LogLevel("info".to_owned()));
     let log_rate = r.optional(FRONT, "log_rate", 200);
     let grace = r.optional(FRONT, "grace", Duration::from_secs(8));
-    let connections = r.optional(FRONT, "connections", 2_000);
+    let descriptors = r.optional(FRONT, "descriptors", 2_500);
     let store = r.required(STORE, "address");
     let params = read_params(r);
     Some(FrontSettings {
@@ -95,7 +106,7 @@
         log_level: log_level.0,
         log_rate,
         grace,
-        connections,
+        descriptors,
         store: store?,
         params: params?,
     })
