--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -17,6 +17,10 @@
 use crate::retry::RetryWindow;
 use crate::roster::{Roster, ServerKey};
 
+/// Routers for which the report period of the settings is meant.
+const PERIOD_ROUTERS: usize = 24;
+/// Periods without a report after which a router counts as gone or cut off.
+const LIFE_PERIODS: u32 = 4;
 /// Reports that repeat a placement; all of them are seldom lost.
 const PLACED_REPORTS: u32 = 3;
 
@@ -298,7 +302,7 @@
     /// Returns how many other routers were heard lately.
     #[must_use]
     pub fn heard(&self, now: Instant) -> usize {
-        self.peers.heard(now, self.params.report_life)
+        self.peers.heard(now, self.report_life())
     }
 
     /// Handles one event at time `now` and returns what is to be done.
@@ -319,12 +323,30 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Returns the time between two reports.
+    ///
+    /// It grows with the routers, so that each sends and receives about as
+    /// many reports a second at any size.
+    #[must_use]
+    pub fn report_period(&self) -> Duration {
+        let routers = u32::try_from(self.members.len() / PERIOD_ROUTERS).unwrap_or(u32::MAX);
+        self.params.report_period * (routers + 1)
+    }
+
+    /// Returns the age from which a report no longer counts.
+    fn report_life(&self) -> Duration {
+        self.params.report_life.max(self.report_period() * LIFE_PERIODS)
+    }
+
     /// Returns the report that the other routers are to receive.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn report(&mut self, now: Instant) -> Report {
         self.sequence += 1;
+        let repeated = self.report_period() * PLACED_REPORTS;
+        self.placed
+            .retain(|(at, _)| now.saturating_duration_since(*at) < repeated);
         let loads = self.roster.all().filter(|s| {
-            let sent_lately = |at| now.saturating_duration_since(at) < self.params.report_life;
+            let sent_lately = |at| now.saturating_duration_since(at) < self.report_life();
             s.own != Load::default() || s.sent_at.is_some_and(sent_lately)
         });
         let loads = loads.map(|s| ServerLoad {
@@ -333,9 +355,6 @@
             running: s.own.running,
             sent: s.sent,
         });
-        let repeated = self.params.report_period * PLACED_REPORTS;
-        self.placed
-            .retain(|(at, _)| now.saturating_duration_since(*at) < repeated);
         let recent = self.params.quota_window;
         let totals = self.totals.iter().filter(|(_, t)| {
             t.changed
@@ -653,7 +672,7 @@
     }
 
     fn tick(&mut self, now: Instant) {
-        for loads in self.peers.expire(now, self.params.report_life) {
+        for loads in self.peers.expire(now, self.report_life()) {
             self.subtract_loads(&loads);
         }
         for id in self.roster.expire(now, self.params.lapse_grace) {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hibiscusrail_fleet::Event;
+use hibiscusrail_fleet::{Event, Fleet};
 use hibiscusrail_fleet::peers::Report;
 use prost::Message;
 
@@ -19,9 +19,6 @@
 
 /// Bytes of the receive buffer: more than the largest datagram.
 const BUFFER: usize = 65_536;
-/// Routers up to which the report period is used as it is; with more it grows
-/// in proportion, so that a router's reports a second stay the same.
-const PERIOD_ROUTERS: usize = 12;
 /// Periods without work after which a report goes out all the same.
 const IDLE_PERIODS: u32 = 4;
 /// Time for which the store may bring a newer revision before a peer is asked.
@@ -82,9 +79,8 @@
 pub async fn report(shell: Rc<Shell>, peers: Rc<Peers>) {
     let mut idle = 0;
     loop {
-        let period = shell.settings().params.report_period;
-        let routers = u32::try_from(peers.others().len() / PERIOD_ROUTERS).unwrap_or(u32::MAX);
-        compio::time::sleep(period * (routers + 1)).await;
+        let period = shell.with_fleet(Fleet::report_period);
+        compio::time::sleep(period).await;
         shell.event(Event::Tick);
         let busy = shell.with_fleet(|f| f.requests() > 0);
         idle = if busy { 0 } else { idle + 1 };
