Measure the pace of streams as time over tokens

Cause: the mean of each event's own ratio counts a late event and the quick one behind it alike, so a busy router took engines for slow.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -21,9 +21,9 @@
 pub const BUSY_WINDOW: Duration = Duration::from_millis(1_000);
 /// Weight of the newest observation in the reading rate.
 const RATE_WEIGHT: f64 = 0.05;
-/// Weight of the newest observation in the pace: an engine sends some ten events
-/// to each router in the time in which its batch changes.
-const PACE_WEIGHT: f64 = 0.1;
+/// Weight that earlier events keep with each new one: an engine sends some ten
+/// events to each router in the time in which its batch changes.
+const PACE_KEPT: f64 = 0.9;
 /// Age from which a pace says nothing of an engine's present batch.
 const PACE_LIFE: Duration = Duration::from_millis(1_000);
 /// Reading rate at which an engine is taken to be slow, relative to its data sheet.
@@ -99,6 +99,23 @@
     }
 }
 
+/// Time that streams took, and for how many tokens.
+///
+/// The two are summed apart: events that a busy router reads late come
+/// together, and then count with all their tokens.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    seconds: f64,
+    tokens: f64,
+    seen: Instant,
+}
+
+impl Pace {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.seen) < PACE_LIFE
+    }
+}
+
 /// One backend server as this router sees it.
 #[derive(Debug)]
 pub struct Server {
@@ -128,8 +145,8 @@
     reads: Window,
     /// Observed reading rate relative to the data sheet.
     rate: f64,
-    /// Observed time that a stream takes for each token, and when it was last seen.
-    pace: Option<(Duration, Instant)>,
+    /// Time and tokens of streams lately, older ones with less weight.
+    pace: Option<Pace>,
     /// Prompt tokens sent by all routers since the record was made.
     total: u64,
     /// Last parts of prefixes that were sent there, each with the total at that time.
@@ -248,24 +265,26 @@
         self.rate += RATE_WEIGHT * (seen - self.rate);
     }
 
-    /// Takes in the time that a stream took for each token since its last event.
-    pub fn observe_pace(&mut self, now: Instant, each: Duration) {
-        let mean = match self.pace {
-            Some((mean, seen)) if now.saturating_duration_since(seen) < PACE_LIFE => {
-                mean.mul_f64(1.0 - PACE_WEIGHT) + each.mul_f64(PACE_WEIGHT)
-            }
-            _ => each,
-        };
-        self.pace = Some((mean, now));
+    /// Takes in that a stream took `gap` for its next `tokens`.
+    pub fn observe_pace(&mut self, now: Instant, gap: Duration, tokens: u32) {
+        let before = self.pace.filter(|p| p.is_fresh(now));
+        let (seconds, sum) = before.map_or((0.0, 0.0), |p| {
+            (p.seconds * PACE_KEPT, p.tokens * PACE_KEPT)
+        });
+        self.pace = Some(Pace {
+            seconds: seconds + gap.as_secs_f64(),
+            tokens: sum + f64::from(tokens),
+            seen: now,
+        });
     }
 
     /// Returns the time that a stream takes for each token; zero when none was seen lately.
     #[must_use]
     pub fn pace(&self, now: Instant) -> Duration {
-        match self.pace {
-            Some((mean, seen)) if now.saturating_duration_since(seen) < PACE_LIFE => mean,
-            _ => Duration::ZERO,
-        }
+        let fresh = self.pace.filter(|p| p.is_fresh(now) && p.tokens > 0.0);
+        fresh.map_or(Duration::ZERO, |p| {
+            Duration::from_secs_f64(p.seconds / p.tokens)
+        })
     }
 
     /// Forgets what a restarted server no longer holds.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -180,8 +180,15 @@
     Submit(Ask),
     /// The first byte of the answer arrived.
     FirstByte(RequestKey),
-    /// A stream went on, taking this time for each token since its last event.
-    Paced(RequestKey, Duration),
+    /// A stream went on.
+    Paced {
+        /// The request.
+        key: RequestKey,
+        /// Time since its last events.
+        gap: Duration,
+        /// Tokens that arrived.
+        tokens: u32,
+    },
     /// An attempt ended.
     Ended(RequestKey, Outcome),
     /// The operator's orders were read.
@@ -356,7 +363,7 @@
         match event {
             Event::Submit(ask) => self.submit(now, ask),
             Event::FirstByte(key) => self.first_byte(now, key),
-            Event::Paced(key, each) => self.paced(now, key, each),
+            Event::Paced { key, gap, tokens } => self.paced(now, key, gap, tokens),
             Event::Ended(key, outcome) => self.ended(now, key, outcome),
             Event::Orders(revision, orders) => self.take_orders(revision, orders),
             Event::Servers(revision, servers) => self.take_servers(now, revision, &servers),
@@ -538,10 +545,10 @@
         }
     }
 
-    fn paced(&mut self, now: Instant, key: RequestKey, each: Duration) {
+    fn paced(&mut self, now: Instant, key: RequestKey, gap: Duration, tokens: u32) {
         let attempt = self.requests.get(&key).and_then(|r| r.attempt.as_ref());
         if let Some(server) = attempt.and_then(|a| self.roster.get_mut(a.server)) {
-            server.observe_pace(now, each);
+            server.observe_pace(now, gap, tokens);
         }
     }
 
--- a/crates/fleet/tests/all/engines.rs
+++ b/crates/fleet/tests/all/engines.rs
@@ -37,7 +37,19 @@
 fn pace_of_long_ago_says_nothing() {
     let now = Instant::now();
     let mut server = Server::new("e", 1, backend(ENGINES, 1), now);
-    server.observe_pace(now, Duration::from_millis(20));
+    server.observe_pace(now, Duration::from_millis(140), 7);
     assert_eq!(server.pace(now), Duration::from_millis(20));
     assert_eq!(server.pace(now + Duration::from_secs(2)), Duration::ZERO);
 }
+
+#[test]
+fn pace_events_that_are_read_late_count_with_all_their_tokens() {
+    let now = Instant::now();
+    let mut server = Server::new("e", 1, backend(ENGINES, 1), now);
+    // Events of 7 tokens every 35 ms, which the router reads by twos and sixes.
+    for _ in 0..50 {
+        server.observe_pace(now, Duration::from_millis(210), 42);
+        server.observe_pace(now, Duration::from_millis(70), 14);
+    }
+    assert_eq!(server.pace(now).as_millis(), 5);
+}
--- a/crates/fleet/tests/all/overload.rs
+++ b/crates/fleet/tests/all/overload.rs
@@ -86,7 +86,15 @@
     }
     for _ in 0..20 {
         now += Duration::from_millis(100);
-        fleet.handle(now, Event::Paced(RequestKey(0), Duration::from_millis(15)));
+        let gap = Duration::from_millis(150);
+        fleet.handle(
+            now,
+            Event::Paced {
+                key: RequestKey(0),
+                gap,
+                tokens: 10,
+            },
+        );
     }
     (fleet, now)
 }
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -191,8 +191,8 @@
                     let tokens = count * self.plan.event_tokens;
                     self.account.events(count);
                     if tokens > 0 {
-                        let paced = Event::Paced(self.account.key(), gap / tokens);
-                        self.shell.event(paced);
+                        let key = self.account.key();
+                        self.shell.event(Event::Paced { key, gap, tokens });
                     }
                     return Some(Ok(Frame::data(bytes)));
                 }
