--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -18,6 +18,8 @@
 
 /// Bytes of the receive buffer: more than the largest datagram.
 const BUFFER: usize = 65_536;
+/// Datagrams taken in at once at most; several times those of a period at any size.
+const BATCH: usize = 512;
 /// Periods without work after which a report goes out all the same.
 const IDLE_PERIODS: u32 = 4;
 
@@ -123,12 +125,33 @@
         let compio::BufResult(result, returned) = socket.recv_from(buffer).await;
         buffer = returned;
         match result {
-            Ok((_, address)) => take(&shell, &peers, &buffer, address),
+            Ok((_, address)) => {
+                take(&shell, &peers, &buffer, address);
+                drain(&shell, &peers);
+            }
             Err(error) => log::debug!(step = "receive", error:% = error; "datagram_lost"),
         }
     }
 }
 
+/// Takes in what else has arrived.
+///
+/// A busy loop comes round seldom; reports that pile up meanwhile would only be
+/// read when they say nothing any more.
+fn drain(shell: &Rc<Shell>, peers: &Rc<Peers>) {
+    let mut buffer = vec![0; BUFFER];
+    for _ in 0..BATCH {
+        match peers.socket.recv_from(&mut buffer) {
+            Ok((length, address)) => take(shell, peers, &buffer[..length], address),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+            Err(error) => {
+                log::debug!(step = "receive", error:% = error; "datagram_lost");
+                return;
+            }
+        }
+    }
+}
+
 fn take(shell: &Rc<Shell>, peers: &Rc<Peers>, datagram: &[u8], address: SocketAddr) {
     let report = match Report::decode(datagram) {
         Ok(report) => report,
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 use crate::body::Body;
 use crate::socket::SocketStream;
@@ -57,6 +57,8 @@
 
 /// Pending connections that the system holds.
 const BACKLOG: i32 = 1_024;
+/// Connections accepted at once at most.
+const ACCEPT_BATCH: usize = 64;
 /// Connections over the limit that are answered at the same time.
 const REFUSALS: usize = 64;
 /// Time for the head of a request on a connection over the limit.
@@ -224,7 +226,12 @@
 ) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => admit(stream, limits, &handler, &connections),
+            Ok((stream, _)) => {
+                admit(stream, limits, &handler, &connections);
+                for stream in waiting(&listener) {
+                    admit(stream, limits, &handler, &connections);
+                }
+            }
             Err(error) => {
                 log::warn!(step = "accept", error:% = error; "accept_failed");
                 compio::time::sleep(Duration::from_millis(50)).await;
@@ -233,6 +240,29 @@
     }
 }
 
+/// Takes the connections that wait already, up to a batch.
+///
+/// A busy loop comes round seldom; one connection at a time would let the
+/// queue overflow.
+fn waiting(listener: &TcpListener) -> Vec<TcpStream> {
+    let socket = SockRef::from(listener);
+    let mut streams = Vec::new();
+    while streams.len() < ACCEPT_BATCH {
+        let Ok((stream, _)) = socket.accept() else {
+            // None waits, or the next call to accept reports what is wrong.
+            break;
+        };
+        if stream.set_nonblocking(true).is_err() {
+            continue;
+        }
+        match TcpStream::from_std(stream.into()) {
+            Ok(stream) => streams.push(stream),
+            Err(error) => log::warn!(step = "accept", error:% = error; "accept_failed"),
+        }
+    }
+    streams
+}
+
 fn admit(stream: TcpStream, limits: Limits, handler: &Handler, connections: &Rc<Connections>) {
     let kind = connections.accept(limits);
     let (limits, handler) = match (kind, &connections.refuse) {
