--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -286,10 +286,4 @@
             Duration::from_secs_f64(p.seconds / p.tokens)
         })
     }
-
-    /// Forgets what a restarted server no longer holds.
-    pub fn forget(&mut self) {
-        self.parts.clear();
-        self.rate = 1.0;
-    }
 }
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -8,13 +8,14 @@
 use std::time::{Duration, Instant};
 
 use crate::engine::{Load, Prompt, Server};
+use crate::event::{Decision, Inputs, Reason, RequestKey};
 use crate::objects::Service;
 use crate::peers::Placement;
 use crate::placement;
 use crate::quota::Standing;
 use crate::roster::ServerKey;
 
-use super::{Attempt, Decision, Fleet, Inputs, Reason, Refusal, Request, RequestKey};
+use super::{Attempt, Fleet, Refusal, Request};
 
 /// Wait named to a caller whose request may succeed elsewhere or a little later.
 pub(super) const SHORT_WAIT: Duration = Duration::from_millis(300);
@@ -74,6 +75,7 @@
 const PLAIN_DEPTH: f64 = 2.0;
 
 /// A server that could take a request.
+#[derive(Clone, Copy)]
 struct Candidate {
     key: ServerKey,
     /// Weight against other candidates; the least wins.
@@ -335,7 +337,10 @@
                 (0, wait, wait)
             }
         };
-        let mut score = begin + server.reading_time(u64::from(read), sheet).mul_f64(READ_WEIGHT);
+        let mut score = begin
+            + server
+                .reading_time(u64::from(read), sheet)
+                .mul_f64(READ_WEIGHT);
         let reading = match situation.prompt {
             Some(_) => server.reading_share(situation.now, sheet),
             None => 0.0,
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -23,8 +23,6 @@
     until: Option<Instant>,
     trial: bool,
     errors: f64,
-    /// Whether it has failed and no request has succeeded since.
-    failing: bool,
 }
 
 impl Health {
@@ -60,7 +58,6 @@
         self.failures = 0;
         self.pauses = 0;
         self.trial = false;
-        self.failing = false;
         self.until.take().is_some()
     }
 
@@ -80,7 +77,6 @@
     /// Returns how long it is left alone from now on, if it is.
     pub fn failed(&mut self, now: Instant) -> Option<Duration> {
         self.failures += 1;
-        self.failing = true;
         self.trial = false;
         if self.failures < TOLERATED && self.until.is_none() {
             return None;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! [`Fleet::handle`] is the one reducer; the parts below it have one job each:
 //!
+//! * [`event`]: what can happen, and what is decided;
 //! * [`objects`]: the operator's configuration and the servers, as typed values;
 //! * [`engine`]: what one server has to do, and when it would begin the next request;
 //! * [`placement`]: which server holds the shared prefix of a prompt;
@@ -19,6 +20,7 @@
 
 pub mod cold;
 pub mod engine;
+pub mod event;
 pub mod fleet;
 pub mod health;
 pub mod objects;
@@ -30,5 +32,6 @@
 pub mod roster;
 pub mod window;
 
-pub use fleet::{Ask, Decision, Event, Fleet, Outcome, RequestKey};
+pub use event::{Ask, Decision, Event, Outcome, RequestKey};
+pub use fleet::Fleet;
 pub use params::Params;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -131,7 +131,8 @@
         let sender = RouterHash(report.sender);
         let known = self.states.remove(&sender);
         if let Some(state) = &known {
-            let stale = (report.incarnation, report.sequence) <= (state.incarnation, state.sequence);
+            let stale =
+                (report.incarnation, report.sequence) <= (state.incarnation, state.sequence);
             if stale {
                 self.states.insert(sender, known?);
                 return None;
@@ -219,13 +220,4 @@
             })
             .count()
     }
-
-    /// Returns how many routers have been heard within `life`.
-    #[must_use]
-    pub fn heard(&self, now: Instant, life: Duration) -> usize {
-        self.states
-            .values()
-            .filter(|s| now.saturating_duration_since(s.heard) <= life)
-            .count()
-    }
 }
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -108,7 +108,11 @@
         }
         let even = level(&asked, given);
         Standing::Beyond {
-            excess: if even.is_finite() { admitted / even } else { 1.0 },
+            excess: if even.is_finite() {
+                admitted / even
+            } else {
+                1.0
+            },
         }
     }
 }
--- a/crates/fleet/tests/all/cold_return.rs
+++ b/crates/fleet/tests/all/cold_return.rs
@@ -49,7 +49,10 @@
     let second = Duration::from_secs(1);
     let within = |from: &Duration| {
         let end = *from + second;
-        arrivals.iter().filter(|at| *at >= from && **at < end).count()
+        arrivals
+            .iter()
+            .filter(|at| *at >= from && **at < end)
+            .count()
     };
     arrivals.iter().map(within).max().unwrap_or(0)
 }
@@ -58,7 +61,10 @@
 fn cold_server_receives_no_more_than_its_bound_from_all_routers() {
     for count in [1, 2, 3, 7, 10, 14, 30, 86, 300] {
         let most = busiest_second(count);
-        assert!(most as f64 <= BOUND, "{count} routers sent {most} in a second");
+        assert!(
+            most as f64 <= BOUND,
+            "{count} routers sent {most} in a second"
+        );
         assert!(most >= 1, "{count} routers sent nothing");
     }
 }
@@ -72,14 +78,19 @@
         fleet.handle(now, Event::Submit(ask(key, 1, prompt(1, 10), now)));
         fleet.handle(now, Event::Ended(RequestKey(key), Outcome::Unreachable));
     }
-    assert_eq!(sent(&fleet.handle(now, Event::Submit(ask(5, 1, prompt(1, 10), now)))), None);
+    assert_eq!(
+        sent(&fleet.handle(now, Event::Submit(ask(5, 1, prompt(1, 10), now)))),
+        None
+    );
     now += Duration::from_millis(500);
     let trial = fleet.handle(now, Event::Submit(ask(6, 1, prompt(1, 10), now)));
     assert!(sent(&trial).is_some(), "one request tries the server");
     fleet.handle(now, Event::FirstByte(RequestKey(6)));
     fleet.handle(now, Event::Ended(RequestKey(6), Outcome::Answered));
     let burst = (10..40)
-        .filter(|key| sent(&fleet.handle(now, Event::Submit(ask(*key, 1, prompt(1, 10), now)))).is_some())
+        .filter(|key| {
+            sent(&fleet.handle(now, Event::Submit(ask(*key, 1, prompt(1, 10), now)))).is_some()
+        })
         .count();
     assert!(burst <= 1, "{burst} at once to a server that may be cold");
 }
--- a/crates/fleet/tests/all/outcomes.rs
+++ b/crates/fleet/tests/all/outcomes.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hibiscusrail_fleet::fleet::{Execution, Reason};
+use hibiscusrail_fleet::event::{Execution, Reason};
 use hibiscusrail_fleet::objects::Repeat;
 use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey};
 
@@ -14,7 +14,10 @@
     let mut fleet = support::router("r", 1, now);
     let mut last = fleet.handle(now, Event::Submit(plain(1, repeat, now)));
     for outcome in outcomes {
-        assert!(sent(&last).is_some(), "nothing was sent that could end with {outcome:?}");
+        assert!(
+            sent(&last).is_some(),
+            "nothing was sent that could end with {outcome:?}"
+        );
         last = fleet.handle(now, Event::Ended(RequestKey(1), *outcome));
     }
     last
--- a/crates/fleet/tests/all/overload.rs
+++ b/crates/fleet/tests/all/overload.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hibiscusrail_fleet::fleet::Reason;
+use hibiscusrail_fleet::event::Reason;
 use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey};
 
 use super::support::{self, ask, given_up, prompt, sent};
@@ -71,7 +71,10 @@
     // 55 tokens a millisecond for ten seconds, of which streams need a part.
     let capacity = 55.0 * 10_000.0;
     assert!(admitted <= capacity, "{admitted} of {capacity} tokens");
-    assert!(admitted >= capacity / 2.0, "{admitted} of {capacity} tokens");
+    assert!(
+        admitted >= capacity / 2.0,
+        "{admitted} of {capacity} tokens"
+    );
 }
 
 /// Begins `running` requests at one engine and lets a stream take 15 ms for each token.
--- a/crates/fleet/tests/all/retries.rs
+++ b/crates/fleet/tests/all/retries.rs
@@ -29,10 +29,14 @@
         }
         for from in &repeats {
             let end = *from + BOUND.window;
-            let inside = |all: &[Duration]| all.iter().filter(|at| *at >= from && **at < end).count();
+            let inside =
+                |all: &[Duration]| all.iter().filter(|at| *at >= from && **at < end).count();
             let allowed = BOUND.ratio * inside(&requests) as f64 + BOUND.constant;
             let seen = inside(&repeats) as f64;
-            assert!(seen <= allowed, "{routers} routers: {seen} repeats, {allowed} allowed");
+            assert!(
+                seen <= allowed,
+                "{routers} routers: {seen} repeats, {allowed} allowed"
+            );
         }
     }
 }
--- a/crates/fleet/tests/all/roster.rs
+++ b/crates/fleet/tests/all/roster.rs
@@ -62,7 +62,11 @@
     fleet.handle(back, Event::StoreAnswered);
     fleet.handle(back, Event::Servers(Revision(2), support::servers(0)));
     let decisions = fleet.handle(back, Event::Submit(ask(1, 1, prompt(1, 10), back)));
-    assert_eq!(sent(&decisions), Some("e0"), "its entry may only have lapsed");
+    assert_eq!(
+        sent(&decisions),
+        Some("e0"),
+        "its entry may only have lapsed"
+    );
     let late = back + Duration::from_secs(3);
     fleet.handle(late, Event::Tick);
     let decisions = fleet.handle(late, Event::Submit(ask(2, 1, prompt(1, 10), late)));
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::engine::{Part, Prompt};
-use hibiscusrail_fleet::fleet::Reason;
+use hibiscusrail_fleet::event::Reason;
 use hibiscusrail_fleet::objects::{
     Backend, Deployment, EngineFacts, Limits, Orders, Repeat, Revision, Route, Servers, Service,
     Target, Workspace,
@@ -84,7 +84,10 @@
     };
     let deployment = Deployment {
         version: 1,
-        routes: vec![route(ENGINES, Repeat::Once), route(PLAIN, Repeat::Idempotent)],
+        routes: vec![
+            route(ENGINES, Repeat::Once),
+            route(PLAIN, Repeat::Idempotent),
+        ],
         services: BTreeMap::from([
             (ENGINES.to_owned(), service(Some(facts))),
             (PLAIN.to_owned(), service(None)),
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -2,9 +2,10 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hibiscusrail_fleet::event::{Execution, Reason};
 use hibiscusrail_fleet::{Event, Outcome, RequestKey};
 use hibiscusrail_net::Body;
 use http_body::Frame;
@@ -97,17 +98,13 @@
             after_ms = millis(self.shell.now().saturating_duration_since(self.started));
             "attempt_failed"
         );
-        let next = self
-            .shell
-            .event(Event::Ended(self.key, failure.outcome));
-        next.unwrap_or_else(|| {
-            // The reducer decides on each request that it knows.
-            Next::GiveUp(Verdict {
-                reason: hibiscusrail_fleet::fleet::Reason::Exhausted,
-                execution: hibiscusrail_fleet::fleet::Execution::Unknown,
-                retry_after: std::time::Duration::ZERO,
-            })
-        })
+        let next = self.shell.event(Event::Ended(self.key, failure.outcome));
+        // The reducer decides on each request that it knows.
+        next.unwrap_or(Next::GiveUp(Verdict {
+            reason: Reason::Exhausted,
+            execution: Execution::Unknown,
+            retry_after: Duration::ZERO,
+        }))
     }
 
     /// Notes that the caller has the whole answer.
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -8,7 +8,7 @@
 use hibiscusrail_fleet::objects::{Deployment, EngineFacts, Repeat, Route};
 use hibiscusrail_fleet::placement::name_hash;
 use hibiscusrail_fleet::quota::WorkspaceHash;
-use hibiscusrail_fleet::{Ask, Event, fleet};
+use hibiscusrail_fleet::{Ask, Event, event};
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::{Body, full};
 use http::request::Parts;
@@ -19,8 +19,8 @@
 use crate::answer::{self, Account};
 use crate::outgoing::Outgoing;
 use crate::refusal;
-use crate::stop;
 use crate::shell::{Next, Shell, Verdict, millis};
+use crate::stop;
 use crate::upstream::{self, Plan, Reply, Whole};
 
 /// Wait named to callers while there is no configuration.
@@ -128,9 +128,7 @@
         "request_refused"
     );
     let status = early.status.as_str();
-    shell
-        .metrics()
-        .ended("", "NotRun", status, Duration::ZERO);
+    shell.metrics().ended("", "NotRun", status, Duration::ZERO);
     let mut answer = refusal::plain(early.status, early.reason);
     if early.status == StatusCode::SERVICE_UNAVAILABLE {
         refusal::set_retry_after(&mut answer, NOT_READY_WAIT);
@@ -138,7 +136,23 @@
     answer
 }
 
+/// Returns the bytes of a request's target and headers.
+fn head_bytes(parts: &Parts) -> usize {
+    let target = parts.uri.path_and_query().map_or(0, |p| p.as_str().len());
+    let lines = parts.headers.iter();
+    target
+        + lines
+            .map(|(n, v)| n.as_str().len() + v.len())
+            .sum::<usize>()
+}
+
 fn find_route(shell: &Shell, deployment: &Deployment, parts: &Parts) -> Result<Routed, Early> {
+    if head_bytes(parts) > deployment.limits.head_bytes {
+        return Err(Early {
+            status: StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            reason: "the head is too large",
+        });
+    }
     let host = parts
         .uri
         .authority()
@@ -176,9 +190,7 @@
 fn bearer(headers: &HeaderMap) -> Option<&str> {
     let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
     let (scheme, key) = value.split_once(' ')?;
-    scheme
-        .eq_ignore_ascii_case("bearer")
-        .then_some(key.trim())
+    scheme.eq_ignore_ascii_case("bearer").then_some(key.trim())
 }
 
 /// Picks a target of the route by weight, from the request's id.
@@ -317,10 +329,10 @@
     shell: &Shell,
     plan: &Plan,
     verdict: &Verdict,
-    failed: Option<Whole>,
+    failed: Option<Box<Whole>>,
 ) -> Response<Body> {
-    if let (fleet::Execution::Failed, Some(whole)) = (verdict.execution, failed) {
-        return whole_answer(whole);
+    if let (event::Execution::Failed, Some(whole)) = (verdict.execution, failed) {
+        return whole_answer(*whole);
     }
     let left = plan
         .outgoing
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -9,9 +9,7 @@
 };
 
 /// Upper bounds of the time histograms in seconds: 5 ms to 12 seconds.
-const TIME_BUCKETS: [f64; 11] = [
-    0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 12.0,
-];
+const TIME_BUCKETS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 12.0];
 
 /// All metrics of one router.
 #[derive(Debug)]
@@ -105,7 +103,11 @@
                 &["step"],
             ),
             running: gauge(&r, "hibiscusrail_running", "Requests under way."),
-            ready: gauge(&r, "hibiscusrail_ready", "Whether callers may be sent here."),
+            ready: gauge(
+                &r,
+                "hibiscusrail_ready",
+                "Whether callers may be sent here.",
+            ),
             revision: gauge(
                 &r,
                 "hibiscusrail_orders_revision",
@@ -151,7 +153,8 @@
     pub fn page(&self, running: usize, ready: bool, revision: u64) -> Vec<u8> {
         self.running.set(i64::try_from(running).unwrap_or(i64::MAX));
         self.ready.set(i64::from(ready));
-        self.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+        self.revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
         let mut page = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut page) {
             log::warn!(step = "encode", error:% = error; "metrics_failed");
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -9,8 +9,8 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 
-use hibiscusrail_fleet::{Event, Fleet};
 use hibiscusrail_fleet::peers::Report;
+use hibiscusrail_fleet::{Event, Fleet};
 use prost::Message;
 
 use crate::shell::Shell;
--- a/crates/front/src/refusal.rs
+++ b/crates/front/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hibiscusrail_fleet::fleet::{Execution, Reason};
+use hibiscusrail_fleet::event::{Execution, Reason};
 use hibiscusrail_net::{Body, full};
 use http::{HeaderValue, Response, StatusCode, header};
 
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_core::Clock;
-use hibiscusrail_fleet::fleet::{Execution, Inputs, Reason};
+use hibiscusrail_fleet::event::{Execution, Inputs, Reason};
 use hibiscusrail_fleet::{Decision, Event, Fleet, RequestKey};
 use hibiscusrail_net::pool::Pool;
 use hibiscusrail_net::{Channel, Connections};
@@ -113,9 +113,7 @@
 
     /// Puts changed settings in force, as far as a running process can.
     pub fn reload(&self, settings: FrontSettings) {
-        self.fleet
-            .borrow_mut()
-            .set_params(settings.params.clone());
+        self.fleet.borrow_mut().set_params(settings.params.clone());
         *self.settings.borrow_mut() = settings;
     }
 
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -97,7 +97,9 @@
         compio::runtime::spawn(follow_settings(Rc::clone(&shell), path.to_owned(), reload))
             .detach();
         log::info!(router = name.as_str(), version = env!("CARGO_PKG_VERSION"); "started");
-        let cut = stop::wait(&shell, &mut signals).await.context(SignalsSnafu)?;
+        let cut = stop::wait(&shell, &mut signals)
+            .await
+            .context(SignalsSnafu)?;
         if let Err(error) = store.unregister(&name).await {
             log::warn!(step = "unregister", error:% = error; "store_lost");
         }
@@ -110,11 +112,7 @@
     })
 }
 
-fn listen(
-    address: SocketAddr,
-    connections: usize,
-    handler: Handler,
-) -> Result<(), StartError> {
+fn listen(address: SocketAddr, connections: usize, handler: Handler) -> Result<(), StartError> {
     let listener = bind(address).context(ListenSnafu { address })?;
     let limits = limits(connections);
     compio::runtime::spawn(serve(listener, limits, handler)).detach();
@@ -145,9 +143,14 @@
     compio::runtime::spawn(serve_counted(listener, limits, handler, connections)).detach();
     listen(settings.ready_listen, SIDE_CONNECTIONS, ready(shell))?;
     listen(settings.metrics_listen, SIDE_CONNECTIONS, metrics(shell))?;
-    listen(settings.peer_listen, SIDE_CONNECTIONS, state::handler(shell))?;
+    listen(
+        settings.peer_listen,
+        SIDE_CONNECTIONS,
+        state::handler(shell),
+    )?;
     let address = settings.peer_listen;
-    let peers = Peers::new(&settings.name, &settings.params.zone, address).context(ListenSnafu { address })?;
+    let peers = Peers::new(&settings.name, &settings.params.zone, address)
+        .context(ListenSnafu { address })?;
     let peers = Rc::new(peers);
     spawn_receiver(shell, &peers);
     let (shell, store) = (Rc::clone(shell), Rc::clone(store));
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -53,7 +53,9 @@
     let end = started + grace.saturating_sub(EXIT_TIME);
     compio::time::sleep(NOTICE_TIME.min(grace)).await;
     shell.connections().close();
-    while shell.now() < end && (shell.with_fleet(Fleet::requests) > 0 || shell.connections().open() > 0) {
+    while shell.now() < end
+        && (shell.with_fleet(Fleet::requests) > 0 || shell.connections().open() > 0)
+    {
         compio::time::sleep(LOOK_PAUSE).await;
     }
     compio::time::sleep(FLUSH_TIME).await;
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -79,7 +79,7 @@
     /// How it ended.
     pub outcome: Outcome,
     /// The server's own failure answer.
-    pub answer: Option<Whole>,
+    pub answer: Option<Box<Whole>>,
 }
 
 impl From<Outcome> for Failure {
@@ -167,10 +167,7 @@
     resume: Option<u64>,
 ) -> Result<(Channel, Response<Incoming>), Failure> {
     let shape = shell.shape();
-    let build = || {
-        plan.outgoing
-            .build(shape, &target.id, resume, shell.now())
-    };
+    let build = || plan.outgoing.build(shape, &target.id, resume, shell.now());
     if plan.repeatable
         && let Some(mut channel) = shell.pool().take(target.address, shell.now())
     {
@@ -195,7 +192,10 @@
     Ok((channel, answer))
 }
 
-async fn write(channel: &mut Channel, request: Request<Body>) -> Result<Response<Incoming>, Failure> {
+async fn write(
+    channel: &mut Channel,
+    request: Request<Body>,
+) -> Result<Response<Incoming>, Failure> {
     channel
         .sender
         .try_send_request(request)
@@ -256,7 +256,7 @@
     if parts.status.is_server_error() || answer.status != parts.status {
         return Err(Failure {
             outcome: Outcome::Failed,
-            answer: (answer.status == parts.status).then_some(answer),
+            answer: (answer.status == parts.status).then(|| Box::new(answer)),
         });
     }
     Ok(Reply::Whole(answer))
--- a/crates/front/tests/all/answers.rs
+++ b/crates/front/tests/all/answers.rs
@@ -41,7 +41,11 @@
 #[test]
 fn answer_503_that_does_not_say_not_run_is_none() {
     run(async {
-        for code in ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"] {
+        for code in [
+            "503 Service Unavailable",
+            "429 Too Many Requests",
+            "408 Request Timeout",
+        ] {
             let answer = answer_to("/once/x", Act::Write(whole(code, "no"))).await;
             assert_eq!(status(&answer), 502, "{code}");
         }
@@ -105,7 +109,10 @@
 fn answer_extra_bytes_do_not_reach_the_next_request() {
     run(async {
         let twice = whole("200 OK", "first") + &whole("200 OK", "extra");
-        let server = Server::start(vec![Act::Write(twice), Act::Write(whole("200 OK", "second"))]);
+        let server = Server::start(vec![
+            Act::Write(twice),
+            Act::Write(whole("200 OK", "second")),
+        ]);
         let front = Front::start(&[&server]);
         assert!(front.call("/again/x", "").await.ends_with("first"));
         let next = front.call("/again/x", "").await;
--- a/crates/front/tests/all/requests.rs
+++ b/crates/front/tests/all/requests.rs
@@ -12,7 +12,11 @@
 #[test]
 fn request_names_workspace_and_server_but_not_the_key() {
     run(async {
-        let head = seen("/once/x?q=%2F1", "x-workspace: forged\r\nx-internal: forged\r\n").await;
+        let head = seen(
+            "/once/x?q=%2F1",
+            "x-workspace: forged\r\nx-internal: forged\r\n",
+        )
+        .await;
         assert!(head.starts_with("POST /once/x?q=%2F1 HTTP/1.1\r\n"));
         assert_eq!(header(&head, "x-workspace").as_deref(), Some("w"));
         assert_eq!(header(&head, "x-server").as_deref(), Some("plain0"));
@@ -33,7 +37,10 @@
 fn request_deadline_counts_down() {
     run(async {
         let head = seen("/once/x", "").await;
-        let left: u64 = header(&head, "x-wait-ms").expect("it is set").parse().expect("a number");
+        let left: u64 = header(&head, "x-wait-ms")
+            .expect("it is set")
+            .parse()
+            .expect("a number");
         assert!(left <= 5_000 && left > 0);
     });
 }
@@ -63,6 +70,8 @@
         let wrong = "POST /once/x HTTP/1.1\r\nhost: host\r\nauthorization: Bearer wrong\r\n\
                      connection: close\r\n\r\n";
         assert_eq!(status(&front.raw(wrong).await), 401);
+        let head = format!("x-long: {}\r\n", "x".repeat(17 << 10));
+        assert_eq!(status(&front.call("/once/x", &head).await), 431);
         assert_eq!(status(&front.raw("nonsense\r\n\r\n").await), 400);
         assert!(server.seen().is_empty());
     });
@@ -84,7 +93,8 @@
         let front = Front::start(&[&server]);
         front.shell.stop();
         assert!(!front.shell.is_ready());
-        let text = "POST /once/x HTTP/1.1\r\nhost: host\r\nauthorization: Bearer key\r\nx-id: r\r\n\r\n";
+        let text =
+            "POST /once/x HTTP/1.1\r\nhost: host\r\nauthorization: Bearer key\r\nx-id: r\r\n\r\n";
         // The call ends only when the router closes the connection.
         let answer = front.raw(text).await;
         assert_eq!(status(&answer), 200);
--- a/crates/front/tests/all/streams.rs
+++ b/crates/front/tests/all/streams.rs
@@ -25,7 +25,9 @@
         let first = STREAM.to_owned() + &chunk(&events);
         let rest = STREAM.to_owned() + &chunk(&(event(3) + &event(4))) + END;
         let server = Server::start(vec![Act::Close(first), Act::Write(rest)]);
-        let answer = Front::start(&[&server, &server]).call("/resume/x", "").await;
+        let answer = Front::start(&[&server, &server])
+            .call("/resume/x", "")
+            .await;
         assert!(answer.ends_with(END), "{answer}");
         for id in 1..=4 {
             assert_eq!(answer.matches(&event(id)).count(), 1, "event {id}");
@@ -42,7 +44,9 @@
         let first = STREAM.to_owned() + &chunk(&(event(1) + &event(2)));
         let rest = STREAM.to_owned() + &chunk(&(event(2) + &event(3))) + END;
         let server = Server::start(vec![Act::Close(first), Act::Write(rest)]);
-        let answer = Front::start(&[&server, &server]).call("/resume/x", "").await;
+        let answer = Front::start(&[&server, &server])
+            .call("/resume/x", "")
+            .await;
         assert_eq!(answer.matches(&event(2)).count(), 1);
         assert!(answer.ends_with(END));
     });
@@ -53,7 +57,9 @@
     run(async {
         let text = STREAM.to_owned() + &chunk(&event(1));
         let server = Server::start(vec![Act::Close(text)]);
-        let answer = Front::start(&[&server, &server]).call("/stream/x", "").await;
+        let answer = Front::start(&[&server, &server])
+            .call("/stream/x", "")
+            .await;
         assert!(answer.contains(&event(1)));
         assert!(!answer.ends_with(END));
         assert_eq!(server.seen().len(), 1);
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -142,7 +142,8 @@
 }
 
 /// Head of a stream that ends with its connection.
-pub const STREAM: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n";
+pub const STREAM: &str =
+    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-seal: s\r\ntransfer-encoding: chunked\r\n\r\n";
 
 /// A chunk of a stream.
 pub fn chunk(text: &str) -> String {
@@ -333,4 +334,3 @@
         .await
         .expect("it holds in time");
 }
-
--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -4,10 +4,10 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use hibiscusrail_macros::record;
+use hibiscusrail_standin::relay::{Carrier, Route};
 use hibiscusrail_store::object::{ObjectRow, VersionedRow};
 use hibiscusrail_store::table::{Condition, TransactRequest, Write};
 use hibiscusrail_store::ticket::WorkspaceState;
-use hibiscusrail_standin::relay::{Carrier, Route};
 use sha2::{Digest, Sha256};
 
 /// A router of the deployment.
--- a/crates/load/src/experiment/tickets.rs
+++ b/crates/load/src/experiment/tickets.rs
@@ -6,8 +6,8 @@
 
 use hibiscusrail_ctl::submit::{Decided, submit};
 use hibiscusrail_ctl::table::Table;
-use hibiscusrail_store::ticket::Ticket;
 use hibiscusrail_standin::http_util::epoch_ms;
+use hibiscusrail_store::ticket::Ticket;
 use serde_json::Value;
 
 use super::ExperimentError;
--- a/crates/net/src/logs.rs
+++ b/crates/net/src/logs.rs
@@ -47,9 +47,7 @@
         .map_err(|_| format!("unknown log level {level}"))?;
     let output = rustix::stdio::stdout();
     rustix::fs::fcntl_getfl(output)
-        .and_then(|flags| {
-            rustix::fs::fcntl_setfl(output, flags | rustix::fs::OFlags::NONBLOCK)
-        })
+        .and_then(|flags| rustix::fs::fcntl_setfl(output, flags | rustix::fs::OFlags::NONBLOCK))
         .map_err(|error| format!("standard output: {error}"))?;
     let filter = RustLogFilterBuilder::from_spec(level).build();
     logforth::starter_log::builder()
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -125,12 +125,7 @@
     }
 
     /// Keeps a connection once nothing of its delivered answer is left to arrive.
-    pub fn recycle(
-        self: &Rc<Self>,
-        address: SocketAddr,
-        connection: C,
-        mut rest: Incoming,
-    ) {
+    pub fn recycle(self: &Rc<Self>, address: SocketAddr, connection: C, mut rest: Incoming) {
         let pool = Rc::clone(self);
         compio::runtime::spawn(async move {
             let end = compio::time::timeout(END_TIME, rest.frame()).await;
--- a/crates/router/src/platform/poll.rs
+++ b/crates/router/src/platform/poll.rs
@@ -11,9 +11,7 @@
 use hibiscusrail_core::configuration::{Object, Version};
 use hibiscusrail_core::event::HostEntry;
 use hibiscusrail_core::{Event, RouterId, ZoneId};
-use hibiscusrail_store::table::{
-    HostList, ReadAnswer, ReadRequest, Row, ScanAnswer, ScanRequest,
-};
+use hibiscusrail_store::table::{HostList, ReadAnswer, ReadRequest, Row, ScanAnswer, ScanRequest};
 use hibiscusrail_store::ticket::{ChangeRow, HeadRow};
 use hibiscusrail_store::{keys, object};
 
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -19,9 +19,9 @@
 use crate::peers::{self, Peers};
 use crate::secrets::{self, Secrets};
 use crate::shell::Shell;
-use hibiscusrail_net::signals::{STOP_SIGNALS, Signals};
 use crate::stop::{self, Stopped};
 use crate::{admin, caller, load, platform};
+use hibiscusrail_net::signals::{STOP_SIGNALS, Signals};
 
 /// Exit code when work was cut at the stop deadline.
 const EXIT_CUT: u8 = 3;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,6 @@
 //! platform's table ([`platform`]) and checked settings ([`settings`]).
 
 pub use hibiscusrail_core as core;
-pub use hibiscusrail_store as platform;
 pub use hibiscusrail_settings as settings;
+pub use hibiscusrail_store as platform;
 pub use hibiscusrail_wire as wire;
--- a/tests/all/retries.rs
+++ b/tests/all/retries.rs
@@ -5,9 +5,9 @@
 use futures_util::future::join_all;
 use hibiscusrail_core::Params;
 use hibiscusrail_load::client::{Ending, send};
-use hibiscusrail_store::object::ObjectRow;
 use hibiscusrail_standin::faults::Faults;
 use hibiscusrail_standin::host::Service;
+use hibiscusrail_store::object::ObjectRow;
 use http::Method;
 
 use crate::raw::move_server;
--- a/tests/all/standins.rs
+++ b/tests/all/standins.rs
@@ -6,7 +6,6 @@
 
 use hibiscusrail_load::deployment::own_host;
 use hibiscusrail_net::{Connection, bind, connect, full};
-use hibiscusrail_store::table::{Condition, ReadRequest, TransactRequest, Write};
 use hibiscusrail_standin::cache::PrefixCache;
 use hibiscusrail_standin::engine::{Engine, EngineSpec};
 use hibiscusrail_standin::faults::Faults;
@@ -16,6 +15,7 @@
 use hibiscusrail_standin::relay::{Carrier, Relay, Route};
 use hibiscusrail_standin::table::Table;
 use hibiscusrail_standin::text;
+use hibiscusrail_store::table::{Condition, ReadRequest, TransactRequest, Write};
 use http::{Method, Request, header};
 use http_body_util::BodyExt;
 
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -8,8 +8,8 @@
 use hibiscusrail_core::configuration::{Admission, Object, Version};
 use hibiscusrail_core::{Event, Router};
 use hibiscusrail_load::client::{Ending, send};
-use hibiscusrail_store::object::ObjectRow;
 use hibiscusrail_router::shell::Shell;
+use hibiscusrail_store::object::ObjectRow;
 use http::Method;
 
 use crate::support::{Stage, run, until};
--- a/tests/all/tickets.rs
+++ b/tests/all/tickets.rs
@@ -5,10 +5,10 @@
 use hibiscusrail_ctl::audit;
 use hibiscusrail_ctl::submit::{Decided, submit};
 use hibiscusrail_ctl::table::Table;
-use hibiscusrail_store::audit::{Filter, Outcome};
-use hibiscusrail_store::ticket::{Ticket, parse};
 use hibiscusrail_standin::faults::Faults;
 use hibiscusrail_standin::host::Service;
+use hibiscusrail_store::audit::{Filter, Outcome};
+use hibiscusrail_store::ticket::{Ticket, parse};
 
 use crate::support::{Stage, run, until};
 
