--- /dev/null
+++ b/crates/settings/tests/front.rs
@@ -0,0 +1,44 @@
+//! Settings of the daemon for routers that share engines.
+
+use std::time::Duration;
+
+use hibiscusrail_settings::FrontSettings;
+
+const WHOLE: &str = "[front]
+name = r1
+zone = a
+listen = 127.0.0.1:8000
+ready_listen = 127.0.0.1:8001
+peer_listen = 127.0.0.1:8002
+metrics_listen = 127.0.0.1:8003
+[store]
+address = 127.0.0.1:9000
+";
+
+#[test]
+fn parse_least_settings_have_defaults() {
+    let settings = FrontSettings::parse("s.ini", WHOLE).expect("they are valid");
+    assert_eq!(settings.grace, Duration::from_secs(8));
+    assert_eq!(settings.params.zone, "a");
+    assert_eq!(settings.params.retries.window, Duration::from_secs(10));
+}
+
+#[test]
+fn parse_names_every_error_with_place_and_value() {
+    let text = WHOLE
+        .replace("127.0.0.1:8000", "here")
+        .replace("name = r1\n", "")
+        + "[bounds]\nretry_ratio = -1\nunknown = 1\n[other]\nkey = 1\n";
+    let errors = FrontSettings::parse("s.ini", &text)
+        .unwrap_err()
+        .to_string();
+    for part in [
+        "[front] name: missing",
+        "[front] listen = \"here\"",
+        "[bounds] retry_ratio = \"-1\"",
+        "[bounds] unknown",
+        "[other]",
+    ] {
+        assert!(errors.contains(part), "{part} is not in:\n{errors}");
+    }
+}
