--- a/tests/all/logs.rs
+++ b/tests/all/logs.rs
@@ -44,9 +44,10 @@
 fn events_are_documented() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("crates");
     let mut found = BTreeSet::new();
-    for name in ["core", "net", "router", "standin"] {
+    for name in ["core", "fleet", "front", "net", "router", "standin"] {
         read(&root.join(name).join("src"), &mut found);
     }
+    read(&root.join("../platform/src"), &mut found);
     // The search itself must find events of each kind.
     for known in [
         "started",
