--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The reducer: one function over all events.
 
 mod choice;
+mod limits;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -15,36 +15,14 @@
 use crate::quota::Standing;
 use crate::roster::ServerKey;
 
-use super::{Attempt, Fleet, Refusal, Request};
+use super::{Attempt, Fleet, Refusal, Request, limits};
 
 /// Wait named to a caller whose request may succeed elsewhere or a little later.
 pub(super) const SHORT_WAIT: Duration = Duration::from_millis(300);
 /// Least and longest wait named to a caller; a caller waits a third of its time at most.
 const WAITS: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(3_000));
-/// Part of the time to the target in which a request within its share has to begin.
-const WITHIN_PART: f64 = 0.7;
-/// The same for a request of a workspace that has its share already.
-const BEYOND_PART: f64 = 0.3;
-/// Part of the allowed time that a prompt may wait which alone takes longer to read.
-const LONG_PROMPT_WAIT: f64 = 0.3;
-/// Part of its time that an engine may spend on reading prompts while requests
-/// within their share are admitted: streams then take up to seven times as long
-/// as on an idle engine, and still end in the time that callers have.
-const READING_WITHIN: f64 = 0.85;
-/// The same for requests beyond their share: streams take twice as long.
-const READING_BEYOND: f64 = 0.55;
-/// The same for those whose shared prefix the engine would have to read as well.
-const READING_ELSEWHERE: f64 = 0.3;
-/// Time for each token up to which requests within their share are admitted;
-/// the longest answers, of about a thousand tokens, then end in ten seconds.
-const PACE_WITHIN: Duration = Duration::from_millis(11);
-/// The same for requests beyond their share.
-const PACE_BEYOND: Duration = Duration::from_millis(8);
 /// How many times slower than its data sheet an engine is believed to be.
 const PACE_DOUBT: u32 = 2;
-/// Part of an engine's places that may be taken while requests beyond their share
-/// are admitted.
-const PLACES_BEYOND: f64 = 0.8;
 /// Tokens whose time counts as a detour when engines are compared.
 const PACE_DETOUR: u32 = 25;
 /// Wait named to a caller while engines read as much as they may.
@@ -52,17 +30,9 @@
 /// How much a token that is read again weighs against one that waits: it takes
 /// an engine's time from everybody.
 const READ_WEIGHT: f64 = 2.0;
-/// Part of an even share that a workspace lacks from which any engine will do.
-const ELSEWHERE_LACKING: f64 = 0.4;
 /// Spread of the scores for each report period beyond the shortest: routers that
 /// learn late of each other's choices must not all take the same server.
 const STALE_SPREAD: Duration = Duration::from_millis(10);
-/// How much the limits fall for each even share that a workspace has in excess.
-const EXCESS_WEIGHT: f64 = 0.5;
-/// Least part of the limits: a workspace alone is not held back by its past.
-const LEAST_PRIORITY: f64 = 0.4;
-/// Most: what a workspace without anything may use beyond others.
-const MOST_PRIORITY: f64 = 1.25;
 /// Detour that an error rate of one is worth.
 const ERROR_DETOUR: Duration = Duration::from_millis(2_000);
 /// Detour that a server in another zone is worth: both ways between zones, and priced bytes.
@@ -82,61 +52,11 @@
     score: Duration,
     /// How long it would wait for others before.
     wait: Duration,
-    /// Whether the server is among those that hold the prompt's shared prefix.
-    ranked: bool,
+    /// Whether the server holds the shared prefix of the prompt.
+    holds: bool,
     inputs: Inputs,
 }
 
-impl Candidate {
-    /// Returns whether the server can read more without slowing its streams too much.
-    fn has_room(&self, standing: Standing) -> bool {
-        let (most, slowest, places) = match standing {
-            Standing::Within => (READING_WITHIN, PACE_WITHIN, 1.0),
-            Standing::Beyond { excess } => {
-                let part = priority(excess);
-                let most = if self.ranked {
-                    READING_BEYOND
-                } else {
-                    elsewhere(excess)
-                };
-                (most * part, PACE_BEYOND.mul_f64(part), PLACES_BEYOND * part)
-            }
-        };
-        let Inputs {
-            reading,
-            pace,
-            taken,
-            ..
-        } = self.inputs;
-        reading <= most && pace <= slowest && taken <= places
-    }
-
-    /// Returns whether the request may begin here.
-    ///
-    /// A prompt that takes longer to read than is allowed would be refused for
-    /// ever; it may begin wherever it hardly waits for others.
-    fn fits(&self, allowed: Duration) -> bool {
-        self.inputs.begin <= allowed || self.wait <= allowed.mul_f64(LONG_PROMPT_WAIT)
-    }
-}
-
-/// Returns the part of the limits beyond the share that applies at an excess.
-///
-/// Below an even share it is more than one, above it less: the limits settle
-/// where what was given is even.
-fn priority(excess: f64) -> f64 {
-    (1.0 - EXCESS_WEIGHT * (excess - 1.0)).clamp(LEAST_PRIORITY, MOST_PRIORITY)
-}
-
-/// Returns the limit at engines that do not hold the prefix.
-///
-/// A workspace that has less than an even share is not bound to the engines
-/// that hold its few prefixes.
-fn elsewhere(excess: f64) -> f64 {
-    let lacking = ((1.0 - excess) / ELSEWHERE_LACKING).clamp(0.0, 1.0);
-    READING_ELSEWHERE + (READING_BEYOND - READING_ELSEWHERE) * lacking
-}
-
 /// What all candidates for one request have in common.
 struct Situation<'a> {
     now: Instant,
@@ -215,17 +135,17 @@
             inputs: Some(inputs),
         };
         if !request.begun {
-            candidates.retain(|c| c.has_room(standing));
+            candidates.retain(|c| limits::has_room(&c.inputs, c.holds, standing));
         }
         let Some(best) = candidates.iter().min_by_key(|c| c.score) else {
             return Err(refusal(BUSY_WAIT));
         };
-        let allowed = allowance(now, request, standing);
-        if best.fits(allowed) {
+        let allowed = limits::allowance(now, &request.ask, request.begun, standing);
+        if limits::fits(best.inputs.begin, best.wait, allowed) {
             return Ok(take(candidates, |c| c.score));
         }
         let soonest = take(candidates, |c| c.inputs.begin);
-        if soonest.fits(allowed) {
+        if limits::fits(soonest.inputs.begin, soonest.wait, allowed) {
             return Ok(soonest);
         }
         let wait = (soonest.inputs.begin - allowed).clamp(WAITS.0, WAITS.1);
@@ -362,7 +282,7 @@
             key,
             score,
             wait,
-            ranked: home || situation.prompt.is_none(),
+            holds: home || situation.prompt.is_none(),
             inputs: Inputs {
                 unread: load.unread,
                 running: load.running,
@@ -455,23 +375,6 @@
     }
 }
 
-/// Returns the time in which a request has to begin.
-fn allowance(now: Instant, request: &Request, standing: Standing) -> Duration {
-    let ask = &request.ask;
-    if request.begun {
-        // The caller has part of the answer; any server that goes on is better than none.
-        return ask.deadline.saturating_duration_since(now);
-    }
-    let left = ask.target.saturating_duration_since(now);
-    if ask.prompt.is_none() {
-        return left;
-    }
-    match standing {
-        Standing::Within => left.mul_f64(WITHIN_PART),
-        Standing::Beyond { .. } => left.mul_f64(BEYOND_PART),
-    }
-}
-
 /// Returns the servers that hold a prompt's shared prefix.
 ///
 /// Where none is known to hold it, all routers take the same one for its home.
