--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -24,6 +24,9 @@
 const LIFE_PERIODS: u32 = 4;
 /// Routers of a zone that follow the store: one may be lost at any time.
 const ZONE_WATCHERS: usize = 2;
+/// Servers that are tried for one request at most, reached or not: each that is
+/// not reached takes the time of a connection.
+const MOST_TRIED: usize = 4;
 /// Reports that repeat a placement; all of them are seldom lost.
 const PLACED_REPORTS: u32 = 3;
 
@@ -50,6 +53,7 @@
     ask: Ask,
     attempt: Option<Attempt>,
     tried: Vec<ServerKey>,
+    /// Servers that it was sent to, or is being sent to.
     sent: u32,
     begun: bool,
     execution: Execution,
@@ -394,7 +398,8 @@
                 self.requests.remove(&key);
                 return;
             }
-            Outcome::NotRun | Outcome::Misdirected | Outcome::Unreachable => {}
+            Outcome::NotRun | Outcome::Misdirected => {}
+            Outcome::Unreachable => self.unsend(key),
             Outcome::Failed => self.mark(key, Execution::Failed),
             Outcome::Broken | Outcome::Silent => self.mark(key, Execution::Unknown),
         }
@@ -408,6 +413,13 @@
         }
     }
 
+    /// Notes that no byte of a request left: the attempt was none.
+    fn unsend(&mut self, key: RequestKey) {
+        if let Some(request) = self.requests.get_mut(&key) {
+            request.sent -= 1;
+        }
+    }
+
     fn observe(&mut self, now: Instant, key: ServerKey, outcome: Outcome) {
         let Some(server) = self.roster.get_mut(key) else {
             return;
@@ -451,7 +463,7 @@
         if now >= ask.deadline {
             return self.give_up(key, Reason::Expired, Duration::ZERO);
         }
-        if !repeatable || request.sent >= ask.attempts {
+        if !repeatable || request.sent >= ask.attempts || request.tried.len() >= MOST_TRIED {
             return self.give_up(key, Reason::Exhausted, choice::SHORT_WAIT);
         }
         if request.sent > 0 {
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -354,7 +354,7 @@
         });
         request.tried.push(candidate.key);
         request.sent += 1;
-        let first = request.sent == 1;
+        let first = request.tried.len() == 1;
         self.out.push(Decision::Send {
             request: key,
             server: candidate.key,
--- a/crates/fleet/tests/all/outcomes.rs
+++ b/crates/fleet/tests/all/outcomes.rs
@@ -61,6 +61,22 @@
     assert_eq!(given_up(&decisions), Some(Reason::Exhausted));
 }
 
+#[test]
+fn ended_server_that_was_not_reached_uses_up_no_attempt() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    let mut request = plain(1, Repeat::Once, now);
+    request.attempts = 1;
+    let mut decisions = fleet.handle(now, Event::Submit(request));
+    for _ in 0..2 {
+        assert!(sent(&decisions).is_some(), "{decisions:?}");
+        decisions = fleet.handle(now, Event::Ended(RequestKey(1), Outcome::Unreachable));
+    }
+    assert!(sent(&decisions).is_some(), "the third server is left");
+    let decisions = fleet.handle(now, Event::Ended(RequestKey(1), Outcome::Unreachable));
+    assert_eq!(execution(&decisions), Some(Execution::NotRun));
+}
+
 #[test]
 fn ended_stream_that_broke_goes_on_elsewhere_only_when_it_may() {
     let now = Instant::now();
