--- a/crates/front/src/outgoing.rs
+++ b/crates/front/src/outgoing.rs
@@ -3,25 +3,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hibiscusrail_net::{Body, full};
+use hibiscusrail_net::{Body, full, headers};
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 
 use crate::shape::Shape;
 
-/// Headers that concern one connection only.
-const CONNECTION_ONLY: [HeaderName; 9] = [
-    header::CONNECTION,
-    header::EXPECT,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::CONTENT_LENGTH,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// What every attempt of one request sends.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -47,10 +34,8 @@
         deadline: Instant,
     ) -> Self {
         let mut headers = parts.headers.clone();
-        for name in listed(&parts.headers) {
-            headers.remove(name);
-        }
-        for name in CONNECTION_ONLY.iter().chain(&shape.reserved) {
+        headers::strip(&mut headers);
+        for name in &shape.reserved {
             headers.remove(name);
         }
         headers.remove(header::AUTHORIZATION);
@@ -105,14 +90,3 @@
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
-
-/// Returns the headers that the connection header names as its own.
-fn listed(headers: &HeaderMap) -> Vec<HeaderName> {
-    headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect()
-}
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use hibiscusrail_fleet::Outcome;
 use hibiscusrail_net::sse::Splitter;
-use hibiscusrail_net::{Body, Channel, open};
+use hibiscusrail_net::{Body, Channel, headers, open};
 use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -369,17 +369,8 @@
 }
 
 /// Headers of an answer that are passed to the caller.
-fn passed_on(headers: &HeaderMap) -> HeaderMap {
-    let mut out = headers.clone();
-    for name in [
-        header::CONNECTION,
-        header::TRANSFER_ENCODING,
-        header::CONTENT_LENGTH,
-        header::TRAILER,
-        header::UPGRADE,
-    ] {
-        out.remove(name);
-    }
-    out.remove("keep-alive");
+fn passed_on(received: &HeaderMap) -> HeaderMap {
+    let mut out = received.clone();
+    headers::strip(&mut out);
     out
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod body;
 pub mod client;
+pub mod headers;
 pub mod logs;
 pub mod pool;
 pub mod process;
--- a/crates/router/src/caller/route.rs
+++ b/crates/router/src/caller/route.rs
@@ -2,6 +2,7 @@
 
 use hibiscusrail_core::ServiceId;
 use hibiscusrail_core::configuration::ServiceKind;
+use hibiscusrail_net::headers;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, header};
 use serde::Deserialize;
@@ -105,26 +106,12 @@
 /// Header that tells servers which workspace asks.
 const WORKSPACE: HeaderName = HeaderName::from_static("x-workspace");
 
-/// Headers that belong to one connection or to the router.
-const NOT_PASSED: [HeaderName; 11] = [
-    header::AUTHORIZATION,
-    header::CONNECTION,
-    header::CONTENT_LENGTH,
-    header::EXPECT,
-    header::HOST,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
+/// Headers that are the router's own, besides those of one connection.
+const NOT_PASSED: [HeaderName; 2] = [header::AUTHORIZATION, header::HOST];
 
-fn to_server(headers: &HeaderMap, asked: &Asked) -> HeaderMap {
-    let mut out = headers.clone();
-    for name in listed(headers) {
-        out.remove(name);
-    }
+fn to_server(received: &HeaderMap, asked: &Asked) -> HeaderMap {
+    let mut out = received.clone();
+    headers::strip(&mut out);
     for name in NOT_PASSED {
         out.remove(name);
     }
@@ -133,14 +120,3 @@
     }
     out
 }
-
-/// Returns the headers that the connection header names as its own.
-fn listed(headers: &HeaderMap) -> Vec<HeaderName> {
-    headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect()
-}
