--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -184,6 +184,12 @@
         self.cold_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether it may receive only what a cold server bears.
+    #[must_use]
+    pub fn is_limited(&self, now: Instant) -> bool {
+        self.is_cold(now) || self.health.is_trial()
+    }
+
     /// Returns all work at the server.
     #[must_use]
     pub fn load(&self) -> Load {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -353,13 +353,11 @@
         };
         server.own.unread = server.own.unread.saturating_sub(read);
         server.observe(ahead, took, rate);
-        let cold = self
-            .orders
-            .deployment
-            .as_ref()
-            .and_then(|d| d.services.get(&request.ask.service))
-            .map_or(Duration::ZERO, |s| s.cold_time);
         if server.health.succeeded() {
+            let deployment = self.orders.deployment.as_ref();
+            let cold = deployment
+                .and_then(|d| d.services.get(&request.ask.service))
+                .map_or(Duration::ZERO, |s| s.cold_time);
             // It may have restarted meanwhile; its next entry says so or not.
             server.cold_until = (!cold.is_zero()).then(|| now + cold);
             let id = server.id.clone();
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -137,16 +137,17 @@
         if !request.begun {
             candidates.retain(|c| limits::has_room(&c.inputs, c.holds, standing));
         }
-        let Some(best) = candidates.iter().min_by_key(|c| c.score) else {
+        let best = candidates.iter().min_by_key(|c| c.score);
+        let soonest = candidates.iter().min_by_key(|c| c.inputs.begin);
+        let (Some(best), Some(soonest)) = (best, soonest) else {
             return Err(refusal(BUSY_WAIT));
         };
         let allowed = limits::allowance(now, &request.ask, request.begun, standing);
         if limits::fits(best.inputs.begin, best.wait, allowed) {
-            return Ok(take(candidates, |c| c.score));
+            return Ok(*best);
         }
-        let soonest = take(candidates, |c| c.inputs.begin);
         if limits::fits(soonest.inputs.begin, soonest.wait, allowed) {
-            return Ok(soonest);
+            return Ok(*soonest);
         }
         let wait = (soonest.inputs.begin - allowed).clamp(WAITS.0, WAITS.1);
         Err(refusal(wait))
@@ -198,10 +199,10 @@
         if f64::from(server.load().running) >= depth {
             return false;
         }
-        if !server.is_cold(situation.now) && !server.health.is_trial() {
+        if !server.is_limited(situation.now) {
             return true;
         }
-        let rate = self.cold_rate(situation, server);
+        let rate = self.cold_rate(service, server);
         server.bucket.clone().has_room(situation.now, rate)
     }
 
@@ -209,8 +210,7 @@
     ///
     /// So many routers take part that each has a few; which ones follows from a
     /// hash, alike at every router. Each may send one at once besides.
-    fn cold_rate(&self, situation: &Situation<'_>, server: &Server) -> f64 {
-        let service = situation.service;
+    fn cold_rate(&self, service: &Service, server: &Server) -> f64 {
         if service.cold_rate <= 0.0 {
             return f64::INFINITY;
         }
@@ -220,7 +220,7 @@
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss
         )]
-        let takers = situation.routers.min((bound / COLD_EACH) as usize).max(1);
+        let takers = self.routers().min((bound / COLD_EACH) as usize).max(1);
         let weight = |router: u32| placement::weight(u64::from(server.hash), router);
         let mine = weight(self.me.0);
         let ahead = self.members.iter().filter(|m| weight(**m) > mine).count();
@@ -308,32 +308,27 @@
         STALE_SPREAD.mul_f64((periods - 1.0).max(0.0) * part)
     }
 
-    fn send(&mut self, now: Instant, key: RequestKey, candidate: Candidate) {
-        let Some(request) = self.requests.get(&key) else {
+    /// Counts a request that is sent against what a cold server may receive.
+    fn take_cold_place(&mut self, now: Instant, key: ServerKey) {
+        let Some(server) = self.roster.get(key).filter(|s| s.is_limited(now)) else {
             return;
         };
-        let cold_rate = self.service(&request.ask.service).map_or(0.0, |service| {
-            let situation = Situation {
-                now,
-                request: key,
-                service,
-                prompt: None,
-                standing: candidate.inputs.standing,
-                routers: self.routers(),
-            };
-            let server = self.roster.get(candidate.key);
-            server.map_or(0.0, |s| self.cold_rate(&situation, s))
-        });
+        let service = self.service(&server.backend.service);
+        let rate = service.map_or(0.0, |s| self.cold_rate(s, server));
+        if let Some(server) = self.roster.get_mut(key) {
+            server.bucket.has_room(now, rate);
+            server.bucket.take();
+        }
+    }
+
+    fn send(&mut self, now: Instant, key: RequestKey, candidate: Candidate) {
+        self.take_cold_place(now, candidate.key);
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
         let Some(server) = self.roster.get_mut(candidate.key) else {
             return;
         };
-        if server.is_cold(now) || server.health.is_trial() {
-            server.bucket.has_room(now, cold_rate);
-            server.bucket.take();
-        }
         server.health.sent();
         let load = Load {
             unread: u64::from(candidate.inputs.read),
@@ -415,11 +410,3 @@
     let slots = server.backend.slots.max(1);
     REQUEST_TIME.mul_f64(f64::from(load.running) / f64::from(slots))
 }
-
-/// Takes the candidate with the least `order`; there is at least one.
-fn take<T: Ord>(candidates: Vec<Candidate>, order: impl Fn(&Candidate) -> T) -> Candidate {
-    candidates
-        .into_iter()
-        .min_by_key(order)
-        .expect("the caller has checked that there is a candidate")
-}
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -129,15 +129,12 @@
     /// Takes a report in; none when a newer one was there already.
     pub fn take(&mut self, now: Instant, report: &Report) -> Option<Change> {
         let sender = RouterHash(report.sender);
-        let known = self.states.remove(&sender);
-        if let Some(state) = &known {
-            let stale =
-                (report.incarnation, report.sequence) <= (state.incarnation, state.sequence);
-            if stale {
-                self.states.insert(sender, known?);
-                return None;
-            }
+        let stale =
+            |s: &PeerState| (report.incarnation, report.sequence) <= (s.incarnation, s.sequence);
+        if self.states.get(&sender).is_some_and(stale) {
+            return None;
         }
+        let known = self.states.remove(&sender);
         let same = known
             .as_ref()
             .is_some_and(|s| s.incarnation == report.incarnation);
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -120,6 +120,7 @@
 pub async fn receive(shell: Rc<Shell>, peers: Rc<Peers>) -> io::Result<()> {
     let socket = compio::net::UdpSocket::from_std(peers.socket.try_clone()?)?;
     let mut buffer = Vec::with_capacity(BUFFER);
+    let mut rest = vec![0; BUFFER];
     loop {
         buffer.clear();
         let compio::BufResult(result, returned) = socket.recv_from(buffer).await;
@@ -127,7 +128,7 @@
         match result {
             Ok((_, address)) => {
                 take(&shell, &peers, &buffer, address);
-                drain(&shell, &peers);
+                drain(&shell, &peers, &mut rest);
             }
             Err(error) => log::debug!(step = "receive", error:% = error; "datagram_lost"),
         }
@@ -138,10 +139,9 @@
 ///
 /// A busy loop comes round seldom; reports that pile up meanwhile would only be
 /// read when they say nothing any more.
-fn drain(shell: &Rc<Shell>, peers: &Rc<Peers>) {
-    let mut buffer = vec![0; BUFFER];
+fn drain(shell: &Rc<Shell>, peers: &Rc<Peers>, buffer: &mut [u8]) {
     for _ in 0..BATCH {
-        match peers.socket.recv_from(&mut buffer) {
+        match peers.socket.recv_from(buffer) {
             Ok((length, address)) => take(shell, peers, &buffer[..length], address),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
             Err(error) => {
