Send connections elsewhere while the loop comes round late

Cause: all connections of one caller meet at one router. Ruled out: the choice of servers (9% of the time); refusals alone, which cost a connection each. Conclusion: the load of one caller now moves between routers.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -79,6 +79,8 @@
     NoServer,
     /// No server can begin it in time.
     Busy,
+    /// This router could not pass its stream on in time; others may.
+    RouterBusy,
     /// The workspace has its share of the throughput, and no server is free.
     OverShare,
     /// It may not be sent to another server.
@@ -190,6 +192,8 @@
     Report(Report),
     /// The routers that are registered, this one among them.
     Members(Vec<String>),
+    /// The loop of this router came round later than asked for, by this much.
+    Late(Duration),
     /// Time passed.
     Tick,
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -14,6 +14,7 @@
 use crate::params::Params;
 use crate::peers::{Peers, Placement, Report, RouterHash, ServerLoad, Total};
 use crate::placement::{self, name_hash};
+use crate::pressure::Pressure;
 use crate::quota::{Quota, WorkspaceHash};
 use crate::retry::RetryWindow;
 use crate::roster::{Roster, ServerKey};
@@ -83,6 +84,7 @@
     retries: BTreeMap<String, RetryWindow>,
     totals: BTreeMap<WorkspaceHash, OwnTotal>,
     peers: Peers,
+    pressure: Pressure,
     placed: VecDeque<(Instant, Placement)>,
     /// When the store last answered.
     store_heard: Instant,
@@ -110,6 +112,7 @@
             retries: BTreeMap::new(),
             totals: BTreeMap::new(),
             peers: Peers::default(),
+            pressure: Pressure::default(),
             placed: VecDeque::new(),
             store_heard: now,
             store_lost: None,
@@ -168,6 +171,18 @@
         self.store_lost.is_some()
     }
 
+    /// Returns whether new connections of callers are to go to other routers.
+    #[must_use]
+    pub fn sheds(&self) -> bool {
+        self.pressure.sheds()
+    }
+
+    /// Returns how late the loop of this router comes round.
+    #[must_use]
+    pub fn lateness(&self) -> Duration {
+        self.pressure.late()
+    }
+
     /// Returns how many requests are under way.
     #[must_use]
     pub fn requests(&self) -> usize {
@@ -190,6 +205,7 @@
             Event::ServersUnchanged => self.lapsing = false,
             Event::Report(report) => self.take_report(now, &report),
             Event::Members(names) => self.take_members(&names),
+            Event::Late(late) => self.late(now, late),
             Event::Tick => self.tick(now),
         }
         std::mem::take(&mut self.out)
@@ -581,6 +597,20 @@
         }
     }
 
+    fn late(&mut self, now: Instant, late: Duration) {
+        if !self.pressure.observe(now, late) {
+            return;
+        }
+        let event = if self.pressure.sheds() {
+            "connections_shed"
+        } else {
+            "connections_taken"
+        };
+        let late = self.pressure.late().as_millis();
+        let detail = format!("late_ms={late} requests={}", self.requests.len());
+        self.log(event, "router", detail);
+    }
+
     fn tick(&mut self, now: Instant) {
         for loads in self.peers.expire(now, self.report_life()) {
             self.subtract_loads(&loads);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`cold`]: how many requests a second a cold server receives from here;
 //! * [`retry`]: how many repeats a service receives from here;
 //! * [`health`]: whether a server answers;
+//! * [`pressure`]: whether this router has more work than its processor does;
 //! * [`peers`]: what the other routers report.
 
 pub mod cold;
@@ -27,6 +28,7 @@
 pub mod params;
 pub mod peers;
 pub mod placement;
+pub mod pressure;
 pub mod quota;
 pub mod retry;
 pub mod roster;
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the fleet's decisions, without I/O and on a clock moved by hand.
 
 mod cold_return;
+mod crowded_router;
 mod engines;
 mod outcomes;
 mod overload;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -4,8 +4,8 @@
 
 use hibiscusrail_net::process::ProcessMetrics;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the time histograms in seconds: 5 ms to 12 seconds.
@@ -24,6 +24,7 @@
     running: IntGauge,
     ready: IntGauge,
     revision: IntGauge,
+    late: Gauge,
 }
 
 impl Default for Metrics {
@@ -113,6 +114,14 @@
                 "hibiscusrail_orders_revision",
                 "Revision of the operator's orders in force.",
             ),
+            late: register(
+                &r,
+                Gauge::new(
+                    "hibiscusrail_loop_late_seconds",
+                    "Mean lateness of the loop; new connections go elsewhere while it is high.",
+                )
+                .expect("the name is valid"),
+            ),
             registry: r,
         }
     }
@@ -148,6 +157,11 @@
         self.store_errors.with_label_values(&[step]).inc();
     }
 
+    /// Notes how late the loop comes round.
+    pub fn late(&self, late: Duration) {
+        self.late.set(late.as_secs_f64());
+    }
+
     /// Returns the page of all metrics; gauges are set to the values given.
     #[must_use]
     pub fn page(&self, running: usize, ready: bool, revision: u64) -> Vec<u8> {
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -168,7 +168,8 @@
     /// Returns whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.fleet.borrow().orders().deployment.is_some()
+        let fleet = self.fleet.borrow();
+        !self.is_stopping() && fleet.orders().deployment.is_some() && !fleet.sheds()
     }
 
     /// Looks at the reducer's state.
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -9,7 +9,7 @@
 
 use futures_util::FutureExt;
 use hibiscusrail_core::SystemClock;
-use hibiscusrail_fleet::Fleet;
+use hibiscusrail_fleet::{Event, Fleet};
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::signals::{RELOAD_SIGNALS, STOP_SIGNALS, Signals};
 use hibiscusrail_net::{Limits, bind, full, logs, serve, serve_counted};
@@ -33,6 +33,9 @@
 const STALL_TIME: Duration = Duration::from_secs(10);
 /// Period of looking for changed settings; they may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+/// Period of observing the loop: a fraction of the lateness that matters, and
+/// seldom enough to cost less than a hundredth of the smallest host's processor.
+const PRESSURE_PERIOD: Duration = Duration::from_millis(25);
 /// Connections to the ports for readiness, routers and metrics.
 const SIDE_CONNECTIONS: usize = 64;
 
@@ -160,6 +163,7 @@
     compio::runtime::spawn(servers).detach();
     let routers = watch::follow_routers(Rc::clone(&shell), store, Rc::clone(&peers));
     compio::runtime::spawn(routers).detach();
+    compio::runtime::spawn(observe_pressure(Rc::clone(&shell))).detach();
     compio::runtime::spawn(peers::report(shell, peers)).detach();
     Ok(())
 }
@@ -192,11 +196,22 @@
     Rc::new(move |_| {
         let running = shell.with_fleet(Fleet::requests);
         let revision = shell.with_fleet(|f| f.orders_revision().0);
+        shell.metrics().late(shell.with_fleet(Fleet::lateness));
         let page = shell.metrics().page(running, shell.is_ready(), revision);
         std::future::ready(Response::new(full(page))).boxed_local()
     })
 }
 
+/// Observes how late the loop comes round until the task is dropped.
+async fn observe_pressure(shell: Rc<Shell>) {
+    loop {
+        let due = shell.now() + PRESSURE_PERIOD;
+        compio::time::sleep(PRESSURE_PERIOD).await;
+        let late = shell.now().saturating_duration_since(due);
+        shell.event(Event::Late(late));
+    }
+}
+
 /// Puts changed settings in force, on a signal or without one.
 async fn follow_settings(shell: Rc<Shell>, path: PathBuf, mut reload: Signals) {
     loop {
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use hibiscusrail_fleet::Outcome;
+use hibiscusrail_fleet::{Fleet, Outcome};
 use hibiscusrail_net::sse::Splitter;
 use hibiscusrail_net::{Body, Channel, headers, open};
 use http::{HeaderMap, Request, Response, StatusCode, header};
@@ -155,11 +155,16 @@
         .deadline
         .saturating_duration_since(shell.now());
     match plan.patience {
-        Some(patience) => left.min(target.expected * 2 + patience),
+        Some(patience) => left.min(target.expected * 2 + patience + own_delay(shell)),
         None => left,
     }
 }
 
+/// Returns how long an answer that has arrived may lie unread in a busy router.
+fn own_delay(shell: &Shell) -> Duration {
+    shell.with_fleet(Fleet::lateness) * 2
+}
+
 async fn send(
     shell: &Rc<Shell>,
     plan: &Plan,
@@ -240,7 +245,9 @@
         .outgoing
         .deadline
         .saturating_duration_since(shell.now());
-    let limit = plan.patience.map_or(left, |p| left.min(p));
+    let limit = plan
+        .patience
+        .map_or(left, |p| left.min(p + own_delay(shell)));
     let collecting = Limited::new(body, WHOLE_BYTES).collect();
     let collected = match compio::time::timeout(limit, collecting).await {
         Ok(Ok(collected)) => collected.to_bytes(),
@@ -324,7 +331,9 @@
     pub async fn next(&mut self, shell: &Shell) -> Result<Piece, Failure> {
         loop {
             let left = self.deadline.saturating_duration_since(shell.now());
-            let limit = self.patience.map_or(left, |p| left.min(p));
+            let limit = self
+                .patience
+                .map_or(left, |p| left.min(p + own_delay(shell)));
             let frame = match compio::time::timeout(limit, self.body.frame()).await {
                 Err(_) => return Err(Outcome::Silent.into()),
                 Ok(Some(Err(_))) => return Err(Outcome::Broken.into()),
