Let engines copy shared prefixes from each other

Ruled out: stricter limits at engines without the prefix; they refuse what a copy of a few milliseconds serves.

--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -11,7 +11,7 @@
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 use hibiscusrail_fleet::engine::{Part, Prompt};
 use hibiscusrail_fleet::objects::{
-    Backend, Deployment, EngineFacts, Limits, Orders, Repeat, Revision, Servers, Service,
+    Backend, CopyFacts, Deployment, EngineFacts, Limits, Orders, Repeat, Revision, Servers, Service,
 };
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::retry::RetryBound;
@@ -55,6 +55,10 @@
             slots: 16,
             memory: 427_249,
             event_tokens: 10,
+            copies: Some(CopyFacts {
+                token_bytes: 18_432,
+                rate: 35e9,
+            }),
         }),
     };
     Orders {
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -104,6 +104,8 @@
     pub shared: u32,
     /// Whether the server is the home of the prompt's shared prefix.
     pub home: bool,
+    /// Tokens of the prompt that the server copies from another.
+    pub copied: u32,
     /// Part of the server's places that are taken.
     pub taken: f64,
     /// Part of its time that the server spends on reading prompts.
@@ -131,6 +133,9 @@
         id: String,
         /// Where it takes requests.
         address: SocketAddr,
+        /// The server from which it copies what it lacks of the prompt's shared
+        /// prefix; none when it lacks nothing or nobody holds more.
+        source: Option<SocketAddr>,
         /// When the first byte is expected, counted from now.
         expected: Duration,
         /// What the choice was decided by.
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -5,11 +5,12 @@
 //! share already only use what is free; a request that no server can begin in
 //! time is refused at once, with the time after which it could be.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use crate::engine::{Load, Prompt, Server};
 use crate::event::{Decision, Inputs, Reason, RequestKey};
-use crate::objects::Service;
+use crate::objects::{CopyFacts, Service};
 use crate::peers::Placement;
 use crate::placement;
 use crate::quota::Standing;
@@ -33,6 +34,13 @@
 /// Spread of the scores for each report period beyond the shortest: routers that
 /// learn late of each other's choices must not all take the same server.
 const STALE_SPREAD: Duration = Duration::from_millis(10);
+/// Tokens that are worth a copy: reading them takes twice the time until it begins.
+const LEAST_COPY: u32 = 600;
+/// Detour that a copy from an engine of the same zone is worth: the time that
+/// both engines and their link spend on it.
+const COPY_DETOUR: Duration = Duration::from_millis(20);
+/// The same from another zone, over links that are shared and priced.
+const FAR_COPY_DETOUR: Duration = Duration::from_millis(60);
 /// Detour that an error rate of one is worth.
 const ERROR_DETOUR: Duration = Duration::from_millis(2_000);
 /// Detour that a server in another zone is worth: both ways between zones, and priced bytes.
@@ -52,6 +60,7 @@
     score: Duration,
     /// How long it would wait for others before.
     wait: Duration,
+    source: Option<SocketAddr>,
     inputs: Inputs,
 }
 
@@ -64,6 +73,16 @@
     held: u32,
     /// Whether it is to be the home of the prompt's shared prefix.
     home: bool,
+    /// From where it copies what it lacks of the prefix.
+    source: Option<Source<'a>>,
+}
+
+/// A server that others copy a prefix from.
+#[derive(Clone, Copy)]
+struct Source<'a> {
+    server: &'a Server,
+    /// Tokens of the prefix that it holds.
+    held: u32,
 }
 
 /// What all candidates for one request have in common.
@@ -89,6 +108,13 @@
     full: Option<Inputs>,
 }
 
+impl Situation<'_> {
+    /// Returns how the service's engines copy prompts from each other, if they do.
+    fn copies(&self) -> Option<CopyFacts> {
+        self.service.engine.as_ref()?.copies
+    }
+}
+
 impl Candidates {
     fn add(&mut self, candidate: Candidate) {
         if self.best.is_none_or(|b| candidate.score < b.score) {
@@ -209,7 +235,7 @@
                 continue;
             }
             let inputs = self.inputs(situation, &open);
-            let holds = open.home || situation.prompt.is_none();
+            let holds = open.home || open.source.is_some() || situation.prompt.is_none();
             if request.begun || limits::has_room(&inputs, holds, situation.standing) {
                 candidates.add(self.weigh(situation, &open, inputs));
             } else {
@@ -234,6 +260,7 @@
                     .prompt
                     .map_or(0, |p| server.held(p, memory(situation))),
                 home: false,
+                source: None,
             })
             .collect();
         let Some((prompt, part)) = situation.prompt.and_then(|p| Some((p, p.shared()?))) else {
@@ -245,6 +272,9 @@
             server.home = server.held >= whole;
             known |= server.home;
         }
+        if situation.copies().is_some() {
+            find_sources(&mut open);
+        }
         if !known {
             let home = open
                 .iter_mut()
@@ -252,6 +282,7 @@
                 .max_by_key(|o| placement::weight(part, o.server.hash));
             if let Some(home) = home {
                 home.home = true;
+                home.source = None;
                 home.held = whole;
             }
         }
@@ -325,9 +356,11 @@
     fn inputs(&self, situation: &Situation<'_>, open: &Open<'_>) -> Inputs {
         let server = open.server;
         let load = server.load();
-        let (mut read, mut reading, mut taken) = (0, 0.0, 0.0);
+        let (mut read, mut copied, mut reading, mut taken) = (0, 0, 0.0, 0.0);
         if let Some(prompt) = situation.prompt {
-            read = prompt.input.saturating_sub(open.held);
+            let held = open.source.map_or(open.held, |s| s.held);
+            copied = held - open.held;
+            read = prompt.input.saturating_sub(held);
             reading = server.reading_share(situation.now, self.params.read_rate);
             taken = f64::from(load.running) / f64::from(server.backend.slots.max(1));
         }
@@ -339,6 +372,7 @@
             read,
             shared: situation.shared,
             home: open.home,
+            copied,
             taken,
             reading,
             pace: server.pace(situation.now).min(sheet_pace * PACE_DOUBT),
@@ -359,6 +393,15 @@
         let read = server.reading_time(u64::from(inputs.read), sheet);
         inputs.begin = wait + read;
         let mut score = inputs.begin + read.mul_f64(READ_WEIGHT);
+        if let (Some(source), Some(copies)) = (&open.source, situation.copies()) {
+            let is_near = source.server.backend.zone == server.backend.zone;
+            inputs.begin += copies.time(inputs.copied, is_near);
+            score += if is_near {
+                COPY_DETOUR
+            } else {
+                FAR_COPY_DETOUR
+            };
+        }
         score += inputs.pace * PACE_DETOUR;
         score += ERROR_DETOUR.mul_f64(server.health.errors());
         score += self.spread(situation, server);
@@ -369,6 +412,7 @@
             key: open.key,
             score,
             wait,
+            source: open.source.map(|s| s.server.backend.address),
             inputs,
         }
     }
@@ -429,6 +473,7 @@
             server: candidate.key,
             id: server.id.clone(),
             address: server.backend.address,
+            source: candidate.source,
             expected: candidate.inputs.begin,
             inputs: candidate.inputs,
         });
@@ -444,6 +489,33 @@
     }
 }
 
+/// Finds for each server that lacks a part of the prefix one that holds more,
+/// in its own zone if there is one.
+///
+/// A copy takes milliseconds where reading again takes a hundred, from
+/// everybody who waits there.
+fn find_sources(open: &mut [Open<'_>]) {
+    let most = open.iter().map(|o| o.held).max().unwrap_or(0);
+    if most < LEAST_COPY {
+        return;
+    }
+    let mut sources: Vec<Source<'_>> = Vec::new();
+    for holder in open.iter().filter(|o| o.held == most) {
+        let zone = &holder.server.backend.zone;
+        if sources.iter().all(|s| s.server.backend.zone != *zone) {
+            sources.push(Source {
+                server: holder.server,
+                held: most,
+            });
+        }
+    }
+    for server in open.iter_mut().filter(|o| o.held + LEAST_COPY <= most) {
+        let zone = &server.server.backend.zone;
+        let near = sources.iter().find(|s| s.server.backend.zone == *zone);
+        server.source = near.or(sources.first()).copied();
+    }
+}
+
 /// Returns whether a request asks for a stream of which the caller has nothing yet.
 fn request_begins(request: Option<&Request>) -> bool {
     request.is_some_and(|r| r.ask.prompt.is_some() && !r.begun)
--- a/crates/fleet/src/objects.rs
+++ b/crates/fleet/src/objects.rs
@@ -63,6 +63,34 @@
     pub attempts: u32,
 }
 
+/// How engines of a service copy what they keep of a prompt from each other.
+#[record]
+#[derive(Copy, Serialize, Deserialize)]
+pub struct CopyFacts {
+    /// Bytes of a token in an engine's memory.
+    pub token_bytes: u32,
+    /// Bytes a second between two engines.
+    pub rate: f64,
+}
+
+impl CopyFacts {
+    /// Returns the time that a copy of `tokens` takes, from an engine of the own
+    /// zone or of another.
+    #[must_use]
+    pub fn time(&self, tokens: u32, is_near: bool) -> Duration {
+        /// Time until a copy begins: a call from engine to engine and a step of each.
+        const SETUP: Duration = Duration::from_millis(6);
+        /// How much longer a copy between zones takes; from the protocol.
+        const FAR: f64 = 2.0;
+        if self.rate <= 0.0 {
+            return Duration::MAX;
+        }
+        let bytes = f64::from(tokens) * f64::from(self.token_bytes);
+        let part = if is_near { 1.0 } else { FAR };
+        SETUP + Duration::from_secs_f64((bytes / self.rate * part).min(60.0))
+    }
+}
+
 /// Facts of the model engines of a service.
 #[record]
 #[derive(Serialize, Deserialize)]
@@ -73,6 +101,8 @@
     pub memory: u64,
     /// Tokens in one event of a stream.
     pub event_tokens: u32,
+    /// How engines copy prompts from each other; none where they don't.
+    pub copies: Option<CopyFacts>,
 }
 
 /// A service.
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -7,8 +7,8 @@
 use hibiscusrail_fleet::engine::{Part, Prompt};
 use hibiscusrail_fleet::event::Reason;
 use hibiscusrail_fleet::objects::{
-    Backend, Deployment, EngineFacts, Limits, Orders, Repeat, Revision, Route, Servers, Service,
-    Target, Workspace,
+    Backend, CopyFacts, Deployment, EngineFacts, Limits, Orders, Repeat, Revision, Route, Servers,
+    Service, Target, Workspace,
 };
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::retry::RetryBound;
@@ -81,6 +81,10 @@
         slots: 64,
         memory: 460_000,
         event_tokens: 7,
+        copies: Some(CopyFacts {
+            token_bytes: 18_432,
+            rate: 35e9,
+        }),
     };
     let deployment = Deployment {
         version: 1,
--- a/crates/front/src/outgoing.rs
+++ b/crates/front/src/outgoing.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 
 use crate::shape::Shape;
+use crate::shell::Target;
 
 /// What every attempt of one request sends.
 #[derive(Debug)]
@@ -58,12 +59,12 @@
         }
     }
 
-    /// Returns the request for the server `id`, going on after the event `resume`.
+    /// Returns the request for a server, going on after the event `resume`.
     #[must_use]
     pub fn build(
         &self,
         shape: &Shape,
-        id: &str,
+        target: &Target,
         resume: Option<u64>,
         now: Instant,
     ) -> Request<Body> {
@@ -77,9 +78,13 @@
         }
         let left = millis(self.deadline.saturating_duration_since(now));
         headers.insert(shape.deadline.clone(), HeaderValue::from(left));
-        if let Ok(value) = HeaderValue::from_str(id) {
+        if let Ok(value) = HeaderValue::from_str(&target.id) {
             headers.insert(shape.expect_server.clone(), value);
         }
+        let source = target.source.map(|s| s.to_string());
+        if let Some(value) = source.and_then(|s| HeaderValue::from_str(&s).ok()) {
+            headers.insert(shape.copy_from.clone(), value);
+        }
         if let Some(event) = resume {
             headers.insert(shape.last_event.clone(), HeaderValue::from(event));
         }
--- a/crates/front/src/shape.rs
+++ b/crates/front/src/shape.rs
@@ -18,6 +18,8 @@
     pub workspace: HeaderName,
     /// Names the one server that may run the request.
     pub expect_server: HeaderName,
+    /// Names the server from which another copies what it lacks of a prompt.
+    pub copy_from: HeaderName,
     /// By which a server says that it did not run the request.
     pub not_run: HeaderName,
     /// Headers that are the router's to set; a caller's are dropped.
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -28,6 +28,8 @@
     pub id: String,
     /// Where it takes requests.
     pub address: SocketAddr,
+    /// Server from which it copies what it lacks of the prompt's shared prefix.
+    pub source: Option<SocketAddr>,
     /// When the first byte is expected, counted from the decision.
     pub expected: Duration,
 }
@@ -200,6 +202,7 @@
                     request,
                     id,
                     address,
+                    source,
                     expected,
                     inputs,
                     ..
@@ -209,6 +212,7 @@
                     next = Some(Next::Send(Target {
                         id,
                         address,
+                        source,
                         expected,
                     }));
                 }
@@ -251,6 +255,7 @@
         reading = inputs.reading,
         pace_us = micros(inputs.pace),
         home = inputs.home,
+        copied = inputs.copied,
         standing:? = inputs.standing,
         revision = inputs.revision.0;
         "request_placed"
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -172,7 +172,7 @@
     resume: Option<u64>,
 ) -> Result<(Channel, Response<Incoming>), Failure> {
     let shape = shell.shape();
-    let build = || plan.outgoing.build(shape, &target.id, resume, shell.now());
+    let build = || plan.outgoing.build(shape, target, resume, shell.now());
     if plan.repeatable
         && let Some(mut channel) = shell.pool().take(target.address, shell.now())
     {
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -161,6 +161,7 @@
         seal: HeaderName::from_static("x-seal"),
         workspace: HeaderName::from_static("x-workspace"),
         expect_server: HeaderName::from_static("x-server"),
+        copy_from: HeaderName::from_static("x-copy-from"),
         not_run: HeaderName::from_static("x-not-run"),
         reserved: vec![HeaderName::from_static("x-internal")],
         ready_path: "/ready",
@@ -210,6 +211,7 @@
         slots: 8,
         memory: 1_000,
         event_tokens: 1,
+        copies: None,
     };
     Deployment {
         version: 1,
