Report within a zone in every period and to other zones seldom

Conclusion: fresher reports help, but 100 ms are still the time in which an engine receives its next prompt.

--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -13,6 +13,7 @@
 use hibiscusrail_fleet::objects::{
     Backend, CopyFacts, Deployment, EngineFacts, Limits, Orders, Repeat, Revision, Servers, Service,
 };
+use hibiscusrail_fleet::peers::Scope;
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::retry::RetryBound;
 use hibiscusrail_fleet::{Ask, Event, Fleet, Outcome, Params, RequestKey};
@@ -162,7 +163,7 @@
     let mut receiver = router("r0", start);
     c.bench_function("report_taken", |b| {
         b.iter_batched(
-            || sender.report(start),
+            || sender.report(start, Scope::All),
             |report| black_box(receiver.handle(start, Event::Report(report))),
             BatchSize::SmallInput,
         );
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -12,15 +12,19 @@
 use crate::event::{Ask, Decision, Event, Execution, Inputs, Outcome, Reason, RequestKey};
 use crate::objects::{Orders, Repeat, Revision, Servers, Service};
 use crate::params::Params;
-use crate::peers::{Peers, Placement, Report, RouterHash, ServerLoad, Total};
+use crate::peers::{Peers, Placement, Report, RouterHash, Scope, ServerLoad, Total};
 use crate::placement::{self, name_hash};
 use crate::pressure::Pressure;
 use crate::quota::{Quota, WorkspaceHash};
 use crate::retry::RetryWindow;
 use crate::roster::{Roster, ServerKey};
 
-/// Routers for which the report period of the settings is meant.
+/// Routers that hear each other in every period; in a larger deployment only
+/// those of a zone do.
 const PERIOD_ROUTERS: usize = 24;
+/// Periods between two reports to other zones, for each [`PERIOD_ROUTERS`] that
+/// there are: the reports that a router receives don't grow with the routers.
+const FAR_PERIODS: u32 = 2;
 /// Periods without a report after which a router counts as gone or cut off.
 const LIFE_PERIODS: u32 = 4;
 /// Routers of a zone that follow the store: one may be lost at any time.
@@ -211,45 +215,57 @@
         std::mem::take(&mut self.out)
     }
 
-    /// Returns the time between two reports.
-    ///
-    /// It grows with the routers, so that each sends and receives about as
-    /// many reports a second at any size.
+    /// Returns the time between two reports to the routers of the own zone.
     #[must_use]
     pub fn report_period(&self) -> Duration {
-        let routers = u32::try_from(self.members.len() / PERIOD_ROUTERS).unwrap_or(u32::MAX);
-        self.params.report_period * (routers + 1)
+        self.params.report_period
+    }
+
+    /// Returns after how many periods the routers of other zones receive a report.
+    ///
+    /// Engines are mostly used by the routers of their zone, which have to know
+    /// at once what the others sent there.
+    #[must_use]
+    pub fn far_periods(&self) -> u32 {
+        match u32::try_from(self.members.len() / PERIOD_ROUTERS).unwrap_or(u32::MAX) {
+            0 => 1,
+            times => FAR_PERIODS * (times + 1),
+        }
     }
 
-    /// Returns the age from which a report no longer counts.
-    fn report_life(&self) -> Duration {
-        self.params
-            .report_life
-            .max(self.report_period() * LIFE_PERIODS)
+    /// Returns whether the routers of other zones are heard less often than those of the own.
+    fn is_wide(&self) -> bool {
+        self.far_periods() > 1
     }
 
-    /// Returns the report that the other routers are to receive.
+    /// Returns the report that the other routers are to receive: all of them, or
+    /// only those of the own zone.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    pub fn report(&mut self, now: Instant) -> Report {
+    pub fn report(&mut self, now: Instant, scope: Scope) -> Report {
         self.sequence += 1;
         let store_age = now.saturating_duration_since(self.store_heard);
-        let repeated = self.report_period() * PLACED_REPORTS;
+        let longest = self.report_period() * self.far_periods() * PLACED_REPORTS;
+        let repeated = match scope {
+            Scope::Zone => self.report_period() * PLACED_REPORTS,
+            Scope::All => longest,
+        };
+        let lately = |at: Instant| now.saturating_duration_since(at) < repeated;
         self.placed
-            .retain(|(at, _)| now.saturating_duration_since(*at) < repeated);
-        let loads = self.roster.all().filter(|s| {
-            let sent_lately = |at| now.saturating_duration_since(at) < self.report_life();
-            s.own != Load::default() || s.sent_at.is_some_and(sent_lately)
-        });
+            .retain(|(at, _)| now.saturating_duration_since(*at) < longest);
+        let loads = self
+            .roster
+            .all()
+            .filter(|s| s.own != Load::default() || s.sent_at.is_some_and(lately));
         let loads = loads.map(|s| ServerLoad {
             server: s.hash,
             unread: s.own.unread,
             running: s.own.running,
             sent: s.sent,
         });
-        let totals = self.totals.iter().filter(|(_, t)| {
-            t.changed
-                .is_some_and(|at| now.saturating_duration_since(at) < repeated)
-        });
+        let totals = self
+            .totals
+            .iter()
+            .filter(|(_, t)| t.changed.is_some_and(lately));
         Report {
             sender: self.me.0,
             incarnation: self.incarnation,
@@ -269,6 +285,8 @@
             placed: self
                 .placed
                 .iter()
+                .rev()
+                .take_while(|(at, _)| lately(*at))
                 .map(|(_, placement)| *placement)
                 .collect(),
         }
@@ -612,7 +630,11 @@
     }
 
     fn tick(&mut self, now: Instant) {
-        for loads in self.peers.expire(now, self.report_life()) {
+        let zone = name_hash(&self.params.zone);
+        let near = self.params.report_life;
+        let far = near.max(self.report_period() * self.far_periods() * LIFE_PERIODS);
+        let life = |of: u32| if of == zone { near } else { far };
+        for loads in self.peers.expire(now, life) {
             self.subtract_loads(&loads);
         }
         for id in self.roster.expire(now, self.params.lapse_grace) {
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -31,9 +31,11 @@
 /// How much a token that is read again weighs against one that waits: it takes
 /// an engine's time from everybody.
 const READ_WEIGHT: f64 = 2.0;
-/// Spread of the scores for each report period beyond the shortest: routers that
-/// learn late of each other's choices must not all take the same server.
-const STALE_SPREAD: Duration = Duration::from_millis(10);
+/// Spread of the scores where many routers choose among the same servers: those
+/// that learn late of each other's choices must not all take the same one.
+const STALE_SPREAD: Duration = Duration::from_millis(30);
+/// Detour that a server of another zone is worth whose load is known late.
+const FAR_DETOUR: Duration = Duration::from_millis(60);
 /// Tokens that are worth a copy: reading them takes twice the time until it begins.
 const LEAST_COPY: u32 = 600;
 /// Detour that a copy from an engine of the same zone is worth: the time that
@@ -49,6 +51,11 @@
 const COLD_USED: f64 = 0.85;
 /// Requests a second that each of the routers of a cold server takes at least.
 const COLD_EACH: f64 = 3.0;
+/// Part of an engine's places from which one that is taken counts as a detour.
+const CROWDED: f64 = 0.6;
+/// Detour that an engine without a free place is worth: a stream ends there
+/// after about this time.
+const CROWD_DETOUR: Duration = Duration::from_millis(300);
 /// Requests that a plain server may have under way for each slot.
 const PLAIN_DEPTH: f64 = 2.0;
 
@@ -405,8 +412,14 @@
         score += inputs.pace * PACE_DETOUR;
         score += ERROR_DETOUR.mul_f64(server.health.errors());
         score += self.spread(situation, server);
+        let crowd = ((inputs.taken - CROWDED) / (1.0 - CROWDED)).max(0.0);
+        score += CROWD_DETOUR.mul_f64(crowd * crowd);
         if server.backend.zone != self.params.zone {
-            score += ZONE_DETOUR;
+            score += if self.is_wide() {
+                FAR_DETOUR
+            } else {
+                ZONE_DETOUR
+            };
         }
         Candidate {
             key: open.key,
@@ -419,11 +432,13 @@
 
     /// Returns a part of the spread that differs by request and server.
     fn spread(&self, situation: &Situation<'_>, server: &Server) -> Duration {
-        let periods = self.report_period().as_secs_f64() / self.params.report_period.as_secs_f64();
+        if !self.is_wide() {
+            return Duration::ZERO;
+        }
         let seed = situation.request.0 ^ u64::from(self.me.0) << 32;
         #[allow(clippy::cast_precision_loss)]
         let part = placement::weight(seed, server.hash) as f64 / u64::MAX as f64;
-        STALE_SPREAD.mul_f64((periods - 1.0).max(0.0) * part)
+        STALE_SPREAD.mul_f64(part)
     }
 
     /// Counts a request that is sent against what a cold server may receive.
--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -27,9 +27,14 @@
 const PACE_WITHIN: Duration = Duration::from_millis(11);
 /// The same for requests beyond their share.
 const PACE_BEYOND: Duration = Duration::from_millis(8);
-/// Part of an engine's places that may be taken while requests beyond their share
-/// are admitted.
-const PLACES_BEYOND: f64 = 0.8;
+/// Part of an engine's places that may be taken while requests within their share
+/// are admitted: routers learn of each other's requests late, and one too many
+/// waits until a stream ends.
+const PLACES_WITHIN: f64 = 0.9;
+/// The same for requests beyond their share.
+const PLACES_BEYOND: f64 = 0.75;
+/// The same for those whose workspace has the least.
+const MOST_PLACES_BEYOND: f64 = 0.85;
 /// Part of an even share that a workspace lacks from which any engine will do.
 const ELSEWHERE_LACKING: f64 = 0.4;
 /// How much the limits fall for each even share that a workspace has in excess.
@@ -44,7 +49,7 @@
 /// `holds` says whether it holds the shared prefix of the prompt.
 pub(super) fn has_room(inputs: &Inputs, holds: bool, standing: Standing) -> bool {
     let (most, slowest, places) = match standing {
-        Standing::Within => (READING_WITHIN, PACE_WITHIN, 1.0),
+        Standing::Within => (READING_WITHIN, PACE_WITHIN, PLACES_WITHIN),
         Standing::Beyond { excess } => {
             let part = priority(excess);
             let most = if holds {
@@ -52,7 +57,11 @@
             } else {
                 elsewhere(excess)
             };
-            (most * part, PACE_BEYOND.mul_f64(part), PLACES_BEYOND * part)
+            (
+                most * part,
+                PACE_BEYOND.mul_f64(part),
+                (PLACES_BEYOND * part).min(MOST_PLACES_BEYOND),
+            )
         }
     };
     inputs.reading <= most && inputs.pace <= slowest && inputs.taken <= places
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -15,6 +15,15 @@
 #[id]
 pub struct RouterHash(pub u32);
 
+/// Who receives a report.
+#[id]
+pub enum Scope {
+    /// The routers of the sender's zone.
+    Zone,
+    /// All routers.
+    All,
+}
+
 /// Work that the sender has at one server.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct ServerLoad {
@@ -194,9 +203,13 @@
         self.states.get(&sender).map(|s| &s.loads)
     }
 
-    /// Drops the loads of routers that have not been heard for `life`.
-    pub fn expire(&mut self, now: Instant, life: Duration) -> Vec<BTreeMap<u32, Load>> {
-        let late = |s: &&mut PeerState| now.saturating_duration_since(s.heard) > life;
+    /// Drops the loads of routers that have not been heard for the `life` of their zone.
+    pub fn expire(
+        &mut self,
+        now: Instant,
+        life: impl Fn(u32) -> Duration,
+    ) -> Vec<BTreeMap<u32, Load>> {
+        let late = |s: &&mut PeerState| now.saturating_duration_since(s.heard) > life(s.zone);
         self.states
             .values_mut()
             .filter(late)
--- a/crates/fleet/tests/all/placement.rs
+++ b/crates/fleet/tests/all/placement.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
+use hibiscusrail_fleet::peers::Scope;
 use hibiscusrail_fleet::{Event, Outcome, RequestKey};
 
 use super::support::{self, ask, prompt, sent};
@@ -55,7 +56,7 @@
     let holder = sent(&spilled).expect("others are idle").to_owned();
     sender.handle(now, Event::FirstByte(RequestKey(2)));
     let mut fleet = support::router("r", 9, now);
-    fleet.handle(now, Event::Report(sender.report(now)));
+    fleet.handle(now, Event::Report(sender.report(now, Scope::All)));
     let decisions = fleet.handle(now, Event::Submit(ask(1, 1, prompt(7, 500), now)));
     assert_eq!(sent(&decisions), Some(holder.as_str()));
 }
--- a/crates/fleet/tests/all/reports.rs
+++ b/crates/fleet/tests/all/reports.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::peers::Report;
+use hibiscusrail_fleet::peers::Scope;
 use hibiscusrail_fleet::{Event, Fleet, Outcome, RequestKey};
 use proptest::prelude::*;
 
@@ -18,7 +19,7 @@
     (0..count)
         .map(|key| {
             sender.handle(now, Event::Submit(ask(key, 1, prompt(key, 10), now)));
-            sender.report(now)
+            sender.report(now, Scope::All)
         })
         .collect()
 }
@@ -47,7 +48,7 @@
     let mut fleet = support::router("r", 4, now);
     fleet.handle(now, Event::Report(reports(3, now)[2].clone()));
     let mut again = Fleet::new("sender", 2, support::params(), now);
-    fleet.handle(now, Event::Report(again.report(now)));
+    fleet.handle(now, Event::Report(again.report(now, Scope::All)));
     assert_eq!(running(&fleet), 0);
 }
 
@@ -58,7 +59,7 @@
     sender.handle(now, Event::Submit(ask(1, 1, prompt(1, 10), now)));
     sender.handle(now, Event::Ended(RequestKey(1), Outcome::Answered));
     let later = now + Duration::from_secs(5);
-    assert!(sender.report(later).loads.is_empty());
+    assert!(sender.report(later, Scope::All).loads.is_empty());
 }
 
 proptest! {
@@ -87,7 +88,7 @@
         .iter_mut()
         .zip(ages)
         .map(|(fleet, age)| {
-            let mut report = fleet.report(now);
+            let mut report = fleet.report(now, Scope::All);
             report.store_age = *age;
             report
         })
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -9,7 +9,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 
-use hibiscusrail_fleet::peers::Report;
+use hibiscusrail_fleet::peers::{Report, Scope};
 use hibiscusrail_fleet::{Event, Fleet};
 use prost::Message;
 
@@ -66,11 +66,11 @@
     }
 
     /// Sends a datagram to the other routers, or to those of the own zone alone.
-    fn send(&self, datagram: &[u8], zone_only: bool) {
+    fn send(&self, datagram: &[u8], scope: Scope) {
         let places = self.places.borrow();
-        let others = places
-            .iter()
-            .filter(|(name, place)| **name != self.me && (!zone_only || place.zone == self.zone));
+        let others = places.iter().filter(|(name, place)| {
+            **name != self.me && (scope == Scope::All || place.zone == self.zone)
+        });
         for (_, place) in others {
             if let Err(error) = self.socket.send_to(datagram, place.address) {
                 let peer = place.address;
@@ -90,14 +90,15 @@
     /// Tells the routers of the zone at once that there is news from the store.
     pub fn announce(&self, shell: &Shell) {
         let now = shell.now();
-        let report = shell.with_fleet_mut(|f| f.report(now));
-        self.send(&report.encode_to_vec(), true);
+        let report = shell.with_fleet_mut(|f| f.report(now, Scope::Zone));
+        self.send(&report.encode_to_vec(), Scope::Zone);
     }
 }
 
 /// Sends reports until the task is dropped.
 pub async fn report(shell: Rc<Shell>, peers: Rc<Peers>) {
     let mut idle = 0;
+    let mut round: u32 = 0;
     loop {
         let period = shell.with_fleet(Fleet::report_period);
         compio::time::sleep(period).await;
@@ -105,9 +106,17 @@
         let now = shell.now();
         let busy = shell.with_fleet(|f| f.requests() > 0 || f.watches(now));
         idle = if busy { 0 } else { idle + 1 };
-        if busy || idle % IDLE_PERIODS == 1 {
-            let report = shell.with_fleet_mut(|f| f.report(now));
-            peers.send(&report.encode_to_vec(), false);
+        round = round.wrapping_add(1);
+        let far = shell.with_fleet(Fleet::far_periods);
+        let scope = if round.is_multiple_of(far) {
+            Scope::All
+        } else {
+            Scope::Zone
+        };
+        let seldom = far > 1 && scope == Scope::All;
+        if busy || seldom || idle % IDLE_PERIODS == 1 {
+            let report = shell.with_fleet_mut(|f| f.report(now, scope));
+            peers.send(&report.encode_to_vec(), scope);
         }
     }
 }
