Tell the routers of a zone at once what was sent to an engine

Cause: an engine is sent eleven requests a second by twenty routers; what the others sent in the last 100 ms was unknown, and routers collided at engines that all took for idle. In a deployment of one period all routers are told.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -3,12 +3,12 @@
 mod choice;
 mod limits;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use hibiscusrail_macros::value;
 
-use crate::engine::Load;
+use crate::engine::{Load, Server};
 use crate::event::{Ask, Decision, Event, Execution, Inputs, Outcome, Reason, RequestKey};
 use crate::objects::{Orders, Repeat, Revision, Servers, Service};
 use crate::params::Params;
@@ -90,6 +90,8 @@
     peers: Peers,
     pressure: Pressure,
     placed: VecDeque<(Instant, Placement)>,
+    /// Engines that were sent something since the last report, with the prompt's placement.
+    news: Vec<(ServerKey, Option<Placement>)>,
     /// When the store last answered.
     store_heard: Instant,
     /// When the first call failed since then.
@@ -99,6 +101,16 @@
     out: Vec<Decision>,
 }
 
+/// Returns the work of this router at a server as others are told.
+fn load_of(server: &Server) -> ServerLoad {
+    ServerLoad {
+        server: server.hash,
+        unread: server.own.unread,
+        running: server.own.running,
+        sent: server.sent,
+    }
+}
+
 impl Fleet {
     /// Creates a router without configuration.
     #[must_use]
@@ -118,6 +130,7 @@
             peers: Peers::default(),
             pressure: Pressure::default(),
             placed: VecDeque::new(),
+            news: Vec::new(),
             store_heard: now,
             store_lost: None,
             lapsing: false,
@@ -233,6 +246,16 @@
         }
     }
 
+    /// Returns who is told news: the routers that mostly use the same servers.
+    #[must_use]
+    pub fn news_scope(&self) -> Scope {
+        if self.is_wide() {
+            Scope::Zone
+        } else {
+            Scope::All
+        }
+    }
+
     /// Returns whether the routers of other zones are heard less often than those of the own.
     fn is_wide(&self) -> bool {
         self.far_periods() > 1
@@ -256,12 +279,6 @@
             .roster
             .all()
             .filter(|s| s.own != Load::default() || s.sent_at.is_some_and(lately));
-        let loads = loads.map(|s| ServerLoad {
-            server: s.hash,
-            unread: s.own.unread,
-            running: s.own.running,
-            sent: s.sent,
-        });
         let totals = self
             .totals
             .iter()
@@ -272,7 +289,7 @@
             sequence: self.sequence,
             orders: self.orders_revision.0,
             servers: self.roster.revision().0,
-            loads: loads.collect(),
+            loads: loads.map(load_of).collect(),
             totals: totals
                 .map(|(workspace, t)| Total {
                     workspace: workspace.0,
@@ -289,9 +306,39 @@
                 .take_while(|(at, _)| lately(*at))
                 .map(|(_, placement)| *placement)
                 .collect(),
+            partial: false,
         }
     }
 
+    /// Returns a report of what was sent to engines since the last one, if anything was.
+    pub fn news(&mut self) -> Option<Report> {
+        let news = std::mem::take(&mut self.news);
+        if news.is_empty() {
+            return None;
+        }
+        self.sequence += 1;
+        let servers: BTreeSet<ServerKey> = news.iter().map(|(server, _)| *server).collect();
+        let loads = servers.into_iter().filter_map(|key| self.roster.get(key));
+        Some(Report {
+            sender: self.me.0,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            orders: self.orders_revision.0,
+            servers: self.roster.revision().0,
+            zone: name_hash(&self.params.zone),
+            loads: loads.map(load_of).collect(),
+            placed: news.into_iter().filter_map(|(_, placed)| placed).collect(),
+            partial: true,
+            ..Report::default()
+        })
+    }
+
+    /// Returns whether there is something for [`Self::news`] to tell.
+    #[must_use]
+    pub fn has_news(&self) -> bool {
+        !self.news.is_empty()
+    }
+
     fn log(&mut self, event: &'static str, subject: &str, detail: String) {
         self.out.push(Decision::Log {
             event,
@@ -570,11 +617,9 @@
             return;
         };
         self.subtract_loads(&change.before);
-        if let Some(loads) = self.peers.loads(RouterHash(report.sender)) {
-            for (hash, load) in loads {
-                if let Some(server) = self.roster.by_hash_mut(*hash) {
-                    server.others.add(*load);
-                }
+        for (hash, load) in &change.after {
+            if let Some(server) = self.roster.by_hash_mut(*hash) {
+                server.others.add(*load);
             }
         }
         for placement in &report.placed {
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -469,10 +469,16 @@
         };
         server.own.add(load);
         server.send_read(now, candidate.inputs.read);
-        if let Some(part) = request.ask.prompt.as_ref().and_then(Prompt::shared) {
-            server.note_part(part);
-            let server = server.hash;
-            self.placed.push_back((now, Placement { part, server }));
+        if let Some(prompt) = &request.ask.prompt {
+            let placement = prompt.shared().map(|part| Placement {
+                part,
+                server: server.hash,
+            });
+            if let Some(placement) = placement {
+                server.note_part(placement.part);
+                self.placed.push_back((now, placement));
+            }
+            self.news.push((candidate.key, placement));
         }
         request.attempt = Some(Attempt {
             server: candidate.key,
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,7 +1,10 @@
 //! What the other routers report.
 //!
 //! Loads are the sender's whole present state and totals are cumulative, so a
-//! report that is lost, repeated or overtaken changes nothing that lasts.
+//! report that is lost, repeated or overtaken changes nothing that lasts. What
+//! was just sent to a server is told at once in a partial report, since other
+//! routers choose among the same servers many times in a period; the next whole
+//! report heals one that is lost.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -96,6 +99,9 @@
     /// Milliseconds since the store last answered it.
     #[prost(uint64, tag = "10")]
     pub store_age: u64,
+    /// Whether the loads are only those that changed, and nothing else is told.
+    #[prost(bool, tag = "11")]
+    pub partial: bool,
     /// Prompts that it sent in its last few reports' time.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
@@ -122,6 +128,8 @@
 pub struct Change {
     /// Loads that no longer hold.
     pub before: BTreeMap<u32, Load>,
+    /// Loads that hold instead.
+    pub after: BTreeMap<u32, Load>,
     /// Tokens asked for and admitted since the last report, by workspace.
     pub tokens: Vec<(u64, u64, u64)>,
     /// Prompt tokens sent to be read since the last report, by server.
@@ -147,7 +155,14 @@
         let same = known
             .as_ref()
             .is_some_and(|s| s.incarnation == report.incarnation);
-        let (before, mut totals, mut sent) = known
+        let (zone, store_heard) = match &known {
+            Some(s) if same && report.partial => (s.zone, s.store_heard),
+            _ => (
+                report.zone,
+                now.checked_sub(Duration::from_millis(report.store_age)),
+            ),
+        };
+        let (mut before, mut totals, mut sent) = known
             .map(|s| (s.loads, s.totals, s.sent))
             .unwrap_or_default();
         if !same {
@@ -177,32 +192,34 @@
             };
             (l.server, load)
         });
+        let after: BTreeMap<u32, Load> = loads.collect();
+        let mut all = after.clone();
+        if report.partial {
+            all = before.clone();
+            all.extend(&after);
+            before.retain(|server, _| after.contains_key(server));
+        }
         self.states.insert(
             sender,
             PeerState {
                 heard: now,
                 incarnation: report.incarnation,
-                zone: report.zone,
-                store_heard: now.checked_sub(Duration::from_millis(report.store_age)),
+                zone,
+                store_heard,
                 sequence: report.sequence,
-                loads: loads.collect(),
+                loads: all,
                 totals,
                 sent,
             },
         );
         Some(Change {
             before,
+            after,
             tokens,
             reads,
         })
     }
 
-    /// Returns the newest loads of a router.
-    #[must_use]
-    pub fn loads(&self, sender: RouterHash) -> Option<&BTreeMap<u32, Load>> {
-        self.states.get(&sender).map(|s| &s.loads)
-    }
-
     /// Drops the loads of routers that have not been heard for the `life` of their zone.
     pub fn expire(
         &mut self,
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -8,7 +8,9 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
+use std::time::Duration;
 
+use futures_util::StreamExt;
 use hibiscusrail_fleet::peers::{Report, Scope};
 use hibiscusrail_fleet::{Event, Fleet};
 use prost::Message;
@@ -23,6 +25,10 @@
 /// Periods without work after which a report goes out all the same.
 const IDLE_PERIODS: u32 = 4;
 
+/// Pause between two reports of news: a fraction of the time that an engine takes
+/// to read a prompt, and it bounds what a busy router sends.
+const NEWS_PAUSE: Duration = Duration::from_millis(20);
+
 /// Where another router is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Place {
@@ -121,6 +127,21 @@
     }
 }
 
+/// Tells the routers that use the same servers at once what was sent there,
+/// until the task is dropped.
+pub async fn tell_news(shell: Rc<Shell>, peers: Rc<Peers>) {
+    let Some(mut announced) = shell.news() else {
+        return;
+    };
+    while announced.next().await.is_some() {
+        if let Some(report) = shell.with_fleet_mut(Fleet::news) {
+            let scope = shell.with_fleet(Fleet::news_scope);
+            peers.send(&report.encode_to_vec(), scope);
+        }
+        compio::time::sleep(NEWS_PAUSE).await;
+    }
+}
+
 /// Receives reports until the task is dropped.
 ///
 /// # Errors
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_channel::mpsc;
 use hibiscusrail_core::Clock;
 use hibiscusrail_fleet::event::{Execution, Inputs, Reason};
 use hibiscusrail_fleet::{Decision, Event, Fleet, RequestKey};
@@ -64,6 +65,8 @@
     metrics: Metrics,
     connections: Rc<Connections>,
     next: Cell<u64>,
+    news: RefCell<mpsc::Sender<()>>,
+    heard: Cell<Option<mpsc::Receiver<()>>>,
     stopping: Cell<Option<Instant>>,
 }
 
@@ -81,6 +84,7 @@
         let name = shape.request_id.clone();
         let refuse = move |headers: &HeaderMap| refusal::crowded(headers.get(&name));
         let connections = Connections::new().with_refuse(Rc::new(refuse));
+        let (news, heard) = mpsc::channel(0);
         let fleet = Fleet::new(&settings.name, clock.epoch_ms(), params, clock.now());
         Self {
             fleet: RefCell::new(fleet),
@@ -91,6 +95,8 @@
             metrics: Metrics::new(),
             connections: Rc::new(connections),
             next: Cell::new(0),
+            news: RefCell::new(news),
+            heard: Cell::new(Some(heard)),
             stopping: Cell::new(None),
         }
     }
@@ -174,6 +180,12 @@
         !self.is_stopping() && fleet.orders().deployment.is_some() && !fleet.sheds()
     }
 
+    /// Returns the end at which news for the other routers are announced; once.
+    #[must_use]
+    pub fn news(&self) -> Option<mpsc::Receiver<()>> {
+        self.heard.take()
+    }
+
     /// Looks at the reducer's state.
     pub fn with_fleet<T>(&self, look: impl FnOnce(&Fleet) -> T) -> T {
         look(&self.fleet.borrow())
@@ -195,6 +207,10 @@
     /// Gives an event to the reducer and returns what it decides of a request, if it does.
     pub fn event(&self, event: Event) -> Option<Next> {
         let decisions = self.fleet.borrow_mut().handle(self.now(), event);
+        if self.fleet.borrow().has_news() {
+            // A full channel means that it is announced already.
+            let _ = self.news.borrow_mut().try_send(());
+        }
         let mut next = None;
         for decision in decisions {
             match decision {
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -164,6 +164,8 @@
     let routers = watch::follow_routers(Rc::clone(&shell), store, Rc::clone(&peers));
     compio::runtime::spawn(routers).detach();
     compio::runtime::spawn(observe_pressure(Rc::clone(&shell))).detach();
+    let news = peers::tell_news(Rc::clone(&shell), Rc::clone(&peers));
+    compio::runtime::spawn(news).detach();
     compio::runtime::spawn(peers::report(shell, peers)).detach();
     Ok(())
 }
