--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -35,14 +35,14 @@
 /// that learn late of each other's choices must not all take the same one.
 const STALE_SPREAD: Duration = Duration::from_millis(30);
 /// Detour that a server of another zone is worth whose load is known late.
-const FAR_DETOUR: Duration = Duration::from_millis(60);
+const FAR_DETOUR: Duration = Duration::from_millis(100);
 /// Tokens that are worth a copy: reading them takes twice the time until it begins.
 const LEAST_COPY: u32 = 600;
 /// Detour that a copy from an engine of the same zone is worth: the time that
 /// both engines and their link spend on it.
 const COPY_DETOUR: Duration = Duration::from_millis(20);
 /// The same from another zone, over links that are shared and priced.
-const FAR_COPY_DETOUR: Duration = Duration::from_millis(60);
+const FAR_COPY_DETOUR: Duration = Duration::from_millis(40);
 /// Detour that an error rate of one is worth.
 const ERROR_DETOUR: Duration = Duration::from_millis(2_000);
 /// Detour that a server in another zone is worth: both ways between zones, and priced bytes.
@@ -255,7 +255,7 @@
     /// Returns the servers that may receive anything, each with what it holds of the prompt.
     ///
     /// Those that hold the whole shared prefix are its homes. Where none is known
-    /// to hold it, all routers take the same one.
+    /// to hold it, all routers take the same one; in a wide deployment, all of a zone.
     fn open(&self, situation: &Situation<'_>, request: &Request) -> Vec<Open<'_>> {
         let servers = self.roster.of(&request.ask.service);
         let mut open: Vec<Open<'_>> = servers
@@ -286,7 +286,10 @@
             let home = open
                 .iter_mut()
                 .filter(|o| !o.server.is_cold(situation.now))
-                .max_by_key(|o| placement::weight(part, o.server.hash));
+                .max_by_key(|o| {
+                    let near = !self.is_wide() || o.server.backend.zone == self.params.zone;
+                    (near, placement::weight(part, o.server.hash))
+                });
             if let Some(home) = home {
                 home.home = true;
                 home.source = None;
