--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod cold_return;
 mod copies;
 mod crowded_router;
+mod doubts;
 mod engines;
 mod news;
 mod outcomes;
