--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -28,12 +28,6 @@
 const PACE_LIFE: Duration = Duration::from_millis(1_000);
 /// Reading rate at which an engine is taken to be slow, relative to its data sheet.
 const SLOWEST: f64 = 0.1;
-/// Routers that have to agree that a server does not answer: a single one may be
-/// cut off itself.
-const LEAST_DOUBTERS: u32 = 2;
-/// Age from which an answer says nothing of a server that others doubt: the time
-/// in which two routers find out.
-const ANSWER_LIFE: Duration = Duration::from_millis(1_000);
 /// Prompt parts remembered for each engine; bounds the memory of a router.
 const PARTS: usize = 512;
 /// Parts from which the oldest are dropped, down to [`PARTS`]: dropping them one
@@ -140,10 +134,6 @@
     pub bucket: ColdBucket,
     /// Whether it answers.
     pub health: Health,
-    /// Routers of the own zone that leave it alone because it doesn't answer them.
-    pub doubters: u32,
-    /// When it last answered a request from here.
-    pub answered: Option<Instant>,
     /// Work sent from here.
     pub own: Load,
     /// Work that the other routers reported.
@@ -178,8 +168,6 @@
             cold_until: (!cold.is_zero()).then(|| now + cold),
             bucket: ColdBucket::new(now),
             health: Health::default(),
-            doubters: 0,
-            answered: None,
             own: Load::default(),
             others: Load::default(),
             lapsed: None,
@@ -205,17 +193,6 @@
         self.is_cold(now) || self.health.is_trial()
     }
 
-    /// Returns whether other routers found that it doesn't answer, and none of its
-    /// answers here says otherwise.
-    ///
-    /// In a large deployment each router asks each server so seldom that it would
-    /// find out by itself only late, and every one at the cost of two requests.
-    #[must_use]
-    pub fn is_doubted(&self, now: Instant) -> bool {
-        let answered = |at| now.saturating_duration_since(at) < ANSWER_LIFE;
-        self.doubters >= LEAST_DOUBTERS && !self.answered.is_some_and(answered)
-    }
-
     /// Returns all work at the server.
     #[must_use]
     pub fn load(&self) -> Load {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -299,12 +299,6 @@
                 .collect(),
             zone: name_hash(&self.params.zone),
             store_age: u64::try_from(store_age.as_millis()).unwrap_or(u64::MAX),
-            failing: self
-                .roster
-                .all()
-                .filter(|s| s.health.is_trial())
-                .map(|s| s.hash)
-                .collect(),
             placed: self
                 .placed
                 .iter()
@@ -440,7 +434,6 @@
         };
         server.own.unread = server.own.unread.saturating_sub(read);
         server.observe(ahead, took, rate);
-        server.answered = Some(now);
         if server.health.succeeded() {
             let deployment = self.orders.deployment.as_ref();
             let cold = deployment
@@ -512,7 +505,6 @@
         };
         let pause = match outcome {
             Outcome::Answered => {
-                server.answered = Some(now);
                 server.health.succeeded();
                 None
             }
@@ -630,7 +622,6 @@
                 server.others.add(*load);
             }
         }
-        self.count_doubts(report.zone, &change.failing_before, &change.failing_after);
         for placement in &report.placed {
             if let Some(server) = self.roster.by_hash_mut(placement.server) {
                 server.note_part(placement.part);
@@ -649,25 +640,6 @@
         }
     }
 
-    /// Counts how many routers of the own zone leave a server alone.
-    ///
-    /// Those of other zones may be cut off from servers that are reached from here.
-    fn count_doubts(&mut self, zone: u32, before: &BTreeSet<u32>, after: &BTreeSet<u32>) {
-        if zone != name_hash(&self.params.zone) {
-            return;
-        }
-        for hash in before.difference(after) {
-            if let Some(server) = self.roster.by_hash_mut(*hash) {
-                server.doubters = server.doubters.saturating_sub(1);
-            }
-        }
-        for hash in after.difference(before) {
-            if let Some(server) = self.roster.by_hash_mut(*hash) {
-                server.doubters += 1;
-            }
-        }
-    }
-
     fn subtract_loads(&mut self, loads: &BTreeMap<u32, Load>) {
         for (hash, load) in loads {
             if let Some(server) = self.roster.by_hash_mut(*hash) {
@@ -707,9 +679,8 @@
         let near = self.params.report_life;
         let far = near.max(self.report_period() * self.far_periods() * LIFE_PERIODS);
         let life = |of: u32| if of == zone { near } else { far };
-        for (of, loads, failing) in self.peers.expire(now, life) {
+        for loads in self.peers.expire(now, life) {
             self.subtract_loads(&loads);
-            self.count_doubts(of, &failing, &BTreeSet::new());
         }
         for id in self.roster.expire(now, self.params.lapse_grace) {
             self.log("server_gone", &id, "lapsed=true".to_owned());
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -63,8 +63,6 @@
 #[derive(Clone, Copy)]
 struct Candidate {
     key: ServerKey,
-    /// Whether it doesn't answer other routers.
-    doubted: bool,
     /// Weight against other candidates; the least wins.
     score: Duration,
     /// How long it would wait for others before.
@@ -130,7 +128,7 @@
             self.best = Some(candidate);
         }
         let sooner = |s: Candidate| candidate.inputs.begin < s.inputs.begin;
-        if !candidate.doubted && self.soonest.is_none_or(sooner) {
+        if self.soonest.is_none_or(sooner) {
             self.soonest = Some(candidate);
         }
     }
@@ -219,10 +217,9 @@
             },
             inputs: Some(inputs),
         };
-        let Some(best) = candidates.best else {
+        let (Some(best), Some(soonest)) = (candidates.best, candidates.soonest) else {
             return Err(refusal(BUSY_WAIT));
         };
-        let soonest = candidates.soonest.unwrap_or(best);
         let allowed = limits::allowance(now, &request.ask, request.begun, standing);
         if limits::fits(best.inputs.begin, best.wait, allowed) {
             return Ok(best);
@@ -283,13 +280,12 @@
             known |= server.home;
         }
         if situation.copies().is_some() {
-            find_sources(&mut open, situation.now);
+            find_sources(&mut open);
         }
         if !known {
             let home = open
                 .iter_mut()
                 .filter(|o| !o.server.is_cold(situation.now))
-                .filter(|o| !o.server.is_doubted(situation.now))
                 .max_by_key(|o| {
                     let near = !self.is_wide() || o.server.backend.zone == self.params.zone;
                     (near, placement::weight(part, o.server.hash))
@@ -418,10 +414,6 @@
         }
         score += inputs.pace * PACE_DETOUR;
         score += ERROR_DETOUR.mul_f64(server.health.errors());
-        let doubted = server.is_doubted(situation.now);
-        if doubted {
-            score += ERROR_DETOUR;
-        }
         score += self.spread(situation, server);
         let crowd = ((inputs.taken - CROWDED) / (1.0 - CROWDED)).max(0.0);
         score += CROWD_DETOUR.mul_f64(crowd * crowd);
@@ -434,7 +426,6 @@
         }
         Candidate {
             key: open.key,
-            doubted,
             score,
             wait,
             source: open.source.map(|s| s.server.backend.address),
@@ -527,14 +518,13 @@
 ///
 /// A copy takes milliseconds where reading again takes a hundred, from
 /// everybody who waits there.
-fn find_sources(open: &mut [Open<'_>], now: Instant) {
-    let sound = |o: &&Open<'_>| !o.server.is_doubted(now);
-    let most = open.iter().filter(sound).map(|o| o.held).max().unwrap_or(0);
+fn find_sources(open: &mut [Open<'_>]) {
+    let most = open.iter().map(|o| o.held).max().unwrap_or(0);
     if most < LEAST_COPY {
         return;
     }
     let mut sources: Vec<Source<'_>> = Vec::new();
-    for holder in open.iter().filter(sound).filter(|o| o.held == most) {
+    for holder in open.iter().filter(|o| o.held == most) {
         let zone = &holder.server.backend.zone;
         if sources.iter().all(|s| s.server.backend.zone != *zone) {
             sources.push(Source {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -6,7 +6,7 @@
 //! routers choose among the same servers many times in a period; the next whole
 //! report heals one that is lost.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use hibiscusrail_macros::id;
@@ -102,9 +102,6 @@
     /// Whether the loads are only those that changed, and nothing else is told.
     #[prost(bool, tag = "11")]
     pub partial: bool,
-    /// Hashes of the servers that it leaves alone because they don't answer it.
-    #[prost(fixed32, repeated, tag = "12")]
-    pub failing: Vec<u32>,
     /// Prompts that it sent in its last few reports' time.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
@@ -122,8 +119,6 @@
     store_heard: Option<Instant>,
     /// Work at servers by the hash of their id.
     pub loads: BTreeMap<u32, Load>,
-    /// Servers that don't answer it, by the hash of their id.
-    failing: BTreeSet<u32>,
     totals: BTreeMap<u64, (u64, u64)>,
     sent: BTreeMap<u32, u64>,
 }
@@ -135,10 +130,6 @@
     pub before: BTreeMap<u32, Load>,
     /// Loads that hold instead.
     pub after: BTreeMap<u32, Load>,
-    /// Servers that the sender left alone before.
-    pub failing_before: BTreeSet<u32>,
-    /// Servers that it leaves alone now.
-    pub failing_after: BTreeSet<u32>,
     /// Tokens asked for and admitted since the last report, by workspace.
     pub tokens: Vec<(u64, u64, u64)>,
     /// Prompt tokens sent to be read since the last report, by server.
@@ -171,14 +162,9 @@
                 now.checked_sub(Duration::from_millis(report.store_age)),
             ),
         };
-        let (mut before, failing_before, mut totals, mut sent) = known
-            .map(|s| (s.loads, s.failing, s.totals, s.sent))
+        let (mut before, mut totals, mut sent) = known
+            .map(|s| (s.loads, s.totals, s.sent))
             .unwrap_or_default();
-        let failing_after = if report.partial {
-            failing_before.clone()
-        } else {
-            report.failing.iter().copied().collect()
-        };
         if !same {
             totals.clear();
             sent.clear();
@@ -222,7 +208,6 @@
                 store_heard,
                 sequence: report.sequence,
                 loads: all,
-                failing: failing_after.clone(),
                 totals,
                 sent,
             },
@@ -230,29 +215,23 @@
         Some(Change {
             before,
             after,
-            failing_before,
-            failing_after,
             tokens,
             reads,
         })
     }
 
-    /// Drops what routers told of servers that have not been heard for the `life` of
-    /// their zone; returns each one's zone, its loads and the servers it left alone.
+    /// Drops the loads of routers that have not been heard for the `life` of their zone.
     pub fn expire(
         &mut self,
         now: Instant,
         life: impl Fn(u32) -> Duration,
-    ) -> Vec<(u32, BTreeMap<u32, Load>, BTreeSet<u32>)> {
+    ) -> Vec<BTreeMap<u32, Load>> {
         let late = |s: &&mut PeerState| now.saturating_duration_since(s.heard) > life(s.zone);
         self.states
             .values_mut()
             .filter(late)
-            .map(|s| {
-                let loads = std::mem::take(&mut s.loads);
-                (s.zone, loads, std::mem::take(&mut s.failing))
-            })
-            .filter(|(_, loads, failing)| !loads.is_empty() || !failing.is_empty())
+            .map(|s| std::mem::take(&mut s.loads))
+            .filter(|l| !l.is_empty())
             .collect()
     }
 
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -3,7 +3,6 @@
 mod cold_return;
 mod copies;
 mod crowded_router;
-mod doubts;
 mod engines;
 mod news;
 mod outcomes;
