--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -161,7 +161,7 @@
         }
         match self.choose(now, key, standing) {
             Ok(candidate) => self.send(now, key, candidate),
-            Err(refusal) => self.refuse(key, refusal),
+            Err(refusal) => self.refuse(key, *refusal),
         }
     }
 
@@ -181,11 +181,13 @@
         now: Instant,
         key: RequestKey,
         standing: Standing,
-    ) -> Result<Candidate, Refusal> {
-        let plain = |reason| Refusal {
-            reason,
-            retry_after: SHORT_WAIT,
-            inputs: None,
+    ) -> Result<Candidate, Box<Refusal>> {
+        let plain = |reason| {
+            Box::new(Refusal {
+                reason,
+                retry_after: SHORT_WAIT,
+                inputs: None,
+            })
         };
         let Some(request) = self.requests.get(&key) else {
             return Err(plain(Reason::Expired));
@@ -206,16 +208,18 @@
         let Some(inputs) = candidates.inputs() else {
             return Err(plain(Reason::NoServer));
         };
-        let refusal = |wait: Duration| Refusal {
-            reason: match standing {
-                Standing::Within => Reason::Busy,
-                Standing::Beyond { .. } => Reason::OverShare,
-            },
-            retry_after: match standing {
-                Standing::Within => wait,
-                Standing::Beyond { .. } => wait.max(self.params.quota_window / 4),
-            },
-            inputs: Some(inputs),
+        let refusal = |wait: Duration| {
+            Box::new(Refusal {
+                reason: match standing {
+                    Standing::Within => Reason::Busy,
+                    Standing::Beyond { .. } => Reason::OverShare,
+                },
+                retry_after: match standing {
+                    Standing::Within => wait,
+                    Standing::Beyond { .. } => wait.max(self.params.quota_window / 4),
+                },
+                inputs: Some(inputs),
+            })
         };
         let (Some(best), Some(soonest)) = (candidates.best, candidates.soonest) else {
             return Err(refusal(BUSY_WAIT));
