Refuse requests in the last moment of a stop

Cause: once nothing ran, a stopping router waited 100 ms for its last answers to reach their callers and ended. Test: request_in_the_last_moment_of_a_stop_is_refused.

--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -68,6 +68,7 @@
     news: RefCell<mpsc::Sender<()>>,
     heard: Cell<Option<mpsc::Receiver<()>>>,
     stopping: Cell<Option<Instant>>,
+    leaving: Cell<bool>,
 }
 
 impl std::fmt::Debug for Shell {
@@ -98,6 +99,7 @@
             news: RefCell::new(news),
             heard: Cell::new(Some(heard)),
             stopping: Cell::new(None),
+            leaving: Cell::new(false),
         }
     }
 
@@ -173,6 +175,17 @@
         self.stopping.set(Some(self.now()));
     }
 
+    /// Notes that the process is about to end: no request is taken any more.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    /// Returns whether the process is about to end.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
     /// Returns whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -5,7 +5,7 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::Fleet;
 use hibiscusrail_net::signals::Signals;
@@ -30,6 +30,9 @@
     let Some(elapsed) = shell.stopping_for() else {
         return true;
     };
+    if shell.is_leaving() {
+        return false;
+    }
     let limit = if stream {
         NOTICE_TIME
     } else {
@@ -53,11 +56,22 @@
     let end = started + grace.saturating_sub(EXIT_TIME);
     compio::time::sleep(NOTICE_TIME.min(grace)).await;
     shell.connections().close();
-    while shell.now() < end
-        && (shell.with_fleet(Fleet::requests) > 0 || shell.connections().open() > 0)
-    {
+    Ok(leave(shell, end).await)
+}
+
+/// Waits until nothing runs, or until `end`; returns how many requests are cut.
+///
+/// Callers that still come once nothing runs are refused: a request that is
+/// taken while the last answers are on their way would be cut.
+pub async fn leave(shell: &Shell, end: Instant) -> usize {
+    while shell.now() < end && !is_idle(shell) {
         compio::time::sleep(LOOK_PAUSE).await;
     }
+    shell.leave();
     compio::time::sleep(FLUSH_TIME).await;
-    Ok(shell.with_fleet(Fleet::requests))
+    shell.with_fleet(Fleet::requests)
+}
+
+fn is_idle(shell: &Shell) -> bool {
+    shell.with_fleet(Fleet::requests) == 0 && shell.connections().open() == 0
 }
--- a/crates/front/tests/all/requests.rs
+++ b/crates/front/tests/all/requests.rs
@@ -1,5 +1,9 @@
 //! Requests as servers receive them, and those that no server receives.
 
+use std::time::Duration;
+
+use hibiscusrail_front::stop;
+
 use super::support::{Act, Front, Server, header, run, status, whole};
 
 async fn seen(path: &str, extra: &str) -> String {
@@ -101,3 +105,24 @@
         assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
     });
 }
+
+#[test]
+fn request_in_the_last_moment_of_a_stop_is_refused() {
+    run(async {
+        let server = Server::start(vec![Act::Hang(String::new())]);
+        let front = Front::start(&[&server]);
+        front.shell.stop();
+        let shell = std::rc::Rc::clone(&front.shell);
+        let end = shell.now() + Duration::from_secs(5);
+        let leaving = compio::runtime::spawn(async move { stop::leave(&shell, end).await });
+        // Nothing runs, so only the last answers are still waited for.
+        while !front.shell.is_leaving() {
+            compio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let answer = front.call("/once/x", "").await;
+        assert_eq!(status(&answer), 503);
+        assert!(header(&answer, "retry-after").is_some(), "{answer}");
+        assert_eq!(leaving.await.expect("it does not panic"), 0);
+        assert!(server.seen().is_empty());
+    });
+}
