--- a/crates/fleet/src/objects.rs
+++ b/crates/fleet/src/objects.rs
@@ -82,12 +82,11 @@
         const SETUP: Duration = Duration::from_millis(6);
         /// How much longer a copy between zones takes; from the protocol.
         const FAR: f64 = 2.0;
-        if self.rate <= 0.0 {
-            return Duration::MAX;
-        }
+        /// Longest time that is told apart; also bounds what a wrong rate does.
+        const LONGEST: f64 = 60.0;
         let bytes = f64::from(tokens) * f64::from(self.token_bytes);
         let part = if is_near { 1.0 } else { FAR };
-        SETUP + Duration::from_secs_f64((bytes / self.rate * part).min(60.0))
+        SETUP + Duration::from_secs_f64((bytes / self.rate * part).clamp(0.0, LONGEST))
     }
 }
 
