--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -364,6 +364,7 @@
         if let (Some(workspace), Some(prompt)) = (ask.workspace, &ask.prompt) {
             let charge = prompt.charge();
             self.quota.ask(now, workspace, charge);
+            self.pressure.ask(charge);
             let total = self.totals.entry(workspace).or_default();
             total.asked += charge;
             total.changed = Some(now);
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -155,8 +155,9 @@
             return self.give_up(key, Reason::Expired, Duration::ZERO);
         }
         let standing = self.standing(now, key);
-        let begins = request_begins(self.requests.get(&key));
-        if begins && !self.pressure.bears_stream(standing.is_within()) {
+        let charge = new_charge(self.requests.get(&key));
+        let within = standing.is_within();
+        if charge.is_some_and(|c| !self.pressure.bears_stream(within, c)) {
             return self.give_up(key, Reason::RouterBusy, SHORT_WAIT);
         }
         match self.choose(now, key, standing) {
@@ -544,9 +545,10 @@
     }
 }
 
-/// Returns whether a request asks for a stream of which the caller has nothing yet.
-fn request_begins(request: Option<&Request>) -> bool {
-    request.is_some_and(|r| r.ask.prompt.is_some() && !r.begun)
+/// Returns the charge of a request for a stream of which the caller has nothing yet.
+fn new_charge(request: Option<&Request>) -> Option<f64> {
+    let request = request.filter(|r| !r.begun)?;
+    request.ask.prompt.as_ref().map(Prompt::charge)
 }
 
 /// Returns the tokens that fit into the memory of an engine of the service.
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -16,11 +16,15 @@
 const OVERLOADED: Duration = Duration::from_millis(30);
 /// Mean lateness below which they are taken again.
 const RELIEVED: Duration = Duration::from_millis(10);
-/// Mean lateness from which streams that have other claims than their share are
-/// refused: half of that bound.
+/// Mean lateness up to which every stream is begun: one long turn of the loop.
+const EASY: Duration = Duration::from_millis(15);
+/// Mean lateness from which streams beyond a workspace's share are refused: half
+/// of that bound.
 const LATE: Duration = Duration::from_millis(60);
 /// Mean lateness from which all streams are refused: that bound.
 const TOO_LATE: Duration = Duration::from_millis(120);
+/// Weight of the newest request in the mean charge.
+const CHARGE_WEIGHT: f64 = 0.02;
 /// Least time that new connections are sent elsewhere: the platform asks once a
 /// second and acts on the second refusal.
 const LEAST_SHED: Duration = Duration::from_millis(2_500);
@@ -30,6 +34,8 @@
 pub struct Pressure {
     late: Duration,
     observed: Option<Instant>,
+    /// Mean charge of the streams that are asked for here, in tokens.
+    charge: f64,
     since: Option<Instant>,
 }
 
@@ -67,10 +73,30 @@
         self.since.is_some()
     }
 
-    /// Returns whether a stream could be passed on in time; `within` says
-    /// whether its workspace has less than its share.
+    /// Takes in what a stream that is asked for charges to its workspace's share.
+    pub fn ask(&mut self, charge: f64) {
+        let weight = if self.charge > 0.0 {
+            CHARGE_WEIGHT
+        } else {
+            1.0
+        };
+        self.charge += weight * (charge - self.charge);
+    }
+
+    /// Returns whether a stream of this charge can be passed on in time; `within`
+    /// says whether its workspace has less than its share.
+    ///
+    /// A stream costs the router about the same whatever its prompt. So the later
+    /// the loop, the more a stream has to be worth, from nothing to the mean.
     #[must_use]
-    pub fn bears_stream(&self, within: bool) -> bool {
-        self.late < if within { TOO_LATE } else { LATE }
+    pub fn bears_stream(&self, within: bool, charge: f64) -> bool {
+        let (least, most) = if within {
+            (LATE, TOO_LATE)
+        } else {
+            (EASY, LATE)
+        };
+        let beyond = self.late.saturating_sub(least).as_secs_f64();
+        let part = beyond / (most - least).as_secs_f64();
+        part < 1.0 && charge >= part * self.charge
     }
 }
--- a/crates/fleet/tests/all/crowded_router.rs
+++ b/crates/fleet/tests/all/crowded_router.rs
@@ -4,7 +4,7 @@
 
 use hibiscusrail_fleet::event::Reason;
 use hibiscusrail_fleet::objects::Repeat;
-use hibiscusrail_fleet::{Decision, Event, Fleet};
+use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey};
 
 use super::support::{self, ask, given_up, plain, prompt, sent};
 
@@ -93,3 +93,23 @@
     let whole = fleet.handle(now, Event::Submit(plain(2, Repeat::Once, now)));
     assert!(sent(&whole).is_some(), "{whole:?}");
 }
+
+#[test]
+fn submit_late_router_begins_the_streams_that_are_worth_most() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 4, start);
+    // Half of the prompts are short; workspace 1 has its share by then.
+    for key in 0..40 {
+        let own = if key % 2 == 0 { 50 } else { 4_000 };
+        fleet.handle(start, Event::Submit(ask(key, 1, prompt(key, own), start)));
+        fleet.handle(start, Event::FirstByte(RequestKey(key)));
+        fleet.handle(start, Event::Ended(RequestKey(key), Outcome::Answered));
+    }
+    fleet.handle(start, Event::Submit(ask(100, 2, prompt(1, 100), start)));
+    let time = Duration::from_millis(1_500);
+    let now = lag(&mut fleet, start, Duration::from_millis(57), time);
+    let short = fleet.handle(now, Event::Submit(ask(101, 1, prompt(1, 50), now)));
+    assert_eq!(given_up(&short), Some(Reason::RouterBusy));
+    let long = fleet.handle(now, Event::Submit(ask(102, 1, prompt(1, 4_000), now)));
+    assert!(sent(&long).is_some(), "{long:?}");
+}
