Take nothing about the store from partial reports

Cause: a partial report of a router that had not been heard before counted as one that the store had just answered, and could keep another from following the store for up to the period of whole reports. Test fails before, passes after.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -155,12 +155,11 @@
         let same = known
             .as_ref()
             .is_some_and(|s| s.incarnation == report.incarnation);
-        let (zone, store_heard) = match &known {
-            Some(s) if same && report.partial => (s.zone, s.store_heard),
-            _ => (
-                report.zone,
-                now.checked_sub(Duration::from_millis(report.store_age)),
-            ),
+        // A partial report says nothing of the store.
+        let store_heard = if report.partial {
+            known.as_ref().filter(|_| same).and_then(|s| s.store_heard)
+        } else {
+            now.checked_sub(Duration::from_millis(report.store_age))
         };
         let (mut before, mut totals, mut sent) = known
             .map(|s| (s.loads, s.totals, s.sent))
@@ -204,7 +203,7 @@
             PeerState {
                 heard: now,
                 incarnation: report.incarnation,
-                zone,
+                zone: report.zone,
                 store_heard,
                 sequence: report.sequence,
                 loads: all,
--- a/crates/fleet/tests/all/news.rs
+++ b/crates/fleet/tests/all/news.rs
@@ -101,3 +101,17 @@
     let running: u32 = fleet.roster().all().map(|s| s.others.running).sum();
     assert_eq!(running, 0);
 }
+
+#[test]
+fn news_of_a_router_that_was_not_heard_says_nothing_of_the_store() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 4, now);
+    // Two others that would follow the store in this router's place.
+    for number in 0..8 {
+        let mut sender = support::router(&format!("s{number}"), 4, now);
+        sender.handle(now, Event::Submit(ask(1, 1, prompt(1, 9_000), now)));
+        let news = sender.news().expect("something was sent");
+        fleet.handle(now, Event::Report(news));
+    }
+    assert!(fleet.watches(now));
+}
