Build reports and waits for servers in one place each

Found on reading the change again; behaviour stays. Whole and partial reports filled the same fields twice. The time left was worked out in five places, and the longest wait for a server's bytes, with the router's own delay, in three.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -265,7 +265,6 @@
     /// only those of the own zone.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn report(&mut self, now: Instant, scope: Scope) -> Report {
-        self.sequence += 1;
         let store_age = now.saturating_duration_since(self.store_heard);
         let longest = self.report_period() * self.far_periods() * PLACED_REPORTS;
         let repeated = match scope {
@@ -283,30 +282,37 @@
             .totals
             .iter()
             .filter(|(_, t)| t.changed.is_some_and(lately));
+        let loads = loads.map(load_of).collect();
+        let totals = totals
+            .map(|(workspace, t)| Total {
+                workspace: workspace.0,
+                asked: t.asked as u64,
+                admitted: t.admitted as u64,
+            })
+            .collect();
+        let placed = self.placed.iter().rev();
+        let placed = placed.take_while(|(at, _)| lately(*at));
+        let placed = placed.map(|(_, placement)| *placement).collect();
+        Report {
+            loads,
+            totals,
+            store_age: u64::try_from(store_age.as_millis()).unwrap_or(u64::MAX),
+            placed,
+            ..self.next_report()
+        }
+    }
+
+    /// Returns a report that tells nothing yet, with the next number.
+    fn next_report(&mut self) -> Report {
+        self.sequence += 1;
         Report {
             sender: self.me.0,
             incarnation: self.incarnation,
             sequence: self.sequence,
             orders: self.orders_revision.0,
             servers: self.roster.revision().0,
-            loads: loads.map(load_of).collect(),
-            totals: totals
-                .map(|(workspace, t)| Total {
-                    workspace: workspace.0,
-                    asked: t.asked as u64,
-                    admitted: t.admitted as u64,
-                })
-                .collect(),
             zone: name_hash(&self.params.zone),
-            store_age: u64::try_from(store_age.as_millis()).unwrap_or(u64::MAX),
-            placed: self
-                .placed
-                .iter()
-                .rev()
-                .take_while(|(at, _)| lately(*at))
-                .map(|(_, placement)| *placement)
-                .collect(),
-            partial: false,
+            ..Report::default()
         }
     }
 
@@ -316,20 +322,13 @@
         if news.is_empty() {
             return None;
         }
-        self.sequence += 1;
         let servers: BTreeSet<ServerKey> = news.iter().map(|(server, _)| *server).collect();
         let loads = servers.into_iter().filter_map(|key| self.roster.get(key));
         Some(Report {
-            sender: self.me.0,
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            orders: self.orders_revision.0,
-            servers: self.roster.revision().0,
-            zone: name_hash(&self.params.zone),
             loads: loads.map(load_of).collect(),
             placed: news.into_iter().filter_map(|(_, placed)| placed).collect(),
             partial: true,
-            ..Report::default()
+            ..self.next_report()
         })
     }
 
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -334,10 +334,7 @@
     if let (event::Execution::Failed, Some(whole)) = (verdict.execution, failed) {
         return whole_answer(*whole);
     }
-    let left = plan
-        .outgoing
-        .deadline
-        .saturating_duration_since(shell.now());
+    let left = plan.outgoing.left(shell.now());
     log::debug!(left_ms = millis(left); "refusal_sent");
     refusal::given_up(verdict.reason, verdict.execution, verdict.retry_after, left)
 }
--- a/crates/front/src/outgoing.rs
+++ b/crates/front/src/outgoing.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Returns how long the caller and the route still wait.
+    #[must_use]
+    pub fn left(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
     /// Returns the request for a server, going on after the event `resume`.
     #[must_use]
     pub fn build(
@@ -76,7 +82,7 @@
         if self.sized {
             headers.insert(header::CONTENT_LENGTH, HeaderValue::from(self.body.len()));
         }
-        let left = millis(self.deadline.saturating_duration_since(now));
+        let left = millis(self.left(now));
         headers.insert(shape.deadline.clone(), HeaderValue::from(left));
         if let Ok(value) = HeaderValue::from_str(&target.id) {
             headers.insert(shape.expect_server.clone(), value);
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -150,19 +150,16 @@
 
 /// Returns how long the first byte may take.
 fn wait_limit(shell: &Shell, plan: &Plan, target: &Target) -> Duration {
-    let left = plan
-        .outgoing
-        .deadline
-        .saturating_duration_since(shell.now());
-    match plan.patience {
-        Some(patience) => left.min(target.expected * 2 + patience + own_delay(shell)),
-        None => left,
-    }
+    let patience = plan.patience.map(|p| target.expected * 2 + p);
+    patient(shell, plan.outgoing.left(shell.now()), patience)
 }
 
-/// Returns how long an answer that has arrived may lie unread in a busy router.
-fn own_delay(shell: &Shell) -> Duration {
-    shell.with_fleet(Fleet::lateness) * 2
+/// Returns how long to wait for bytes of a server: no longer than what is left,
+/// and no longer than `patience`, if there is one, and the time for which what
+/// has arrived may lie unread in a busy router.
+fn patient(shell: &Shell, left: Duration, patience: Option<Duration>) -> Duration {
+    let unread = shell.with_fleet(Fleet::lateness) * 2;
+    patience.map_or(left, |p| left.min(p + unread))
 }
 
 async fn send(
@@ -241,13 +238,7 @@
     answer: Response<Incoming>,
 ) -> Result<Reply, Failure> {
     let (parts, body) = answer.into_parts();
-    let left = plan
-        .outgoing
-        .deadline
-        .saturating_duration_since(shell.now());
-    let limit = plan
-        .patience
-        .map_or(left, |p| left.min(p + own_delay(shell)));
+    let limit = patient(shell, plan.outgoing.left(shell.now()), plan.patience);
     let collecting = Limited::new(body, WHOLE_BYTES).collect();
     let collected = match compio::time::timeout(limit, collecting).await {
         Ok(Ok(collected)) => collected.to_bytes(),
@@ -331,9 +322,7 @@
     pub async fn next(&mut self, shell: &Shell) -> Result<Piece, Failure> {
         loop {
             let left = self.deadline.saturating_duration_since(shell.now());
-            let limit = self
-                .patience
-                .map_or(left, |p| left.min(p + own_delay(shell)));
+            let limit = patient(shell, left, self.patience);
             let frame = match compio::time::timeout(limit, self.body.frame()).await {
                 Err(_) => return Err(Outcome::Silent.into()),
                 Ok(Some(Err(_))) => return Err(Outcome::Broken.into()),
