fleet: keep a shared prefix at few engines

Cause: a request whose prefix was cached at a busy engine went to whichever engine was idle, by a transfer or by prefilling the prefix again. Each such copy evicted other prefixes, so on deployments whose prefixes take much of the engines' memory half of all prefill was repeated, engines ran out of time, and the refusals that followed moved more prefixes.

Now engines are considered in groups: those that have the prefix, or its first two homes in rendezvous order; then twice as many while none of those can start the request in time. Over its share a workspace spills only to engines that are nearly idle, unless it has received far less than others.

Test: placement::submit_over_share_keeps_prefixes_at_two_engines failed before (a prefix went to 6 engines); submit_burst_within_share_spreads_prefix holds the other side.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -3,6 +3,7 @@
 //! [`Fleet::handle`] takes an [`Event`] and returns the resulting [`Decision`]s.
 
 mod choice;
+mod homes;
 mod limits;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -16,6 +16,7 @@
 use crate::quota::ShareStatus;
 use crate::registry::ServerKey;
 
+use super::homes::Homes;
 use super::{Attempt, Fleet, Refusal, Request, limits};
 
 /// Retry delay where another router or a short wait may help.
@@ -70,15 +71,22 @@
     inputs: Inputs,
 }
 
+/// Rank of a server among the homes of a prefix: whether it is warm, whether it is in the zone whose
+/// servers come first, and a hash.
+type HomeRank = (bool, bool, u64);
+
 /// Eligible server with the state of its prefix cache.
 #[derive(Clone, Copy)]
-struct Eligible<'a> {
+pub(super) struct Eligible<'a> {
     key: ServerKey,
     server: &'a Server,
     /// Tokens of the prompt's shared prefix in the server's cache.
     cached: u32,
-    /// Whether the server is preferred for the prompt's shared prefix.
-    preferred: bool,
+    /// Whether the server is preferred for the prompt's shared prefix: it has it or, if none has,
+    /// is its first home.
+    pub(super) preferred: bool,
+    /// Rank among the homes of the prefix; the highest is the first home's.
+    pub(super) rank: HomeRank,
     /// Engine from which the server would transfer the missing tokens of the prefix.
     source: Option<TransferSource<'a>>,
 }
@@ -141,6 +149,13 @@
         }
     }
 
+    /// Returns the best candidate that starts in time, else the soonest if that one does.
+    fn in_time(&self, allowed: Duration) -> Option<Candidate> {
+        let starts = |c: &Candidate| limits::starts_in_time(c.inputs.first_byte, c.wait, allowed);
+        let best = self.best.filter(starts);
+        best.or_else(|| self.soonest.filter(starts))
+    }
+
     /// Returns the inputs of the best server, with or without capacity, if there is any server.
     fn inputs(&self) -> Option<Inputs> {
         self.best.map(|b| b.inputs).or(self.full)
@@ -211,7 +226,19 @@
             share,
             routers: self.router_count(),
         };
-        let candidates = self.candidates(&ctx, request);
+        let allowed = limits::start_allowance(now, &request.submission, request.started, share);
+        let mut homes = Homes::new(self.eligible_servers(&ctx, request), ctx.shared);
+        let mut candidates = Candidates::default();
+        let mut spills = false;
+        while let Some(group) = homes.next_group() {
+            for eligible in group {
+                self.consider(&ctx, request, eligible, spills, &mut candidates);
+            }
+            if let Some(candidate) = candidates.in_time(allowed) {
+                return Ok(candidate);
+            }
+            spills = true;
+        }
         let Some(inputs) = candidates.inputs() else {
             return Err(plain(Reason::NoServer));
         };
@@ -228,38 +255,36 @@
                 inputs: Some(inputs),
             })
         };
-        let (Some(best), Some(soonest)) = (candidates.best, candidates.soonest) else {
+        let Some(soonest) = candidates.soonest else {
             return Err(refusal(BUSY_RETRY_AFTER));
         };
-        let allowed = limits::start_allowance(now, &request.submission, request.started, share);
-        if limits::starts_in_time(best.inputs.first_byte, best.wait, allowed) {
-            return Ok(best);
-        }
-        if limits::starts_in_time(soonest.inputs.first_byte, soonest.wait, allowed) {
-            return Ok(soonest);
-        }
         let wait = (soonest.inputs.first_byte - allowed).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         Err(refusal(wait))
     }
 
-    /// Returns the best of the servers that may receive the request.
+    /// Adds an eligible server to the candidates, or to the servers without capacity.
     ///
+    /// `spills` says whether it is none of the first homes of the prompt's shared prefix.
     /// In a busy fleet most servers are full, so they are skipped before their score is computed.
-    fn candidates(&self, ctx: &Context<'_>, request: &Request) -> Candidates {
-        let mut candidates = Candidates::default();
-        for eligible in self.eligible_servers(ctx, request) {
-            if !self.has_slot(ctx, eligible.server) {
-                continue;
-            }
-            let inputs = self.inputs(ctx, &eligible);
-            let cached = eligible.preferred || eligible.source.is_some() || ctx.prompt.is_none();
-            if request.started || limits::has_capacity(&inputs, cached, ctx.share) {
-                candidates.add(self.score(ctx, &eligible, inputs));
-            } else {
-                candidates.add_full(inputs);
-            }
+    fn consider(
+        &self,
+        ctx: &Context<'_>,
+        request: &Request,
+        eligible: &Eligible<'_>,
+        spills: bool,
+        candidates: &mut Candidates,
+    ) {
+        if !self.has_slot(ctx, eligible.server) {
+            return;
+        }
+        let inputs = self.inputs(ctx, eligible);
+        let cached = eligible.preferred || eligible.source.is_some() || ctx.prompt.is_none();
+        let may_use = !spills || limits::may_spill(&inputs, ctx.share);
+        if request.started || (may_use && limits::has_capacity(&inputs, cached, ctx.share)) {
+            candidates.add(self.score(ctx, eligible, inputs));
+        } else {
+            candidates.add_full(inputs);
         }
-        candidates
     }
 
     /// Returns the eligible servers with the state of their prefix caches.
@@ -277,6 +302,7 @@
                     .prompt
                     .map_or(0, |p| server.cached_tokens(p, kv_capacity(ctx))),
                 preferred: false,
+                rank: HomeRank::default(),
                 source: None,
             })
             .collect();
@@ -288,19 +314,16 @@
         for server in &mut eligible {
             server.preferred = server.cached >= prefix_tokens;
             has_preferred |= server.preferred;
+            let near = !self.is_large() || server.server.backend.zone == self.params.zone;
+            let hash = placement::weight(part, server.server.hash);
+            server.rank = (!server.server.is_cold(ctx.now), near, hash);
         }
         if ctx.transfers().is_some() {
             assign_sources(&mut eligible);
         }
         if !has_preferred {
-            let preferred = eligible
-                .iter_mut()
-                .filter(|e| !e.server.is_cold(ctx.now))
-                .max_by_key(|e| {
-                    let near = !self.is_large() || e.server.backend.zone == self.params.zone;
-                    (near, placement::weight(part, e.server.hash))
-                });
-            if let Some(preferred) = preferred {
+            let warm = eligible.iter_mut().filter(|e| e.rank.0);
+            if let Some(preferred) = warm.max_by_key(|e| e.rank) {
                 preferred.preferred = true;
                 preferred.source = None;
                 preferred.cached = prefix_tokens;
--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -33,6 +33,9 @@
 const MAX_SLOTS_BEYOND: f64 = 0.75;
 /// Upper bound of the slot limit over the share, which workspaces that received least reach.
 const MAX_SLOTS_LEAST_SERVED: f64 = 0.85;
+/// Prefill limit for requests over their share at engines that are none of the first homes of their
+/// shared prefix.
+const MAX_PREFILL_SPILL: f64 = 0.03;
 /// Shortfall, in even shares, from which the lower limit for uncached prefixes does not apply.
 const UNCACHED_DEFICIT: f64 = 0.4;
 /// Decrease of the limits for each even share that a workspace is over.
@@ -67,6 +70,19 @@
         && inputs.slots_used <= max_slots
 }
 
+/// Returns whether a request may use an engine that is none of the first homes of its prefix.
+///
+/// Each further copy of a prefix evicts others, so over the share only engines that are nearly idle
+/// take one, unless the workspace has received far less than others.
+pub(super) fn may_spill(inputs: &Inputs, share: ShareStatus) -> bool {
+    match share {
+        ShareStatus::Within => true,
+        ShareStatus::Beyond { excess } => {
+            excess < 1.0 - UNCACHED_DEFICIT || inputs.prefill_fraction <= MAX_PREFILL_SPILL
+        }
+    }
+}
+
 /// Returns whether a request starts in time.
 ///
 /// A prompt whose prefill alone takes longer than allowed would always be refused, so it may start
--- a/crates/fleet/tests/all/placement.rs
+++ b/crates/fleet/tests/all/placement.rs
@@ -1,7 +1,7 @@
 //! Many requests with few shared prefixes, from all routers.
 
-use std::collections::BTreeSet;
-use std::time::Instant;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::peers::Scope;
 use hibiscusrail_fleet::{Event, Outcome, RequestKey};
@@ -61,3 +61,49 @@
     let decisions = fleet.handle(now, Event::Submit(submission(1, 1, prompt(7, 500), now)));
     assert_eq!(sent_to(&decisions), Some(holder.as_str()));
 }
+
+/// Pattern: workspaces over their share ask for many prefixes at once, while engines are busy.
+#[test]
+fn submit_over_share_keeps_prefixes_at_two_engines() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 9, start);
+    let mut engines: BTreeMap<u64, BTreeSet<String>> = BTreeMap::new();
+    let mut running: VecDeque<(Instant, RequestKey)> = VecDeque::new();
+    for key in 0..2_000 {
+        let now = start + Duration::from_millis(5) * u32::try_from(key).expect("a small key");
+        while let Some((_, ended)) = running.pop_front_if(|(at, _)| *at <= now) {
+            fleet.handle(now, Event::FirstByte(ended));
+            fleet.handle(now, Event::Ended(ended, Outcome::Answered));
+        }
+        // The engines are busy with other prefixes before those that are counted arrive.
+        let prefix = if key < 400 { 100 + key } else { key * 7 % 40 };
+        let request = submission(key, 1, prompt(prefix, 2_000), now);
+        if let Some(engine) = sent_to(&fleet.handle(now, Event::Submit(request))) {
+            let engine = engine.to_owned();
+            engines.entry(prefix).or_default().insert(engine);
+            running.push_back((now + Duration::from_millis(300), RequestKey(key)));
+        }
+    }
+    engines.retain(|prefix, _| *prefix < 40);
+    assert!(
+        engines.len() > 20,
+        "only {} prefixes were served",
+        engines.len()
+    );
+    let spread = engines.values().map(BTreeSet::len).max();
+    assert!(spread <= Some(2), "a prefix went to {spread:?} engines");
+}
+
+/// Pattern: a burst of requests with one prefix, from workspaces within their share.
+#[test]
+fn submit_burst_within_share_spreads_prefix() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 9, now);
+    let mut engines = BTreeSet::new();
+    for key in 0..30 {
+        let request = submission(key, key, prompt(7, 5_000), now);
+        let decisions = fleet.handle(now, Event::Submit(request));
+        engines.insert(sent_to(&decisions).expect("others are idle").to_owned());
+    }
+    assert!(engines.len() > 2, "the prefix stayed at {engines:?}");
+}
