Follow what servers say in their responses, and a store restored from a copy

Servers say in all responses that they are leaving, or with a 503 that they want a pause; the registration says so later or never, and the router read neither header. A store that comes back from an older copy gives out versions again: the router took every later table for an older one and ignored it, and the rows it did take could bring back an older configuration, servers that had left, and fewer routers among which limits are divided.

Servers: a notice belongs to one life of a server and outlasts its row. It is looked at when a server is chosen and again right before bytes leave, on a new connection too (`Withdrawn`, no attempt). If all servers of a service want a pause, callers get the shortest rest as `Retry-After` (`Throttled`).

Store: revisions are ordered by era, then version. A table is read anew when an answer has another era, and an answer read across two eras is dropped. The configuration never goes back to an older version. What the copy lacks stays for the time in which it is written again: evacuated zones and servers 2.5 s, the rows of routers 30 s. An older row of a server that left or ended counts for nothing.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -11,6 +11,7 @@
 
 use crate::cold::ColdBucket;
 use crate::health::Health;
+use crate::notice::Notice;
 use crate::objects::Backend;
 use crate::window::Window;
 
@@ -133,6 +134,8 @@
     pub bucket: ColdBucket,
     /// Recent failures and the error rate.
     pub health: Health,
+    /// What the server announced in its responses.
+    pub notice: Notice,
     /// Load of this router's own requests.
     pub own_load: Load,
     /// Load that the other routers reported.
@@ -167,6 +170,7 @@
             cold_until: (!cold.is_zero()).then(|| now + cold),
             bucket: ColdBucket::new(now),
             health: Health::default(),
+            notice: Notice::default(),
             own_load: Load::default(),
             peer_load: Load::default(),
             expired_at: None,
@@ -192,6 +196,12 @@
         self.is_cold(now) || self.health.needs_probe()
     }
 
+    /// Returns whether the server may receive requests, regardless of its load and health.
+    #[must_use]
+    pub fn is_open(&self, now: Instant) -> bool {
+        !self.backend.leaving && self.notice.allows(now)
+    }
+
     /// Returns the load from all routers.
     #[must_use]
     pub fn load(&self) -> Load {
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -51,6 +51,8 @@
     Misdirected,
     /// The connection could not be established; no byte was sent.
     Unreachable,
+    /// The server may not receive requests any more; no byte was sent.
+    Withdrawn,
     /// The connection was lost, or the answer was incomplete or not that server's to this request.
     Broken,
     /// No data arrived within the timeout.
@@ -89,6 +91,8 @@
     RetryBudget,
     /// The deadline has passed.
     Expired,
+    /// All servers of the service asked for a pause.
+    Throttled,
 }
 
 /// State of a server and a request on which a choice was based, for the log.
@@ -182,6 +186,10 @@
     },
     /// An attempt ended.
     Ended(RequestKey, Outcome),
+    /// A server's response says that it is leaving.
+    ServerLeaving(ServerKey),
+    /// A server that turned a request away asked for a pause of this length.
+    ServerThrottled(ServerKey, Duration),
     /// The operator configuration was read.
     Config(Revision, OperatorConfig),
     /// The server registrations were read.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,6 +4,7 @@
 
 mod choice;
 mod homes;
+
 mod limits;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -84,6 +85,9 @@
     members: Vec<u32>,
     config: OperatorConfig,
     config_revision: Revision,
+    /// Evacuated zones that a store restored from an older copy does not list, and until when they
+    /// are kept, as the operator writes them again.
+    kept_evacuations: BTreeMap<String, Instant>,
     registry: Registry,
     requests: BTreeMap<RequestKey, Request>,
     quota: Quota,
@@ -124,6 +128,7 @@
             members: vec![name_hash(name)],
             config: OperatorConfig::default(),
             config_revision: Revision::default(),
+            kept_evacuations: BTreeMap::new(),
             registry: Registry::default(),
             requests: BTreeMap::new(),
             quota: Quota::new(params.quota_window),
@@ -217,7 +222,9 @@
                 self.stream_progressed(now, key, gap, tokens);
             }
             Event::Ended(key, outcome) => self.attempt_ended(now, key, outcome),
-            Event::Config(revision, config) => self.apply_config(revision, config),
+            Event::ServerLeaving(server) => self.server_leaving(server),
+            Event::ServerThrottled(server, pause) => self.server_throttled(now, server, pause),
+            Event::Config(revision, config) => self.apply_config(now, revision, config),
             Event::Servers(revision, servers) => self.apply_servers(now, revision, &servers),
             Event::StoreAnswered => self.store_answered(now),
             Event::StoreFailed => {
@@ -481,7 +488,7 @@
                 return;
             }
             Outcome::NotRun | Outcome::Misdirected => {}
-            Outcome::Unreachable => self.uncount_attempt(key),
+            Outcome::Unreachable | Outcome::Withdrawn => self.uncount_attempt(key),
             Outcome::Failed => self.set_execution(key, Execution::Failed),
             Outcome::Broken | Outcome::Silent => self.set_execution(key, Execution::Unknown),
         }
@@ -502,6 +509,41 @@
         }
     }
 
+    /// Returns whether a request may still be sent to a server for which it was placed.
+    #[must_use]
+    pub fn may_send(&self, now: Instant, key: ServerKey) -> bool {
+        self.registry
+            .get(key)
+            .is_some_and(|s| s.is_open(now) && !self.config.evacuated.contains(&s.backend.zone))
+    }
+
+    /// Records that a server announced in a response that it is leaving.
+    fn server_leaving(&mut self, key: ServerKey) {
+        let Some(server) = self.registry.get_mut(key) else {
+            return;
+        };
+        if std::mem::replace(&mut server.notice.leaving, true) {
+            return;
+        }
+        let id = server.id.clone();
+        self.log("server_leaving", &id, "response=true".to_owned());
+    }
+
+    /// Records that a server which turned a request away asked for a pause.
+    fn server_throttled(&mut self, now: Instant, key: ServerKey, pause: Duration) {
+        let Some(server) = self.registry.get_mut(key) else {
+            return;
+        };
+        let length = server.notice.pause(now, pause);
+        let id = server.id.clone();
+        let detail = format!(
+            "asked_ms={} pause_ms={}",
+            pause.as_millis(),
+            length.as_millis()
+        );
+        self.log("server_throttled", &id, detail);
+    }
+
     fn record_outcome(&mut self, now: Instant, key: ServerKey, outcome: Outcome) {
         let Some(server) = self.registry.get_mut(key) else {
             return;
@@ -511,7 +553,7 @@
                 server.health.record_success();
                 None
             }
-            Outcome::Left => {
+            Outcome::Left | Outcome::Withdrawn => {
                 server.health.end_probe();
                 None
             }
@@ -535,8 +577,10 @@
             return;
         };
         let submission = &request.submission;
-        let unreachable = outcome == Outcome::Unreachable;
-        let not_run = unreachable || matches!(outcome, Outcome::NotRun | Outcome::Misdirected);
+        let not_run = matches!(
+            outcome,
+            Outcome::Unreachable | Outcome::Withdrawn | Outcome::NotRun | Outcome::Misdirected
+        );
         let retryable = match (request.started, not_run) {
             (true, _) => submission.resumable,
             (false, true) => true,
@@ -561,11 +605,27 @@
         self.place(now, key);
     }
 
-    fn apply_config(&mut self, revision: Revision, config: OperatorConfig) {
+    fn apply_config(&mut self, now: Instant, revision: Revision, mut config: OperatorConfig) {
         if revision <= self.config_revision {
             return;
         }
         let version = |c: &OperatorConfig| c.deployment.as_ref().map_or(0, |d| d.version);
+        let restored = revision.era() > self.config_revision.era();
+        if version(&config) < version(&self.config) {
+            // From an older copy of the store; the operator writes the newest version again.
+            config.deployment = None;
+        }
+        if restored && self.config_revision != Revision::default() {
+            let until = now + self.params.lapse_grace;
+            let kept = self.config.evacuated.difference(&config.evacuated);
+            self.kept_evacuations
+                .extend(kept.map(|zone| (zone.clone(), until)));
+        }
+        self.kept_evacuations
+            .retain(|zone, _| !config.evacuated.contains(zone));
+        config
+            .evacuated
+            .extend(self.kept_evacuations.keys().cloned());
         let detail = format!(
             "revision={} version={} was={} evacuated={}",
             revision.0,
@@ -587,7 +647,9 @@
         }
         // Servers missing from the first list after an outage may only have expired; those missing
         // from a later list were removed.
-        let keep_missing = std::mem::take(&mut self.after_outage);
+        // A store restored from an older copy lacks newer servers until they register again.
+        let restored = revision.era() > self.registry.revision().era();
+        let keep_missing = std::mem::take(&mut self.after_outage) || restored;
         let changes = self.registry.apply(now, revision, servers, keep_missing);
         let lists = [
             ("server_started", changes.started),
@@ -693,5 +755,12 @@
         for id in self.registry.remove_expired(now, self.params.lapse_grace) {
             self.log("server_gone", &id, "lapsed=true".to_owned());
         }
+        let expired = self
+            .kept_evacuations
+            .extract_if(.., |_, until| now >= *until);
+        for zone in expired.map(|(zone, _)| zone).collect::<Vec<_>>() {
+            self.config.evacuated.remove(&zone);
+            self.log("evacuation_dropped", &zone, "restored=true".to_owned());
+        }
     }
 }
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -240,7 +240,16 @@
             spills = true;
         }
         let Some(inputs) = candidates.inputs() else {
-            return Err(plain(Reason::NoServer));
+            return Err(
+                match self.shortest_pause(now, &request.submission.service) {
+                    Some(pause) => Box::new(Refusal {
+                        reason: Reason::Throttled,
+                        retry_after: pause,
+                        inputs: None,
+                    }),
+                    None => plain(Reason::NoServer),
+                },
+            );
         };
         let refusal = |wait: Duration| {
             Box::new(Refusal {
@@ -332,6 +341,15 @@
         eligible
     }
 
+    /// Returns the shortest pause that a service's servers asked for, if all of them did.
+    fn shortest_pause(&self, now: Instant, service: &str) -> Option<Duration> {
+        let servers = self.registry.of_service(service).map(|(_, server)| server);
+        let pauses = servers
+            .filter(|s| !s.backend.leaving && !s.notice.leaving)
+            .map(|s| s.notice.pause_left(now));
+        pauses.min().filter(|pause| !pause.is_zero())
+    }
+
     /// Returns whether a server may receive the request, regardless of its load.
     fn is_eligible(
         &self,
@@ -340,7 +358,7 @@
         key: ServerKey,
         server: &Server,
     ) -> bool {
-        !server.backend.leaving
+        server.is_open(ctx.now)
             && !self.config.evacuated.contains(&server.backend.zone)
             && !request.tried.contains(&key)
             && server.health.is_available(ctx.now)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`cold`]: rate limit on requests to a cold server;
 //! * [`retry`]: retry budget of a service;
 //! * [`health`]: circuit breaker and error rate of a server;
+//! * [`notice`]: what a server announced in its responses;
 //! * [`pressure`]: overload of this router's event loop;
 //! * [`peers`]: reports from the other routers.
 
@@ -24,6 +25,7 @@
 pub mod event;
 pub mod fleet;
 pub mod health;
+pub mod notice;
 pub mod objects;
 pub mod params;
 pub mod peers;
--- a/crates/fleet/src/objects.rs
+++ b/crates/fleet/src/objects.rs
@@ -11,10 +11,30 @@
 use serde::{Deserialize, Serialize};
 
 /// Revision of a table in the store; increases with each change.
+///
+/// A store that was restored from an older copy gives out versions again, so the store's era forms
+/// the upper bits.
 #[id]
 #[derive(Default, Serialize, Deserialize)]
 pub struct Revision(pub u64);
 
+impl Revision {
+    /// Number of bits of the version.
+    const VERSION_BITS: u32 = 48;
+
+    /// Creates the revision of a version that the store gave out in an era.
+    #[must_use]
+    pub fn new(era: u16, version: u64) -> Self {
+        Self(u64::from(era) << Self::VERSION_BITS | version)
+    }
+
+    /// Returns the era: how many times the store was restored from a copy.
+    #[must_use]
+    pub fn era(self) -> u64 {
+        self.0 >> Self::VERSION_BITS
+    }
+}
+
 /// Whether a request may run more than once.
 #[id]
 #[derive(Serialize, Deserialize)]
@@ -196,6 +216,14 @@
 /// Registered servers by id.
 pub type Servers = BTreeMap<String, Backend>;
 
+impl Backend {
+    /// Returns whether this registration is of a server that started at `born`, as far as known.
+    #[must_use]
+    pub fn is_same_life(&self, born: u64) -> bool {
+        self.born != 0 && self.born == born
+    }
+}
+
 impl Deployment {
     /// Returns the route of a request: the one with the longest matching prefix for its host.
     #[must_use]
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -6,6 +6,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::engine::Server;
+use crate::notice::Notice;
 use crate::objects::{Backend, Revision, Servers};
 use crate::placement::name_hash;
 
@@ -27,9 +28,23 @@
     pub expired: Vec<String>,
 }
 
+/// Age from which a removed server is forgotten: far above the age of the copy from which a store
+/// is restored, and above the time in which a leaving server ends.
+const DEPARTED_TTL: Duration = Duration::from_secs(120);
+
+/// Server that was removed, in case its registration comes back from an older copy of the store.
+#[derive(Debug)]
+struct Departed {
+    born: u64,
+    sequence: u64,
+    notice: Notice,
+    removed_at: Instant,
+}
+
 /// Servers by key, id, hash and service.
 #[derive(Debug, Default)]
 pub struct Registry {
+    departed: BTreeMap<String, Departed>,
     servers: SlotMap<ServerKey, Server>,
     by_id: BTreeMap<String, ServerKey>,
     by_hash: BTreeMap<u32, ServerKey>,
@@ -105,9 +120,12 @@
     ) -> Changes {
         let mut changes = Changes::default();
         self.revision = revision;
+        self.departed
+            .retain(|_, d| now.saturating_duration_since(d.removed_at) < DEPARTED_TTL);
         for (id, backend) in servers {
             match self.by_id.get(id).copied() {
                 Some(key) => self.update(now, key, backend, &mut changes),
+                None if self.is_outdated(id, backend) => {}
                 None => {
                     self.insert(now, id, backend.clone());
                     changes.started.push(id.clone());
@@ -129,7 +147,7 @@
                 changes.expired.push(server.id.clone());
             } else if server.expired_at.is_none() {
                 changes.removed.push(server.id.clone());
-                self.remove(key);
+                self.depart(now, key);
             }
         }
         changes
@@ -150,16 +168,45 @@
             .into_iter()
             .filter_map(|key| {
                 let id = self.servers.get(key)?.id.clone();
-                self.remove(key);
+                self.depart(now, key);
                 Some(id)
             })
             .collect()
     }
 
+    /// Returns whether a registration is older than the last one of a removed server.
+    fn is_outdated(&self, id: &str, backend: &Backend) -> bool {
+        self.departed
+            .get(id)
+            .is_some_and(|d| backend.is_same_life(d.born) && backend.sequence <= d.sequence)
+    }
+
+    /// Removes a server that is no longer registered.
+    fn depart(&mut self, now: Instant, key: ServerKey) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let mut notice = server.notice;
+        notice.leaving |= server.backend.leaving;
+        let departed = Departed {
+            born: server.backend.born,
+            sequence: server.backend.sequence,
+            notice,
+            removed_at: now,
+        };
+        self.departed.insert(server.id.clone(), departed);
+        self.remove(key);
+    }
+
     fn insert(&mut self, now: Instant, id: &str, backend: Backend) {
         let hash = name_hash(id);
         let service = backend.service.clone();
-        let key = self.servers.insert(Server::new(id, hash, backend, now));
+        let mut server = Server::new(id, hash, backend, now);
+        let departed = self.departed.remove(id);
+        if let Some(departed) = departed.filter(|d| server.backend.is_same_life(d.born)) {
+            server.notice = departed.notice;
+        }
+        let key = self.servers.insert(server);
         self.by_id.insert(id.to_owned(), key);
         self.by_hash.insert(hash, key);
         self.by_service.entry(service).or_default().insert(key);
@@ -191,6 +238,10 @@
             changes.started.push(id);
             return;
         }
+        // From an older copy of the store.
+        if newest.is_same_life(old.born) && newest.sequence < old.sequence {
+            return;
+        }
         if newest.leaving && !old.leaving {
             changes.draining.push(server.id.clone());
         }
--- /dev/null
+++ b/crates/fleet/tests/all/store_restored.rs
@@ -0,0 +1,142 @@
+//! A store that comes back from a copy some seconds old and gives out versions again.
+
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::objects::{OperatorConfig, Repeat, Revision, Servers};
+use hibiscusrail_fleet::{Event, Fleet};
+
+use super::support::{self, PLAIN, backend, failure_reason, plain, sent_to};
+
+/// Time for which what a restored store lacks is kept; the parameter of the tests' routers.
+const GRACE: Duration = Duration::from_millis(2_500);
+
+fn config(version: u64, evacuated: &[&str]) -> OperatorConfig {
+    let mut config = support::config(evacuated);
+    config.deployment.as_mut().expect("there is one").version = version;
+    config
+}
+
+/// Returns a router that knows version 7 of the configuration and the servers, at version 100 of
+/// the store's first era.
+fn router(evacuated: &[&str], servers: Servers, now: Instant) -> Fleet {
+    let mut fleet = Fleet::new("r", 1, support::params(), now);
+    let revision = Revision::new(0, 100);
+    fleet.handle(now, Event::Config(revision, config(7, evacuated)));
+    fleet.handle(now, Event::Servers(revision, servers));
+    fleet
+}
+
+fn version(fleet: &Fleet) -> Option<u64> {
+    fleet.config().deployment.as_ref().map(|d| d.version)
+}
+
+/// Returns the registration of one plain server.
+fn one_server(id: &str, sequence: u64, leaving: bool) -> Servers {
+    let mut server = backend(PLAIN, 1);
+    server.sequence = sequence;
+    server.leaving = leaving;
+    Servers::from([(id.to_owned(), server)])
+}
+
+/// Returns the id of the server that a request at `now` is sent to.
+fn destination(fleet: &mut Fleet, key: u64, now: Instant) -> Option<String> {
+    let request = plain(key, Repeat::Idempotent, now);
+    let decisions = fleet.handle(now, Event::Submit(request));
+    assert!(sent_to(&decisions).is_some() || failure_reason(&decisions).is_some());
+    sent_to(&decisions).map(str::to_owned)
+}
+
+#[test]
+fn revision_new_era_is_newer() {
+    assert!(Revision::new(1, 3) > Revision::new(0, 100));
+    assert!(Revision::new(1, 4) > Revision::new(1, 3));
+    assert_eq!(Revision::new(3, 100).era(), 3);
+}
+
+#[test]
+fn config_older_copy_keeps_newest_version() {
+    let now = Instant::now();
+    let mut fleet = router(&[], support::servers(0), now);
+    fleet.handle(now, Event::Config(Revision::new(1, 90), config(6, &[])));
+    assert_eq!(version(&fleet), Some(7));
+    // Another row of the table changes before the operator writes the newest version again.
+    fleet.handle(now, Event::Config(Revision::new(1, 91), config(6, &["b"])));
+    assert_eq!(version(&fleet), Some(7));
+    assert!(fleet.config().evacuated.contains("b"));
+}
+
+#[test]
+fn config_version_given_out_again_is_applied() {
+    let now = Instant::now();
+    let mut fleet = router(&[], support::servers(0), now);
+    fleet.handle(now, Event::Config(Revision::new(1, 90), config(6, &[])));
+    fleet.handle(now, Event::Config(Revision::new(1, 95), config(9, &[])));
+    assert_eq!(version(&fleet), Some(9));
+}
+
+#[test]
+fn evacuation_missing_from_copy_is_kept_for_grace_period() {
+    let now = Instant::now();
+    let mut fleet = router(&["a"], support::servers(0), now);
+    fleet.handle(now, Event::Config(Revision::new(1, 90), config(7, &[])));
+    assert_eq!(destination(&mut fleet, 1, now), None);
+    fleet.handle(now + GRACE, Event::Tick);
+    assert!(destination(&mut fleet, 2, now + GRACE).is_some());
+}
+
+#[test]
+fn evacuation_written_again_stays() {
+    let now = Instant::now();
+    let mut fleet = router(&["a"], support::servers(0), now);
+    fleet.handle(now, Event::Config(Revision::new(1, 90), config(7, &[])));
+    fleet.handle(now, Event::Config(Revision::new(1, 92), config(7, &["a"])));
+    fleet.handle(now + GRACE, Event::Tick);
+    assert_eq!(destination(&mut fleet, 1, now + GRACE), None);
+    let revision = Revision::new(1, 99);
+    fleet.handle(now + GRACE, Event::Config(revision, config(7, &[])));
+    assert!(destination(&mut fleet, 2, now + GRACE).is_some());
+}
+
+#[test]
+fn servers_missing_from_copy_are_kept_for_grace_period() {
+    let now = Instant::now();
+    let mut fleet = router(&[], one_server("p", 5, false), now);
+    fleet.handle(now, Event::Servers(Revision::new(1, 90), Servers::new()));
+    assert_eq!(destination(&mut fleet, 1, now).as_deref(), Some("p"));
+    let later = now + GRACE + Duration::from_millis(1);
+    fleet.handle(later, Event::Tick);
+    assert_eq!(destination(&mut fleet, 2, later), None);
+}
+
+#[test]
+fn servers_leaving_in_no_copy_stay_leaving() {
+    let now = Instant::now();
+    let mut fleet = router(&[], one_server("p", 5, true), now);
+    let older = one_server("p", 4, false);
+    fleet.handle(now, Event::Servers(Revision::new(1, 90), older));
+    assert_eq!(destination(&mut fleet, 1, now), None);
+}
+
+#[test]
+fn servers_removed_before_restore_stay_removed() {
+    let now = Instant::now();
+    let mut fleet = router(&[], one_server("p", 5, false), now);
+    fleet.handle(now, Event::Servers(Revision::new(0, 101), Servers::new()));
+    let older = one_server("p", 4, false);
+    fleet.handle(now, Event::Servers(Revision::new(1, 90), older));
+    assert_eq!(destination(&mut fleet, 1, now), None);
+    // It registers again, so it is alive.
+    let newer = one_server("p", 6, false);
+    fleet.handle(now, Event::Servers(Revision::new(1, 91), newer));
+    assert_eq!(destination(&mut fleet, 2, now).as_deref(), Some("p"));
+}
+
+#[test]
+fn servers_drained_and_removed_before_restore_stay_leaving() {
+    let now = Instant::now();
+    let mut fleet = router(&[], one_server("p", 5, true), now);
+    fleet.handle(now, Event::Servers(Revision::new(0, 101), Servers::new()));
+    let newer = one_server("p", 6, false);
+    fleet.handle(now, Event::Servers(Revision::new(1, 90), newer));
+    assert_eq!(destination(&mut fleet, 1, now), None);
+}
--- a/crates/front/src/protocol.rs
+++ b/crates/front/src/protocol.rs
@@ -22,6 +22,8 @@
     pub kv_source: HeaderName,
     /// Present in a response if the server did not run the request.
     pub not_run: HeaderName,
+    /// Present in the responses of a server that is leaving.
+    pub leaving: HeaderName,
     /// Headers that only the router may set; a caller's are dropped.
     pub reserved: Vec<HeaderName>,
     /// Path of the readiness probe.
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -9,6 +9,7 @@
 use futures_channel::mpsc;
 use hibiscusrail_core::Clock;
 use hibiscusrail_fleet::event::{Execution, Inputs, Reason};
+use hibiscusrail_fleet::registry::ServerKey;
 use hibiscusrail_fleet::{Decision, Event, Fleet, RequestKey};
 use hibiscusrail_net::pool::Pool;
 use hibiscusrail_net::{Connections, OwnedConnection};
@@ -25,6 +26,8 @@
 /// The server that an attempt is sent to.
 #[derive(Debug, Clone)]
 pub struct Target {
+    /// Key of the server in the reducer.
+    pub server: ServerKey,
     /// Id of the server.
     pub id: String,
     /// Address where the server receives requests.
@@ -230,16 +233,17 @@
             match decision {
                 Decision::Send {
                     request,
+                    server,
                     id,
                     address,
                     source,
                     expected,
                     inputs,
-                    ..
                 } => {
                     log_send(request, &id, expected, &inputs);
                     self.metrics.attempt_sent();
                     step = Some(NextStep::Send(Target {
+                        server,
                         id,
                         address,
                         source,
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -8,10 +8,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use hibiscusrail_fleet::{Fleet, Outcome};
+use hibiscusrail_fleet::{Event, Fleet, Outcome};
 use hibiscusrail_net::sse::Splitter;
 use hibiscusrail_net::{Body, OwnedConnection, connect_owned, headers};
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
@@ -20,6 +20,8 @@
 
 /// Timeout of connecting to a server; a lost first packet is retransmitted only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause for a server whose `Retry-After` is not a number of seconds.
+const UNREADABLE_PAUSE: Duration = Duration::from_secs(1);
 /// Maximum size of a non-streaming response in bytes; services send no larger ones.
 const MAX_FULL_BYTES: usize = 8 << 20;
 
@@ -137,6 +139,7 @@
         return Err(Outcome::Silent.into());
     };
     let (connection, response) = sent?;
+    read_notices(shell, target, response.headers(), response.status());
     check_head(shell, plan, response.headers(), response.status())?;
     let is_stream = plan.stream && response.status().is_success();
     if is_stream {
@@ -167,6 +170,11 @@
 ) -> Result<(OwnedConnection, Response<Incoming>), AttemptError> {
     let protocol = shell.protocol();
     let build = || plan.outgoing.build(protocol, target, resume, shell.now());
+    // The server may have announced its end since it was chosen, most of all while connecting.
+    let may_send = || shell.with_fleet(|f| f.may_send(shell.now(), target.server));
+    if !may_send() {
+        return Err(Outcome::Withdrawn.into());
+    }
     if plan.retryable
         && let Some(mut connection) = shell.pool().take(target.address, shell.now())
     {
@@ -187,6 +195,9 @@
             return Err(Outcome::Unreachable.into());
         }
     };
+    if !may_send() {
+        return Err(Outcome::Withdrawn.into());
+    }
     let response = send_on(&mut connection, build()).await?;
     Ok((connection, response))
 }
@@ -205,6 +216,37 @@
         })
 }
 
+/// Tells the reducer what a response's head says of its server.
+fn read_notices(shell: &Shell, target: &Target, headers: &HeaderMap, status: StatusCode) {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        // Another server has the address.
+        return;
+    }
+    if headers.contains_key(&shell.protocol().leaving) {
+        shell.handle(Event::ServerLeaving(target.server));
+    }
+    let value = headers.get(header::RETRY_AFTER);
+    if let Some(value) = value.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
+        let pause = parse_pause(value).unwrap_or_else(|| {
+            log::warn!(
+                step = "retry_after",
+                peer:% = target.address,
+                server = target.id.as_str(),
+                value:? = value;
+                "header_rejected"
+            );
+            UNREADABLE_PAUSE
+        });
+        shell.handle(Event::ServerThrottled(target.server, pause));
+    }
+}
+
+/// Parses the seconds of a `Retry-After` header, with or without a fraction.
+fn parse_pause(value: &HeaderValue) -> Option<Duration> {
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Checks that a head belongs to this request and comes from a server that ran it.
 fn check_head(
     shell: &Shell,
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -8,7 +8,7 @@
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::Event;
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
@@ -36,6 +36,8 @@
 const WATCHING_ROUTERS_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval of reading the routers' rows, for a router that does not follow the store.
 const ROUTERS_INTERVAL: Duration = Duration::from_secs(15);
+/// Time after the restore of the store in which all routers read their rows and write them again.
+const REWRITE_TIME: Duration = Duration::from_secs(30);
 /// Interval of reading the routers' rows, for any router during [`STARTUP_TIME`].
 const STARTUP_ROUTERS_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after the start in which other routers may still register.
@@ -78,7 +80,7 @@
     async fn servers(&self, wait: Duration) -> Result<TableRead<Servers>, StoreError>;
 
     /// Returns the rows of the routers.
-    async fn routers(&self) -> Result<Vec<Registration>, StoreError>;
+    async fn routers(&self) -> Result<TableRead<Vec<Registration>>, StoreError>;
 
     /// Writes a router's row.
     async fn register(&self, row: &Registration) -> Result<(), StoreError>;
@@ -188,6 +190,7 @@
     let mut link = StoreLink::new("routers");
     let mut renewed = None;
     let started = shell.now();
+    let mut table = RouterTable::default();
     loop {
         let now = shell.now();
         let due = renewed.is_none_or(|at| now.saturating_duration_since(at) >= REGISTER_INTERVAL);
@@ -199,9 +202,14 @@
             }
             renewed = Some(now);
         }
-        if let Some(rows) = link.call(&shell, RESPONSE_TIMEOUT, store.routers()).await {
-            apply_routers(&shell, &peers, rows);
+        if let Some(read) = link.call(&shell, RESPONSE_TIMEOUT, store.routers()).await {
             let now = shell.now();
+            if table.update(now, read) {
+                log::warn!(step = "routers", era = table.era; "store_restored");
+                // This router's row may be missing from the copy.
+                renewed = None;
+            }
+            apply_routers(&shell, &peers, &table.rows);
             let pause = if now.saturating_duration_since(started) < STARTUP_TIME {
                 STARTUP_ROUTERS_INTERVAL
             } else if shell.with_fleet(|f| f.reads_store(now)) {
@@ -224,18 +232,51 @@
     }
 }
 
-fn apply_routers(shell: &Shell, peers: &Peers, rows: Vec<Registration>) {
+/// The routers' rows, with those that a restored store lacks until their routers write them again.
+#[derive(Debug, Default)]
+pub struct RouterTable {
+    /// Rows by the name of the router.
+    pub rows: BTreeMap<String, Registration>,
+    /// Era of the store when the rows were last read.
+    pub era: u64,
+    /// Until when missing rows are kept.
+    kept_until: Option<Instant>,
+}
+
+impl RouterTable {
+    /// Applies the rows as read from the store; returns whether the store was restored meanwhile.
+    ///
+    /// Limits are divided by the number of routers, so a router must not be missed for the time in
+    /// which only its row is lost.
+    pub fn update(&mut self, now: Instant, read: TableRead<Vec<Registration>>) -> bool {
+        let era = read.revision.era();
+        let restored = era != self.era && !self.rows.is_empty();
+        self.era = era;
+        if restored {
+            self.kept_until = Some(now + REWRITE_TIME);
+        }
+        if self.kept_until.is_none_or(|until| now >= until) {
+            self.rows.clear();
+        }
+        let rows = read.value.unwrap_or_default();
+        self.rows
+            .extend(rows.into_iter().map(|r| (r.name.clone(), r)));
+        restored
+    }
+}
+
+fn apply_routers(shell: &Shell, peers: &Peers, rows: &BTreeMap<String, Registration>) {
     let now = shell.epoch_ms();
     let ttl = millis(ROW_TTL);
     let live: BTreeMap<String, PeerLocation> = rows
-        .into_iter()
+        .values()
         .filter(|r| now.saturating_sub(r.renewed) <= ttl)
         .map(|r| {
             let location = PeerLocation {
                 address: r.address,
-                zone: r.zone,
+                zone: r.zone.clone(),
             };
-            (r.name, location)
+            (r.name.clone(), location)
         })
         .collect();
     shell.handle(Event::Members(live.keys().cloned().collect()));
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod notices;
 mod requests;
 mod streams;
 mod support;
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -163,6 +163,7 @@
         expect_server: HeaderName::from_static("x-server"),
         kv_source: HeaderName::from_static("x-copy-from"),
         not_run: HeaderName::from_static("x-not-run"),
+        leaving: HeaderName::from_static("x-leaving"),
         reserved: vec![HeaderName::from_static("x-internal")],
         ready_path: "/ready",
         prompt: |_| Some(Prompt::default()),
