fleet: count the prefill of a prefix that no engine has cached

Cause: the first home of a prefix that no engine was known to have was treated as if it had it. Its prefill of thousands of tokens was missing from the expected time, from the engine's reported load and from its prefill fraction.

Now the first home is preferred, but the prefix is not counted as cached there. Other engines than the preferred ones carry a penalty for the copy they make. The log line of a placement says how much of the prefix was known to be cached.

Ruled out: that the engines still had those prefixes and only this router's model of their caches had dropped them; then the first byte would have come early.

Test: submit_wave_of_uncached_prefixes_is_refused_beyond_prefill_in_time failed before (all 40 requests were sent to two engines).

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -106,6 +106,8 @@
     pub prefill_tokens: u32,
     /// Tokens of the prompt's shared prefix.
     pub shared: u32,
+    /// Tokens of the prompt's shared prefix that the server is known to have cached.
+    pub cached: u32,
     /// Whether the server is a preferred server for the prompt's shared prefix.
     pub preferred: bool,
     /// Tokens of the prompt whose KV cache the server transfers from another engine.
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -44,6 +44,8 @@
 const TRANSFER_PENALTY: Duration = Duration::from_millis(20);
 /// Score penalty of a KV cache transfer between zones, over links that are shared and billed.
 const CROSS_ZONE_TRANSFER_PENALTY: Duration = Duration::from_millis(40);
+/// Score penalty of an engine that would cache another copy of the prefix: it evicts others.
+const COPY_PENALTY: Duration = Duration::from_millis(50);
 /// Score penalty at an error rate of 1.
 const ERROR_PENALTY: Duration = Duration::from_millis(2_000);
 /// Score penalty of a server in another zone: the round trip between zones, and billed traffic.
@@ -335,7 +337,6 @@
             if let Some(preferred) = warm.max_by_key(|e| e.rank) {
                 preferred.preferred = true;
                 preferred.source = None;
-                preferred.cached = prefix_tokens;
             }
         }
         eligible
@@ -436,6 +437,7 @@
             running: load.running,
             prefill_tokens,
             shared: ctx.shared,
+            cached: eligible.cached,
             preferred: eligible.preferred,
             transferred,
             slots_used,
@@ -472,6 +474,9 @@
         score += inputs.token_interval * INTERVAL_PENALTY_TOKENS;
         score += ERROR_PENALTY.mul_f64(server.health.error_rate());
         score += self.jitter(ctx, server);
+        if ctx.prompt.is_some() && !eligible.preferred {
+            score += COPY_PENALTY;
+        }
         let crowding =
             ((inputs.slots_used - CROWDING_THRESHOLD) / (1.0 - CROWDING_THRESHOLD)).max(0.0);
         score += CROWDING_PENALTY.mul_f64(crowding * crowding);
--- a/crates/fleet/tests/all/placement.rs
+++ b/crates/fleet/tests/all/placement.rs
@@ -107,3 +107,18 @@
     }
     assert!(engines.len() > 2, "the prefix stayed at {engines:?}");
 }
+
+/// Pattern: after a restart of the engines, or in the morning, no prefix is cached anywhere.
+#[test]
+fn submit_wave_of_uncached_prefixes_is_refused_beyond_prefill_in_time() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 2, now);
+    let mut sent = 0;
+    for key in 0..40 {
+        let request = submission(key, key, prompt(key, 100), now);
+        let decisions = fleet.handle(now, Event::Submit(request));
+        sent += u32::from(sent_to(&decisions).is_some());
+    }
+    // An engine prefills 5,100 tokens in 93 ms, and requests start within 0.7 s.
+    assert!((10..=16).contains(&sent), "{sent} requests were sent");
+}
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -286,6 +286,7 @@
         running = inputs.running,
         read = inputs.prefill_tokens,
         shared = inputs.shared,
+        cached = inputs.cached,
         reading = inputs.prefill_fraction,
         pace_us = micros(inputs.token_interval),
         home = inputs.preferred,
