Wait for a silent server if the request can't be sent elsewhere

Now a silence ends an attempt only while the request may go to another server. Otherwise it counts against the server's health, and the router waits on.

Ruled out: that the engine broke the stream off (its run ends 1 ms before the caller's connection, with our close), and the change of the configuration (its route was not touched).

Tests that failed before: streams::stream_silent_at_last_server_is_not_cut, answers::response_late_from_last_server_is_delivered. stream_silent_is_resumed_while_servers_are_left holds the other side.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -143,6 +143,8 @@
         source: Option<SocketAddr>,
         /// Expected time to the first byte, from now.
         expected: Duration,
+        /// Whether the request may be sent to another server if this one is silent.
+        replaceable: bool,
         /// State on which the choice was based.
         inputs: Inputs,
     },
@@ -188,6 +190,8 @@
     },
     /// An attempt ended.
     Ended(RequestKey, Outcome),
+    /// A server has been silent for longer than expected on a request that still waits for it.
+    ServerSilent(ServerKey),
     /// A server's response says that it is leaving.
     ServerLeaving(ServerKey),
     /// A server that turned a request away asked for a pause of this length.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -67,6 +67,19 @@
     execution: Execution,
 }
 
+impl Request {
+    /// Returns whether the request may be sent again after it may have run.
+    fn may_repeat(&self) -> bool {
+        let submission = &self.submission;
+        submission.resumable || (!self.started && submission.repeat == Repeat::Idempotent)
+    }
+
+    /// Returns whether the request may be sent to a further server.
+    fn has_attempts(&self) -> bool {
+        self.attempts < self.submission.max_attempts && self.tried.len() < MAX_TRIED
+    }
+}
+
 /// Tokens of a workspace at this router since the router started.
 #[derive(Debug, Default)]
 struct WorkspaceTotal {
@@ -222,6 +235,7 @@
                 self.stream_progressed(now, key, gap, tokens);
             }
             Event::Ended(key, outcome) => self.attempt_ended(now, key, outcome),
+            Event::ServerSilent(server) => self.record_outcome(now, server, Outcome::Silent),
             Event::ServerLeaving(server) => self.server_leaving(server),
             Event::ServerThrottled(server, pause) => self.server_throttled(now, server, pause),
             Event::Config(revision, config) => self.apply_config(now, revision, config),
@@ -581,18 +595,11 @@
             outcome,
             Outcome::Unreachable | Outcome::Withdrawn | Outcome::NotRun | Outcome::Misdirected
         );
-        let retryable = match (request.started, not_run) {
-            (true, _) => submission.resumable,
-            (false, true) => true,
-            (false, false) => submission.resumable || submission.repeat == Repeat::Idempotent,
-        };
+        let retryable = request.may_repeat() || (not_run && !request.started);
         if now >= submission.deadline {
             return self.fail_request(key, Reason::Expired, Duration::ZERO);
         }
-        if !retryable
-            || request.attempts >= submission.max_attempts
-            || request.tried.len() >= MAX_TRIED
-        {
+        if !retryable || !request.has_attempts() {
             return self.fail_request(key, Reason::Exhausted, choice::SHORT_RETRY_AFTER);
         }
         if request.attempts > 0 {
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -555,6 +555,7 @@
         request.tried.push(candidate.key);
         request.attempts += 1;
         let first = request.tried.len() == 1;
+        let replaceable = request.may_repeat() && request.has_attempts();
         self.decisions.push(Decision::Send {
             request: key,
             server: candidate.key,
@@ -562,6 +563,7 @@
             address: server.backend.address,
             source: candidate.source,
             expected: candidate.inputs.first_byte,
+            replaceable,
             inputs: candidate.inputs,
         });
         if let (true, Some(workspace), Some(prompt)) = (
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -36,6 +36,8 @@
     pub source: Option<SocketAddr>,
     /// Expected time to first byte, from the decision on.
     pub expected: Duration,
+    /// Whether the request may be sent to another server if this one is silent.
+    pub replaceable: bool,
 }
 
 /// Final failure of a request.
@@ -238,6 +240,7 @@
                     address,
                     source,
                     expected,
+                    replaceable,
                     inputs,
                 } => {
                     log_send(request, &id, expected, &inputs);
@@ -248,6 +251,7 @@
                         address,
                         source,
                         expected,
+                        replaceable,
                     }));
                 }
                 Decision::Fail {
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -4,10 +4,12 @@
 //! returned once it is complete, a stream once its first event has arrived.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use hibiscusrail_fleet::registry::ServerKey;
 use hibiscusrail_fleet::{Event, Fleet, Outcome};
 use hibiscusrail_net::sse::Splitter;
 use hibiscusrail_net::{Body, OwnedConnection, connect_owned, headers};
@@ -98,8 +100,7 @@
     connection: OwnedConnection,
     body: Incoming,
     splitter: Splitter,
-    read_timeout: Option<Duration>,
-    deadline: Instant,
+    patience: Patience,
     /// Id of the last event returned.
     pub last_id: Option<u64>,
     /// When the last events arrived; at first, when the response began.
@@ -133,12 +134,10 @@
     target: &Target,
     resume: Option<u64>,
 ) -> Result<Reply, AttemptError> {
-    let timeout = head_timeout(shell, plan, target);
+    let patience = Patience::new(plan, target);
     let sending = send(shell, plan, target, resume);
-    let Ok(sent) = compio::time::timeout(timeout, sending).await else {
-        return Err(Outcome::Silent.into());
-    };
-    let (connection, response) = sent?;
+    let sent = patience.wait(shell, target.expected * 2, sending).await;
+    let (connection, response) = sent.ok_or(Outcome::Silent)??;
     read_notices(shell, target, response.headers(), response.status());
     check_head(shell, plan, response.headers(), response.status())?;
     let is_stream = plan.stream && response.status().is_success();
@@ -149,17 +148,55 @@
     }
 }
 
-/// Returns the timeout for the head of the response: twice its expected time and the read timeout.
-fn head_timeout(shell: &Shell, plan: &Plan, target: &Target) -> Duration {
-    let read_timeout = plan.read_timeout.map(|p| target.expected * 2 + p);
-    adjusted_timeout(shell, plan.outgoing.remaining(shell.now()), read_timeout)
+/// How long an attempt waits for bytes of its server.
+///
+/// A silent server is given up only if the request may be sent to another one. Otherwise it may
+/// still answer in time, so its silence only counts against its health.
+#[derive(Debug, Clone, Copy)]
+struct Patience {
+    server: ServerKey,
+    replaceable: bool,
+    read_timeout: Option<Duration>,
+    deadline: Instant,
 }
 
-/// Returns the timeout for bytes of a server: the time `remaining` or, if shorter, `limit` plus
-/// twice the event loop lag, because a busy router may not have read yet what has arrived.
-fn adjusted_timeout(shell: &Shell, remaining: Duration, limit: Option<Duration>) -> Duration {
-    let allowance = shell.with_fleet(Fleet::loop_lag) * 2;
-    limit.map_or(remaining, |l| remaining.min(l + allowance))
+impl Patience {
+    fn new(plan: &Plan, target: &Target) -> Self {
+        Self {
+            server: target.server,
+            replaceable: target.replaceable,
+            read_timeout: plan.read_timeout,
+            deadline: plan.outgoing.deadline,
+        }
+    }
+
+    /// Waits for `reading`, which is expected to take `expected`; none if the time is over.
+    async fn wait<T>(
+        &self,
+        shell: &Shell,
+        expected: Duration,
+        reading: impl Future<Output = T>,
+    ) -> Option<T> {
+        let mut reading = pin!(reading);
+        // A busy router may not have read yet what has arrived.
+        let allowance = shell.with_fleet(Fleet::loop_lag) * 2;
+        let limit = self.read_timeout.map(|t| t + expected + allowance);
+        if let Some(limit) = limit.filter(|l| *l < self.remaining(shell)) {
+            if let Ok(value) = compio::time::timeout(limit, reading.as_mut()).await {
+                return Some(value);
+            }
+            if self.replaceable {
+                return None;
+            }
+            shell.handle(Event::ServerSilent(self.server));
+        }
+        let rest = compio::time::timeout(self.remaining(shell), reading).await;
+        rest.ok()
+    }
+
+    fn remaining(&self, shell: &Shell) -> Duration {
+        self.deadline.saturating_duration_since(shell.now())
+    }
 }
 
 async fn send(
@@ -277,16 +314,12 @@
     response: Response<Incoming>,
 ) -> Result<Reply, AttemptError> {
     let (parts, body) = response.into_parts();
-    let timeout = adjusted_timeout(
-        shell,
-        plan.outgoing.remaining(shell.now()),
-        plan.read_timeout,
-    );
     let collecting = Limited::new(body, MAX_FULL_BYTES).collect();
-    let collected = match compio::time::timeout(timeout, collecting).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(_)) => return Err(Outcome::Broken.into()),
-        Err(_) => return Err(Outcome::Silent.into()),
+    let patience = Patience::new(plan, target);
+    let collected = match patience.wait(shell, Duration::ZERO, collecting).await {
+        Some(Ok(collected)) => collected.to_bytes(),
+        Some(Err(_)) => return Err(Outcome::Broken.into()),
+        None => return Err(Outcome::Silent.into()),
     };
     return_to_pool(shell, target.address, connection);
     let response = FullResponse {
@@ -339,8 +372,7 @@
         connection,
         body,
         splitter: Splitter::new(),
-        read_timeout: plan.read_timeout,
-        deadline: plan.outgoing.deadline,
+        patience: Patience::new(plan, target),
         last_id: resume,
         last_arrival: shell.now(),
     };
@@ -365,14 +397,15 @@
     /// Returns how the stream broke.
     pub async fn next(&mut self, shell: &Shell) -> Result<StreamItem, AttemptError> {
         loop {
-            let remaining = self.deadline.saturating_duration_since(shell.now());
-            let timeout = adjusted_timeout(shell, remaining, self.read_timeout);
-            let frame = match compio::time::timeout(timeout, self.body.frame()).await {
-                Err(_) => return Err(Outcome::Silent.into()),
-                Ok(Some(Err(_))) => return Err(Outcome::Broken.into()),
-                Ok(None) if self.splitter.pending_bytes() > 0 => return Err(Outcome::Broken.into()),
-                Ok(None) => return Ok(StreamItem::End),
-                Ok(Some(Ok(frame))) => frame,
+            let reading = self.body.frame();
+            let frame = match self.patience.wait(shell, Duration::ZERO, reading).await {
+                None => return Err(Outcome::Silent.into()),
+                Some(Some(Err(_))) => return Err(Outcome::Broken.into()),
+                Some(None) if self.splitter.pending_bytes() > 0 => {
+                    return Err(Outcome::Broken.into());
+                }
+                Some(None) => return Ok(StreamItem::End),
+                Some(Some(Ok(frame))) => frame,
             };
             let Ok(data) = frame.into_data() else {
                 continue;
--- a/crates/front/tests/all/answers.rs
+++ b/crates/front/tests/all/answers.rs
@@ -135,3 +135,15 @@
         }
     });
 }
+
+#[test]
+fn response_late_from_last_server_is_delivered() {
+    run(async {
+        let late = Act::Pause(String::new(), full_response("200 OK", "late"));
+        let server = Server::start(vec![late]);
+        let front = Front::start(&[&server, &server]);
+        let response = front.call("/again/x", "").await;
+        assert_eq!(status(&response), 200, "{response}");
+        assert_eq!(server.received().len(), 2, "both attempts were silent");
+    });
+}
--- a/crates/front/tests/all/streams.rs
+++ b/crates/front/tests/all/streams.rs
@@ -85,3 +85,40 @@
         assert_eq!(status(&response), 502);
     });
 }
+
+#[test]
+fn stream_silent_at_last_server_is_not_cut() {
+    run(async {
+        let broken = STREAM_HEAD.to_owned() + &chunk(&event(1));
+        let first = Server::start(vec![Act::Close(broken)]);
+        let pause = Act::Pause(
+            STREAM_HEAD.to_owned() + &chunk(&event(2)),
+            chunk(&event(3)) + STREAM_END,
+        );
+        let second = Server::start(vec![pause.clone(), pause]);
+        let front = Front::start(&[&first, &second]);
+        let mut response = front.call("/resume/x", "").await;
+        if first.received().is_empty() {
+            // The first request went to the other server.
+            response = front.call("/resume/x", "").await;
+        }
+        assert!(response.contains(&event(3)), "{response}");
+        assert!(response.ends_with(STREAM_END), "{response}");
+    });
+}
+
+#[test]
+fn stream_silent_is_resumed_while_servers_are_left() {
+    run(async {
+        let silent = Act::Hang(STREAM_HEAD.to_owned() + &chunk(&event(1)));
+        let whole = Act::Write(STREAM_HEAD.to_owned() + &chunk(&event(2)) + STREAM_END);
+        let servers = [Server::start(vec![silent]), Server::start(vec![whole])];
+        let front = Front::start(&[&servers[0], &servers[1]]);
+        let mut response = front.call("/resume/x", "").await;
+        if servers[0].received().is_empty() {
+            response = front.call("/resume/x", "").await;
+        }
+        assert!(response.ends_with(STREAM_END), "{response}");
+        assert_eq!(servers[0].disconnects(), 1);
+    });
+}
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -26,6 +26,9 @@
 /// Timeout of every wait in these tests.
 pub const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Silence of [`Act::Pause`]: longer than the read timeout of a request to these routes.
+const SILENCE: Duration = Duration::from_millis(900);
+
 /// How a stand-in server handles one request.
 #[derive(Clone)]
 pub enum Act {
@@ -33,6 +36,8 @@
     Write(String),
     /// Like [`Act::Write`], then closes the connection.
     Close(String),
+    /// Writes the first text, and the second one after a silence longer than the read timeout.
+    Pause(String, String),
     /// Like [`Act::Write`], then sends nothing until the router closes the connection.
     Hang(String),
 }
@@ -80,11 +85,17 @@
             self.received.borrow_mut().push(head);
             let act = acts[next.get().min(acts.len() - 1)].clone();
             next.set(next.get() + 1);
-            let (Act::Write(text) | Act::Close(text) | Act::Hang(text)) = &act;
+            let (Act::Write(text) | Act::Close(text) | Act::Hang(text) | Act::Pause(text, _)) =
+                &act;
             let bytes = text.replace("{id}", &id).into_bytes();
-            let BufResult(written, _) = stream.write_all(bytes).await;
+            let BufResult(mut written, _) = stream.write_all(bytes).await;
+            if let Act::Pause(_, rest) = &act {
+                compio::time::sleep(SILENCE).await;
+                let bytes = rest.replace("{id}", &id).into_bytes();
+                written = stream.write_all(bytes).await.0;
+            }
             match (written, act) {
-                (Ok(()), Act::Write(_)) => {}
+                (Ok(()), Act::Write(_) | Act::Pause(..)) => {}
                 (Ok(()), Act::Hang(_)) => {
                     let BufResult(read, _) = stream.read(vec![0; 1]).await;
                     if matches!(read, Ok(0) | Err(_)) {
