fleet: let refused callers come back before their target

Cause: a workspace over its share was told to come back after a quarter of the quota window, a second, and others after half a second where no engine had room. Callers come back once or a few times within their time, and the target counts from their first attempt: whoever did as told came late even if served at once, and the late answers took the engines' time from fresh requests. Over the share a place may be free at any moment, so a later return has no better chance.

Now both are told to come back after three tenths of the time to the target, unless an engine is known to need longer.

Test: overload::submit_wave_over_share_may_come_back_before_target failed before (1 s, the whole target).

--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -29,8 +29,9 @@
 const MAX_INTERVAL_FACTOR: u32 = 2;
 /// Number of token intervals added to the score of an engine.
 const INTERVAL_PENALTY_TOKENS: u32 = 25;
-/// Retry delay while all engines are at their limits.
-const BUSY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Fraction of the time to its target after which a caller is told to come back, if it is unknown
+/// when there is capacity: its request can then still start in time.
+const RETRY_TARGET_FRACTION: f64 = 0.3;
 /// Extra weight of a request's own prefill in the score: it takes engine time from all requests.
 const PREFILL_WEIGHT: f64 = 2.0;
 /// Range of the score jitter in large deployments: routers that learn late of each other's choices
@@ -253,6 +254,8 @@
                 },
             );
         };
+        let target = request.submission.target.saturating_duration_since(now);
+        let retry_after = target.mul_f64(RETRY_TARGET_FRACTION);
         let refusal = |wait: Duration| {
             Box::new(Refusal {
                 reason: match share {
@@ -261,13 +264,13 @@
                 },
                 retry_after: match share {
                     ShareStatus::Within => wait,
-                    ShareStatus::Beyond { .. } => wait.max(self.params.quota_window / 4),
+                    ShareStatus::Beyond { .. } => wait.max(retry_after),
                 },
                 inputs: Some(inputs),
             })
         };
         let Some(soonest) = candidates.soonest else {
-            return Err(refusal(BUSY_RETRY_AFTER));
+            return Err(refusal(retry_after));
         };
         let wait = (soonest.inputs.first_byte - allowed).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         Err(refusal(wait))
--- a/crates/fleet/tests/all/overload.rs
+++ b/crates/fleet/tests/all/overload.rs
@@ -19,6 +19,15 @@
     Vec::new()
 }
 
+/// Returns the retry delay of a refused request.
+fn retry_after(decisions: &[Decision]) -> Duration {
+    let wait = decisions.iter().find_map(|d| match d {
+        Decision::Fail { retry_after, .. } => Some(*retry_after),
+        _ => None,
+    });
+    wait.expect("the request is refused")
+}
+
 #[test]
 fn submit_flood_does_not_block_other_workspace() {
     let now = Instant::now();
@@ -42,14 +51,25 @@
     let now = Instant::now();
     let mut fleet = support::router("r", 2, now);
     let refused = flood(&mut fleet, 1, now);
-    let wait = refused.iter().find_map(|d| match d {
-        Decision::Fail { retry_after, .. } => Some(*retry_after),
-        _ => None,
-    });
-    let wait = wait.expect("the flood is refused");
+    let wait = retry_after(&refused);
     assert!(wait >= Duration::from_millis(200) && wait <= Duration::from_secs(3));
 }
 
+/// Pattern: a wave of one workspace over its share. A caller who comes back when told to must still
+/// be able to receive the answer in time, as there is room again at any moment.
+#[test]
+fn submit_wave_over_share_may_come_back_before_target() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 4, now);
+    let other = submission(1, 2, prompt(5_000, 500), now);
+    fleet.handle(now, Event::Submit(other));
+    let refused = flood(&mut fleet, 1, now);
+    assert_eq!(failure_reason(&refused), Some(Reason::OverShare));
+    let wait = retry_after(&refused);
+    let target = Duration::from_secs(1);
+    assert!(wait < target.mul_f64(0.4), "{wait:?}");
+}
+
 #[test]
 fn submit_longest_prompt_starts_on_idle_engine() {
     let now = Instant::now();
