Close callers' idle connections when the operator's configuration says

Cause: `limits.idle` was decoded and used nowhere; the router closed idle connections after a constant of 15 s, whatever callers are told. Callers reuse a connection up to four fifths of the configured time, so with a longer one they sent requests into connections being closed.

The listener takes the configured time for connections that are accepted after the configuration is known. Heads that come slowly count against it as before.

Tests: callers::connection_idle_longer_than_configured_is_closed failed before; streams::stream_resumed_by_caller_goes_on_after_its_last_event holds what already worked: a caller's own Last-Event-Id reaches every server that is tried.

--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -225,7 +225,11 @@
 
     /// Passes an event to the reducer and returns the decision on a request, if there is one.
     pub fn handle(&self, event: Event) -> Option<NextStep> {
+        let is_config = matches!(event, Event::Config(..));
         let decisions = self.fleet.borrow_mut().handle(self.now(), event);
+        if is_config && let Some(deployment) = &self.fleet.borrow().config().deployment {
+            self.connections.set_head_timeout(deployment.limits.idle);
+        }
         if self.fleet.borrow().has_incremental_report() {
             // If the channel is full, a report is already due.
             let _ = self.report_tx.borrow_mut().try_send(());
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -27,7 +27,8 @@
 const EXIT_ABORTED: u8 = 3;
 /// Maximum size of a request head in bytes; larger ones are refused by the parser.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Timeout for the next request head on a connection, including its idle time.
+/// Timeout for the next request head on a connection, including its idle time, until the operator
+/// configuration is known.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time without progress after which the connection of a caller that does not read is closed.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/front/tests/all/callers.rs
+++ b/crates/front/tests/all/callers.rs
@@ -1,11 +1,15 @@
-//! Callers that disconnect, and connections over the limit.
+//! Callers that disconnect or stay idle, and connections over the limit.
+
+use std::time::Duration;
 
 use compio::BufResult;
 use compio::io::AsyncWriteExt;
 use compio::net::TcpStream;
+use hibiscusrail_fleet::Event;
+use hibiscusrail_fleet::objects::Revision;
 
 use super::support::{
-    Act, Front, STREAM_HEAD, Server, chunk, full_response, header, read_all, run, status,
+    Act, Front, STREAM_HEAD, Server, TIMEOUT, chunk, full_response, header, read_all, run, status,
     wait_until,
 };
 
@@ -55,3 +59,21 @@
         assert!(server.received().is_empty());
     });
 }
+
+#[test]
+fn connection_idle_longer_than_configured_is_closed() {
+    run(async {
+        let front = Front::start(&[]);
+        let (revision, mut config) = front
+            .shell
+            .with_fleet(|f| (f.config_revision(), f.config().clone()));
+        let deployment = config.deployment.as_mut().expect("there is one");
+        deployment.limits.idle = Duration::from_millis(200);
+        let revision = Revision(revision.0 + 1);
+        front.shell.handle(Event::Config(revision, config));
+        let mut caller = TcpStream::connect(front.address).await.expect("it listens");
+        compio::time::timeout(TIMEOUT, read_all(&mut caller))
+            .await
+            .expect("the router closes the connection");
+    });
+}
--- a/crates/front/tests/all/streams.rs
+++ b/crates/front/tests/all/streams.rs
@@ -122,3 +122,24 @@
         assert_eq!(servers[0].disconnects(), 1);
     });
 }
+
+#[test]
+fn stream_resumed_by_caller_goes_on_after_its_last_event() {
+    run(async {
+        let broken = Act::Close(STREAM_HEAD.to_owned());
+        let whole = Act::Write(STREAM_HEAD.to_owned() + &chunk(&event(8)) + STREAM_END);
+        let server = Server::start(vec![broken, whole]);
+        let front = Front::start(&[&server, &server]);
+        let response = front.call("/resume/x", "last-event-id: 7\r\n").await;
+        assert!(response.ends_with(STREAM_END), "{response}");
+        let received = server.received();
+        assert_eq!(
+            received.len(),
+            2,
+            "the first server broke off before any event"
+        );
+        for request in received {
+            assert_eq!(header(&request, "last-event-id").as_deref(), Some("7"));
+        }
+    });
+}
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -103,6 +103,8 @@
 pub struct Connections {
     open: Cell<usize>,
     refused: Cell<usize>,
+    /// Replaces the head timeout of the listener's limits for new connections.
+    head_timeout: Cell<Option<Duration>>,
     close: Cell<Option<oneshot::Sender<()>>>,
     closing: Shared<oneshot::Receiver<()>>,
     refuse: Option<RefusalHandler>,
@@ -132,6 +134,7 @@
         Self {
             open: Cell::new(0),
             refused: Cell::new(0),
+            head_timeout: Cell::new(None),
             close: Cell::new(Some(close)),
             closing: closing.shared(),
             refuse: None,
@@ -165,6 +168,11 @@
     }
 
     /// Decides what is done with a new connection and calls the callback.
+    /// Sets the timeout for the next request head on connections that are accepted from now on.
+    pub fn set_head_timeout(&self, timeout: Duration) {
+        self.head_timeout.set(Some(timeout));
+    }
+
     fn classify(&self, limits: Limits) -> Accepted {
         let accepted = if self.open.get() < limits.max_connections {
             Accepted::Served
@@ -266,7 +274,14 @@
 fn admit(stream: TcpStream, limits: Limits, handler: &Handler, connections: &Rc<Connections>) {
     let kind = connections.classify(limits);
     let (limits, handler) = match (kind, &connections.refuse) {
-        (Accepted::Served, _) => (limits, Rc::clone(handler)),
+        (Accepted::Served, _) => {
+            let head_timeout = connections.head_timeout.get();
+            let limits = Limits {
+                head_timeout: head_timeout.unwrap_or(limits.head_timeout),
+                ..limits
+            };
+            (limits, Rc::clone(handler))
+        }
         (Accepted::Refused, Some(refuse)) => {
             let limits = Limits {
                 head_timeout: REFUSAL_TIMEOUT,
