--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -235,7 +235,7 @@
                 self.stream_progressed(now, key, gap, tokens);
             }
             Event::Ended(key, outcome) => self.attempt_ended(now, key, outcome),
-            Event::ServerSilent(server) => self.record_outcome(now, server, Outcome::Silent),
+            Event::ServerSilent(server) => self.server_silent(now, server),
             Event::ServerLeaving(server) => self.server_leaving(server),
             Event::ServerThrottled(server, pause) => self.server_throttled(now, server, pause),
             Event::Config(revision, config) => self.apply_config(now, revision, config),
@@ -531,6 +531,17 @@
             .is_some_and(|s| s.is_open(now) && !self.config.evacuated.contains(&s.backend.zone))
     }
 
+    /// Records the silence of a server on a request that can't be sent elsewhere.
+    fn server_silent(&mut self, now: Instant, key: ServerKey) {
+        let Some(server) = self.registry.get(key) else {
+            return;
+        };
+        let detail = format!("running={}", server.load().running);
+        let id = server.id.clone();
+        self.log("server_silent", &id, detail);
+        self.record_outcome(now, key, Outcome::Silent);
+    }
+
     /// Records that a server announced in a response that it is leaving.
     fn server_leaving(&mut self, key: ServerKey) {
         let Some(server) = self.registry.get_mut(key) else {
