fleet: let the least served workspaces wait longer for an engine

Now the wait allowed grows with the shortfall, up to the one within the share at four tenths of an even share less, as the limit for uncached prefixes does.

Test: overload::submit_workspace_that_received_far_less_may_wait_as_long_as_ within_share failed before.

--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -9,7 +9,8 @@
 
 /// Fraction of the time to the target in which a request within its share has to start.
 const WITHIN_TIME_FRACTION: f64 = 0.7;
-/// Fraction of the time to the target in which a request over its share has to start.
+/// Fraction of the time to the target in which a request over its share has to start, unless its
+/// workspace has received less than others.
 const BEYOND_TIME_FRACTION: f64 = 0.3;
 /// Fraction of the allowed time that a prompt may wait whose own prefill exceeds that time.
 const LONG_PROMPT_WAIT_FRACTION: f64 = 0.3;
@@ -36,8 +37,9 @@
 /// Prefill limit for requests over their share at engines that are none of the first homes of their
 /// shared prefix.
 const MAX_PREFILL_SPILL: f64 = 0.03;
-/// Shortfall, in even shares, from which the lower limit for uncached prefixes does not apply.
-const UNCACHED_DEFICIT: f64 = 0.4;
+/// Shortfall, in even shares, from which a workspace over its guaranteed share has received far
+/// less than others, so that limits which hold others back do not apply to it.
+const FULL_DEFICIT: f64 = 0.4;
 /// Decrease of the limits for each even share that a workspace is over.
 const EXCESS_WEIGHT: f64 = 0.5;
 /// Lower bound of the factor on the limits: earlier use does not hold back a workspace alone.
@@ -78,7 +80,7 @@
     match share {
         ShareStatus::Within => true,
         ShareStatus::Beyond { excess } => {
-            excess < 1.0 - UNCACHED_DEFICIT || inputs.prefill_fraction <= MAX_PREFILL_SPILL
+            deficit(excess) >= 1.0 || inputs.prefill_fraction <= MAX_PREFILL_SPILL
         }
     }
 }
@@ -108,7 +110,10 @@
     }
     match share {
         ShareStatus::Within => remaining.mul_f64(WITHIN_TIME_FRACTION),
-        ShareStatus::Beyond { .. } => remaining.mul_f64(BEYOND_TIME_FRACTION),
+        ShareStatus::Beyond { excess } => {
+            let range = WITHIN_TIME_FRACTION - BEYOND_TIME_FRACTION;
+            remaining.mul_f64(BEYOND_TIME_FRACTION + range * deficit(excess))
+        }
     }
 }
 
@@ -117,10 +122,14 @@
     (1.0 - EXCESS_WEIGHT * (excess - 1.0)).clamp(MIN_LIMIT_FACTOR, MAX_LIMIT_FACTOR)
 }
 
+/// Returns how far a workspace is below an even share: from 0 to 1, at [`FULL_DEFICIT`].
+fn deficit(excess: f64) -> f64 {
+    ((1.0 - excess) / FULL_DEFICIT).clamp(0.0, 1.0)
+}
+
 /// Returns the prefill limit at engines that do not have the prefix cached.
 ///
 /// A workspace below an even share is not restricted to the few engines that have its prefixes.
 fn max_uncached_prefill(excess: f64) -> f64 {
-    let deficit = ((1.0 - excess) / UNCACHED_DEFICIT).clamp(0.0, 1.0);
-    MAX_PREFILL_UNCACHED + (MAX_PREFILL_BEYOND - MAX_PREFILL_UNCACHED) * deficit
+    MAX_PREFILL_UNCACHED + (MAX_PREFILL_BEYOND - MAX_PREFILL_UNCACHED) * deficit(excess)
 }
--- a/crates/fleet/tests/all/overload.rs
+++ b/crates/fleet/tests/all/overload.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::event::Reason;
+use hibiscusrail_fleet::peers::{Report, Total};
 use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey};
 
 use super::support::{self, failure_reason, prompt, sent_to, submission};
@@ -174,3 +175,36 @@
     let most = admitted.iter().max().expect("there are three");
     assert!(least * 2 > *most, "{admitted:?}");
 }
+
+/// Pattern: the callers of a workspace meet at one small router, which refuses many of them, while
+/// another workspace is served by the whole fleet. What the small router can pass on must not be
+/// refused for want of an engine that starts at once.
+#[test]
+fn submit_workspace_that_received_far_less_may_wait_as_long_as_within_share() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    for sequence in 1..=2 {
+        let admitted = |tokens| if sequence == 1 { 0 } else { tokens };
+        let total = |workspace, tokens| Total {
+            workspace,
+            requested: admitted(200_000),
+            admitted: admitted(tokens),
+        };
+        let report = Report {
+            sender: 7,
+            incarnation: 1,
+            sequence,
+            totals: vec![total(1, 120_000), total(2, 45_000)],
+            ..Report::default()
+        };
+        fleet.handle(now, Event::Report(report));
+    }
+    // The engine is busy for 0.36 s: less than 0.7 of the target, and more than 0.3.
+    fleet.handle(now, Event::Submit(submission(1, 3, prompt(7, 15_000), now)));
+    let most_served = submission(2, 1, prompt(7, 100), now);
+    let refused = fleet.handle(now, Event::Submit(most_served));
+    assert_eq!(failure_reason(&refused), Some(Reason::OverShare));
+    let least_served = submission(3, 2, prompt(7, 100), now);
+    let decisions = fleet.handle(now, Event::Submit(least_served));
+    assert!(sent_to(&decisions).is_some(), "{decisions:?}");
+}
