--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -74,9 +74,15 @@
     inputs: Inputs,
 }
 
-/// Rank of a server among the homes of a prefix: whether it is warm, whether it is in the zone whose
-/// servers come first, and a hash.
-type HomeRank = (bool, bool, u64);
+/// Rank of a server among the homes of a prefix; the highest is the first home's.
+#[hibiscusrail_macros::id]
+#[derive(Default)]
+pub(super) struct HomeRank {
+    warm: bool,
+    /// Whether the server is in this router's zone; always true in small deployments.
+    near: bool,
+    hash: u64,
+}
 
 /// Eligible server with the state of its prefix cache.
 #[derive(Clone, Copy)]
@@ -88,7 +94,7 @@
     /// Whether the server is preferred for the prompt's shared prefix: it has it or, if none has,
     /// is its first home.
     pub(super) preferred: bool,
-    /// Rank among the homes of the prefix; the highest is the first home's.
+    /// Rank among the homes of the prefix.
     pub(super) rank: HomeRank,
     /// Engine from which the server would transfer the missing tokens of the prefix.
     source: Option<TransferSource<'a>>,
@@ -243,16 +249,12 @@
             spills = true;
         }
         let Some(inputs) = candidates.inputs() else {
-            return Err(
-                match self.shortest_pause(now, &request.submission.service) {
-                    Some(pause) => Box::new(Refusal {
-                        reason: Reason::Throttled,
-                        retry_after: pause,
-                        inputs: None,
-                    }),
-                    None => plain(Reason::NoServer),
-                },
-            );
+            let mut refusal = plain(Reason::NoServer);
+            if let Some(pause) = self.shortest_pause(now, &request.submission.service) {
+                refusal.reason = Reason::Throttled;
+                refusal.retry_after = pause;
+            }
+            return Err(refusal);
         };
         let target = request.submission.target.saturating_duration_since(now);
         let retry_after = target.mul_f64(RETRY_TARGET_FRACTION);
@@ -328,15 +330,17 @@
         for server in &mut eligible {
             server.preferred = server.cached >= prefix_tokens;
             has_preferred |= server.preferred;
-            let near = !self.is_large() || server.server.backend.zone == self.params.zone;
-            let hash = placement::weight(part, server.server.hash);
-            server.rank = (!server.server.is_cold(ctx.now), near, hash);
+            server.rank = HomeRank {
+                warm: !server.server.is_cold(ctx.now),
+                near: !self.is_large() || server.server.backend.zone == self.params.zone,
+                hash: placement::weight(part, server.server.hash),
+            };
         }
         if ctx.transfers().is_some() {
             assign_sources(&mut eligible);
         }
         if !has_preferred {
-            let warm = eligible.iter_mut().filter(|e| e.rank.0);
+            let warm = eligible.iter_mut().filter(|e| e.rank.warm);
             if let Some(preferred) = warm.max_by_key(|e| e.rank) {
                 preferred.preferred = true;
                 preferred.source = None;
