fleet: never tell a refused caller to come back at once

Cause: the retry delay is a fraction of the time to the target, which is zero for a request that is refused after its target, on a second attempt: `Retry-After` said 0.

The delay is at least 100 ms. Test: overload::submit_refusal_past_target_does_not_ask_back_at_once failed before.

--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -32,6 +32,8 @@
 /// Fraction of the time to its target after which a caller is told to come back, if it is unknown
 /// when there is capacity: its request can then still start in time.
 const RETRY_TARGET_FRACTION: f64 = 0.3;
+/// Minimum of that time, for callers whose target is near or past.
+const MIN_UNKNOWN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Extra weight of a request's own prefill in the score: it takes engine time from all requests.
 const PREFILL_WEIGHT: f64 = 2.0;
 /// Range of the score jitter in large deployments: routers that learn late of each other's choices
@@ -257,7 +259,9 @@
             return Err(refusal);
         };
         let target = request.submission.target.saturating_duration_since(now);
-        let retry_after = target.mul_f64(RETRY_TARGET_FRACTION);
+        let retry_after = target
+            .mul_f64(RETRY_TARGET_FRACTION)
+            .max(MIN_UNKNOWN_RETRY_AFTER);
         let refusal = |wait: Duration| {
             Box::new(Refusal {
                 reason: match share {
--- a/crates/fleet/tests/all/overload.rs
+++ b/crates/fleet/tests/all/overload.rs
@@ -176,19 +176,15 @@
     assert!(least * 2 > *most, "{admitted:?}");
 }
 
-/// Pattern: the callers of a workspace meet at one small router, which refuses many of them, while
-/// another workspace is served by the whole fleet. What the small router can pass on must not be
-/// refused for want of an engine that starts at once.
-#[test]
-fn submit_workspace_that_received_far_less_may_wait_as_long_as_within_share() {
-    let now = Instant::now();
-    let mut fleet = support::router("r", 1, now);
+/// Reports from another router that workspaces 1 and 2 received more than their guaranteed share,
+/// and workspace 1 far more than workspace 2.
+fn report_shares(fleet: &mut Fleet, now: Instant) {
     for sequence in 1..=2 {
-        let admitted = |tokens| if sequence == 1 { 0 } else { tokens };
-        let total = |workspace, tokens| Total {
+        let since_start = |tokens| if sequence == 1 { 0 } else { tokens };
+        let total = |workspace, admitted| Total {
             workspace,
-            requested: admitted(200_000),
-            admitted: admitted(tokens),
+            requested: since_start(200_000),
+            admitted: since_start(admitted),
         };
         let report = Report {
             sender: 7,
@@ -199,6 +195,30 @@
         };
         fleet.handle(now, Event::Report(report));
     }
+}
+
+#[test]
+fn submit_refusal_past_target_does_not_ask_back_at_once() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    report_shares(&mut fleet, now);
+    // The only engine spends more of its time on prefill than workspaces over their share may use.
+    fleet.handle(now, Event::Submit(submission(1, 3, prompt(7, 30_000), now)));
+    let mut late = submission(2, 1, prompt(7, 100), now);
+    late.target = now;
+    let refused = fleet.handle(now, Event::Submit(late));
+    assert_eq!(failure_reason(&refused), Some(Reason::OverShare));
+    assert!(retry_after(&refused) >= Duration::from_millis(100));
+}
+
+/// Pattern: the callers of a workspace meet at one small router, which refuses many of them, while
+/// another workspace is served by the whole fleet. What the small router can pass on must not be
+/// refused for want of an engine that starts at once.
+#[test]
+fn submit_workspace_that_received_far_less_may_wait_as_long_as_within_share() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    report_shares(&mut fleet, now);
     // The engine is busy for 0.36 s: less than 0.7 of the target, and more than 0.3.
     fleet.handle(now, Event::Submit(submission(1, 3, prompt(7, 15_000), now)));
     let most_served = submission(2, 1, prompt(7, 100), now);
