Log why a router refuses for its own load, and count requests by workspace

The incident on the grown deployment: a refusal with RouterBusy said neither the router's lag nor the workspace's share, and a flooded router drops most lines, so the logs could not tell a router without time from a workspace held back by its share. request_not_placed now says both; hibiscusrail_workspace_requests_total and hibiscusrail_connections count what the dropped lines would have told.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -126,6 +126,20 @@
     pub revision: Revision,
 }
 
+/// State on which a refusal was based, for the log.
+#[value]
+pub enum RefusalInputs {
+    /// The best server had no capacity.
+    Server(Inputs),
+    /// The router itself is overloaded.
+    Router {
+        /// Mean event loop lag.
+        lag: Duration,
+        /// Whether the workspace is within its fair share.
+        share: ShareStatus,
+    },
+}
+
 /// Action that the daemon has to carry out.
 #[record]
 pub enum Decision {
@@ -158,8 +172,8 @@
         execution: Execution,
         /// Delay after which the caller should retry.
         retry_after: Duration,
-        /// State of the best server, if there was one.
-        inputs: Option<Inputs>,
+        /// State on which the refusal was based; none if the reason says it all.
+        inputs: Option<RefusalInputs>,
     },
     /// Write a log line about a changed state.
     Log {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -13,7 +13,9 @@
 use hibiscusrail_macros::value;
 
 use crate::engine::{Load, Server};
-use crate::event::{Decision, Event, Execution, Inputs, Outcome, Reason, RequestKey, Submission};
+use crate::event::{
+    Decision, Event, Execution, Outcome, Reason, RefusalInputs, RequestKey, Submission,
+};
 use crate::objects::{OperatorConfig, Repeat, Revision, Servers, Service};
 use crate::params::Params;
 use crate::peers::{Peers, Placement, Report, RouterHash, Scope, ServerLoad, Total};
@@ -42,7 +44,7 @@
 struct Refusal {
     reason: Reason,
     retry_after: Duration,
-    inputs: Option<Inputs>,
+    inputs: Option<RefusalInputs>,
 }
 
 /// Request in progress at a server.
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::engine::{Load, Prompt, Server};
-use crate::event::{Decision, Inputs, Reason, RequestKey};
+use crate::event::{Decision, Inputs, Reason, RefusalInputs, RequestKey};
 use crate::objects::{Service, TransferFacts};
 use crate::peers::Placement;
 use crate::placement;
@@ -186,7 +186,15 @@
         let charge = initial_charge(self.requests.get(&key));
         let is_within = share.is_within();
         if charge.is_some_and(|c| !self.pressure.admits_stream(is_within, c)) {
-            return self.fail_request(key, Reason::RouterBusy, SHORT_RETRY_AFTER);
+            let lag = self.pressure.lag();
+            return self.refuse(
+                key,
+                Refusal {
+                    reason: Reason::RouterBusy,
+                    retry_after: SHORT_RETRY_AFTER,
+                    inputs: Some(RefusalInputs::Router { lag, share }),
+                },
+            );
         }
         match self.choose(now, key, share) {
             Ok(candidate) => self.send(now, key, candidate),
@@ -272,7 +280,7 @@
                     ShareStatus::Within => wait,
                     ShareStatus::Beyond { .. } => wait.max(retry_after),
                 },
-                inputs: Some(inputs),
+                inputs: Some(RefusalInputs::Server(inputs)),
             })
         };
         let Some(soonest) = candidates.soonest else {
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -129,6 +129,9 @@
         self.shell
             .metrics()
             .request_ended(&self.service, outcome, reason, total);
+        self.shell
+            .metrics()
+            .workspace_request_ended(&self.workspace, outcome, reason);
         log::info!(
             request = self.request.as_str(),
             call = self.key.0,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -16,12 +16,14 @@
 pub struct Metrics {
     registry: Registry,
     requests: IntCounterVec,
+    workspaces: IntCounterVec,
     first_byte: HistogramVec,
     total: HistogramVec,
     attempts: IntCounter,
     failures: IntCounterVec,
     store_errors: IntCounterVec,
     running: IntGauge,
+    connections: IntGauge,
     ready: IntGauge,
     revision: IntGauge,
     loop_lag: Gauge,
@@ -76,6 +78,12 @@
                 "Requests ended, by service, outcome and reason.",
                 &["service", "outcome", "reason"],
             ),
+            workspaces: counters(
+                &r,
+                "hibiscusrail_workspace_requests_total",
+                "Requests ended, by workspace, outcome and reason.",
+                &["workspace", "outcome", "reason"],
+            ),
             first_byte: histograms(
                 &r,
                 "hibiscusrail_first_byte_seconds",
@@ -104,6 +112,11 @@
                 &["step"],
             ),
             running: gauge(&r, "hibiscusrail_running", "Requests under way."),
+            connections: gauge(
+                &r,
+                "hibiscusrail_connections",
+                "Open connections of callers.",
+            ),
             ready: gauge(
                 &r,
                 "hibiscusrail_ready",
@@ -126,6 +139,18 @@
         }
     }
 
+    /// Counts an ended request of a workspace.
+    pub fn workspace_request_ended(&self, workspace: &str, outcome: &str, reason: &str) {
+        let labels = [workspace, outcome, reason];
+        self.workspaces.with_label_values(&labels).inc();
+    }
+
+    /// Sets the number of callers' open connections.
+    pub fn set_connections(&self, open: usize) {
+        self.connections
+            .set(i64::try_from(open).unwrap_or(i64::MAX));
+    }
+
     /// Counts an ended request and records its total time.
     pub fn request_ended(&self, service: &str, outcome: &str, reason: &str, total: Duration) {
         let labels = [service, outcome, reason];
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -8,7 +8,7 @@
 
 use futures_channel::mpsc;
 use hibiscusrail_core::Clock;
-use hibiscusrail_fleet::event::{Execution, Inputs, Reason};
+use hibiscusrail_fleet::event::{Execution, Inputs, Reason, RefusalInputs};
 use hibiscusrail_fleet::registry::ServerKey;
 use hibiscusrail_fleet::{Decision, Event, Fleet, RequestKey};
 use hibiscusrail_net::pool::Pool;
@@ -305,7 +305,20 @@
     );
 }
 
-fn log_refused(request: RequestKey, reason: Reason, inputs: &Inputs) {
+fn log_refused(request: RequestKey, reason: Reason, inputs: &RefusalInputs) {
+    let inputs = match inputs {
+        RefusalInputs::Server(inputs) => inputs,
+        RefusalInputs::Router { lag, share } => {
+            log::info!(
+                call = request.0,
+                reason:? = reason,
+                late_ms = millis(*lag),
+                standing:? = share;
+                "request_not_placed"
+            );
+            return;
+        }
+    };
     log::info!(
         call = request.0,
         reason:? = reason,
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -199,6 +199,9 @@
         let running = shell.with_fleet(Fleet::requests);
         let revision = shell.with_fleet(|f| f.config_revision().0);
         shell.metrics().set_lag(shell.with_fleet(Fleet::loop_lag));
+        shell
+            .metrics()
+            .set_connections(shell.connections().open_count());
         let page = shell.metrics().render(running, shell.is_ready(), revision);
         std::future::ready(Response::new(full(page))).boxed_local()
     })
