Add a failing test of a wave that meets small routers

A workspace's callers meet at the first router of their zone in rotation. Each small router is flooded within a fraction of a second, is taken out of rotation after two failed checks and returns as soon as it has recovered, so the wave never stays at a router that can forward it: 44 streams a second where half of what the large router forwards are 160.

--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod cold_return;
 mod crowded_router;
 mod engines;
+mod flooded_zone;
 mod incremental_reports;
 mod kv_transfers;
 mod notices;
