fleet: name departed servers in reports

Cause, as far as it can be shown: a router that follows another one learns from a report only that a newer server list exists, and fetches it over a new connection. Each step waits for both event loops; a fetch from a router that hangs holds the next one back for 0.8 s; and if both routers of the zone that read the store are frozen or cut off, it takes 1.5 s until another one reads. A busy event loop on top passes two seconds. The registry is asked right before bytes leave, so what was late is the list, not the request.

Reports now name the servers that left according to the sender's list, for three seconds, in all zones. A receiver with an older list withdraws them at once, until its own list is as new.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -12,7 +12,7 @@
 use crate::cold::ColdBucket;
 use crate::health::Health;
 use crate::notice::Notice;
-use crate::objects::Backend;
+use crate::objects::{Backend, Revision};
 use crate::window::Window;
 
 /// Divisor of an engine's KV cache capacity for its prefix cache; running requests use the rest.
@@ -142,6 +142,9 @@
     pub peer_load: Load,
     /// When the registration expired, if a store outage may be the cause, so the server is kept.
     pub expired_at: Option<Instant>,
+    /// Revision of a newer server list, known from another router, in which the server is leaving
+    /// or missing.
+    pub withdrawn: Option<Revision>,
     /// Prompt tokens that this router sent for prefill since its start.
     pub sent_tokens: u64,
     /// When `sent_tokens` last grew.
@@ -174,6 +177,7 @@
             own_load: Load::default(),
             peer_load: Load::default(),
             expired_at: None,
+            withdrawn: None,
             sent_tokens: 0,
             sent_at: None,
             prefill: Window::new(PREFILL_WINDOW),
@@ -199,7 +203,7 @@
     /// Returns whether the server may receive requests, regardless of its load and health.
     #[must_use]
     pub fn is_open(&self, now: Instant) -> bool {
-        !self.backend.leaving && self.notice.allows(now)
+        !self.backend.leaving && self.withdrawn.is_none() && self.notice.allows(now)
     }
 
     /// Returns the load from all routers.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -12,6 +12,7 @@
 
 use hibiscusrail_macros::value;
 
+use crate::departures::Departures;
 use crate::engine::{Load, Server};
 use crate::event::{
     Decision, Event, Execution, Outcome, Reason, RefusalInputs, RequestKey, Submission,
@@ -111,6 +112,7 @@
     peers: Peers,
     pressure: Pressure,
     placements: VecDeque<(Instant, Placement)>,
+    departures: Departures,
     /// Engines that received a request since the last report, with the placement of the prompt.
     unreported: Vec<(ServerKey, Option<Placement>)>,
     /// When the store last answered.
@@ -152,6 +154,7 @@
             peers: Peers::default(),
             pressure: Pressure::default(),
             placements: VecDeque::new(),
+            departures: Departures::default(),
             unreported: Vec::new(),
             store_answered_at: now,
             store_failed_at: None,
@@ -321,6 +324,7 @@
         Report {
             loads,
             totals,
+            departed: self.departures.recent(now),
             store_age: u64::try_from(store_age.as_millis()).unwrap_or(u64::MAX),
             placed,
             ..self.new_report()
@@ -671,6 +675,9 @@
         let restored = revision.era() > self.registry.revision().era();
         let keep_missing = std::mem::take(&mut self.after_outage) || restored;
         let changes = self.registry.apply(now, revision, servers, keep_missing);
+        for id in changes.draining.iter().chain(&changes.removed) {
+            self.departures.record(now, name_hash(id));
+        }
         let lists = [
             ("server_started", changes.started),
             ("server_leaving", changes.draining),
@@ -716,6 +723,7 @@
                 server.record_part(placement.part);
             }
         }
+        self.withdraw_departed(report);
         for (hash, tokens) in change.prefill {
             if let Some(server) = self.registry.by_hash_mut(hash) {
                 server.record_peer_prefill(now, tokens);
@@ -729,6 +737,24 @@
         }
     }
 
+    /// Withdraws the servers that left according to a report.
+    fn withdraw_departed(&mut self, report: &Report) {
+        let newer = Revision(report.servers);
+        for hash in &report.departed {
+            let Some(id) = self.registry.withdraw(*hash, newer) else {
+                continue;
+            };
+            let id = id.to_owned();
+            let detail = format!(
+                "revision={} own={} router={:08x}",
+                newer.0,
+                self.registry.revision().0,
+                report.sender,
+            );
+            self.log("server_withdrawn", &id, detail);
+        }
+    }
+
     fn subtract_peer_loads(&mut self, loads: &BTreeMap<u32, Load>) {
         for (hash, load) in loads {
             if let Some(server) = self.registry.by_hash_mut(*hash) {
@@ -773,6 +799,7 @@
             self.subtract_peer_loads(&loads);
         }
         for id in self.registry.remove_expired(now, self.params.lapse_grace) {
+            self.departures.record(now, name_hash(&id));
             self.log("server_gone", &id, "lapsed=true".to_owned());
         }
         let expired = self
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,6 +21,7 @@
 //! * [`peers`]: reports from the other routers.
 
 pub mod cold;
+mod departures;
 pub mod engine;
 pub mod event;
 pub mod fleet;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -101,6 +101,9 @@
     /// Whether the report is incremental: only changed loads and new placements.
     #[prost(bool, tag = "11")]
     pub incremental: bool,
+    /// Hashes of the ids of servers that recently left, according to the sender's server list.
+    #[prost(fixed32, repeated, tag = "12")]
+    pub departed: Vec<u32>,
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -122,6 +122,9 @@
         self.revision = revision;
         self.departed
             .retain(|_, d| now.saturating_duration_since(d.removed_at) < DEPARTED_TTL);
+        for server in self.servers.values_mut() {
+            server.withdrawn = server.withdrawn.filter(|newer| *newer > revision);
+        }
         for (id, backend) in servers {
             match self.by_id.get(id).copied() {
                 Some(key) => self.update(now, key, backend, &mut changes),
@@ -153,6 +156,19 @@
         changes
     }
 
+    /// Withdraws a server that is leaving or missing in a newer list, which only another router has.
+    ///
+    /// Returns its id if it was not withdrawn before.
+    pub fn withdraw(&mut self, hash: u32, newer: Revision) -> Option<&str> {
+        if newer <= self.revision {
+            return None;
+        }
+        let server = self.servers.get_mut(*self.by_hash.get(&hash)?)?;
+        let before = server.withdrawn;
+        server.withdrawn = before.max(Some(newer));
+        before.is_none().then_some(server.id.as_str())
+    }
+
     /// Removes the servers that expired more than `grace` ago, and returns their ids.
     pub fn remove_expired(&mut self, now: Instant, grace: Duration) -> Vec<String> {
         let expired: Vec<ServerKey> = self
--- /dev/null
+++ b/crates/fleet/tests/all/departures.rs
@@ -0,0 +1,113 @@
+//! Servers that leave while a router has not read the list that says so: it follows another router
+//! and fetches the list only after a report, or the routers that it follows can't reach the store.
+
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::objects::{Revision, Servers};
+use hibiscusrail_fleet::peers::Scope;
+use hibiscusrail_fleet::{Event, Fleet};
+
+use super::support::{self, prompt, sent_to, submission};
+
+/// Returns the registrations of two engines, of which `e0` is leaving.
+fn leaving() -> Servers {
+    let mut servers = support::servers(2);
+    servers.get_mut("e0").expect("it is registered").leaving = true;
+    servers
+}
+
+/// Returns the registrations without `e0`.
+fn removed() -> Servers {
+    let mut servers = support::servers(2);
+    servers.remove("e0");
+    servers
+}
+
+/// Returns a router that has read `servers`, and one that has received its report `delay` later.
+fn routers(servers: Servers, delay: Duration, now: Instant) -> (Fleet, Fleet) {
+    let mut reader = support::router("reader", 2, now);
+    let mut follower = support::router("follower", 2, now);
+    reader.handle(now, Event::Servers(Revision(2), servers));
+    let report = reader.report(now + delay, Scope::All);
+    follower.handle(now + delay, Event::Report(report));
+    (reader, follower)
+}
+
+/// Returns whether any of many requests with different prefixes is sent to `e0`.
+fn uses_first_engine(fleet: &mut Fleet, now: Instant) -> bool {
+    (0..20).any(|key| {
+        let request = submission(key, 1, prompt(key, 10), now);
+        let decisions = fleet.handle(now, Event::Submit(request));
+        sent_to(&decisions) == Some("e0")
+    })
+}
+
+#[test]
+fn report_of_leaving_server_withdraws_it() {
+    let now = Instant::now();
+    let (_, mut follower) = routers(leaving(), Duration::ZERO, now);
+    assert!(!uses_first_engine(&mut follower, now));
+}
+
+#[test]
+fn report_of_removed_server_withdraws_it() {
+    let now = Instant::now();
+    let (_, mut follower) = routers(removed(), Duration::ZERO, now);
+    assert!(!uses_first_engine(&mut follower, now));
+}
+
+#[test]
+fn report_of_leaving_server_stops_request_before_it_is_sent() {
+    let now = Instant::now();
+    let mut follower = support::router("follower", 2, now);
+    let mut reader = support::router("reader", 2, now);
+    let key = follower
+        .registry()
+        .of_service(support::ENGINES)
+        .find(|(_, server)| server.id == "e0")
+        .map(|(key, _)| key)
+        .expect("it is registered");
+    assert!(follower.may_send(now, key));
+    reader.handle(now, Event::Servers(Revision(2), leaving()));
+    let report = reader.report(now, Scope::Zone);
+    follower.handle(now, Event::Report(report));
+    assert!(!follower.may_send(now, key));
+}
+
+#[test]
+fn report_repeats_departure_after_lost_datagrams() {
+    let now = Instant::now();
+    let (_, mut follower) = routers(leaving(), Duration::from_millis(1_500), now);
+    assert!(!uses_first_engine(&mut follower, now));
+}
+
+#[test]
+fn report_of_departure_is_passed_on() {
+    let now = Instant::now();
+    let (_, mut follower) = routers(leaving(), Duration::ZERO, now);
+    let mut third = support::router("third", 2, now);
+    follower.handle(now, Event::Servers(Revision(2), leaving()));
+    let report = follower.report(now, Scope::All);
+    third.handle(now, Event::Report(report));
+    assert!(!uses_first_engine(&mut third, now));
+}
+
+#[test]
+fn newer_list_overrides_reported_departure() {
+    let now = Instant::now();
+    let (_, mut follower) = routers(removed(), Duration::ZERO, now);
+    follower.handle(now, Event::Servers(Revision(3), support::servers(2)));
+    assert!(uses_first_engine(&mut follower, now));
+}
+
+#[test]
+fn report_of_older_list_withdraws_nothing() {
+    let now = Instant::now();
+    let mut reader = support::router("reader", 2, now);
+    let mut follower = support::router("follower", 2, now);
+    reader.handle(now, Event::Servers(Revision(2), removed()));
+    follower.handle(now, Event::Servers(Revision(3), support::servers(2)));
+    let report = reader.report(now, Scope::All);
+    follower.handle(now, Event::Report(report));
+    assert!(uses_first_engine(&mut follower, now));
+}
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod cold_return;
 mod crowded_router;
+mod departures;
 mod engines;
 mod flooded_zone;
 mod incremental_reports;
