front: limit the size of an event in a stream

A server in trouble may send bytes without end. A stream without a blank line was buffered until the caller's deadline, and each read searched all of the buffer again: 4 MiB kept the test's router busy until the deadline of five seconds (504). The event loop serves all callers, so one such server could stop the router.

An event above 1 MiB now breaks the stream. Bodies without events were limited already, and hyper limits heads. stream_event_without_end_is_broken failed before.

--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -27,6 +27,10 @@
 /// Maximum size of a non-streaming response in bytes; services send no larger ones.
 const MAX_FULL_BYTES: usize = 8 << 20;
 
+/// Maximum size of one event of a stream in bytes, far above what engines send. Without it, a server
+/// that sends bytes without end fills the router's memory.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// What every attempt of a request sends, and how its response is read.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -412,6 +416,11 @@
             };
             self.splitter.push(&data);
             let (bytes, count) = self.take_events();
+            if self.splitter.pending_bytes() > MAX_EVENT_BYTES {
+                let limit = MAX_EVENT_BYTES;
+                log::warn!(step = "event", peer:% = self.address, limit = limit; "event_too_large");
+                return Err(Outcome::Broken.into());
+            }
             if !bytes.is_empty() {
                 let now = shell.now();
                 let previous = std::mem::replace(&mut self.last_arrival, now);
--- a/crates/front/tests/all/streams.rs
+++ b/crates/front/tests/all/streams.rs
@@ -18,6 +18,18 @@
     });
 }
 
+/// Guards against a server that sends bytes without end, which would fill the router's memory.
+#[test]
+fn stream_event_without_end_is_broken() {
+    run(async {
+        let endless = format!("data: {}", "x".repeat(4 << 20));
+        let text = STREAM_HEAD.to_owned() + &chunk(&endless) + &chunk("\n\n") + STREAM_END;
+        let server = Server::start(vec![Act::Write(text)]);
+        let response = Front::start(&[&server]).call("/stream/x", "").await;
+        assert_eq!(status(&response), 502);
+    });
+}
+
 #[test]
 fn stream_broken_in_event_resumes_after_last_id() {
     run(async {
