front: close the connection of a refused caller while the router is overloaded

Cause: a refusal built the request to a server first, and left the connection open. Callers never used it again (out of rotation the same router got 0 to 7 requests a second on 1,700 open connections), but each cost a registration with the event loop, a timer and memory.

A refusal now closes the connection while the router is out of rotation, so that the platform opens the next one elsewhere; the outgoing request is built only to be sent; pending connections are accepted as non-blocking at once.

--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -8,7 +8,7 @@
 use hibiscusrail_fleet::objects::{Deployment, EngineFacts, Repeat, Route};
 use hibiscusrail_fleet::placement::name_hash;
 use hibiscusrail_fleet::quota::WorkspaceHash;
-use hibiscusrail_fleet::{Event, Submission, event};
+use hibiscusrail_fleet::{Event, Fleet, Submission, event};
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::{Body, full};
 use http::request::Parts;
@@ -45,9 +45,11 @@
                 let name = shell.protocol().request_id.clone();
                 response.headers_mut().insert(name, id);
             }
-            // Frees the connection: a refused caller retries on a new one.
+            // Frees the connection: a refused caller retries on a new one, which the platform opens
+            // to another router while this one is overloaded.
             let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-            if shell.is_stopping() || (refused && shell.connections_half_full()) {
+            let full = shell.connections_half_full() || shell.with_fleet(Fleet::sheds);
+            if shell.is_stopping() || (refused && full) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -245,6 +247,28 @@
         .is_some()
         .then(|| (shell.protocol().prompt)(&parts.headers))
         .flatten();
+    let key = shell.new_request_key();
+    let request = header_text(&parts.headers, &shell.protocol().request_id);
+    let name = workspace.as_deref().unwrap_or_default();
+    let mut tracker = RequestTracker::new(shell, key, request, name, &service, started);
+    let step = shell.handle(Event::Submit(Submission {
+        key,
+        workspace: workspace
+            .as_deref()
+            .map(|w| WorkspaceHash(u64::from(name_hash(w)))),
+        service,
+        prompt,
+        target: started + route.target,
+        deadline,
+        repeat: route.repeat,
+        resumable: route.resumable,
+        max_attempts: route.attempts,
+    }));
+    // An overloaded router refuses most requests, so it builds the outgoing one only to send it.
+    if let Some(NextStep::Fail(error)) = &step {
+        tracker.fail(error);
+        return failure_response(shell, deadline, error, None);
+    }
     let retryable = route.repeat == Repeat::Idempotent || route.resumable;
     let read_timeout = route.target.mul_f64(TIMEOUT_FACTOR).max(MIN_READ_TIMEOUT);
     let plan = Plan {
@@ -260,21 +284,6 @@
         retryable,
         read_timeout: retryable.then_some(read_timeout),
     };
-    let key = shell.new_request_key();
-    let request = header_text(&parts.headers, &shell.protocol().request_id);
-    let name = workspace.as_deref().unwrap_or_default();
-    let tracker = RequestTracker::new(shell, key, request, name, &service, started);
-    let step = shell.handle(Event::Submit(Submission {
-        key,
-        workspace: workspace.map(|w| WorkspaceHash(u64::from(name_hash(&w)))),
-        service,
-        prompt,
-        target: started + route.target,
-        deadline,
-        repeat: route.repeat,
-        resumable: route.resumable,
-        max_attempts: route.attempts,
-    }));
     run_attempts(shell, plan, tracker, step).await
 }
 
@@ -291,7 +300,8 @@
             Some(NextStep::Send(target)) => target,
             Some(NextStep::Fail(error)) => {
                 tracker.fail(&error);
-                return failure_response(shell, &plan, &error, last_response);
+                let deadline = plan.outgoing.deadline;
+                return failure_response(shell, deadline, &error, last_response);
             }
             // The reducer decides on a submitted request at once.
             None => return refusal::text_response(StatusCode::BAD_GATEWAY, "no decision"),
@@ -329,14 +339,14 @@
 /// Returns the response to a request that failed: the server's own error, or a refusal.
 fn failure_response(
     shell: &Shell,
-    plan: &Plan,
+    deadline: Instant,
     error: &RequestError,
     last_response: Option<Box<FullResponse>>,
 ) -> Response<Body> {
     if let (event::Execution::Failed, Some(response)) = (error.execution, last_response) {
         return into_response(*response);
     }
-    let remaining = plan.outgoing.remaining(shell.now());
+    let remaining = deadline.saturating_duration_since(shell.now());
     log::debug!(left_ms = millis(remaining); "refusal_sent");
     refusal::failure(error.reason, error.execution, error.retry_after, remaining)
 }
--- a/crates/front/tests/all/callers.rs
+++ b/crates/front/tests/all/callers.rs
@@ -77,3 +77,20 @@
             .expect("the router closes the connection");
     });
 }
+
+/// Guards against callers that stay at an overloaded router: the platform sends their next
+/// connections to another one.
+#[test]
+fn refusal_of_overloaded_router_closes_connection() {
+    run(async {
+        let server = Server::start(vec![Act::Write(full_response("200 OK", "body"))]);
+        let front = Front::start(&[&server]);
+        for _ in 0..50 {
+            front.shell.handle(Event::LoopLag(Duration::from_secs(1)));
+        }
+        let response = front.raw(REQUEST).await;
+        assert_eq!(status(&response), 503);
+        assert_eq!(header(&response, "connection").as_deref(), Some("close"));
+        assert!(server.received().is_empty());
+    });
+}
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +18,8 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use socket2::{Domain, Protocol, SockRef, Socket, Type};
+use rustix::net::SocketFlags;
+use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::body::Body;
 use crate::socket::SocketStream;
@@ -253,16 +255,13 @@
 /// A busy event loop polls the listener seldom; one connection per turn would let
 /// the queue overflow.
 fn accept_pending(listener: &TcpListener) -> Vec<TcpStream> {
-    let socket = SockRef::from(listener);
     let mut streams = Vec::new();
     while streams.len() < MAX_ACCEPT_BATCH {
-        let Ok((stream, _)) = socket.accept() else {
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let Ok(stream) = rustix::net::accept_with(listener.as_fd(), flags) else {
             // None is pending, or the next accept reports the error.
             break;
         };
-        if stream.set_nonblocking(true).is_err() {
-            continue;
-        }
         match TcpStream::from_std(stream.into()) {
             Ok(stream) => streams.push(stream),
             Err(error) => log::warn!(step = "accept", error:% = error; "accept_failed"),
