fleet: quarantine prompt parts that crash engines

Cause: a broken answer said something about its server only. The request was resumed at the next engine, and the next request with the part was sent as well.

Each shared part of a prompt whose engine's connection broke at the start of the answer is a suspect; a complete answer, at any router, clears the parts of its prompt, so the parts that sound requests share stay in use. A part on which three engines failed within 30 s and that nobody saw answered is quarantined: requests with it are refused at once (503, not run) with the rest of that time. Routers tell each other suspects and answers in their full reports.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -70,11 +70,20 @@
         self.parts.get(last).map(|p| p.id)
     }
 
+    /// Returns the parts of the shared prefix: all but the last.
+    fn shared_parts(&self) -> &[Part] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+
+    /// Returns the ids of the parts in the shared prefix.
+    pub fn shared_ids(&self) -> impl Iterator<Item = u64> {
+        self.shared_parts().iter().map(|p| p.id)
+    }
+
     /// Returns the number of tokens in the shared prefix.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|p| p.tokens).sum()
+        self.shared_parts().iter().map(|p| p.tokens).sum()
     }
 }
 
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -93,6 +93,8 @@
     Expired,
     /// All servers of the service asked for a pause.
     Throttled,
+    /// A shared part of the prompt crashed several engines.
+    Quarantined,
 }
 
 /// State of a server and a request on which a choice was based, for the log.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -25,6 +25,7 @@
 use crate::quota::{Quota, WorkspaceHash};
 use crate::registry::{Registry, ServerKey};
 use crate::retry::RetryWindow;
+use crate::suspects::Suspects;
 
 /// Number of routers from which only those of the same zone report to each other in every period.
 const FULL_MESH_ROUTERS: usize = 24;
@@ -56,6 +57,8 @@
     load: Load,
     /// Tokens prefilled until the first output token, including those of earlier requests.
     prefill_tokens: u64,
+    /// Number of times that the stream went on after its first events.
+    progress: u32,
 }
 
 /// State of a caller's request from arrival to end.
@@ -113,6 +116,7 @@
     pressure: Pressure,
     placements: VecDeque<(Instant, Placement)>,
     departures: Departures,
+    suspects: Suspects,
     /// Engines that received a request since the last report, with the placement of the prompt.
     unreported: Vec<(ServerKey, Option<Placement>)>,
     /// When the store last answered.
@@ -155,6 +159,7 @@
             pressure: Pressure::default(),
             placements: VecDeque::new(),
             departures: Departures::default(),
+            suspects: Suspects::default(),
             unreported: Vec::new(),
             store_answered_at: now,
             store_failed_at: None,
@@ -311,6 +316,7 @@
             .iter()
             .filter(|(_, t)| t.changed_at.is_some_and(is_recent));
         let loads = loads.map(server_load).collect();
+        let (suspects, cleared) = self.suspects.report(now);
         let totals = totals
             .map(|(workspace, t)| Total {
                 workspace: workspace.0,
@@ -325,6 +331,8 @@
             loads,
             totals,
             departed: self.departures.recent(now),
+            suspects,
+            cleared,
             store_age: u64::try_from(store_age.as_millis()).unwrap_or(u64::MAX),
             placed,
             ..self.new_report()
@@ -481,8 +489,12 @@
     }
 
     fn stream_progressed(&mut self, now: Instant, key: RequestKey, gap: Duration, tokens: u32) {
-        let attempt = self.requests.get(&key).and_then(|r| r.attempt.as_ref());
-        if let Some(server) = attempt.and_then(|a| self.registry.get_mut(a.server)) {
+        let request = self.requests.get_mut(&key);
+        let Some(attempt) = request.and_then(|r| r.attempt.as_mut()) else {
+            return;
+        };
+        attempt.progress += 1;
+        if let Some(server) = self.registry.get_mut(attempt.server) {
             server.observe_interval(now, gap, tokens);
         }
     }
@@ -502,6 +514,7 @@
             return;
         };
         self.record_outcome(now, attempt.server, outcome);
+        self.judge_parts(now, key, &attempt, outcome);
         match outcome {
             Outcome::Answered | Outcome::Left => {
                 self.requests.remove(&key);
@@ -515,6 +528,34 @@
         self.retry(now, key, outcome);
     }
 
+    /// Suspects the shared parts of a prompt whose engine failed at the start of the answer, and
+    /// clears those of a complete answer.
+    fn judge_parts(&mut self, now: Instant, key: RequestKey, attempt: &Attempt, outcome: Outcome) {
+        let request = self.requests.get(&key);
+        let Some(prompt) = request.and_then(|r| r.submission.prompt.as_ref()) else {
+            return;
+        };
+        match outcome {
+            Outcome::Answered => self.suspects.record_answer(now, prompt.shared_ids()),
+            Outcome::Broken if attempt.progress == 0 => {
+                let Some(engine) = self.registry.get(attempt.server).map(|s| s.hash) else {
+                    return;
+                };
+                let parts = prompt.shared_ids();
+                let quarantined = self.suspects.record_failure(now, engine, parts);
+                self.log_quarantined(&quarantined, self.own_hash.0);
+            }
+            _ => {}
+        }
+    }
+
+    fn log_quarantined(&mut self, parts: &[u64], router: u32) {
+        for part in parts {
+            let detail = format!("reported_by={router:08x}");
+            self.log("part_quarantined", &format!("{part:x}"), detail);
+        }
+    }
+
     /// Records that a request was run or may have been.
     fn set_execution(&mut self, key: RequestKey, execution: Execution) {
         if let Some(request) = self.requests.get_mut(&key) {
@@ -724,6 +765,8 @@
             }
         }
         self.withdraw_departed(report);
+        let quarantined = self.suspects.apply(now, &report.suspects, &report.cleared);
+        self.log_quarantined(&quarantined, report.sender);
         for (hash, tokens) in change.prefill {
             if let Some(server) = self.registry.by_hash_mut(hash) {
                 server.record_peer_prefill(now, tokens);
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -182,6 +182,16 @@
         if now >= request.submission.deadline {
             return self.fail_request(key, Reason::Expired, Duration::ZERO);
         }
+        let prompt = request.submission.prompt.as_ref();
+        let quarantine = prompt.and_then(|p| {
+            let left = p
+                .shared_ids()
+                .filter_map(|id| self.suspects.quarantine(now, id));
+            left.max()
+        });
+        if let Some(left) = quarantine {
+            return self.fail_request(key, Reason::Quarantined, left);
+        }
         let share = self.share_status(now, key);
         let request = self.requests.get(&key);
         let charge = initial_charge(request);
@@ -573,6 +583,7 @@
             sent_at: now,
             load,
             prefill_tokens: candidate.inputs.pending_prefill + load.pending_prefill,
+            progress: 0,
         });
         request.tried.push(candidate.key);
         request.attempts += 1;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod quota;
 pub mod registry;
 pub mod retry;
+pub mod suspects;
 pub mod window;
 
 pub use event::{Decision, Event, Outcome, RequestKey, Submission};
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -12,6 +12,7 @@
 use prost::Message;
 
 use crate::engine::Load;
+use crate::suspects::Suspect;
 
 /// Hash of a router's name.
 #[id]
@@ -104,6 +105,12 @@
     /// Hashes of the ids of servers that recently left, according to the sender's server list.
     #[prost(fixed32, repeated, tag = "12")]
     pub departed: Vec<u32>,
+    /// Prompt parts on which engines failed at the sender.
+    #[prost(message, repeated, tag = "13")]
+    pub suspects: Vec<Suspect>,
+    /// Prompt parts that other routers suspect and that the sender saw answered.
+    #[prost(fixed64, repeated, tag = "14")]
+    pub cleared: Vec<u64>,
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -17,3 +17,4 @@
 mod retries;
 mod store_restored;
 mod support;
+mod suspects;
