fleet: let the largest streams go first for a shorter time after an overload

With a time constant of ten seconds a workspace that requests most of a router's streams had its short ones refused for up to 13 s after an isolated overload, and at a single long iteration of the loop, though the router had time. Both refuse what can be served. The charge needed now falls within four seconds, and rises only while new connections go to other routers.

--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -31,9 +31,9 @@
 const REFUSE_OVER_SHARE_LAG: Duration = Duration::from_millis(60);
 /// Mean lag from which all streams are refused: all of the 120 ms.
 const REFUSE_ALL_LAG: Duration = Duration::from_millis(120);
-/// Time constant with which the charge needed after an overload falls: a few times the time for
-/// which new connections go to other routers.
-const RECOVERY_TIME: Duration = Duration::from_secs(10);
+/// Time constant with which the charge needed after an overload falls. It is above
+/// [`MIN_SHED_TIME`], since the wave comes back with the next connections.
+const RECOVERY_TIME: Duration = Duration::from_secs(4);
 /// Largest charge needed of the dominant workspace, relative to the mean charge. It is below 1 since
 /// the streams of a workspace may all have the same charge.
 const MAX_SELECTIVITY: f64 = 0.9;
@@ -73,7 +73,8 @@
         self.recent_lag = average(self.recent_lag, lag, elapsed, WAVE_AVERAGING_TIME);
         self.selectivity *= (-elapsed.as_secs_f64() / RECOVERY_TIME.as_secs_f64()).exp();
         if self.shed_since.is_some() {
-            self.selectivity = self.selectivity.max(self.wave_selectivity());
+            let fraction = excess_fraction(self.recent_lag, ADMIT_ALL_LAG, REFUSE_OVER_SHARE_LAG);
+            self.selectivity = self.selectivity.max(fraction.min(MAX_SELECTIVITY));
         }
         self.halve_counts(now);
         match self.shed_since {
@@ -152,18 +153,12 @@
         let high = raise(REFUSE_OVER_SHARE_LAG, REFUSE_ALL_LAG);
         let fraction = excess_fraction(self.lag, low, high);
         let needed = if workspace.is_some_and(|w| self.is_dominant(w)) {
-            let selectivity = self.selectivity.max(self.wave_selectivity());
-            fraction.max(selectivity)
+            fraction.max(self.selectivity)
         } else {
             fraction
         };
         fraction < 1.0 && charge >= needed * self.mean_charge
     }
-
-    /// Returns the charge that the present lag demands of the dominant workspace's streams.
-    fn wave_selectivity(&self) -> f64 {
-        excess_fraction(self.recent_lag, ADMIT_ALL_LAG, REFUSE_OVER_SHARE_LAG).min(MAX_SELECTIVITY)
-    }
 }
 
 /// Returns how far a lag is between two limits: 0 at `low`, 1 at `high`.
