--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -71,7 +71,7 @@
         let elapsed = before.map_or(AVERAGING_TIME, |b| now.saturating_duration_since(b));
         self.lag = average(self.lag, lag, elapsed, AVERAGING_TIME);
         self.recent_lag = average(self.recent_lag, lag, elapsed, WAVE_AVERAGING_TIME);
-        self.selectivity *= (-elapsed.as_secs_f64() / RECOVERY_TIME.as_secs_f64()).exp();
+        self.selectivity *= decay(elapsed, RECOVERY_TIME);
         if self.shed_since.is_some() {
             let fraction = excess_fraction(self.recent_lag, ADMIT_ALL_LAG, REFUSE_OVER_SHARE_LAG);
             self.selectivity = self.selectivity.max(fraction.min(MAX_SELECTIVITY));
@@ -169,6 +169,11 @@
 
 /// Returns a moving average with a time constant, `elapsed` after its last value.
 fn average(mean: Duration, value: Duration, elapsed: Duration, constant: Duration) -> Duration {
-    let decay = (-elapsed.as_secs_f64() / constant.as_secs_f64()).exp();
-    mean.mul_f64(decay) + value.mul_f64(1.0 - decay)
+    let weight = decay(elapsed, constant);
+    mean.mul_f64(weight) + value.mul_f64(1.0 - weight)
+}
+
+/// Returns what remains of 1 after an exponential decay with a time constant.
+fn decay(elapsed: Duration, constant: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / constant.as_secs_f64()).exp()
 }
--- a/crates/fleet/tests/all/departures.rs
+++ b/crates/fleet/tests/all/departures.rs
@@ -23,14 +23,14 @@
     servers
 }
 
-/// Returns a router that has read `servers`, and one that has received its report `delay` later.
-fn routers(servers: Servers, delay: Duration, now: Instant) -> (Fleet, Fleet) {
+/// Returns a router that has received the report of one that read `servers` `delay` before.
+fn follower(servers: Servers, delay: Duration, now: Instant) -> Fleet {
     let mut reader = support::router("reader", 2, now);
     let mut follower = support::router("follower", 2, now);
     reader.handle(now, Event::Servers(Revision(2), servers));
     let report = reader.report(now + delay, Scope::All);
     follower.handle(now + delay, Event::Report(report));
-    (reader, follower)
+    follower
 }
 
 /// Returns whether any of many requests with different prefixes is sent to `e0`.
@@ -45,14 +45,14 @@
 #[test]
 fn report_of_leaving_server_withdraws_it() {
     let now = Instant::now();
-    let (_, mut follower) = routers(leaving(), Duration::ZERO, now);
+    let mut follower = follower(leaving(), Duration::ZERO, now);
     assert!(!uses_first_engine(&mut follower, now));
 }
 
 #[test]
 fn report_of_removed_server_withdraws_it() {
     let now = Instant::now();
-    let (_, mut follower) = routers(removed(), Duration::ZERO, now);
+    let mut follower = follower(removed(), Duration::ZERO, now);
     assert!(!uses_first_engine(&mut follower, now));
 }
 
@@ -77,14 +77,14 @@
 #[test]
 fn report_repeats_departure_after_lost_datagrams() {
     let now = Instant::now();
-    let (_, mut follower) = routers(leaving(), Duration::from_millis(1_500), now);
+    let mut follower = follower(leaving(), Duration::from_millis(1_500), now);
     assert!(!uses_first_engine(&mut follower, now));
 }
 
 #[test]
 fn report_of_departure_is_passed_on() {
     let now = Instant::now();
-    let (_, mut follower) = routers(leaving(), Duration::ZERO, now);
+    let mut follower = follower(leaving(), Duration::ZERO, now);
     let mut third = support::router("third", 2, now);
     follower.handle(now, Event::Servers(Revision(2), leaving()));
     let report = follower.report(now, Scope::All);
@@ -95,7 +95,7 @@
 #[test]
 fn newer_list_overrides_reported_departure() {
     let now = Instant::now();
-    let (_, mut follower) = routers(removed(), Duration::ZERO, now);
+    let mut follower = follower(removed(), Duration::ZERO, now);
     follower.handle(now, Event::Servers(Revision(3), support::servers(2)));
     assert!(uses_first_engine(&mut follower, now));
 }
