Say which limits left servers out when a request is refused

A refusal named the best server only, so its line could not tell a limit on connections from one on the token interval or on copies of a prefix. Every refusal now counts the servers over each limit, in its log line and, without the log's rate limit, in hibiscusrail_excluded_servers_total.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -128,11 +128,55 @@
     pub revision: Revision,
 }
 
+/// Numbers of servers that each limit kept from receiving a request, for the log. A server counts
+/// once for every limit that it is over.
+#[value]
+#[derive(Default)]
+pub struct Exclusions {
+    /// Servers that were considered.
+    pub servers: u32,
+    /// Servers at which this router uses all the connections that it may.
+    pub connections: u32,
+    /// Servers whose slots are all in use, or that are cold and may not receive more yet.
+    pub slots: u32,
+    /// Servers that are none of the first homes of the prompt's shared prefix.
+    pub spill: u32,
+    /// Servers that spend too much of their time on prefill.
+    pub prefill: u32,
+    /// Servers whose streams are too slow.
+    pub interval: u32,
+    /// Servers with too many of their slots in use for the workspace's share.
+    pub occupancy: u32,
+    /// Servers with capacity that would start the request too late.
+    pub late: u32,
+}
+
+impl Exclusions {
+    /// Returns the counts by the name of the limit.
+    #[must_use]
+    pub fn by_limit(&self) -> [(&'static str, u32); 7] {
+        [
+            ("connections", self.connections),
+            ("slots", self.slots),
+            ("spill", self.spill),
+            ("prefill", self.prefill),
+            ("interval", self.interval),
+            ("occupancy", self.occupancy),
+            ("late", self.late),
+        ]
+    }
+}
+
 /// State on which a refusal was based, for the log.
 #[value]
 pub enum RefusalInputs {
-    /// The best server had no capacity.
-    Server(Inputs),
+    /// No server had capacity.
+    Server {
+        /// State of the best server.
+        best: Inputs,
+        /// Why the servers were left out.
+        exclusions: Exclusions,
+    },
     /// The router itself is overloaded.
     Router {
         /// Mean event loop lag.
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::engine::{Load, Prompt, Server};
-use crate::event::{Decision, Inputs, Reason, RefusalInputs, RequestKey};
+use crate::event::{Decision, Exclusions, Inputs, Reason, RefusalInputs, RequestKey};
 use crate::objects::{Service, TransferFacts};
 use crate::peers::Placement;
 use crate::placement;
@@ -131,6 +131,8 @@
     soonest: Option<Candidate>,
     /// Server without capacity that has the least pending prefill.
     full: Option<Inputs>,
+    /// Why servers were left out.
+    exclusions: Exclusions,
 }
 
 impl Context<'_> {
@@ -142,6 +144,8 @@
 
 impl Candidates {
     fn add(&mut self, candidate: Candidate) {
+        // All that were added start too late if the request is refused in the end.
+        self.exclusions.late += 1;
         if self.best.is_none_or(|b| candidate.score < b.score) {
             self.best = Some(candidate);
         }
@@ -279,6 +283,7 @@
             }
             return Err(refusal);
         };
+        let exclusions = candidates.exclusions;
         let target = request.submission.target.saturating_duration_since(now);
         let retry_after = target
             .mul_f64(RETRY_TARGET_FRACTION)
@@ -293,7 +298,10 @@
                     ShareStatus::Within => wait,
                     ShareStatus::Beyond { .. } => wait.max(retry_after),
                 },
-                inputs: Some(RefusalInputs::Server(inputs)),
+                inputs: Some(RefusalInputs::Server {
+                    best: inputs,
+                    exclusions,
+                }),
             })
         };
         let Some(soonest) = candidates.soonest else {
@@ -315,17 +323,29 @@
         spills: bool,
         candidates: &mut Candidates,
     ) {
+        let exclusions = &mut candidates.exclusions;
+        exclusions.servers += 1;
+        if !has_connection(ctx, eligible.server) {
+            exclusions.connections += 1;
+            return;
+        }
         if !self.has_slot(ctx, eligible.server) {
+            exclusions.slots += 1;
             return;
         }
         let inputs = self.inputs(ctx, eligible);
         let cached = eligible.preferred || eligible.source.is_some() || ctx.prompt.is_none();
         let may_use = !spills || limits::may_spill(&inputs, ctx.share);
-        if request.started || (may_use && limits::has_capacity(&inputs, cached, ctx.share)) {
+        let exceeded = limits::exceeded(&inputs, cached, ctx.share);
+        if request.started || (may_use && !exceeded.any()) {
             candidates.add(self.score(ctx, eligible, inputs));
-        } else {
-            candidates.add_full(inputs);
+            return;
         }
+        exclusions.spill += u32::from(!may_use);
+        exclusions.prefill += u32::from(exceeded.prefill);
+        exclusions.interval += u32::from(exceeded.interval);
+        exclusions.occupancy += u32::from(exceeded.occupancy);
+        candidates.add_full(inputs);
     }
 
     /// Returns the eligible servers with the state of their prefix caches.
@@ -397,14 +417,9 @@
             && server.health.is_available(ctx.now)
     }
 
-    /// Returns whether a server has a slot, a connection and, if rate-limited, a token to spare.
+    /// Returns whether a server has a slot and, if rate-limited, a token to spare.
     fn has_slot(&self, ctx: &Context<'_>, server: &Server) -> bool {
         let service = ctx.service;
-        let routers = u32::try_from(ctx.routers).unwrap_or(u32::MAX);
-        let connections = (service.connections / routers).max(1);
-        if server.own_load.running >= connections {
-            return false;
-        }
         let slots = server.backend.slots.max(1);
         let max_running = match service.engine {
             Some(_) => f64::from(slots),
@@ -642,6 +657,13 @@
     }
 }
 
+/// Returns whether this router may use another of a server's connections.
+fn has_connection(ctx: &Context<'_>, server: &Server) -> bool {
+    let routers = u32::try_from(ctx.routers).unwrap_or(u32::MAX);
+    let connections = (ctx.service.connections / routers).max(1);
+    server.own_load.running < connections
+}
+
 /// Returns the cost of a request for a stream that has not started yet.
 fn initial_charge(request: Option<&Request>) -> Option<f64> {
     let request = request.filter(|r| !r.started)?;
--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -4,6 +4,8 @@
 
 use std::time::{Duration, Instant};
 
+use hibiscusrail_macros::value;
+
 use crate::event::{Inputs, Submission};
 use crate::quota::ShareStatus;
 
@@ -47,10 +49,27 @@
 /// Upper bound of the factor on the limits, for a workspace that has received nothing.
 const MAX_LIMIT_FACTOR: f64 = 1.25;
 
-/// Returns whether a server can prefill more without slowing its streams too much.
+/// Limits that a server is over.
+#[value]
+#[derive(Default)]
+pub(super) struct Exceeded {
+    pub(super) prefill: bool,
+    pub(super) interval: bool,
+    pub(super) occupancy: bool,
+}
+
+impl Exceeded {
+    /// Returns whether the server is over any limit.
+    pub(super) fn any(self) -> bool {
+        self.prefill || self.interval || self.occupancy
+    }
+}
+
+/// Returns the limits that a server is over; within all of them it can prefill more without slowing
+/// its streams too much.
 ///
 /// `cached` says whether it has the prompt's shared prefix or can transfer it.
-pub(super) fn has_capacity(inputs: &Inputs, cached: bool, share: ShareStatus) -> bool {
+pub(super) fn exceeded(inputs: &Inputs, cached: bool, share: ShareStatus) -> Exceeded {
     let (max_prefill, max_interval, max_slots) = match share {
         ShareStatus::Within => (MAX_PREFILL_WITHIN, MAX_INTERVAL_WITHIN, MAX_SLOTS_WITHIN),
         ShareStatus::Beyond { excess } => {
@@ -67,9 +86,11 @@
             )
         }
     };
-    inputs.prefill_fraction <= max_prefill
-        && inputs.token_interval <= max_interval
-        && inputs.slots_used <= max_slots
+    Exceeded {
+        prefill: inputs.prefill_fraction > max_prefill,
+        interval: inputs.token_interval > max_interval,
+        occupancy: inputs.slots_used > max_slots,
+    }
 }
 
 /// Returns whether a request may use an engine that is none of the first homes of its prefix.
--- a/crates/fleet/tests/all/overload.rs
+++ b/crates/fleet/tests/all/overload.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hibiscusrail_fleet::event::Reason;
+use hibiscusrail_fleet::event::{Exclusions, Reason, RefusalInputs};
 use hibiscusrail_fleet::peers::{Report, Total};
 use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey};
 
@@ -71,6 +71,34 @@
     assert!(wait < target.mul_f64(0.4), "{wait:?}");
 }
 
+/// Returns why servers were left out for a refused request.
+fn exclusions(decisions: &[Decision]) -> Exclusions {
+    let exclusions = decisions.iter().find_map(|d| match d {
+        Decision::Fail {
+            inputs: Some(RefusalInputs::Server { exclusions, .. }),
+            ..
+        } => Some(*exclusions),
+        _ => None,
+    });
+    exclusions.expect("the request is refused for want of a server")
+}
+
+#[test]
+fn submit_refusal_counts_servers_over_each_limit() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    report_shares(&mut fleet, now);
+    // Two thirds of the only engine's second go to this prefill.
+    fleet.handle(now, Event::Submit(submission(1, 3, prompt(7, 30_000), now)));
+    let refused = fleet.handle(now, Event::Submit(submission(2, 1, prompt(7, 100), now)));
+    let expected = Exclusions {
+        servers: 1,
+        prefill: 1,
+        ..Exclusions::default()
+    };
+    assert_eq!(exclusions(&refused), expected);
+}
+
 #[test]
 fn submit_longest_prompt_starts_on_idle_engine() {
     let now = Instant::now();
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hibiscusrail_fleet::event::Exclusions;
 use hibiscusrail_net::process::ProcessMetrics;
 use prometheus::{
     Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
@@ -20,6 +21,7 @@
     first_byte: HistogramVec,
     total: HistogramVec,
     attempts: IntCounter,
+    exclusions: IntCounterVec,
     failures: IntCounterVec,
     store_errors: IntCounterVec,
     running: IntGauge,
@@ -99,6 +101,12 @@
                 IntCounter::new("hibiscusrail_attempts_total", "Requests sent to servers.")
                     .expect("the name is valid"),
             ),
+            exclusions: counters(
+                &r,
+                "hibiscusrail_excluded_servers_total",
+                "Servers over a limit at refusals, by limit.",
+                &["limit"],
+            ),
             failures: counters(
                 &r,
                 "hibiscusrail_attempt_failures_total",
@@ -172,6 +180,15 @@
         self.attempts.inc();
     }
 
+    /// Counts the servers that were over each limit at a refusal.
+    pub fn servers_excluded(&self, exclusions: &Exclusions) {
+        for (limit, count) in exclusions.by_limit() {
+            self.exclusions
+                .with_label_values(&[limit])
+                .inc_by(u64::from(count));
+        }
+    }
+
     /// Counts a failed attempt.
     pub fn attempt_failed(&self, outcome: &str) {
         self.failures.with_label_values(&[outcome]).inc();
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -266,6 +266,9 @@
                     inputs,
                 } => {
                     if let Some(inputs) = inputs {
+                        if let RefusalInputs::Server { exclusions, .. } = &inputs {
+                            self.metrics.servers_excluded(exclusions);
+                        }
                         log_refused(request, reason, &inputs);
                     }
                     step = Some(NextStep::Fail(RequestError {
@@ -306,8 +309,8 @@
 }
 
 fn log_refused(request: RequestKey, reason: Reason, inputs: &RefusalInputs) {
-    let inputs = match inputs {
-        RefusalInputs::Server(inputs) => inputs,
+    let (inputs, exclusions) = match inputs {
+        RefusalInputs::Server { best, exclusions } => (best, exclusions),
         RefusalInputs::Router { lag, share } => {
             log::info!(
                 call = request.0,
@@ -328,6 +331,14 @@
         reading = inputs.prefill_fraction,
         pace_us = micros(inputs.token_interval),
         standing:? = inputs.share,
+        servers = exclusions.servers,
+        over_connections = exclusions.connections,
+        over_slots = exclusions.slots,
+        over_spill = exclusions.spill,
+        over_prefill = exclusions.prefill,
+        over_interval = exclusions.interval,
+        over_occupancy = exclusions.occupancy,
+        late = exclusions.late,
         revision = inputs.revision.0;
         "request_not_placed"
     );
