fleet: share a server's connections instead of dividing them evenly

A fleet-wide limit was divided evenly while the load is not.

A router keeps its even part and may use half of all connections as far as the others' reports leave them; silent routers count with their even part.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -113,6 +113,8 @@
     retry_windows: BTreeMap<String, RetryWindow>,
     totals: BTreeMap<WorkspaceHash, WorkspaceTotal>,
     peers: Peers,
+    /// Number of other routers whose reports are current, as of the last tick.
+    reporting: usize,
     pressure: Pressure,
     placements: VecDeque<(Instant, Placement)>,
     departures: Departures,
@@ -156,6 +158,7 @@
             retry_windows: BTreeMap::new(),
             totals: BTreeMap::new(),
             peers: Peers::default(),
+            reporting: 0,
             pressure: Pressure::default(),
             placements: VecDeque::new(),
             departures: Departures::default(),
@@ -838,9 +841,11 @@
         let cross_zone_ttl =
             own_ttl.max(self.report_period() * self.cross_zone_periods() * EXPIRY_PERIODS);
         let ttl = |of: u32| if of == zone { own_ttl } else { cross_zone_ttl };
-        for loads in self.peers.expire(now, ttl) {
+        for loads in self.peers.expire(now, &ttl) {
             self.subtract_peer_loads(&loads);
         }
+        let is_member = |router: u32| self.members.binary_search(&router).is_ok();
+        self.reporting = self.peers.reporting(now, ttl, is_member);
         for id in self.registry.remove_expired(now, self.params.lapse_grace) {
             self.departures.record(now, name_hash(&id));
             self.log("server_gone", &id, "lapsed=true".to_owned());
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -119,7 +119,10 @@
     /// Tokens of the prompt's shared prefix.
     shared: u32,
     share: ShareStatus,
-    routers: usize,
+    /// Number of routers that share each limit, with this one.
+    routers: u32,
+    /// Number of those whose load is unknown, since they don't report.
+    silent: u32,
 }
 
 /// Best results among the servers considered so far.
@@ -249,6 +252,7 @@
         let Some(service) = self.service(&request.submission.service) else {
             return Err(plain(Reason::NotReady));
         };
+        let routers = u32::try_from(self.router_count()).unwrap_or(u32::MAX);
         let ctx = Context {
             now,
             request: key,
@@ -260,7 +264,8 @@
                 .as_ref()
                 .map_or(0, Prompt::shared_tokens),
             share,
-            routers: self.router_count(),
+            routers,
+            silent: routers.saturating_sub(u32::try_from(self.reporting + 1).unwrap_or(u32::MAX)),
         };
         let allowed = limits::start_allowance(now, &request.submission, request.started, share);
         let mut homes = Homes::new(self.eligible_servers(&ctx, request), ctx.shared);
@@ -658,10 +663,17 @@
 }
 
 /// Returns whether this router may use another of a server's connections.
+///
+/// Its even part is always its own. Beyond it, a router may use half of the connections as far as
+/// the others leave them unused, so that callers who all meet at one router are not held to an even
+/// part. The other half covers idle connections and requests that are not reported yet; routers
+/// that do not report are taken to use their even parts.
 fn has_connection(ctx: &Context<'_>, server: &Server) -> bool {
-    let routers = u32::try_from(ctx.routers).unwrap_or(u32::MAX);
-    let connections = (ctx.service.connections / routers).max(1);
-    server.own_load.running < connections
+    let connections = ctx.service.connections;
+    let part = (connections / ctx.routers).max(1);
+    let others = server.peer_load.running + part * ctx.silent;
+    let spare = (connections / 2).saturating_sub(others);
+    server.own_load.running < spare.max(part)
 }
 
 /// Returns the cost of a request for a stream that has not started yet.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -247,6 +247,22 @@
             .collect()
     }
 
+    /// Counts the routers accepted by `is_member` whose last report is within their zone's TTL.
+    #[must_use]
+    pub fn reporting(
+        &self,
+        now: Instant,
+        ttl: impl Fn(u32) -> Duration,
+        is_member: impl Fn(u32) -> bool,
+    ) -> usize {
+        let is_current =
+            |s: &PeerState| now.saturating_duration_since(s.received_at) <= ttl(s.zone);
+        let states = self.states.iter();
+        states
+            .filter(|(router, state)| is_member(router.0) && is_current(state))
+            .count()
+    }
+
     /// Counts the routers of a zone accepted by `is_ahead` that the store answered since `since`.
     pub fn watchers(&self, zone: u32, since: Instant, is_ahead: impl Fn(u32) -> bool) -> usize {
         let states = self.states.iter();
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -1,12 +1,14 @@
 //! Tests of the router's decisions, without I/O and on a simulated clock.
 
 mod cold_return;
+mod connections;
 mod crowded_router;
 mod departures;
 mod engines;
 mod flooded_zone;
 mod incremental_reports;
 mod kv_transfers;
+mod lopsided_wave;
 mod notices;
 mod outcomes;
 mod overload;
