fleet: count requests against a share when servers begin to run them

Cause: the share counted each request when it was sent to a server, and kept it for the whole window of 4 s. Requests sent to an engine that never began them used up the share all the same, at all routers through their reports. Accounting of what was meant in place of what happened.

Tokens sent count as pending while nothing has begun, and leave the account when the request fails, is refused or its router's reports end. They enter the window when the answer begins. Reports carry the present value.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -70,6 +70,8 @@
     /// Number of servers to which the request was sent or is being sent.
     attempts: u32,
     started: bool,
+    /// Tokens that count as pending for the workspace.
+    pending: f64,
     execution: Execution,
 }
 
@@ -90,7 +92,10 @@
 #[derive(Debug, Default)]
 struct WorkspaceTotal {
     requested: f64,
+    /// Tokens of requests that began to run.
     admitted: f64,
+    /// Tokens of requests sent to servers that have not begun to run yet.
+    pending: f64,
     changed_at: Option<Instant>,
 }
 
@@ -325,6 +330,7 @@
                 workspace: workspace.0,
                 requested: t.requested as u64,
                 admitted: t.admitted as u64,
+                pending: t.pending as u64,
             })
             .collect();
         let placed = self.placements.iter().rev();
@@ -418,6 +424,7 @@
                 tried: Vec::new(),
                 attempts: 0,
                 started: false,
+                pending: 0.0,
                 execution: Execution::NotRun,
             },
         );
@@ -431,9 +438,16 @@
             .or_insert_with(|| RetryWindow::new(bound))
     }
 
-    fn fail_request(&mut self, key: RequestKey, reason: Reason, retry_after: Duration) {
+    fn fail_request(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        reason: Reason,
+        retry_after: Duration,
+    ) {
         let inputs = None;
         self.refuse(
+            now,
             key,
             Refusal {
                 reason,
@@ -443,7 +457,8 @@
         );
     }
 
-    fn refuse(&mut self, key: RequestKey, refusal: Refusal) {
+    fn refuse(&mut self, now: Instant, key: RequestKey, refusal: Refusal) {
+        self.settle_charge(now, key);
         let Some(request) = self.requests.remove(&key) else {
             return;
         };
@@ -456,7 +471,31 @@
         });
     }
 
+    /// Ends the time in which a request's charge is pending and returns its workspace and charge, if
+    /// it was.
+    fn settle_charge(&mut self, now: Instant, key: RequestKey) -> Option<(WorkspaceHash, f64)> {
+        let request = self.requests.get_mut(&key)?;
+        let charge = std::mem::take(&mut request.pending);
+        let workspace = request.submission.workspace.filter(|_| charge > 0.0)?;
+        self.quota.add_pending(workspace, -charge);
+        let total = self.totals.entry(workspace).or_default();
+        total.pending = (total.pending - charge).max(0.0);
+        total.changed_at = Some(now);
+        Some((workspace, charge))
+    }
+
+    /// Counts a request whose answer began against its workspace's share.
+    fn count_begun(&mut self, now: Instant, key: RequestKey) {
+        let Some((workspace, charge)) = self.settle_charge(now, key) else {
+            return;
+        };
+        self.quota.add_admitted(now, workspace, charge);
+        let total = self.totals.entry(workspace).or_default();
+        total.admitted += charge;
+    }
+
     fn first_byte(&mut self, now: Instant, key: RequestKey) {
+        self.count_begun(now, key);
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
@@ -513,6 +552,7 @@
 
     fn attempt_ended(&mut self, now: Instant, key: RequestKey, outcome: Outcome) {
         let Some(attempt) = self.release_attempt(key) else {
+            self.settle_charge(now, key);
             self.requests.remove(&key);
             return;
         };
@@ -520,6 +560,10 @@
         self.judge_parts(now, key, &attempt, outcome);
         match outcome {
             Outcome::Answered | Outcome::Left => {
+                if outcome == Outcome::Answered {
+                    self.count_begun(now, key);
+                }
+                self.settle_charge(now, key);
                 self.requests.remove(&key);
                 return;
             }
@@ -658,16 +702,16 @@
         );
         let retryable = request.may_repeat() || (not_run && !request.started);
         if now >= submission.deadline {
-            return self.fail_request(key, Reason::Expired, Duration::ZERO);
+            return self.fail_request(now, key, Reason::Expired, Duration::ZERO);
         }
         if !retryable || !request.has_attempts() {
-            return self.fail_request(key, Reason::Exhausted, choice::SHORT_RETRY_AFTER);
+            return self.fail_request(now, key, Reason::Exhausted, choice::SHORT_RETRY_AFTER);
         }
         if request.attempts > 0 {
             let service = submission.service.clone();
             let router_count = self.router_count();
             if !self.retry_window(&service).try_retry(now, router_count) {
-                return self.fail_request(key, Reason::RetryBudget, choice::SHORT_RETRY_AFTER);
+                return self.fail_request(now, key, Reason::RetryBudget, choice::SHORT_RETRY_AFTER);
             }
         }
         self.place(now, key);
@@ -776,10 +820,13 @@
             }
         }
         #[allow(clippy::cast_precision_loss)]
-        for (workspace, requested, admitted) in change.workspace_tokens {
-            let workspace = WorkspaceHash(workspace);
-            self.quota.add_requested(now, workspace, requested as f64);
-            self.quota.add_admitted(now, workspace, admitted as f64);
+        for change in change.workspaces {
+            let workspace = WorkspaceHash(change.workspace);
+            self.quota
+                .add_requested(now, workspace, change.requested as f64);
+            self.quota
+                .add_admitted(now, workspace, change.admitted as f64);
+            self.quota.add_pending(workspace, change.pending);
         }
     }
 
@@ -841,8 +888,13 @@
         let cross_zone_ttl =
             own_ttl.max(self.report_period() * self.cross_zone_periods() * EXPIRY_PERIODS);
         let ttl = |of: u32| if of == zone { own_ttl } else { cross_zone_ttl };
-        for loads in self.peers.expire(now, &ttl) {
-            self.subtract_peer_loads(&loads);
+        for expired in self.peers.expire(now, ttl) {
+            self.subtract_peer_loads(&expired.loads);
+            #[allow(clippy::cast_precision_loss)]
+            for (workspace, pending) in expired.pending {
+                let workspace = WorkspaceHash(workspace);
+                self.quota.add_pending(workspace, -(pending as f64));
+            }
         }
         let is_member = |router: u32| self.members.binary_search(&router).is_ok();
         self.reporting = self.peers.reporting(now, ttl, is_member);
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -187,7 +187,7 @@
             return;
         };
         if now >= request.submission.deadline {
-            return self.fail_request(key, Reason::Expired, Duration::ZERO);
+            return self.fail_request(now, key, Reason::Expired, Duration::ZERO);
         }
         let prompt = request.submission.prompt.as_ref();
         let quarantine = prompt.and_then(|p| {
@@ -197,7 +197,7 @@
             left.max()
         });
         if let Some(left) = quarantine {
-            return self.fail_request(key, Reason::Quarantined, left);
+            return self.fail_request(now, key, Reason::Quarantined, left);
         }
         let share = self.share_status(now, key);
         let request = self.requests.get(&key);
@@ -208,6 +208,7 @@
         if charge.is_some_and(|c| !admits(c)) {
             let lag = self.pressure.lag();
             return self.refuse(
+                now,
                 key,
                 Refusal {
                     reason: Reason::RouterBusy,
@@ -218,7 +219,7 @@
         }
         match self.choose(now, key, share) {
             Ok(candidate) => self.send(now, key, candidate),
-            Err(refusal) => self.refuse(key, *refusal),
+            Err(refusal) => self.refuse(now, key, *refusal),
         }
     }
 
@@ -625,9 +626,10 @@
             &request.submission.prompt,
         ) {
             let charge = prompt.charge();
-            self.quota.add_admitted(now, workspace, charge);
+            request.pending = charge;
+            self.quota.add_pending(workspace, charge);
             let total = self.totals.entry(workspace).or_default();
-            total.admitted += charge;
+            total.pending += charge;
             total.changed_at = Some(now);
         }
     }
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use hibiscusrail_macros::id;
+use hibiscusrail_macros::{id, value};
 use prost::Message;
 
 use crate::engine::Load;
@@ -64,9 +64,13 @@
     /// Tokens requested.
     #[prost(uint64, tag = "2")]
     pub requested: u64,
-    /// Tokens admitted.
+    /// Tokens of requests that servers began to run.
     #[prost(uint64, tag = "3")]
     pub admitted: u64,
+    /// Tokens of the requests that were sent to servers and have not begun to run yet; a present
+    /// value, not a total.
+    #[prost(uint64, tag = "4")]
+    pub pending: u64,
 }
 
 /// Report of a router to the other routers.
@@ -128,10 +132,32 @@
     store_answered_at: Option<Instant>,
     /// Load at servers by the hash of their id.
     pub loads: BTreeMap<u32, Load>,
-    totals: BTreeMap<u64, (u64, u64)>,
+    totals: BTreeMap<u64, Total>,
     sent_tokens: BTreeMap<u32, u64>,
 }
 
+/// Change of a workspace's tokens at one router.
+#[value]
+pub struct WorkspaceChange {
+    /// Hash of the workspace's name.
+    pub workspace: u64,
+    /// Tokens requested since the last report.
+    pub requested: u64,
+    /// Tokens of requests that began to run since the last report.
+    pub admitted: u64,
+    /// Difference of the tokens of requests that have not begun.
+    pub pending: f64,
+}
+
+/// State of a router that no longer counts since its reports ended.
+#[derive(Debug, Default)]
+pub struct Expired {
+    /// Loads at servers, by the hash of their id.
+    pub loads: BTreeMap<u32, Load>,
+    /// Tokens of requests that have not begun, by the hash of the workspace's name.
+    pub pending: Vec<(u64, u64)>,
+}
+
 /// Changes that a report brings.
 #[derive(Debug, Default)]
 pub struct Change {
@@ -139,12 +165,52 @@
     pub old_loads: BTreeMap<u32, Load>,
     /// Loads to add instead, by server.
     pub new_loads: BTreeMap<u32, Load>,
-    /// Tokens requested and admitted since the last report, by workspace.
-    pub workspace_tokens: Vec<(u64, u64, u64)>,
+    /// Changes of the workspaces' tokens.
+    pub workspaces: Vec<WorkspaceChange>,
     /// Prompt tokens sent for prefill since the last report, by server.
     pub prefill: Vec<(u32, u64)>,
 }
 
+impl Total {
+    /// Returns the change since an earlier total of the same incarnation.
+    #[allow(clippy::cast_precision_loss)]
+    fn since(&self, previous: Option<Self>) -> WorkspaceChange {
+        // The first total of an incarnation does not tell when its tokens were requested.
+        let before = previous.unwrap_or(Self {
+            pending: 0,
+            ..*self
+        });
+        WorkspaceChange {
+            workspace: self.workspace,
+            requested: self.requested.saturating_sub(before.requested),
+            admitted: self.admitted.saturating_sub(before.admitted),
+            pending: self.pending as f64 - before.pending as f64,
+        }
+    }
+
+    /// Returns the change if the router no longer counts.
+    fn dropped(&self) -> WorkspaceChange {
+        let none = Self {
+            pending: 0,
+            ..*self
+        };
+        none.since(Some(*self))
+    }
+}
+
+impl PeerState {
+    /// Takes what no longer counts once the router's reports have ended.
+    fn expire(&mut self) -> Expired {
+        let pending = self.totals.values_mut().filter(|t| t.pending > 0);
+        Expired {
+            loads: std::mem::take(&mut self.loads),
+            pending: pending
+                .map(|t| (t.workspace, std::mem::take(&mut t.pending)))
+                .collect(),
+        }
+    }
+}
+
 /// State of all other routers, from their reports.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -176,7 +242,9 @@
         let (mut old_loads, mut totals, mut sent_tokens) = previous_state
             .map(|s| (s.loads, s.totals, s.sent_tokens))
             .unwrap_or_default();
+        let mut workspaces = Vec::new();
         if !same_incarnation {
+            workspaces.extend(totals.values().map(Total::dropped));
             totals.clear();
             sent_tokens.clear();
         }
@@ -186,15 +254,9 @@
                 prefill.push((load.server, load.sent_tokens.saturating_sub(previous)));
             }
         }
-        let mut workspace_tokens = Vec::new();
         for total in &report.totals {
-            let total_now = (total.requested, total.admitted);
-            // The first total of an incarnation does not tell when its tokens were requested.
-            if let Some((requested, admitted)) = totals.insert(total.workspace, total_now) {
-                let requested = total.requested.saturating_sub(requested);
-                let admitted = total.admitted.saturating_sub(admitted);
-                workspace_tokens.push((total.workspace, requested, admitted));
-            }
+            let previous = totals.insert(total.workspace, *total);
+            workspaces.push(total.since(previous));
         }
         let loads = report.loads.iter().map(|l| {
             let load = Load {
@@ -226,24 +288,20 @@
         Some(Change {
             old_loads,
             new_loads,
-            workspace_tokens,
+            workspaces,
             prefill,
         })
     }
 
-    /// Removes and returns the loads of routers whose last report is older than their zone's TTL.
-    pub fn expire(
-        &mut self,
-        now: Instant,
-        ttl: impl Fn(u32) -> Duration,
-    ) -> Vec<BTreeMap<u32, Load>> {
+    /// Removes and returns the state of routers whose last report is older than their zone's TTL.
+    pub fn expire(&mut self, now: Instant, ttl: impl Fn(u32) -> Duration) -> Vec<Expired> {
         let is_expired =
             |s: &&mut PeerState| now.saturating_duration_since(s.received_at) > ttl(s.zone);
         self.states
             .values_mut()
             .filter(is_expired)
-            .map(|s| std::mem::take(&mut s.loads))
-            .filter(|l| !l.is_empty())
+            .map(PeerState::expire)
+            .filter(|e| !e.loads.is_empty() || !e.pending.is_empty())
             .collect()
     }
 
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -1,7 +1,7 @@
 //! Max-min fair shares of the engines' throughput among workspaces.
 //!
 //! From its own requests and the other routers' reports, every router knows how many tokens each
-//! workspace requested and had admitted in the last window. A workspace that requests less than an
+//! workspace requested and received in the last window. A workspace that requests less than an
 //! even share gets all of it; the others share the rest evenly. Idle time earns no credit, since it
 //! leaves the window.
 //!
@@ -41,11 +41,22 @@
     }
 }
 
-/// Tokens of one workspace in the window.
+/// Tokens of one workspace.
 #[derive(Debug)]
 struct Account {
+    /// Tokens requested in the window.
     requested: Window,
+    /// Tokens of the requests that servers began to run in the window.
     admitted: Window,
+    /// Tokens of the requests that were sent to servers and have not begun yet.
+    pending: f64,
+}
+
+impl Account {
+    /// Returns what the workspace received in the window or is about to receive.
+    fn received(&mut self, now: Instant) -> f64 {
+        self.admitted.sum(now) + self.pending
+    }
 }
 
 /// Tokens requested and admitted, by workspace.
@@ -70,6 +81,7 @@
         self.accounts.entry(workspace).or_insert_with(|| Account {
             requested: Window::new(window),
             admitted: Window::new(window),
+            pending: 0.0,
         })
     }
 
@@ -78,7 +90,16 @@
         self.account(workspace).requested.add(now, tokens);
     }
 
-    /// Counts tokens that were admitted for a workspace.
+    /// Adds to the tokens that were sent to servers and have not begun to run yet.
+    ///
+    /// They count only until it is known whether they run: a server that fails before it begins
+    /// has given the workspace nothing.
+    pub fn add_pending(&mut self, workspace: WorkspaceHash, tokens: f64) {
+        let account = self.account(workspace);
+        account.pending = (account.pending + tokens).max(0.0);
+    }
+
+    /// Counts tokens of a request that began to run.
     pub fn add_admitted(&mut self, now: Instant, workspace: WorkspaceHash, tokens: f64) {
         self.account(workspace).admitted.add(now, tokens);
     }
@@ -97,10 +118,10 @@
         let mut requested = Vec::with_capacity(self.accounts.len());
         for account in self.accounts.values_mut() {
             requested.push(account.requested.sum(now));
-            total_admitted += account.admitted.sum(now);
+            total_admitted += account.received(now);
         }
         requested.sort_by(f64::total_cmp);
-        let admitted = self.account(workspace).admitted.sum(now);
+        let admitted = self.account(workspace).received(now);
         let guaranteed = throughput * self.window.as_secs_f64();
         if admitted < fair_share(&requested, guaranteed) {
             return ShareStatus::Within;
--- a/crates/fleet/tests/all/lopsided_wave.rs
+++ b/crates/fleet/tests/all/lopsided_wave.rs
@@ -211,7 +211,7 @@
             number % routers
         };
         let router = usize::try_from(router).expect("it fits");
-        let prefix = workspace << 32 | number * 7 % self.plan.prefixes;
+        let prefix = (workspace << 32) | (number * 7 % self.plan.prefixes);
         self.next_key += 1;
         let key = self.next_key;
         let prompt = Prompt {
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod incremental_reports;
 mod kv_transfers;
 mod lopsided_wave;
+mod lost_work;
 mod notices;
 mod outcomes;
 mod overload;
--- a/crates/fleet/tests/all/overload.rs
+++ b/crates/fleet/tests/all/overload.rs
@@ -213,6 +213,7 @@
             workspace,
             requested: since_start(200_000),
             admitted: since_start(admitted),
+            pending: 0,
         };
         let report = Report {
             sender: 7,
--- a/crates/fleet/tests/all/quota.rs
+++ b/crates/fleet/tests/all/quota.rs
@@ -95,3 +95,14 @@
         prop_assert!(taken >= demand.min(capacity) - slack);
     }
 }
+
+#[test]
+fn pending_tokens_count_until_they_fail() {
+    let now = Instant::now();
+    let mut quota = Quota::new(WINDOW);
+    quota.add_requested(now, LARGE, 200_000.0);
+    quota.add_pending(LARGE, 100_000.0);
+    assert!(!quota.share_status(now, LARGE, 10_000.0).is_within());
+    quota.add_pending(LARGE, -100_000.0);
+    assert!(quota.share_status(now, LARGE, 10_000.0).is_within());
+}
