fleet: report measured token intervals to the other routers

Cause: the limit on the token interval read what each router measured on its own streams. The router with a whole workspace measured 7 to 18 ms everywhere and refused from 8; the 85 others mostly had no recent value, took 0 for it and admitted. A decision that should follow the share followed local knowledge; missing knowledge counted as an idle engine.

Reports carry the interval that the sender measured itself for each engine; the limit and the score read the mean of own and reported ones.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -25,6 +25,8 @@
 /// Factor by which earlier events lose weight with each new one. An engine sends about ten events
 /// to each router in the time in which its batch changes.
 const INTERVAL_DECAY: f64 = 0.9;
+/// Number of tokens for which a reported interval counts: about one event of a stream.
+const REPORTED_TOKENS: f64 = 8.0;
 /// Age from which an observed token interval says nothing about the engine's present batch.
 const INTERVAL_TTL: Duration = Duration::from_millis(1_000);
 /// Lowest prefill rate assumed for an engine, relative to its data sheet.
@@ -123,6 +125,19 @@
 }
 
 impl TokenInterval {
+    /// Returns the sums after a further observation.
+    fn after(before: Option<Self>, now: Instant, gap: Duration, tokens: f64) -> Self {
+        let before = before.filter(|i| i.is_fresh(now));
+        let (seconds, sum) = before.map_or((0.0, 0.0), |i| {
+            (i.seconds * INTERVAL_DECAY, i.tokens * INTERVAL_DECAY)
+        });
+        Self {
+            seconds: seconds + gap.as_secs_f64(),
+            tokens: sum + tokens,
+            observed_at: now,
+        }
+    }
+
     fn is_fresh(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.observed_at) < INTERVAL_TTL
     }
@@ -162,8 +177,10 @@
     prefill: Window,
     /// Observed prefill rate relative to the data sheet.
     rate: f64,
-    /// Recent token interval.
+    /// Recent token interval of this router's own streams.
     interval: Option<TokenInterval>,
+    /// Recent token interval that the other routers reported.
+    peer_interval: Option<TokenInterval>,
     /// Prompt tokens that all routers sent for prefill since this record was created.
     total_tokens: u64,
     /// Last parts of the shared prefixes sent to the server, each with `total_tokens` at that time.
@@ -192,6 +209,7 @@
             prefill: Window::new(PREFILL_WINDOW),
             rate: 1.0,
             interval: None,
+            peer_interval: None,
             total_tokens: 0,
             parts: FxHashMap::default(),
         }
@@ -296,25 +314,44 @@
         self.rate += RATE_WEIGHT * (seen - self.rate);
     }
 
-    /// Updates the token interval with the `tokens` that a stream received after `gap`.
+    /// Updates the token interval with the `tokens` that a stream of this router received after
+    /// `gap`.
     pub fn observe_interval(&mut self, now: Instant, gap: Duration, tokens: u32) {
-        let before = self.interval.filter(|i| i.is_fresh(now));
-        let (seconds, sum) = before.map_or((0.0, 0.0), |i| {
-            (i.seconds * INTERVAL_DECAY, i.tokens * INTERVAL_DECAY)
-        });
-        self.interval = Some(TokenInterval {
-            seconds: seconds + gap.as_secs_f64(),
-            tokens: sum + f64::from(tokens),
-            observed_at: now,
-        });
+        let interval = TokenInterval::after(self.interval, now, gap, f64::from(tokens));
+        self.interval = Some(interval);
     }
 
-    /// Returns the average time per output token of a stream; zero without a recent observation.
+    /// Updates the token interval with one that another router reported.
+    pub fn observe_peer_interval(&mut self, now: Instant, interval: Duration) {
+        let gap = interval.mul_f64(REPORTED_TOKENS);
+        let interval = TokenInterval::after(self.peer_interval, now, gap, REPORTED_TOKENS);
+        self.peer_interval = Some(interval);
+    }
+
+    /// Returns the average time per output token of this router's own streams; zero without a
+    /// recent observation.
+    #[must_use]
+    pub fn own_interval(&self, now: Instant) -> Duration {
+        mean_interval([self.interval], now)
+    }
+
+    /// Returns the average time per output token of all routers' streams; zero without a recent
+    /// observation.
     #[must_use]
     pub fn token_interval(&self, now: Instant) -> Duration {
-        let fresh = self.interval.filter(|i| i.is_fresh(now) && i.tokens > 0.0);
-        fresh.map_or(Duration::ZERO, |i| {
-            Duration::from_secs_f64(i.seconds / i.tokens)
-        })
+        mean_interval([self.interval, self.peer_interval], now)
+    }
+}
+
+/// Returns the time per output token over the fresh observations; zero without one.
+fn mean_interval<const N: usize>(intervals: [Option<TokenInterval>; N], now: Instant) -> Duration {
+    let fresh = intervals.into_iter().flatten().filter(|i| i.is_fresh(now));
+    let (seconds, tokens) = fresh.fold((0.0, 0.0), |(seconds, tokens), i| {
+        (seconds + i.seconds, tokens + i.tokens)
+    });
+    if tokens > 0.0 {
+        Duration::from_secs_f64(seconds / tokens)
+    } else {
+        Duration::ZERO
     }
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -136,8 +136,10 @@
 }
 
 /// Returns this router's load at a server for a report.
-fn server_load(server: &Server) -> ServerLoad {
+fn server_load(now: Instant, server: &Server) -> ServerLoad {
+    let interval = server.own_interval(now).as_micros();
     ServerLoad {
+        token_interval: u32::try_from(interval).unwrap_or(u32::MAX),
         server: server.hash,
         pending_prefill: server.own_load.pending_prefill,
         running: server.own_load.running,
@@ -323,7 +325,7 @@
             .totals
             .iter()
             .filter(|(_, t)| t.changed_at.is_some_and(is_recent));
-        let loads = loads.map(server_load).collect();
+        let loads = loads.map(|s| server_load(now, s)).collect();
         let (suspects, cleared) = self.suspects.report(now);
         let totals = totals
             .map(|(workspace, t)| Total {
@@ -363,7 +365,7 @@
     }
 
     /// Returns an incremental report of the requests sent to engines since the last one, if any.
-    pub fn incremental_report(&mut self) -> Option<Report> {
+    pub fn incremental_report(&mut self, now: Instant) -> Option<Report> {
         let sent = std::mem::take(&mut self.unreported);
         if sent.is_empty() {
             return None;
@@ -371,7 +373,7 @@
         let servers: BTreeSet<ServerKey> = sent.iter().map(|(server, _)| *server).collect();
         let loads = servers.into_iter().filter_map(|key| self.registry.get(key));
         Some(Report {
-            loads: loads.map(server_load).collect(),
+            loads: loads.map(|s| server_load(now, s)).collect(),
             placed: sent.into_iter().filter_map(|(_, placed)| placed).collect(),
             incremental: true,
             ..self.new_report()
@@ -806,6 +808,12 @@
                 server.peer_load.add(*load);
             }
         }
+        for load in report.loads.iter().filter(|l| l.token_interval > 0) {
+            if let Some(server) = self.registry.by_hash_mut(load.server) {
+                let interval = Duration::from_micros(u64::from(load.token_interval));
+                server.observe_peer_interval(now, interval);
+            }
+        }
         for placement in &report.placed {
             if let Some(server) = self.registry.by_hash_mut(placement.server) {
                 server.record_part(placement.part);
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -42,6 +42,10 @@
     /// Prompt tokens sent for prefill since the sender's start.
     #[prost(uint64, tag = "4")]
     pub sent_tokens: u64,
+    /// Time per output token of the sender's streams in microseconds; zero without a recent
+    /// observation.
+    #[prost(uint32, tag = "5")]
+    pub token_interval: u32,
 }
 
 /// Placement of a recent prompt of the sender.
--- a/crates/fleet/tests/all/connections.rs
+++ b/crates/fleet/tests/all/connections.rs
@@ -41,6 +41,7 @@
                 pending_prefill: 0,
                 running: used,
                 sent_tokens: 0,
+                token_interval: 0,
             }],
             ..Report::default()
         };
--- a/crates/fleet/tests/all/engines.rs
+++ b/crates/fleet/tests/all/engines.rs
@@ -56,3 +56,15 @@
     }
     assert_eq!(server.token_interval(now).as_millis(), 5);
 }
+
+#[test]
+fn token_interval_of_other_router_counts() {
+    let now = Instant::now();
+    let mut server = Server::new("e", 1, backend(ENGINES, 1), now);
+    server.observe_peer_interval(now, Duration::from_millis(20));
+    assert_eq!(server.token_interval(now), Duration::from_millis(20));
+    // Only what a router measured itself is reported on, so that no value circulates.
+    assert_eq!(server.own_interval(now), Duration::ZERO);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(server.token_interval(later), Duration::ZERO);
+}
--- a/crates/fleet/tests/all/incremental_reports.rs
+++ b/crates/fleet/tests/all/incremental_reports.rs
@@ -10,7 +10,7 @@
 
 /// Delivers a router's incremental report to all other routers.
 fn deliver(fleets: &mut [Fleet], sender: usize, now: Instant) {
-    let Some(report) = fleets[sender].incremental_report() else {
+    let Some(report) = fleets[sender].incremental_report(now) else {
         return;
     };
     for (number, fleet) in fleets.iter_mut().enumerate() {
@@ -49,12 +49,12 @@
 fn incremental_report_lists_each_request_once() {
     let now = Instant::now();
     let mut fleet = support::router("r", 4, now);
-    assert!(!fleet.has_incremental_report() && fleet.incremental_report().is_none());
+    assert!(!fleet.has_incremental_report() && fleet.incremental_report(now).is_none());
     fleet.handle(now, Event::Submit(submission(1, 1, prompt(7, 500), now)));
     assert!(fleet.has_incremental_report());
-    let report = fleet.incremental_report().expect("something was sent");
+    let report = fleet.incremental_report(now).expect("something was sent");
     assert!(report.incremental && report.loads.len() == 1 && report.placed.len() == 1);
-    assert!(fleet.incremental_report().is_none());
+    assert!(fleet.incremental_report(now).is_none());
 }
 
 #[test]
@@ -65,11 +65,11 @@
     sender.handle(now, Event::Submit(submission(1, 1, prompt(1, 9_000), now)));
     fleet.handle(now, Event::Report(sender.report(now, Scope::All)));
     assert!(
-        sender.incremental_report().is_some(),
+        sender.incremental_report(now).is_some(),
         "already part of the full report"
     );
     sender.handle(now, Event::Submit(submission(2, 1, prompt(2, 9_000), now)));
-    let report = sender.incremental_report().expect("something was sent");
+    let report = sender.incremental_report(now).expect("something was sent");
     fleet.handle(now, Event::Report(report));
     let peer: u64 = fleet
         .registry()
@@ -90,7 +90,7 @@
     let mut sender = support::router("sender", 4, now);
     let mut fleet = support::router("r", 4, now);
     sender.handle(now, Event::Submit(submission(1, 1, prompt(1, 9_000), now)));
-    let older = sender.incremental_report().expect("something was sent");
+    let older = sender.incremental_report(now).expect("something was sent");
     sender.handle(now, Event::FirstByte(RequestKey(1)));
     sender.handle(now, Event::Ended(RequestKey(1), Outcome::Answered));
     fleet.handle(now, Event::Report(sender.report(now, Scope::All)));
@@ -105,7 +105,7 @@
     let mut sender = support::router("sender", 4, now);
     let mut fleet = support::router("r", 4, now);
     sender.handle(now, Event::Submit(submission(1, 1, prompt(1, 9_000), now)));
-    let report = sender.incremental_report().expect("something was sent");
+    let report = sender.incremental_report(now).expect("something was sent");
     fleet.handle(now, Event::Report(report));
     let later = now + Duration::from_secs(2);
     fleet.handle(later, Event::Tick);
@@ -121,7 +121,7 @@
     for number in 0..8 {
         let mut sender = support::router(&format!("s{number}"), 4, now);
         sender.handle(now, Event::Submit(submission(1, 1, prompt(1, 9_000), now)));
-        let report = sender.incremental_report().expect("something was sent");
+        let report = sender.incremental_report(now).expect("something was sent");
         fleet.handle(now, Event::Report(report));
     }
     assert!(fleet.reads_store(now));
--- a/crates/fleet/tests/all/lopsided_wave.rs
+++ b/crates/fleet/tests/all/lopsided_wave.rs
@@ -172,7 +172,7 @@
                 }
                 Step::SmallReports => {
                     for sender in 0..self.routers.len() {
-                        if let Some(report) = self.routers[sender].incremental_report() {
+                        if let Some(report) = self.routers[sender].incremental_report(now) {
                             self.deliver(now, sender, &Event::Report(report));
                         }
                     }
@@ -318,3 +318,27 @@
         ..PLAN
     });
 }
+
+/// Guards against a limit on the token interval that binds only the router which measures it.
+#[test]
+fn submit_wave_at_one_router_is_not_held_back_by_its_own_measurements() {
+    assert_fair(Plan {
+        engines: 24,
+        rate: 700,
+        prefixes: 40,
+        output_tokens: 60,
+        own_tokens: 3_000,
+        slowness: 4.0,
+        ..PLAN
+    });
+}
+
+/// Guards against a workspace that has become active and has no prefix cached yet: others must not
+/// keep its engines for the prefixes that they have cached.
+#[test]
+fn submit_wave_at_one_router_without_cached_prefixes_gets_its_share() {
+    assert_fair(Plan {
+        prefixes: 200,
+        ..PLAN
+    });
+}
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -134,7 +134,8 @@
         return;
     };
     while signal.next().await.is_some() {
-        if let Some(report) = shell.with_fleet_mut(Fleet::incremental_report) {
+        let now = shell.now();
+        if let Some(report) = shell.with_fleet_mut(|f| f.incremental_report(now)) {
             let scope = shell.with_fleet(Fleet::incremental_scope);
             peers.send(&report.encode_to_vec(), scope);
         }
