fleet: keep the rate that a server names for all routers together

Cause: the header was not read. Each router filled the server to its usual limits.

Every response's head now tells the reducer the rate or that there is none. All routers count the requests of all, from their reports, over one and four seconds; a server at its rate receives nothing, and the fraction used counts like slots in use, so that workspaces over their share stop first. The rate is not divided among routers; silent ones count with an even part. If all servers are at their rates, callers are refused at once with the time until one has room.

Ruled out: even parts of the rate. A router that has all the callers would use an eighth of it (submit_at_one_router_uses_whole_rate).

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -9,6 +9,7 @@
 use hibiscusrail_macros::{record, value};
 use rustc_hash::FxHashMap;
 
+use crate::arrivals::Arrivals;
 use crate::cold::ColdBucket;
 use crate::health::Health;
 use crate::notice::Notice;
@@ -171,8 +172,12 @@
     pub withdrawn: Option<Revision>,
     /// Prompt tokens that this router sent for prefill since its start.
     pub sent_tokens: u64,
-    /// When `sent_tokens` last grew.
+    /// Requests that this router sent since its start.
+    pub sent_requests: u64,
+    /// When this router last sent a request.
     pub sent_at: Option<Instant>,
+    /// Requests that all routers sent recently.
+    arrivals: Arrivals,
     /// Prompt tokens that all routers sent for prefill in the last [`PREFILL_WINDOW`].
     prefill: Window,
     /// Observed prefill rate relative to the data sheet.
@@ -205,6 +210,8 @@
             expired_at: None,
             withdrawn: None,
             sent_tokens: 0,
+            sent_requests: 0,
+            arrivals: Arrivals::default(),
             sent_at: None,
             prefill: Window::new(PREFILL_WINDOW),
             rate: 1.0,
@@ -266,15 +273,18 @@
         Duration::from_secs_f64(tokens as f64 / (nominal_rate * self.rate) / 1e3)
     }
 
-    /// Records prompt tokens that another router sent for prefill.
+    /// Records requests that another router sent and their prompt tokens to prefill.
     #[allow(clippy::cast_precision_loss)]
-    pub fn record_peer_prefill(&mut self, now: Instant, tokens: u64) {
+    pub fn record_peer_requests(&mut self, now: Instant, requests: u64, tokens: u64) {
+        self.arrivals.add(now, requests as f64);
         self.total_tokens += tokens;
         self.prefill.add(now, tokens as f64);
     }
 
-    /// Records prompt tokens that this router sends for prefill.
-    pub fn record_prefill(&mut self, now: Instant, tokens: u32) {
+    /// Records a request that this router sends and its prompt tokens to prefill.
+    pub fn record_request(&mut self, now: Instant, tokens: u32) {
+        self.sent_requests += 1;
+        self.arrivals.add(now, 1.0);
         self.sent_tokens += u64::from(tokens);
         self.sent_at = Some(now);
         self.total_tokens += u64::from(tokens);
@@ -291,6 +301,25 @@
         self.prefill.peek(now) / capacity
     }
 
+    /// Returns how much of the rate that the server accepts is used: 1 if it may receive no more now,
+    /// and 0 if it names no rate. `unknown` routers count with their even parts of `routers`.
+    #[must_use]
+    pub fn rate_used(&self, now: Instant, unknown: u32, routers: u32) -> f64 {
+        let rate = self.notice.rate.map(|r| r.per_second);
+        rate.map_or(0.0, |rate| {
+            self.arrivals.rate_used(now, rate, unknown, routers)
+        })
+    }
+
+    /// Returns the time after which the server may receive a request, as far as it announced a pause
+    /// or a rate; zero if that is now.
+    #[must_use]
+    pub fn announced_wait(&self, now: Instant) -> Duration {
+        let rate = self.notice.rate.map(|r| r.per_second);
+        let wait = rate.map_or(Duration::ZERO, |rate| self.arrivals.wait(now, rate));
+        wait.max(self.notice.pause_left(now))
+    }
+
     /// Records that the server prefills the shared prefix that ends with a part.
     pub fn record_part(&mut self, part: u64) {
         self.parts.insert(part, self.total_tokens);
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -91,7 +91,7 @@
     RetryBudget,
     /// The deadline has passed.
     Expired,
-    /// All servers of the service asked for a pause.
+    /// All servers of the service asked for a pause or accept no more at the rate that they named.
     Throttled,
     /// A shared part of the prompt crashed several engines.
     Quarantined,
@@ -254,6 +254,9 @@
     ServerSilent(ServerKey),
     /// A server's response says that it is leaving.
     ServerLeaving(ServerKey),
+    /// A server's response names the requests per second that it accepts from all routers together,
+    /// or no longer names any.
+    ServerRate(ServerKey, Option<f64>),
     /// A server that turned a request away asked for a pause of this length.
     ServerThrottled(ServerKey, Duration),
     /// The operator configuration was read.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -17,9 +17,10 @@
 use crate::event::{
     Decision, Event, Execution, Outcome, Reason, RefusalInputs, RequestKey, Submission,
 };
+use crate::notice::Rate;
 use crate::objects::{OperatorConfig, Repeat, Revision, Servers, Service};
 use crate::params::Params;
-use crate::peers::{Peers, Placement, Report, RouterHash, Scope, ServerLoad, Total};
+use crate::peers::{Peers, Placement, RateNotice, Report, RouterHash, Scope, ServerLoad, Total};
 use crate::placement::{self, name_hash};
 use crate::pressure::Pressure;
 use crate::quota::{Quota, WorkspaceHash};
@@ -144,6 +145,7 @@
         pending_prefill: server.own_load.pending_prefill,
         running: server.own_load.running,
         sent_tokens: server.sent_tokens,
+        sent_requests: server.sent_requests,
     }
 }
 
@@ -257,6 +259,7 @@
             Event::Ended(key, outcome) => self.attempt_ended(now, key, outcome),
             Event::ServerSilent(server) => self.server_silent(now, server),
             Event::ServerLeaving(server) => self.server_leaving(server),
+            Event::ServerRate(server, rate) => self.server_rate(now, server, rate),
             Event::ServerThrottled(server, pause) => self.server_throttled(now, server, pause),
             Event::Config(revision, config) => self.apply_config(now, revision, config),
             Event::Servers(revision, servers) => self.apply_servers(now, revision, &servers),
@@ -342,6 +345,7 @@
             loads,
             totals,
             departed: self.departures.recent(now),
+            rates: self.rate_notices(now, max_age),
             suspects,
             cleared,
             store_age: u64::try_from(store_age.as_millis()).unwrap_or(u64::MAX),
@@ -650,6 +654,46 @@
         self.log("server_leaving", &id, "response=true".to_owned());
     }
 
+    /// Records the rate that a server's response names, or that it names none.
+    fn server_rate(&mut self, now: Instant, key: ServerKey, rate: Option<f64>) {
+        let hash = self.registry.get(key).map(|s| s.hash);
+        if let Some(hash) = hash {
+            self.set_rate(now, hash, rate, self.own_hash.0);
+        }
+    }
+
+    /// Records what a server's response, received at `at` by a router, says about its rate.
+    fn set_rate(&mut self, at: Instant, server: u32, rate: Option<f64>, router: u32) {
+        let Some(server) = self.registry.by_hash_mut(server) else {
+            return;
+        };
+        let rate = rate.map(|per_second| Rate { per_second });
+        if !server.notice.set_rate(at, rate) {
+            return;
+        }
+        let id = server.id.clone();
+        let rate = rate.map_or_else(|| "none".to_owned(), |r| r.per_second.to_string());
+        let detail = format!("rate={rate} router={router:08x}");
+        self.log("server_rate", &id, detail);
+    }
+
+    /// Returns the rates that servers announced, or withdrew since a few reports ago.
+    fn rate_notices(&self, now: Instant, max_age: Duration) -> Vec<RateNotice> {
+        let age = |server: &Server| {
+            let at = server.notice.rate_at?;
+            Some(now.saturating_duration_since(at))
+        };
+        let notices = self.registry.all().filter_map(|server| {
+            let (age, rate) = (age(server)?, server.notice.rate);
+            (rate.is_some() || age < max_age).then(|| RateNotice {
+                server: server.hash,
+                rate: rate.map(|r| r.per_second),
+                age: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            })
+        });
+        notices.collect()
+    }
+
     /// Records that a server which turned a request away asked for a pause.
     fn server_throttled(&mut self, now: Instant, key: ServerKey, pause: Duration) {
         let Some(server) = self.registry.get_mut(key) else {
@@ -820,11 +864,17 @@
             }
         }
         self.withdraw_departed(report);
+        for notice in &report.rates {
+            let at = now.checked_sub(Duration::from_millis(notice.age));
+            if let Some(at) = at {
+                self.set_rate(at, notice.server, notice.rate, report.sender);
+            }
+        }
         let quarantined = self.suspects.apply(now, &report.suspects, &report.cleared);
         self.log_quarantined(&quarantined, report.sender);
-        for (hash, tokens) in change.prefill {
+        for (hash, sent) in change.sent {
             if let Some(server) = self.registry.by_hash_mut(hash) {
-                server.record_peer_prefill(now, tokens);
+                server.record_peer_requests(now, sent.requests, sent.tokens);
             }
         }
         #[allow(clippy::cast_precision_loss)]
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -400,12 +400,13 @@
         eligible
     }
 
-    /// Returns the shortest pause that a service's servers asked for, if all of them did.
+    /// Returns the shortest time until one of a service's servers accepts a request again, if all of
+    /// them announced a pause or a rate that is used up.
     fn shortest_pause(&self, now: Instant, service: &str) -> Option<Duration> {
         let servers = self.registry.of_service(service).map(|(_, server)| server);
         let pauses = servers
             .filter(|s| !s.backend.leaving && !s.notice.leaving)
-            .map(|s| s.notice.pause_left(now));
+            .map(|s| s.announced_wait(now));
         pauses.min().filter(|pause| !pause.is_zero())
     }
 
@@ -423,7 +424,8 @@
             && server.health.is_available(ctx.now)
     }
 
-    /// Returns whether a server has a slot and, if rate-limited, a token to spare.
+    /// Returns whether a server has a slot and accepts a further request at its rate, whether it
+    /// announced one or is cold.
     fn has_slot(&self, ctx: &Context<'_>, server: &Server) -> bool {
         let service = ctx.service;
         let slots = server.backend.slots.max(1);
@@ -434,6 +436,9 @@
         if f64::from(server.load().running) >= max_running {
             return false;
         }
+        if server.rate_used(ctx.now, ctx.silent, ctx.routers) >= 1.0 {
+            return false;
+        }
         if !server.is_limited(ctx.now) {
             return true;
         }
@@ -482,7 +487,9 @@
             transferred = cached - eligible.cached;
             prefill_tokens = prompt.input.saturating_sub(cached);
             prefill_fraction = server.prefill_fraction(ctx.now, self.params.read_rate);
+            let rate_used = server.rate_used(ctx.now, ctx.silent, ctx.routers);
             slots_used = f64::from(load.running) / f64::from(server.backend.slots.max(1));
+            slots_used = slots_used.max(rate_used);
         }
         let nominal_interval = self.params.nominal_interval(load.running, prefill_fraction);
         Inputs {
@@ -587,7 +594,7 @@
             running: 1,
         };
         server.own_load.add(load);
-        server.record_prefill(now, candidate.inputs.prefill_tokens);
+        server.record_request(now, candidate.inputs.prefill_tokens);
         if let Some(prompt) = &request.submission.prompt {
             let placement = prompt.prefix_id().map(|part| Placement {
                 part,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 //! * [`pressure`]: overload of this router's event loop;
 //! * [`peers`]: reports from the other routers.
 
+pub mod arrivals;
 pub mod cold;
 mod departures;
 pub mod engine;
--- a/crates/fleet/src/notice.rs
+++ b/crates/fleet/src/notice.rs
@@ -1,4 +1,5 @@
-//! What a server announced in its own responses: that it is leaving, or that it wants a pause.
+//! What a server announced in its own responses: that it is leaving, that it wants a pause, or how
+//! many requests it accepts.
 //!
 //! It holds for the rest of the server's life, whatever its registration says, since a response is
 //! newer than the registration.
@@ -18,6 +19,17 @@
     pub leaving: bool,
     /// End of the pause that the server asked for.
     pub paused_until: Option<Instant>,
+    /// Rate that the server accepts; none if its newest known response names none.
+    pub rate: Option<Rate>,
+    /// When the newest known response was received that tells about the rate.
+    pub rate_at: Option<Instant>,
+}
+
+/// Rate of requests that a server accepts from all routers together.
+#[value]
+pub struct Rate {
+    /// Requests per second.
+    pub per_second: f64,
 }
 
 impl Notice {
@@ -29,6 +41,17 @@
         length
     }
 
+    /// Records the rate that a response received at `at` names, if any; returns whether it changed.
+    ///
+    /// A response older than the newest known one changes nothing.
+    pub fn set_rate(&mut self, at: Instant, rate: Option<Rate>) -> bool {
+        if self.rate_at.is_some_and(|known| at < known) {
+            return false;
+        }
+        self.rate_at = Some(at);
+        std::mem::replace(&mut self.rate, rate) != rate
+    }
+
     /// Returns the remaining time of the pause; zero without one.
     #[must_use]
     pub fn pause_left(&self, now: Instant) -> Duration {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -46,6 +46,23 @@
     /// observation.
     #[prost(uint32, tag = "5")]
     pub token_interval: u32,
+    /// Requests sent since the sender's start.
+    #[prost(uint64, tag = "6")]
+    pub sent_requests: u64,
+}
+
+/// What a server's newest response at the sender said about the rate that it accepts.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct RateNotice {
+    /// Hash of the server's id.
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    /// Requests per second from all routers together; none if the server no longer names a rate.
+    #[prost(double, optional, tag = "2")]
+    pub rate: Option<f64>,
+    /// Milliseconds since the response was received.
+    #[prost(uint64, tag = "3")]
+    pub age: u64,
 }
 
 /// Placement of a recent prompt of the sender.
@@ -119,6 +136,9 @@
     /// Prompt parts that other routers suspect and that the sender saw answered.
     #[prost(fixed64, repeated, tag = "14")]
     pub cleared: Vec<u64>,
+    /// Rates that servers accept, or accepted until recently.
+    #[prost(message, repeated, tag = "15")]
+    pub rates: Vec<RateNotice>,
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
@@ -137,7 +157,28 @@
     /// Load at servers by the hash of their id.
     pub loads: BTreeMap<u32, Load>,
     totals: BTreeMap<u64, Total>,
-    sent_tokens: BTreeMap<u32, u64>,
+    /// Tokens and requests sent to servers, by the hash of their id.
+    sent: BTreeMap<u32, Sent>,
+}
+
+/// Requests sent to a server and their prompt tokens.
+#[value]
+#[derive(Default)]
+pub struct Sent {
+    /// Prompt tokens sent for prefill.
+    pub tokens: u64,
+    /// Number of requests.
+    pub requests: u64,
+}
+
+impl Sent {
+    /// Returns what was sent since an earlier count.
+    fn since(self, earlier: Self) -> Self {
+        Self {
+            tokens: self.tokens.saturating_sub(earlier.tokens),
+            requests: self.requests.saturating_sub(earlier.requests),
+        }
+    }
 }
 
 /// Change of a workspace's tokens at one router.
@@ -171,8 +212,8 @@
     pub new_loads: BTreeMap<u32, Load>,
     /// Changes of the workspaces' tokens.
     pub workspaces: Vec<WorkspaceChange>,
-    /// Prompt tokens sent for prefill since the last report, by server.
-    pub prefill: Vec<(u32, u64)>,
+    /// Requests sent since the last report, by server.
+    pub sent: Vec<(u32, Sent)>,
 }
 
 impl Total {
@@ -243,19 +284,23 @@
         } else {
             now.checked_sub(Duration::from_millis(report.store_age))
         };
-        let (mut old_loads, mut totals, mut sent_tokens) = previous_state
-            .map(|s| (s.loads, s.totals, s.sent_tokens))
+        let (mut old_loads, mut totals, mut counts) = previous_state
+            .map(|s| (s.loads, s.totals, s.sent))
             .unwrap_or_default();
         let mut workspaces = Vec::new();
         if !same_incarnation {
             workspaces.extend(totals.values().map(Total::dropped));
             totals.clear();
-            sent_tokens.clear();
+            counts.clear();
         }
-        let mut prefill = Vec::new();
+        let mut sent = Vec::new();
         for load in &report.loads {
-            if let Some(previous) = sent_tokens.insert(load.server, load.sent_tokens) {
-                prefill.push((load.server, load.sent_tokens.saturating_sub(previous)));
+            let count = Sent {
+                tokens: load.sent_tokens,
+                requests: load.sent_requests,
+            };
+            if let Some(previous) = counts.insert(load.server, count) {
+                sent.push((load.server, count.since(previous)));
             }
         }
         for total in &report.totals {
@@ -286,14 +331,14 @@
                 sequence: report.sequence,
                 loads: all_loads,
                 totals,
-                sent_tokens,
+                sent: counts,
             },
         );
         Some(Change {
             old_loads,
             new_loads,
             workspaces,
-            prefill,
+            sent,
         })
     }
 
--- a/crates/fleet/src/window.rs
+++ b/crates/fleet/src/window.rs
@@ -50,6 +50,16 @@
         (self.sum - expired).max(0.0)
     }
 
+    /// Returns the sum of the part of the window that lies within `length` before `now`.
+    #[must_use]
+    pub fn peek_last(&self, now: Instant, length: Duration) -> f64 {
+        let recent = self.buckets.iter().rev();
+        recent
+            .take_while(|(start, _)| now.saturating_duration_since(*start) < length)
+            .map(|(_, amount)| amount)
+            .sum()
+    }
+
     /// Returns the sum of the window that ends at `now`.
     pub fn sum(&mut self, now: Instant) -> f64 {
         self.drop_expired(now);
--- a/crates/fleet/tests/all/connections.rs
+++ b/crates/fleet/tests/all/connections.rs
@@ -42,6 +42,7 @@
                 running: used,
                 sent_tokens: 0,
                 token_interval: 0,
+                sent_requests: 0,
             }],
             ..Report::default()
         };
--- a/crates/fleet/tests/all/engines.rs
+++ b/crates/fleet/tests/all/engines.rs
@@ -16,7 +16,7 @@
     assert_eq!(server.cached_tokens(&prompt, 100_000), 0);
     server.record_part(7);
     assert_eq!(server.cached_tokens(&prompt, 100_000), 5_000);
-    server.record_peer_prefill(now, 60_000);
+    server.record_peer_requests(now, 1, 60_000);
     assert_eq!(server.cached_tokens(&prompt, 100_000), 0);
 }
 
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod registry;
 mod reports;
 mod retries;
+mod server_rates;
 mod store_restored;
 mod support;
 mod suspects;
--- /dev/null
+++ b/crates/fleet/tests/all/server_rates.rs
@@ -0,0 +1,225 @@
+//! Servers that name the requests per second that they accept from all routers together.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::event::Reason;
+use hibiscusrail_fleet::objects::{Repeat, Revision};
+use hibiscusrail_fleet::peers::Scope;
+use hibiscusrail_fleet::registry::ServerKey;
+use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey};
+
+use super::support::{
+    self, ENGINES, PLAIN, failure_reason, plain, prompt, sent_to, servers, submission,
+};
+
+const RATE: f64 = 6.0;
+/// Bound of the users' rule on what a server receives in four seconds.
+const BOUND: f64 = RATE * 1.5 * 4.0 + 5.0;
+const LENGTH: Duration = Duration::from_secs(12);
+const RULE_WINDOW: Duration = Duration::from_secs(4);
+
+fn key_of(fleet: &Fleet, service: &str) -> ServerKey {
+    let mut keys = fleet.registry().of_service(service);
+    keys.next().expect("there is a server").0
+}
+
+fn name_rate(fleet: &mut Fleet, now: Instant, rate: Option<f64>) {
+    let key = key_of(fleet, ENGINES);
+    fleet.handle(now, Event::ServerRate(key, rate));
+}
+
+/// Returns whether a request is sent; it is answered at once.
+fn is_sent(fleet: &mut Fleet, now: Instant, key: u64) -> bool {
+    let request = submission(key, key, prompt(1, 10), now);
+    let sent = sent_to(&fleet.handle(now, Event::Submit(request))).is_some();
+    if sent {
+        fleet.handle(now, Event::FirstByte(RequestKey(key)));
+        let ended = Event::Ended(RequestKey(key), Outcome::Answered);
+        fleet.handle(now, ended);
+    }
+    sent
+}
+
+/// Plays requests at the first `entries` of eight routers, far more than the only engine accepts,
+/// and returns the number that were sent and the most in any four seconds.
+fn play(entries: u64, reports: bool) -> (usize, usize) {
+    let start = Instant::now();
+    let names: Vec<String> = (0..8).map(|n| format!("r{n}")).collect();
+    let mut routers: Vec<Fleet> = names
+        .iter()
+        .map(|name| {
+            let mut fleet = support::router(name, 1, start);
+            fleet.handle(start, Event::Members(names.clone()));
+            fleet
+        })
+        .collect();
+    // Only the first router has an answer that names the rate, unless nobody hears of it.
+    let informed = if reports { 1 } else { routers.len() };
+    for router in &mut routers[..informed] {
+        name_rate(router, start, Some(RATE));
+    }
+    let mut recent: VecDeque<Instant> = VecDeque::new();
+    let (mut sent, mut most) = (0, 0);
+    let mut now = start;
+    for step in 0.. {
+        now += Duration::from_millis(10);
+        if now > start + LENGTH {
+            break;
+        }
+        if reports && step % 10 == 0 {
+            for sender in 0..routers.len() {
+                let report = routers[sender].report(now, Scope::All);
+                for (number, router) in routers.iter_mut().enumerate() {
+                    if number != sender {
+                        router.handle(now, Event::Report(report.clone()));
+                    }
+                }
+            }
+        }
+        for router in &mut routers {
+            router.handle(now, Event::Tick);
+        }
+        let entry = usize::try_from(step % entries).expect("it fits");
+        // A router that has no report yet knows of no rate.
+        if step > 0 && is_sent(&mut routers[entry], now, step) {
+            sent += 1;
+            recent.push_back(now);
+        }
+        while recent.front().is_some_and(|at| *at + RULE_WINDOW <= now) {
+            recent.pop_front();
+        }
+        most = most.max(recent.len());
+    }
+    (sent, most)
+}
+
+fn assert_within_bound(most: usize) {
+    #[allow(clippy::cast_precision_loss)]
+    let most = most as f64;
+    assert!(most <= BOUND, "{most} in four seconds, bound {BOUND}");
+}
+
+/// Guards against a server that receives far more than the rate that it names, as each router sends
+/// as much as if it were alone.
+#[test]
+fn submit_at_all_routers_keeps_rate_of_server() {
+    let (_, most) = play(8, true);
+    assert_within_bound(most);
+}
+
+/// Guards against a rate that is divided evenly among routers while one has all the callers.
+#[test]
+fn submit_at_one_router_uses_whole_rate() {
+    let (sent, most) = play(1, true);
+    assert_within_bound(most);
+    #[allow(clippy::cast_precision_loss)]
+    let used = sent as f64 / (RATE * LENGTH.as_secs_f64());
+    assert!(used >= 0.8, "{used} of the rate");
+}
+
+#[test]
+fn submit_without_reports_keeps_rate_of_server() {
+    let (_, most) = play(8, false);
+    assert_within_bound(most);
+}
+
+#[test]
+fn submit_to_limited_only_engine_is_refused_at_once() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    name_rate(&mut fleet, now, Some(0.0));
+    assert!(is_sent(&mut fleet, now, 1) || !is_sent(&mut fleet, now, 2));
+    let decisions = fleet.handle(now, Event::Submit(submission(3, 3, prompt(3, 10), now)));
+    assert_eq!(failure_reason(&decisions), Some(Reason::Throttled));
+    let waits = decisions.iter().filter_map(|d| match d {
+        Decision::Fail { retry_after, .. } => Some(*retry_after),
+        _ => None,
+    });
+    assert!(waits.min() > Some(Duration::ZERO));
+}
+
+#[test]
+fn submit_to_limited_engine_goes_to_other() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 2, now);
+    name_rate(&mut fleet, now, Some(1.0));
+    let sent = (0..20).filter(|key| is_sent(&mut fleet, now, *key)).count();
+    assert_eq!(sent, 20);
+}
+
+#[test]
+fn submit_to_limited_plain_server_keeps_rate() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    let keys: Vec<ServerKey> = fleet
+        .registry()
+        .of_service(PLAIN)
+        .map(|(key, _)| key)
+        .collect();
+    let count = keys.len();
+    for key in keys {
+        fleet.handle(now, Event::ServerRate(key, Some(1.0)));
+    }
+    let sent = (0..20).filter(|key| {
+        let request = plain(*key, Repeat::Idempotent, now);
+        sent_to(&fleet.handle(now, Event::Submit(request))).is_some()
+    });
+    assert!(sent.count() <= count);
+}
+
+#[test]
+fn rate_ends_with_response_that_names_none() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    name_rate(&mut fleet, now, Some(0.0));
+    let limited = (0..20).filter(|key| is_sent(&mut fleet, now, *key)).count();
+    name_rate(&mut fleet, now, None);
+    let free = (20..40)
+        .filter(|key| is_sent(&mut fleet, now, *key))
+        .count();
+    assert!(limited <= 1, "{limited}");
+    assert_eq!(free, 20);
+}
+
+#[test]
+fn rate_of_older_response_does_not_replace_newer() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(1);
+    let mut other = support::router("other", 1, start);
+    let mut fleet = support::router("r", 1, start);
+    name_rate(&mut other, start, Some(0.0));
+    name_rate(&mut fleet, now, None);
+    fleet.handle(now, Event::Report(other.report(now, Scope::All)));
+    let sent = (0..20).filter(|key| is_sent(&mut fleet, now, *key)).count();
+    assert_eq!(sent, 20);
+}
+
+#[test]
+fn rate_of_restarted_server_is_forgotten() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    name_rate(&mut fleet, now, Some(0.0));
+    let mut list = servers(1);
+    for backend in list.values_mut() {
+        backend.born += 1;
+    }
+    fleet.handle(now, Event::Servers(Revision(2), list));
+    let sent = (0..20).filter(|key| is_sent(&mut fleet, now, *key)).count();
+    assert_eq!(sent, 20);
+}
+
+#[test]
+fn rate_change_is_logged_once() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    let key = key_of(&fleet, ENGINES);
+    let is_logged =
+        |d: &Decision| matches!(d, Decision::Log { event, .. } if *event == "server_rate");
+    let mut logged = |rate| {
+        let decisions = fleet.handle(now, Event::ServerRate(key, rate));
+        decisions.iter().filter(|d| is_logged(d)).count()
+    };
+    let counts = [Some(2.0), Some(2.0), Some(3.0), None, None].map(&mut logged);
+    assert_eq!(counts, [1, 0, 1, 1, 0]);
+}
--- a/crates/front/src/protocol.rs
+++ b/crates/front/src/protocol.rs
@@ -24,6 +24,8 @@
     pub not_run: HeaderName,
     /// Present in the responses of a server that is leaving.
     pub leaving: HeaderName,
+    /// Requests per second that a server accepts from all routers together, as a decimal number.
+    pub rate: HeaderName,
     /// Headers that only the router may set; a caller's are dropped.
     pub reserved: Vec<HeaderName>,
     /// Path of the readiness probe.
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -266,22 +266,54 @@
     if headers.contains_key(&shell.protocol().leaving) {
         shell.handle(Event::ServerLeaving(target.server));
     }
+    read_rate(shell, target, headers);
     let value = headers.get(header::RETRY_AFTER);
     if let Some(value) = value.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
         let pause = parse_pause(value).unwrap_or_else(|| {
-            log::warn!(
-                step = "retry_after",
-                peer:% = target.address,
-                server = target.id.as_str(),
-                value:? = value;
-                "header_rejected"
-            );
+            log_rejected(target, "retry_after", value);
             UNREADABLE_PAUSE
         });
         shell.handle(Event::ServerThrottled(target.server, pause));
     }
 }
 
+/// Tells the reducer which rate a response names, or that it no longer names one.
+fn read_rate(shell: &Shell, target: &Target, headers: &HeaderMap) {
+    let rate = match headers.get(&shell.protocol().rate) {
+        Some(value) => {
+            let Some(rate) = parse_rate(value) else {
+                log_rejected(target, "rate", value);
+                return;
+            };
+            Some(rate)
+        }
+        None => None,
+    };
+    let has_rate = |f: &Fleet| {
+        let server = f.registry().get(target.server);
+        server.is_some_and(|s| s.notice.rate.is_some())
+    };
+    if rate.is_some() || shell.with_fleet(has_rate) {
+        shell.handle(Event::ServerRate(target.server, rate));
+    }
+}
+
+fn log_rejected(target: &Target, step: &str, value: &HeaderValue) {
+    log::warn!(
+        step = step,
+        peer:% = target.address,
+        server = target.id.as_str(),
+        value:? = value;
+        "header_rejected"
+    );
+}
+
+/// Parses a rate in requests per second.
+fn parse_rate(value: &HeaderValue) -> Option<f64> {
+    let rate: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    (rate.is_finite() && rate >= 0.0).then_some(rate)
+}
+
 /// Parses the seconds of a `Retry-After` header, with or without a fraction.
 fn parse_pause(value: &HeaderValue) -> Option<Duration> {
     let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
--- a/crates/front/tests/all/notices.rs
+++ b/crates/front/tests/all/notices.rs
@@ -1,4 +1,4 @@
-//! Responses in which a server says that it leaves or wants a pause.
+//! Responses in which a server says that it leaves, wants a pause or accepts only so many requests.
 
 use std::time::{Duration, Instant};
 
@@ -93,6 +93,30 @@
     });
 }
 
+/// Guards against a server that receives more than the rate which it names.
+#[test]
+fn rate_of_only_server_refuses_what_is_above() {
+    run(async {
+        let response = super::support::full_response("200 OK", "body");
+        let response = with_header(&response, "x-rate: 0.5");
+        let (last, received) = repeat_call("/once/x", response, 5).await;
+        assert_eq!((status(&last), received), (503, 1));
+        assert!(header(&last, "retry-after").is_some());
+    });
+}
+
+#[test]
+fn rate_that_is_no_number_is_ignored() {
+    run(async {
+        for value in ["-3", "soon", "inf", "NaN"] {
+            let response = super::support::full_response("200 OK", "body");
+            let response = with_header(&response, &format!("x-rate: {value}"));
+            let (last, received) = repeat_call("/once/x", response, 3).await;
+            assert_eq!((status(&last), received), (200, 3), "{value}");
+        }
+    });
+}
+
 fn registration(name: &str) -> Registration {
     Registration {
         name: name.to_owned(),
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -175,6 +175,7 @@
         kv_source: HeaderName::from_static("x-copy-from"),
         not_run: HeaderName::from_static("x-not-run"),
         leaving: HeaderName::from_static("x-leaving"),
+        rate: HeaderName::from_static("x-rate"),
         reserved: vec![HeaderName::from_static("x-internal")],
         ready_path: "/ready",
         prompt: |_| Some(Prompt::default()),
