--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -137,7 +137,7 @@
     pub servers: u32,
     /// Servers at which this router uses all the connections that it may.
     pub connections: u32,
-    /// Servers whose slots are all in use, or that are cold and may not receive more yet.
+    /// Servers whose slots are all in use, or that are cold or at the rate that they named.
     pub slots: u32,
     /// Servers that are none of the first homes of the prompt's shared prefix.
     pub spill: u32,
