fleet: draw the requests that may use a server at its rate where routers report late

Cause: while nearly all servers are at the rates that they named, each one with room again is the choice of all routers until reports arrive.

Of all requests that the fleet receives, only one and a half times the rate may use such a server, and a quarter of the rate is left for what is not reported yet. Small deployments hear of each other at once and are as before.

--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -61,6 +61,15 @@
 const CROWDING_THRESHOLD: f64 = 0.6;
 /// Score penalty of an engine without a free slot: about the time until a stream there ends.
 const CROWDING_PENALTY: Duration = Duration::from_millis(300);
+/// Requests that may use a server which named a rate, relative to the rate: with more, a report
+/// period's requests overrun it.
+const RATE_ATTEMPTS: f64 = 1.5;
+/// Lower bound of the rate in that product, in requests per second, so that some find out that a
+/// server accepts more again.
+const MIN_RATE_ATTEMPTS: f64 = 0.25;
+/// Fraction of a named rate that is used where routers report late; the rest covers what is not
+/// reported yet.
+const LATE_RATE_FRACTION: f64 = 0.75;
 /// Maximum number of requests in progress for each slot of a plain server.
 const PLAIN_REQUESTS_PER_SLOT: f64 = 2.0;
 
@@ -123,6 +132,8 @@
     routers: u32,
     /// Number of those whose load is unknown, since they don't report.
     silent: u32,
+    /// Streams per second that are requested from all routers.
+    demand: f64,
 }
 
 /// Best results among the servers considered so far.
@@ -266,6 +277,7 @@
                 .map_or(0, Prompt::shared_tokens),
             share,
             routers,
+            demand: self.quota.requested_rate(now) / self.pressure.mean_charge().max(1.0),
             silent: routers.saturating_sub(u32::try_from(self.reporting + 1).unwrap_or(u32::MAX)),
         };
         let allowed = limits::start_allowance(now, &request.submission, request.started, share);
@@ -436,7 +448,7 @@
         if f64::from(server.load().running) >= max_running {
             return false;
         }
-        if server.rate_used(ctx.now, ctx.silent, ctx.routers) >= 1.0 {
+        if !self.accepts_rate(ctx, server) {
             return false;
         }
         if !server.is_limited(ctx.now) {
@@ -446,6 +458,23 @@
         server.bucket.clone().has_token(ctx.now, rate)
     }
 
+    /// Returns whether a server accepts a further request at the rate that it named.
+    ///
+    /// Routers of a large deployment learn late of each other's requests. If all of them used a
+    /// server as soon as it has room, each request of the fleet would go there at once. So only a
+    /// fraction of the requests may use it: little more than its rate, of all that the fleet
+    /// receives.
+    fn accepts_rate(&self, ctx: &Context<'_>, server: &Server) -> bool {
+        let used = server.rate_used(ctx.now, ctx.silent, ctx.routers);
+        let Some(rate) = server.notice.rate.filter(|_| self.is_large()) else {
+            return used < 1.0;
+        };
+        let attempts = rate.per_second.max(MIN_RATE_ATTEMPTS) * RATE_ATTEMPTS;
+        // The demand counts streams only.
+        let is_drawn = ctx.prompt.is_none() || self.draw(ctx, server) * ctx.demand <= attempts;
+        used < LATE_RATE_FRACTION && is_drawn
+    }
+
     /// Returns the rate, in requests per second, at which this router may use a cold server.
     ///
     /// A cold server is assigned to only so many routers that each gets a useful rate; all routers
@@ -561,10 +590,14 @@
         if !self.is_large() {
             return Duration::ZERO;
         }
+        SCORE_JITTER.mul_f64(self.draw(ctx, server))
+    }
+
+    /// Returns a number from 0 to 1 that depends on the router, request and server.
+    #[allow(clippy::cast_precision_loss)]
+    fn draw(&self, ctx: &Context<'_>, server: &Server) -> f64 {
         let seed = ctx.request.0 ^ u64::from(self.own_hash.0) << 32;
-        #[allow(clippy::cast_precision_loss)]
-        let fraction = placement::weight(seed, server.hash) as f64 / u64::MAX as f64;
-        SCORE_JITTER.mul_f64(fraction)
+        placement::weight(seed, server.hash) as f64 / u64::MAX as f64
     }
 
     /// Counts a request against the rate limit of its server, if that is cold or being probed.
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -93,6 +93,12 @@
         }
     }
 
+    /// Returns the mean charge, in tokens, of the streams requested from this router.
+    #[must_use]
+    pub fn mean_charge(&self) -> f64 {
+        self.mean_charge
+    }
+
     /// Returns the mean lag.
     #[must_use]
     pub fn lag(&self) -> Duration {
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -104,6 +104,14 @@
         self.account(workspace).admitted.add(now, tokens);
     }
 
+    /// Returns the tokens per second that all workspaces requested in the window.
+    #[must_use]
+    pub fn requested_rate(&self, now: Instant) -> f64 {
+        let accounts = self.accounts.values();
+        let requested: f64 = accounts.map(|a| a.requested.peek(now)).sum();
+        requested / self.window.as_secs_f64()
+    }
+
     /// Returns the status of a workspace while `throughput` tokens per second are shared.
     pub fn share_status(
         &mut self,
