--- a/crates/fleet/tests/all/server_rates.rs
+++ b/crates/fleet/tests/all/server_rates.rs
@@ -106,7 +106,7 @@
     const NAMED: usize = 250;
     /// Step from which requests are counted.
     const COUNTED: usize = NAMED + 150;
-    const STEPS: usize = 1_000;
+    const STEPS: usize = 650;
     let zones = ["a", "b", "c", "d"];
     let start = Instant::now();
     let names: Vec<String> = (0..ROUTERS).map(|n| format!("r{n}")).collect();
