net: let connections to servers and the store be driven by who waits for them

Cause, a part of it: every connection had a task of its own, so each part of a response passed through the event loop's queue twice before its reader had it, and a request waited for another pass between the last check of its server and its bytes. Under a flood a pass takes as long as the queue is.

A connection is now polled by the future that waits for its response: a request leaves in the step in which it is sent. A socket that returned fewer bytes than asked is not read again before it is ready, which saves a system call for each event. Idle connections are looked at when they are taken again, and dropped with the tick after the longest idle time, so that those to departed servers don't hold descriptors.

The tests of front, net and platform pass as before.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -111,6 +111,7 @@
         compio::time::sleep(period).await;
         shell.handle(Event::Tick);
         let now = shell.now();
+        shell.pool().drop_expired(now);
         let busy = shell.with_fleet(|f| f.requests() > 0 || f.reads_store(now));
         idle = if busy { 0 } else { idle + 1 };
         round = round.wrapping_add(1);
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -144,9 +144,10 @@
     *request.uri_mut() = uri.parse().expect("a path and numbers are a valid URI");
     let host = HeaderValue::from_str(&peer.to_string()).expect("an address is a valid header");
     request.headers_mut().insert(header::HOST, host);
-    let response = connection.sender.send_request(request).await;
+    let response = connection.send(request).await;
     let body = response.context(CallSnafu { peer })?.into_body();
-    let body = Limited::new(body, MAX_STATE_BYTES).collect().await;
+    let reading = Limited::new(body, MAX_STATE_BYTES).collect();
+    let body = connection.wait(reading).await;
     let bytes = body.context(BodySnafu { peer })?.to_bytes();
     serde_json::from_slice(&bytes).context(DecodeSnafu { peer })
 }
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -219,7 +219,7 @@
     if plan.retryable
         && let Some(mut connection) = shell.pool().take(target.address, shell.now())
     {
-        match connection.sender.try_send_request(build()).await {
+        match connection.try_send(build()).await {
             Ok(response) => return Ok((connection, response)),
             Err(mut error) => {
                 // A pooled connection that closed before the request was written is no attempt.
@@ -248,8 +248,7 @@
     request: Request<Body>,
 ) -> Result<Response<Incoming>, AttemptError> {
     connection
-        .sender
-        .try_send_request(request)
+        .try_send(request)
         .await
         .map_err(|mut error| match error.take_message() {
             Some(_) => Outcome::Unreachable.into(),
@@ -346,11 +345,11 @@
     shell: &Rc<Shell>,
     plan: &Plan,
     target: &Target,
-    connection: OwnedConnection,
+    mut connection: OwnedConnection,
     response: Response<Incoming>,
 ) -> Result<Reply, AttemptError> {
     let (parts, body) = response.into_parts();
-    let collecting = Limited::new(body, MAX_FULL_BYTES).collect();
+    let collecting = connection.wait(Limited::new(body, MAX_FULL_BYTES).collect());
     let patience = Patience::new(plan, target);
     let collected = match patience.wait(shell, Duration::ZERO, collecting).await {
         Some(Ok(collected)) => collected.to_bytes(),
@@ -389,7 +388,7 @@
 }
 
 fn return_to_pool(shell: &Shell, address: SocketAddr, connection: OwnedConnection) {
-    if !connection.sender.is_closed() {
+    if !connection.is_closed() {
         shell.pool().put(address, connection, shell.now());
     }
 }
@@ -433,7 +432,7 @@
     /// Returns how the stream broke.
     pub async fn next(&mut self, shell: &Shell) -> Result<StreamItem, AttemptError> {
         loop {
-            let reading = self.body.frame();
+            let reading = self.connection.wait(self.body.frame());
             let frame = match self.patience.wait(shell, Duration::ZERO, reading).await {
                 None => return Err(Outcome::Silent.into()),
                 Some(Some(Err(_))) => return Err(Outcome::Broken.into()),
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,12 +1,16 @@
 //! Opens single HTTP connections; pooling is up to the caller.
 
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use compio::net::TcpStream;
-use compio::runtime::JoinHandle;
-use hyper::client::conn::http1;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::client::conn::{TrySendError, http1};
 use snafu::{ResultExt, Snafu};
 
 use crate::body::Body;
@@ -59,17 +63,87 @@
     Ok(sender)
 }
 
-/// A connection whose socket is closed as soon as it is dropped.
+/// A connection that makes progress while its owner waits for it, and is closed when dropped.
 ///
-/// The peer then learns at once that its response is not needed any more.
-#[derive(Debug)]
+/// Without a task of its own, a request leaves in the same step in which it is sent, and each
+/// part of the response reaches its reader in the step in which it arrives. The peer learns at once
+/// that a response is not needed any more.
 pub struct OwnedConnection {
-    /// Sends requests, one after the other.
-    pub sender: Connection,
-    _driver: JoinHandle<()>,
+    sender: Connection,
+    /// None once the connection has ended.
+    driver: Option<Pin<Box<Driver>>>,
 }
 
-/// Opens a connection to `peer` that is closed when it is dropped.
+impl std::fmt::Debug for OwnedConnection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("OwnedConnection")
+            .field("sender", &self.sender)
+            .finish_non_exhaustive()
+    }
+}
+
+impl OwnedConnection {
+    /// Sends a request and returns the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends first.
+    pub async fn send(&mut self, request: Request<Body>) -> hyper::Result<Response<Incoming>> {
+        let sent = self.try_send(request).await;
+        sent.map_err(TrySendError::into_error)
+    }
+
+    /// Sends a request and returns the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends first; the error holds the request if no byte of it was sent.
+    pub async fn try_send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
+        let sending = self.sender.try_send_request(request);
+        self.wait(sending).await
+    }
+
+    /// Waits for `work`, which needs bytes of this connection.
+    pub async fn wait<T>(&mut self, work: impl Future<Output = T>) -> T {
+        let mut work = pin!(work);
+        poll_fn(|cx| {
+            if let Poll::Ready(output) = work.as_mut().poll(cx) {
+                return Poll::Ready(output);
+            }
+            self.poll_driver(cx);
+            work.as_mut().poll(cx)
+        })
+        .await
+    }
+
+    fn poll_driver(&mut self, cx: &mut Context<'_>) {
+        let ended = self
+            .driver
+            .as_mut()
+            .is_some_and(|d| d.as_mut().poll(cx).is_ready());
+        if ended {
+            // The error also reaches the future that waits for the response.
+            self.driver = None;
+        }
+    }
+
+    /// Returns whether a request can be sent at once, after a look at what arrived while idle.
+    pub fn is_ready(&mut self) -> bool {
+        self.poll_driver(&mut Context::from_waker(Waker::noop()));
+        self.sender.is_ready()
+    }
+
+    /// Returns whether the connection is closed.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
+
+/// Opens a connection to `peer` that its owner drives.
 ///
 /// # Errors
 ///
@@ -78,14 +152,10 @@
     peer: SocketAddr,
     limit: Duration,
 ) -> Result<OwnedConnection, ConnectError> {
-    let (sender, connection) = handshake(peer, limit).await?;
-    let driver = compio::runtime::spawn(async move {
-        // The error also reaches the task that awaits the response.
-        let _ = connection.await;
-    });
+    let (sender, driver) = handshake(peer, limit).await?;
     Ok(OwnedConnection {
         sender,
-        _driver: driver,
+        driver: Some(Box::pin(driver)),
     })
 }
 
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -27,14 +27,14 @@
 /// A connection that a pool can keep.
 pub trait Poolable: 'static {
     /// Returns whether a request can be sent at once.
-    fn is_ready(&self) -> bool;
+    fn is_ready(&mut self) -> bool;
 
     /// Returns whether the connection is closed.
     fn is_closed(&self) -> bool;
 }
 
 impl Poolable for Connection {
-    fn is_ready(&self) -> bool {
+    fn is_ready(&mut self) -> bool {
         Self::is_ready(self)
     }
 
@@ -44,12 +44,12 @@
 }
 
 impl Poolable for OwnedConnection {
-    fn is_ready(&self) -> bool {
-        self.sender.is_ready()
+    fn is_ready(&mut self) -> bool {
+        Self::is_ready(self)
     }
 
     fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+        Self::is_closed(self)
     }
 }
 
@@ -95,7 +95,7 @@
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
         kept.retain(|i| now.duration_since(i.since) < self.max_idle && !i.connection.is_closed());
-        let at = kept.iter().rposition(|i| i.connection.is_ready())?;
+        let at = kept.iter_mut().rposition(|i| i.connection.is_ready())?;
         Some(kept.remove(at).connection)
     }
 
@@ -113,6 +113,14 @@
         });
     }
 
+    /// Drops the connections that have been idle for too long, also those to peers that are gone.
+    pub fn drop_expired(&self, now: Instant) {
+        self.idle.borrow_mut().retain(|_, kept| {
+            kept.retain(|i| now.duration_since(i.since) < self.max_idle);
+            !kept.is_empty()
+        });
+    }
+
     /// Drops the idle connections to an address after another one to it timed out.
     pub fn discard(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub struct SocketStream {
     socket: PollFd<Socket>,
+    /// Whether the socket may hold bytes that were not read yet.
+    readable: bool,
 }
 
 impl SocketStream {
@@ -39,7 +41,10 @@
     pub fn new(stream: TcpStream) -> io::Result<Self> {
         let socket = stream.into_poll_fd()?;
         socket.set_nonblocking(true)?;
-        Ok(Self { socket })
+        Ok(Self {
+            socket,
+            readable: true,
+        })
     }
 
     /// Calls `send` until it succeeds or fails, and waits for the socket while it would block.
@@ -60,29 +65,33 @@
     }
 }
 
-/// Reads available bytes into `buf`.
-fn read_available(mut socket: &Socket, buf: &mut ReadBufCursor<'_>) -> io::Result<()> {
+/// Reads available bytes into `buf`; returns whether there may be more.
+fn read_available(mut socket: &Socket, buf: &mut ReadBufCursor<'_>) -> io::Result<bool> {
     BUFFER.with_borrow_mut(|buffer| {
         let length = buf.remaining().min(buffer.len());
         let count = socket.read(&mut buffer[..length])?;
         buf.put_slice(&buffer[..count]);
-        Ok(())
+        Ok(count == length)
     })
 }
 
 impl Read for SocketStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
+            if !self.readable {
+                std::task::ready!(self.socket.poll_read_ready(cx))?;
+                self.readable = true;
+            }
             match read_available(&self.socket, &mut buf) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    std::task::ready!(self.socket.poll_read_ready(cx))?;
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
+                result => {
+                    return Poll::Ready(result.map(|more| self.readable = more));
                 }
-                result => return Poll::Ready(result),
             }
         }
     }
