net: run what the fleet knows before the callers' work

What callers saw: requests reached servers that had left (DRAIN), and routers that met a workspace's wave left the rotation since their readiness was answered late.

Cause: one queue for everything. Reports, calls to the store, the answer to readiness checks and each of their connections' steps waited in order of arrival behind hundreds of connections that were about to be refused.

`EventLoop` runs urgent tasks before each batch of 16 others and lets a task inherit its urgency, so that the connections of an urgent task are urgent too. The router's reports, store calls, state exchange and readiness are urgent. It also measures how long it runs tasks, as the admission will need.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -13,6 +13,7 @@
 use futures_util::StreamExt;
 use hibiscusrail_fleet::peers::{Report, Scope};
 use hibiscusrail_fleet::{Event, Fleet};
+use hibiscusrail_net::event_loop;
 use prost::Message;
 
 use crate::shell::Shell;
@@ -201,10 +202,9 @@
     });
     if behind && !peers.fetching.replace(true) {
         let (shell, peers) = (Rc::clone(shell), Rc::clone(peers));
-        compio::runtime::spawn(async move {
+        event_loop::spawn(async move {
             state::catch_up(&shell, address).await;
             peers.fetching.set(false);
-        })
-        .detach();
+        });
     }
 }
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -5,14 +5,15 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::FutureExt;
 use hibiscusrail_core::SystemClock;
 use hibiscusrail_fleet::{Event, Fleet};
+use hibiscusrail_net::event_loop::{self, spawn_urgent};
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::signals::{RELOAD_SIGNALS, STOP_SIGNALS, Signals};
-use hibiscusrail_net::{Limits, bind, full, logs, serve, serve_counted};
+use hibiscusrail_net::{EventLoop, Limits, bind, full, logs, serve, serve_counted};
 use hibiscusrail_settings::{FrontSettings, SettingErrors};
 use http::{Response, StatusCode};
 use snafu::{ResultExt, Snafu};
@@ -90,15 +91,15 @@
     let settings = FrontSettings::load(path).context(SettingsSnafu)?;
     logs::init_rate_limited(&settings.log_level, settings.max_log_rate)
         .map_err(|reason| StartError::Logs { reason })?;
-    let runtime = compio::runtime::Runtime::new().context(RuntimeSnafu)?;
-    runtime.block_on(async {
+    let event_loop = EventLoop::new(Instant::now).context(RuntimeSnafu)?;
+    event_loop.run(async {
         let mut signals = Signals::new(&STOP_SIGNALS).context(SignalsSnafu)?;
         let reload = Signals::new(&RELOAD_SIGNALS).context(SignalsSnafu)?;
         let store = Rc::new(connect(&settings));
         let name = settings.name.clone();
         let shell = Rc::new(Shell::new(settings, protocol, Box::new(SystemClock)));
         start(&shell, &store)?;
-        compio::runtime::spawn(watch_settings(Rc::clone(&shell), path.to_owned(), reload)).detach();
+        event_loop::spawn(watch_settings(Rc::clone(&shell), path.to_owned(), reload));
         log::info!(router = name.as_str(), version = env!("CARGO_PKG_VERSION"); "started");
         let aborted = stop::wait_for_stop(&shell, &mut signals)
             .await
@@ -118,7 +119,7 @@
 fn listen(address: SocketAddr, connections: usize, handler: Handler) -> Result<(), StartError> {
     let listener = bind(address).context(ListenSnafu { address })?;
     let limits = limits(connections);
-    compio::runtime::spawn(serve(listener, limits, handler)).detach();
+    spawn_urgent(serve(listener, limits, handler));
     Ok(())
 }
 
@@ -143,7 +144,7 @@
     let limits = limits(settings.max_caller_connections());
     let connections = Rc::clone(shell.connections());
     let handler = caller::handler(shell);
-    compio::runtime::spawn(serve_counted(listener, limits, handler, connections)).detach();
+    event_loop::spawn(serve_counted(listener, limits, handler, connections));
     listen(settings.ready_listen, MAX_INTERNAL_CONNS, ready(shell))?;
     listen(settings.metrics_listen, MAX_INTERNAL_CONNS, metrics(shell))?;
     listen(
@@ -158,26 +159,25 @@
     spawn_receiver(shell, &peers);
     let (shell, store) = (Rc::clone(shell), Rc::clone(store));
     let orders = watch::follow_orders(Rc::clone(&shell), Rc::clone(&store), Rc::clone(&peers));
-    compio::runtime::spawn(orders).detach();
+    spawn_urgent(orders);
     let servers = watch::follow_servers(Rc::clone(&shell), Rc::clone(&store), Rc::clone(&peers));
-    compio::runtime::spawn(servers).detach();
+    spawn_urgent(servers);
     let routers = watch::follow_routers(Rc::clone(&shell), store, Rc::clone(&peers));
-    compio::runtime::spawn(routers).detach();
-    compio::runtime::spawn(measure_loop_lag(Rc::clone(&shell))).detach();
+    spawn_urgent(routers);
+    event_loop::spawn(measure_loop_lag(Rc::clone(&shell)));
     let incremental = peers::send_incremental_reports(Rc::clone(&shell), Rc::clone(&peers));
-    compio::runtime::spawn(incremental).detach();
-    compio::runtime::spawn(peers::send_reports(shell, peers)).detach();
+    spawn_urgent(incremental);
+    spawn_urgent(peers::send_reports(shell, peers));
     Ok(())
 }
 
 fn spawn_receiver(shell: &Rc<Shell>, peers: &Rc<Peers>) {
     let (shell, peers) = (Rc::clone(shell), Rc::clone(peers));
-    compio::runtime::spawn(async move {
+    spawn_urgent(async move {
         if let Err(error) = peers::receive_reports(shell, peers).await {
             log::error!(step = "receive", error:% = error; "reports_lost");
         }
-    })
-    .detach();
+    });
 }
 
 fn ready(shell: &Rc<Shell>) -> Handler {
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -14,6 +14,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::body::Body;
+use crate::event_loop;
 use crate::socket::SocketStream;
 
 /// An open connection that sends requests one after the other.
@@ -55,11 +56,10 @@
 /// Fails if the peer can't be reached within `limit`.
 pub async fn connect(peer: SocketAddr, limit: Duration) -> Result<Connection, ConnectError> {
     let (sender, connection) = handshake(peer, limit).await?;
-    compio::runtime::spawn(async move {
+    event_loop::spawn(async move {
         // The error also reaches the task that awaits the response.
         let _ = connection.await;
-    })
-    .detach();
+    });
     Ok(sender)
 }
 
--- /dev/null
+++ b/crates/net/src/event_loop.rs
@@ -0,0 +1,159 @@
+//! Event loop that runs urgent tasks before all others and measures how much of its time is used.
+//!
+//! Tasks run in order of arrival, so in a flood of connections each step of a task waits for
+//! hundreds of others. Urgent tasks have a queue of their own, and all of them that can make
+//! progress run before each small batch of the others. A task spawned with [`spawn`] is as urgent as
+//! the task that spawns it, so the connections of an urgent task are urgent too.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use compio::runtime::Runtime;
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::FuturesUnordered;
+
+/// Maximum tasks that run between two looks at the urgent ones.
+const BATCH_TASKS: usize = 16;
+
+thread_local! {
+    /// Urgent tasks of the event loop that runs on this thread.
+    static URGENT: RefCell<Option<Rc<UrgentTasks>>> = const { RefCell::new(None) };
+    /// Whether an urgent task is running.
+    static IS_URGENT: Cell<bool> = const { Cell::new(false) };
+}
+
+/// Urgent tasks that have not run yet.
+#[derive(Default)]
+struct UrgentTasks {
+    spawned: RefCell<Vec<LocalBoxFuture<'static, ()>>>,
+}
+
+impl UrgentTasks {
+    /// Runs the urgent tasks that can make progress.
+    fn run(
+        &self,
+        running: &mut FuturesUnordered<LocalBoxFuture<'static, ()>>,
+        cx: &mut Context<'_>,
+    ) {
+        IS_URGENT.set(true);
+        loop {
+            running.extend(self.spawned.take());
+            let ended = matches!(running.poll_next_unpin(cx), Poll::Ready(Some(())));
+            if !ended && self.spawned.borrow().is_empty() {
+                break;
+            }
+        }
+        IS_URGENT.set(false);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.spawned.borrow().is_empty()
+    }
+}
+
+/// Spawns a task that runs to its end and is as urgent as the one that spawns it.
+pub fn spawn(task: impl Future<Output = ()> + 'static) {
+    if IS_URGENT.get() {
+        spawn_urgent(task);
+    } else {
+        compio::runtime::spawn(task).detach();
+    }
+}
+
+/// Spawns an urgent task; on a runtime without [`EventLoop`], a task like all others.
+///
+/// Urgent tasks delay everything else, so each step has to be short and their number bounded.
+pub fn spawn_urgent(task: impl Future<Output = ()> + 'static) {
+    match URGENT.with_borrow(Clone::clone) {
+        Some(urgent) => urgent.spawned.borrow_mut().push(Box::pin(task)),
+        None => compio::runtime::spawn(task).detach(),
+    }
+}
+
+/// Time for which an event loop ran tasks.
+#[derive(Debug, Default)]
+pub struct Usage {
+    busy: Cell<Duration>,
+}
+
+impl Usage {
+    /// Returns the time for which tasks ran since the last call.
+    pub fn take_busy(&self) -> Duration {
+        self.busy.take()
+    }
+
+    fn add(&self, time: Duration) {
+        self.busy.set(self.busy.get() + time);
+    }
+}
+
+/// An event loop with a queue for urgent tasks.
+pub struct EventLoop {
+    runtime: Runtime,
+    now: fn() -> Instant,
+    usage: Rc<Usage>,
+}
+
+impl std::fmt::Debug for EventLoop {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EventLoop").finish_non_exhaustive()
+    }
+}
+
+impl EventLoop {
+    /// Creates an event loop that reads its clock with `now`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system's event queue can't be created.
+    pub fn new(now: fn() -> Instant) -> io::Result<Self> {
+        let runtime = Runtime::builder().event_interval(BATCH_TASKS).build()?;
+        Ok(Self {
+            runtime,
+            now,
+            usage: Rc::default(),
+        })
+    }
+
+    /// Returns the measured usage.
+    #[must_use]
+    pub fn usage(&self) -> &Rc<Usage> {
+        &self.usage
+    }
+
+    /// Runs `main` and all spawned tasks until `main` is complete.
+    pub fn run<F: Future>(&self, main: F) -> F::Output {
+        let urgent = Rc::new(UrgentTasks::default());
+        URGENT.set(Some(Rc::clone(&urgent)));
+        let output = self.runtime.enter(|| {
+            let waker = self.runtime.waker();
+            let mut cx = Context::from_waker(&waker);
+            let mut main = pin!(main);
+            let mut running = FuturesUnordered::new();
+            loop {
+                let began = (self.now)();
+                urgent.run(&mut running, &mut cx);
+                if let Poll::Ready(output) = main.as_mut().poll(&mut cx) {
+                    self.runtime.run();
+                    return output;
+                }
+                let has_work = self.runtime.run() || !urgent.is_empty();
+                if has_work {
+                    self.runtime.poll_with(Some(Duration::ZERO));
+                }
+                self.usage
+                    .add((self.now)().saturating_duration_since(began));
+                if !has_work {
+                    self.runtime.poll();
+                }
+            }
+        });
+        URGENT.set(None);
+        output
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod body;
 pub mod client;
+pub mod event_loop;
 pub mod headers;
 pub mod logs;
 pub mod pool;
@@ -16,4 +17,5 @@
 
 pub use body::{Body, BodySender, channel, empty, full, json};
 pub use client::{Connection, OwnedConnection, connect, connect_owned};
+pub use event_loop::EventLoop;
 pub use server::{Connections, Limits, bind, serve, serve_counted};
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 
 use crate::client::{Connection, OwnedConnection};
+use crate::event_loop;
 
 /// Default maximum idle time of a pooled connection.
 const DEFAULT_MAX_IDLE: Duration = Duration::from_secs(5);
@@ -135,12 +136,11 @@
     /// Adds a connection once the end of its response body has arrived.
     pub fn put_after_body(self: &Rc<Self>, address: SocketAddr, connection: C, mut rest: Incoming) {
         let pool = Rc::clone(self);
-        compio::runtime::spawn(async move {
+        event_loop::spawn(async move {
             let end = compio::time::timeout(END_TIMEOUT, rest.frame()).await;
             if matches!(end, Ok(None)) {
                 pool.put(address, connection, Instant::now());
             }
-        })
-        .detach();
+        });
     }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -22,6 +22,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::body::Body;
+use crate::event_loop;
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
 
@@ -295,11 +296,10 @@
     };
     let guard = CountGuard::new(connections, kind);
     let closing = connections.closing.clone();
-    compio::runtime::spawn(async move {
+    event_loop::spawn(async move {
         serve_connection(stream, limits, handler, closing).await;
         drop(guard);
-    })
-    .detach();
+    });
 }
 
 /// Returns a handler that refuses a request and closes the connection.
