--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -13,6 +13,7 @@
 use futures_util::StreamExt;
 use hibiscusrail_fleet::peers::{Report, Scope};
 use hibiscusrail_fleet::{Event, Fleet};
+use hibiscusrail_net::event_loop;
 use prost::Message;
 
 use crate::shell::Shell;
@@ -111,6 +112,7 @@
         compio::time::sleep(period).await;
         shell.handle(Event::Tick);
         let now = shell.now();
+        shell.pool().drop_expired(now);
         let busy = shell.with_fleet(|f| f.requests() > 0 || f.reads_store(now));
         idle = if busy { 0 } else { idle + 1 };
         round = round.wrapping_add(1);
@@ -200,10 +202,9 @@
     });
     if behind && !peers.fetching.replace(true) {
         let (shell, peers) = (Rc::clone(shell), Rc::clone(peers));
-        compio::runtime::spawn(async move {
+        event_loop::spawn(async move {
             state::catch_up(&shell, address).await;
             peers.fetching.set(false);
-        })
-        .detach();
+        });
     }
 }
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 
 use crate::client::{Connection, OwnedConnection};
+use crate::event_loop;
 
 /// Default maximum idle time of a pooled connection.
 const DEFAULT_MAX_IDLE: Duration = Duration::from_secs(5);
@@ -27,14 +28,14 @@
 /// A connection that a pool can keep.
 pub trait Poolable: 'static {
     /// Returns whether a request can be sent at once.
-    fn is_ready(&self) -> bool;
+    fn is_ready(&mut self) -> bool;
 
     /// Returns whether the connection is closed.
     fn is_closed(&self) -> bool;
 }
 
 impl Poolable for Connection {
-    fn is_ready(&self) -> bool {
+    fn is_ready(&mut self) -> bool {
         Self::is_ready(self)
     }
 
@@ -44,12 +45,12 @@
 }
 
 impl Poolable for OwnedConnection {
-    fn is_ready(&self) -> bool {
-        self.sender.is_ready()
+    fn is_ready(&mut self) -> bool {
+        Self::is_ready(self)
     }
 
     fn is_closed(&self) -> bool {
-        self.sender.is_closed()
+        Self::is_closed(self)
     }
 }
 
@@ -95,7 +96,7 @@
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
         kept.retain(|i| now.duration_since(i.since) < self.max_idle && !i.connection.is_closed());
-        let at = kept.iter().rposition(|i| i.connection.is_ready())?;
+        let at = kept.iter_mut().rposition(|i| i.connection.is_ready())?;
         Some(kept.remove(at).connection)
     }
 
@@ -113,6 +114,14 @@
         });
     }
 
+    /// Drops the connections that have been idle for too long, also those to peers that are gone.
+    pub fn drop_expired(&self, now: Instant) {
+        self.idle.borrow_mut().retain(|_, kept| {
+            kept.retain(|i| now.duration_since(i.since) < self.max_idle);
+            !kept.is_empty()
+        });
+    }
+
     /// Drops the idle connections to an address after another one to it timed out.
     pub fn discard(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
@@ -127,12 +136,11 @@
     /// Adds a connection once the end of its response body has arrived.
     pub fn put_after_body(self: &Rc<Self>, address: SocketAddr, connection: C, mut rest: Incoming) {
         let pool = Rc::clone(self);
-        compio::runtime::spawn(async move {
+        event_loop::spawn(async move {
             let end = compio::time::timeout(END_TIMEOUT, rest.frame()).await;
             if matches!(end, Ok(None)) {
                 pool.put(address, connection, Instant::now());
             }
-        })
-        .detach();
+        });
     }
 }
