net: return work that is complete, also if its timer is due

What callers saw: answers that were ready replaced by timeouts on a late router, and servers taken for unreachable (paused, retries used up) or the store for lost. The last begins the time in which servers missing from a list are kept (DRAIN).

Cause: compio's timeout polls work and timer in random order. On a late event loop both are due in one step, and half of the time the work was not even looked at.

The product's own router had the same calls and uses the new one too. An idle connection is watched from the moment at which it enters the pool.

--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -220,7 +220,7 @@
 /// Applies changed settings, after a signal or at the next check.
 async fn watch_settings(shell: Rc<Shell>, path: PathBuf, mut reload: Signals) {
     loop {
-        let signal = compio::time::timeout(SETTINGS_INTERVAL, reload.next()).await;
+        let signal = hibiscusrail_net::timeout(SETTINGS_INTERVAL, reload.next()).await;
         if let Ok(Err(error)) = signal {
             log::error!(step = "signals", error:% = error; "reload_lost");
             return;
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -114,7 +114,7 @@
 
 /// Fetches the tables of which `peer` has a newer revision and applies them.
 pub async fn catch_up(shell: &Rc<Shell>, peer: SocketAddr) {
-    match compio::time::timeout(REQUEST_TIMEOUT, fetch(shell, peer)).await {
+    match hibiscusrail_net::timeout(REQUEST_TIMEOUT, fetch(shell, peer)).await {
         Ok(Ok(state)) => {
             if let Some((revision, config)) = state.orders {
                 log::info!(peer:% = peer, orders = revision.0; "state_taken_over");
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -186,7 +186,7 @@
         let allowance = shell.with_fleet(Fleet::loop_lag) * 2;
         let limit = self.read_timeout.map(|t| t + expected + allowance);
         if let Some(limit) = limit.filter(|l| *l < self.remaining(shell)) {
-            if let Ok(value) = compio::time::timeout(limit, reading.as_mut()).await {
+            if let Ok(value) = hibiscusrail_net::timeout(limit, reading.as_mut()).await {
                 return Some(value);
             }
             if self.replaceable {
@@ -194,7 +194,7 @@
             }
             shell.handle(Event::ServerSilent(self.server));
         }
-        let rest = compio::time::timeout(self.remaining(shell), reading).await;
+        let rest = hibiscusrail_net::timeout(self.remaining(shell), reading).await;
         rest.ok()
     }
 
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -114,7 +114,7 @@
         timeout: Duration,
         call: impl Future<Output = Result<T, StoreError>>,
     ) -> Option<T> {
-        let error = match compio::time::timeout(timeout, call).await {
+        let error = match hibiscusrail_net::timeout(timeout, call).await {
             Ok(Ok(value)) => {
                 self.record_success(shell);
                 return Some(value);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -14,8 +14,10 @@
 pub mod socket;
 pub mod sse;
 pub mod stall;
+pub mod time;
 
 pub use body::{Body, BodySender, channel, empty, full, json};
 pub use client::{Connection, OwnedConnection, connect, connect_owned};
 pub use event_loop::EventLoop;
 pub use server::{Connections, Limits, bind, serve, serve_counted};
+pub use time::timeout;
--- a/crates/net/src/pool.rs
+++ b/crates/net/src/pool.rs
@@ -17,6 +17,7 @@
 
 use crate::client::{Connection, OwnedConnection};
 use crate::event_loop;
+use crate::time::timeout;
 
 /// Default maximum idle time of a pooled connection.
 const DEFAULT_MAX_IDLE: Duration = Duration::from_secs(5);
@@ -101,13 +102,15 @@
     }
 
     /// Adds a connection whose last response is complete; a full pool drops the oldest one.
-    pub fn put(&self, address: SocketAddr, connection: C, now: Instant) {
+    pub fn put(&self, address: SocketAddr, mut connection: C, now: Instant) {
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(address).or_default();
         kept.retain(|i| now.duration_since(i.since) < self.max_idle);
         if kept.len() >= MAX_IDLE_COUNT {
             kept.remove(0);
         }
+        // From now on the event loop watches the idle connection.
+        connection.is_ready();
         kept.push(Idle {
             connection,
             since: now,
@@ -137,7 +140,7 @@
     pub fn put_after_body(self: &Rc<Self>, address: SocketAddr, connection: C, mut rest: Incoming) {
         let pool = Rc::clone(self);
         event_loop::spawn(async move {
-            let end = compio::time::timeout(END_TIMEOUT, rest.frame()).await;
+            let end = timeout(END_TIMEOUT, rest.frame()).await;
             if matches!(end, Ok(None)) {
                 pool.put(address, connection, Instant::now());
             }
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -91,7 +91,7 @@
     async fn call(&self, body: Incoming) -> Response<Body> {
         let reading = Limited::new(body, MAX_CALL_BYTES).collect();
         let timeout = self.shell.settings().body_timeout;
-        let Ok(Ok(body)) = compio::time::timeout(timeout, reading).await else {
+        let Ok(Ok(body)) = hibiscusrail_net::timeout(timeout, reading).await else {
             return refusal(
                 Code::BodyIncomplete,
                 "the call is too long or did not arrive in time",
--- a/crates/router/src/caller/body.rs
+++ b/crates/router/src/caller/body.rs
@@ -63,7 +63,7 @@
         });
     }
     let timeout = shell.settings().body_timeout;
-    compio::time::timeout(timeout, collect(shell, body))
+    hibiscusrail_net::timeout(timeout, collect(shell, body))
         .await
         .unwrap_or_else(|_| Err(EarlyRefusal::new(Code::BodyTooSlow)))
 }
--- a/crates/router/src/load.rs
+++ b/crates/router/src/load.rs
@@ -60,7 +60,7 @@
 }
 
 async fn fetch_report(address: SocketAddr) -> Option<LoadReport> {
-    let bytes = compio::time::timeout(POLL_TIMEOUT, get_load(address))
+    let bytes = hibiscusrail_net::timeout(POLL_TIMEOUT, get_load(address))
         .await
         .ok()??;
     let report: Report = serde_json::from_slice(&bytes).ok()?;
--- a/crates/router/src/platform/mod.rs
+++ b/crates/router/src/platform/mod.rs
@@ -116,7 +116,7 @@
     path: &'static str,
     request: Request<Body>,
 ) -> Result<A, PlatformError> {
-    compio::time::timeout(CALL_TIMEOUT, exchange(peer, path, request))
+    hibiscusrail_net::timeout(CALL_TIMEOUT, exchange(peer, path, request))
         .await
         .unwrap_or_else(|_| TimeoutSnafu { path, peer }.fail())
 }
--- a/crates/router/src/upstream/stream.rs
+++ b/crates/router/src/upstream/stream.rs
@@ -152,7 +152,7 @@
     async fn wait_for_room(&mut self) {
         let delivery = Rc::clone(&self.exchange.state.delivery);
         while !delivery.has_room() {
-            let room = compio::time::timeout(PROGRESS_INTERVAL, delivery.wait_for_room());
+            let room = hibiscusrail_net::timeout(PROGRESS_INTERVAL, delivery.wait_for_room());
             if room.await.is_err() {
                 self.report();
             }
