--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -7,7 +7,6 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
-use compio::net::TcpStream;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::{TrySendError, http1};
@@ -16,6 +15,7 @@
 use crate::body::Body;
 use crate::event_loop;
 use crate::socket::SocketStream;
+use crate::time::timeout;
 
 /// An open connection that sends requests one after the other.
 pub type Connection = http1::SendRequest<Body>;
@@ -130,7 +130,8 @@
         }
     }
 
-    /// Returns whether a request can be sent at once, after a look at what arrived while idle.
+    /// Returns whether a request can be sent at once, after a look at what arrived up to the last turn
+    /// of the event loop.
     pub fn is_ready(&mut self) -> bool {
         self.poll_driver(&mut Context::from_waker(Waker::noop()));
         self.sender.is_ready()
@@ -165,13 +166,11 @@
     peer: SocketAddr,
     limit: Duration,
 ) -> Result<(Connection, Driver), ConnectError> {
-    let Ok(stream) = compio::time::timeout(limit, TcpStream::connect(peer)).await else {
+    let Ok(stream) = timeout(limit, SocketStream::connect(peer)).await else {
         return TimeoutSnafu { peer, limit }.fail();
     };
     let stream = stream.context(RefusedSnafu { peer })?;
-    // Otherwise small requests wait for the peer's delayed acknowledgement.
-    stream.set_nodelay(true).context(RefusedSnafu { peer })?;
-    let stream = SocketStream::new(stream).context(RefusedSnafu { peer })?;
+    let stream = stream.with_short_reads();
     http1::handshake(stream)
         .await
         .context(HandshakeSnafu { peer })
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -7,14 +7,15 @@
 
 use std::cell::RefCell;
 use std::io::{self, Read as _};
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use compio::net::TcpStream;
 use compio::runtime::fd::PollFd;
 use hyper::rt::{Read, ReadBufCursor, Write};
-use socket2::Socket;
+use rustix::io::Errno;
+use socket2::{Domain, Protocol, Socket, Type};
 
 /// Maximum bytes read from a socket at once.
 const READ_BYTES: usize = 16 * 1024;
@@ -30,6 +31,8 @@
     socket: PollFd<Socket>,
     /// Whether the socket may hold bytes that were not read yet.
     readable: bool,
+    /// Whether a read of fewer bytes than asked shows that the socket is empty.
+    short_reads: bool,
 }
 
 impl SocketStream {
@@ -44,9 +47,48 @@
         Ok(Self {
             socket,
             readable: true,
+            short_reads: false,
         })
     }
 
+    /// Opens a connection to `peer`, in the event loop's own thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is refused or the system gives no socket.
+    pub async fn connect(peer: SocketAddr) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(peer), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        // Otherwise small requests wait for the peer's delayed acknowledgement.
+        socket.set_tcp_nodelay(true)?;
+        match socket.connect(&peer.into()) {
+            Err(error) if error.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => {
+                return Err(error);
+            }
+            _ => {}
+        }
+        let socket = PollFd::new(socket)?;
+        socket.connect_ready().await?;
+        if let Some(error) = socket.take_error()? {
+            return Err(error);
+        }
+        Ok(Self {
+            socket,
+            readable: true,
+            short_reads: false,
+        })
+    }
+
+    /// Takes a read of fewer bytes than asked as a sign that the socket is empty, which saves a system
+    /// call for each.
+    ///
+    /// The end of the stream is then seen one turn of the event loop later than the last bytes.
+    #[must_use]
+    pub fn with_short_reads(mut self) -> Self {
+        self.short_reads = true;
+        self
+    }
+
     /// Calls `send` until it succeeds or fails, and waits for the socket while it would block.
     fn poll_send(
         &self,
@@ -65,7 +107,7 @@
     }
 }
 
-/// Reads available bytes into `buf`; returns whether there may be more.
+/// Reads available bytes into `buf`; returns whether it read as many as asked.
 fn read_available(mut socket: &Socket, buf: &mut ReadBufCursor<'_>) -> io::Result<bool> {
     BUFFER.with_borrow_mut(|buffer| {
         let length = buf.remaining().min(buffer.len());
@@ -90,7 +132,9 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
                 result => {
-                    return Poll::Ready(result.map(|more| self.readable = more));
+                    return Poll::Ready(
+                        result.map(|full| self.readable = full || !self.short_reads),
+                    );
                 }
             }
         }
