front: receive reports in one batch for each turn of the event loop

What callers saw: with many routers, streams that wait while reports are handled.

Cause: receiving returns at once while datagrams are there, so the task went on without a turn of the loop until the socket was empty, now ahead of all others. It waits for the loop's next turn after each batch of 64.

A panic in a task that an urgent one spawned, such as a connection, is logged and ends only that task; one in the router's own tasks ends the process, as nothing takes their place.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use compio::runtime::fd::PollFd;
 use futures_util::StreamExt;
 use hibiscusrail_fleet::peers::{Report, Scope};
 use hibiscusrail_fleet::{Event, Fleet};
@@ -21,8 +22,9 @@
 
 /// Size of the receive buffer in bytes: more than the largest datagram.
 const RECEIVE_BUFFER_BYTES: usize = 65_536;
-/// Maximum datagrams received without waiting: several times a report period's, at any fleet size.
-const MAX_BATCH: usize = 512;
+/// Maximum datagrams received in one step of the event loop: their handling delays streams, and the
+/// rest is received in the next turns.
+const MAX_BATCH: usize = 64;
 /// Report periods between two reports of an idle router.
 const IDLE_REPORT_PERIODS: u32 = 4;
 
@@ -151,20 +153,12 @@
 ///
 /// Fails if the socket can't be used for receiving.
 pub async fn receive_reports(shell: Rc<Shell>, peers: Rc<Peers>) -> io::Result<()> {
-    let socket = compio::net::UdpSocket::from_std(peers.socket.try_clone()?)?;
-    let mut buffer = Vec::with_capacity(RECEIVE_BUFFER_BYTES);
-    let mut pending = vec![0; RECEIVE_BUFFER_BYTES];
+    let socket = PollFd::new(peers.socket.try_clone()?)?;
+    let mut buffer = vec![0; RECEIVE_BUFFER_BYTES];
     loop {
-        buffer.clear();
-        let compio::BufResult(result, returned) = socket.recv_from(buffer).await;
-        buffer = returned;
-        match result {
-            Ok((_, address)) => {
-                handle_datagram(&shell, &peers, &buffer, address);
-                receive_pending(&shell, &peers, &mut pending);
-            }
-            Err(error) => log::debug!(step = "receive", error:% = error; "datagram_lost"),
-        }
+        // Waits for a turn of the event loop, also if more datagrams are there.
+        socket.read_ready().await?;
+        receive_pending(&shell, &peers, &mut buffer);
     }
 }
 
--- a/crates/net/src/event_loop.rs
+++ b/crates/net/src/event_loop.rs
@@ -7,15 +7,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use compio::runtime::Runtime;
-use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, StreamExt};
 
 /// Maximum tasks that run between two looks at the urgent ones.
 const BATCH_TASKS: usize = 16;
@@ -59,7 +60,7 @@
 /// Spawns a task that runs to its end and is as urgent as the one that spawns it.
 pub fn spawn(task: impl Future<Output = ()> + 'static) {
     if IS_URGENT.get() {
-        spawn_urgent(task);
+        spawn_urgent(contain(task));
     } else {
         compio::runtime::spawn(task).detach();
     }
@@ -67,7 +68,8 @@
 
 /// Spawns an urgent task; on a runtime without [`EventLoop`], a task like all others.
 ///
-/// Urgent tasks delay everything else, so each step has to be short and their number bounded.
+/// Urgent tasks delay everything else, so each step has to be short and their number bounded. A panic
+/// in one ends the event loop, unlike in the tasks that it spawns: nothing would take its place.
 pub fn spawn_urgent(task: impl Future<Output = ()> + 'static) {
     match URGENT.with_borrow(Clone::clone) {
         Some(urgent) => urgent.spawned.borrow_mut().push(Box::pin(task)),
@@ -75,6 +77,13 @@
     }
 }
 
+/// Runs a task and logs its panic, which must not end the other tasks.
+async fn contain(task: impl Future<Output = ()>) {
+    if AssertUnwindSafe(task).catch_unwind().await.is_err() {
+        log::error!(step = "urgent"; "task_panicked");
+    }
+}
+
 /// Time for which an event loop ran tasks.
 #[derive(Debug, Default)]
 pub struct Usage {
