front: count callers' connections that are refused, closed or not accepted

hibiscusrail_connections_total has the outcomes served, refused, closed and failed; hibiscusrail_full_accept_batches_total counts batches after which more may wait. The list of the daemon's metrics is compared with docs/METRICS.md by a test, which only the other daemon had.

Ruled out: counting in the reducer, which does not see connections.

--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use hibiscusrail_fleet::event::Exclusions;
 use hibiscusrail_net::process::ProcessMetrics;
+use hibiscusrail_net::server::{AcceptEvent, Accepted};
 use prometheus::{
     Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
@@ -24,6 +25,8 @@
     exclusions: IntCounterVec,
     failures: IntCounterVec,
     store_errors: IntCounterVec,
+    accepted: IntCounterVec,
+    full_batches: IntCounter,
     running: IntGauge,
     connections: IntGauge,
     ready: IntGauge,
@@ -119,6 +122,20 @@
                 "Calls to the store that failed, by step.",
                 &["step"],
             ),
+            accepted: counters(
+                &r,
+                "hibiscusrail_connections_total",
+                "Callers' connections, by outcome.",
+                &["outcome"],
+            ),
+            full_batches: register(
+                &r,
+                IntCounter::new(
+                    "hibiscusrail_full_accept_batches_total",
+                    "Batches of accepted connections that were full; more may wait to be accepted.",
+                )
+                .expect("the name is valid"),
+            ),
             running: gauge(&r, "hibiscusrail_running", "Requests under way."),
             connections: gauge(
                 &r,
@@ -147,6 +164,21 @@
         }
     }
 
+    /// Returns a callback that counts what happens at the callers' listener.
+    pub fn accept_counter(&self) -> impl Fn(AcceptEvent) + use<> {
+        let outcome = |name| self.accepted.with_label_values(&[name]);
+        let (served, refused) = (outcome("served"), outcome("refused"));
+        let (closed, failed) = (outcome("closed"), outcome("failed"));
+        let full_batches = self.full_batches.clone();
+        move |event| match event {
+            AcceptEvent::Accepted(Accepted::Served) => served.inc(),
+            AcceptEvent::Accepted(Accepted::Refused) => refused.inc(),
+            AcceptEvent::Accepted(Accepted::Closed) => closed.inc(),
+            AcceptEvent::Failed => failed.inc(),
+            AcceptEvent::BatchFull => full_batches.inc(),
+        }
+    }
+
     /// Counts an ended request of a workspace.
     pub fn workspace_request_ended(&self, workspace: &str, outcome: &str, reason: &str) {
         let labels = [workspace, outcome, reason];
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -90,7 +90,10 @@
         let params = settings.params.clone();
         let name = protocol.request_id.clone();
         let refuse = move |headers: &HeaderMap| refusal::too_many_connections(headers.get(&name));
-        let connections = Connections::new().with_refusal(Rc::new(refuse));
+        let metrics = Metrics::new();
+        let connections = Connections::new()
+            .with_refusal(Rc::new(refuse))
+            .with_on_accept(Rc::new(metrics.accept_counter()));
         let (report_tx, report_rx) = mpsc::channel(0);
         let fleet = Fleet::new(&settings.name, clock.epoch_ms(), params, clock.now());
         Self {
@@ -99,7 +102,7 @@
             settings: RefCell::new(settings),
             protocol,
             pool: Rc::new(Pool::new().with_max_idle(MAX_IDLE)),
-            metrics: Metrics::new(),
+            metrics,
             connections: Rc::new(connections),
             next_key: Cell::new(0),
             report_tx: RefCell::new(report_tx),
--- a/crates/front/tests/all/callers.rs
+++ b/crates/front/tests/all/callers.rs
@@ -94,3 +94,43 @@
         assert!(server.received().is_empty());
     });
 }
+
+/// Guards against callers without a connection that nothing counts.
+#[test]
+fn connections_are_counted_by_outcome() {
+    run(async {
+        let front = Front::start_with(&[], 2);
+        let mut open = Vec::new();
+        for _ in 0..70 {
+            open.push(TcpStream::connect(front.address).await.expect("it listens"));
+        }
+        // The limit is 2, and 64 more are refused by a response.
+        let expected = [("served", 2), ("refused", 64), ("closed", 4)];
+        let counted = || {
+            let page = front.shell.metrics().render(0, true, 0);
+            let page = String::from_utf8(page).expect("metrics are text");
+            expected.iter().all(|(outcome, count)| {
+                let name = format!("hibiscusrail_connections_total{{outcome=\"{outcome}\"}}");
+                page.contains(&format!("{name} {count}\n"))
+            })
+        };
+        wait_until(counted).await;
+    });
+}
+
+#[test]
+fn metrics_are_documented() {
+    run(async {
+        let server = Server::start(vec![Act::Write(full_response("200 OK", "body"))]);
+        let front = Front::start(&[&server]);
+        assert_eq!(status(&front.call("/once/x", "").await), 200);
+        assert_eq!(status(&front.call("/nowhere/x", "").await), 404);
+        let page = front.shell.metrics().render(0, true, 0);
+        let page = String::from_utf8(page).expect("metrics are text");
+        let docs = include_str!("../../../../docs/METRICS.md");
+        for line in page.lines().filter_map(|l| l.strip_prefix("# TYPE ")) {
+            let name = line.split(' ').next().expect("a name");
+            assert!(docs.contains(&format!("`{name}`")), "{name} is not in docs");
+        }
+    });
+}
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -101,6 +101,17 @@
     Closed,
 }
 
+/// What happened at a listener, for counting.
+#[hibiscusrail_macros::id]
+pub enum AcceptEvent {
+    /// A connection was accepted.
+    Accepted(Accepted),
+    /// A batch was full, so further connections may wait in the system's queue.
+    BatchFull,
+    /// A connection could not be accepted, for example without a free file descriptor.
+    Failed,
+}
+
 /// Counts the open connections of one listener and closes them on request.
 pub struct Connections {
     open: Cell<usize>,
@@ -110,7 +121,7 @@
     close: Cell<Option<oneshot::Sender<()>>>,
     closing: Shared<oneshot::Receiver<()>>,
     refuse: Option<RefusalHandler>,
-    on_accept: Option<Rc<dyn Fn(Accepted)>>,
+    on_accept: Option<Rc<dyn Fn(AcceptEvent)>>,
 }
 
 impl std::fmt::Debug for Connections {
@@ -151,9 +162,9 @@
         self
     }
 
-    /// Sets a callback that is called for every accepted connection.
+    /// Sets a callback that is called for every event at the listener.
     #[must_use]
-    pub fn with_on_accept(mut self, on_accept: Rc<dyn Fn(Accepted)>) -> Self {
+    pub fn with_on_accept(mut self, on_accept: Rc<dyn Fn(AcceptEvent)>) -> Self {
         self.on_accept = Some(on_accept);
         self
     }
@@ -169,12 +180,18 @@
         self.close.take();
     }
 
-    /// Decides what is done with a new connection and calls the callback.
     /// Sets the timeout for the next request head on connections that are accepted from now on.
     pub fn set_head_timeout(&self, timeout: Duration) {
         self.head_timeout.set(Some(timeout));
     }
 
+    fn notify(&self, event: AcceptEvent) {
+        if let Some(on_accept) = &self.on_accept {
+            on_accept(event);
+        }
+    }
+
+    /// Decides what is done with a new connection and calls the callback.
     fn classify(&self, limits: Limits) -> Accepted {
         let accepted = if self.open.get() < limits.max_connections {
             Accepted::Served
@@ -183,9 +200,7 @@
         } else {
             Accepted::Closed
         };
-        if let Some(on_accept) = &self.on_accept {
-            on_accept(accepted);
-        }
+        self.notify(AcceptEvent::Accepted(accepted));
         accepted
     }
 }
@@ -238,11 +253,16 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 admit(stream, limits, &handler, &connections);
-                for stream in accept_pending(&listener) {
+                let pending = accept_pending(&listener);
+                if pending.len() == MAX_ACCEPT_BATCH {
+                    connections.notify(AcceptEvent::BatchFull);
+                }
+                for stream in pending {
                     admit(stream, limits, &handler, &connections);
                 }
             }
             Err(error) => {
+                connections.notify(AcceptEvent::Failed);
                 log::warn!(step = "accept", error:% = error; "accept_failed");
                 compio::time::sleep(Duration::from_millis(50)).await;
             }
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -10,7 +10,7 @@
 use futures_util::{FutureExt, StreamExt};
 use hibiscusrail_core::membership::{Member, MemberState};
 use hibiscusrail_core::{Clock, Event, Incarnation, Router, RouterId, SystemClock, ZoneId};
-use hibiscusrail_net::server::Accepted;
+use hibiscusrail_net::server::{AcceptEvent, Accepted};
 use hibiscusrail_net::{Connections, Limits, bind, logs, serve, serve_counted};
 use hibiscusrail_settings::RouterSettings;
 use snafu::{ResultExt, Snafu};
@@ -185,7 +185,10 @@
         .with_refusal(Rc::new(move |headers| {
             caller::refuse_connection(&refusal_metrics, headers)
         }))
-        .with_on_accept(Rc::new(move |accepted| {
+        .with_on_accept(Rc::new(move |event| {
+            let AcceptEvent::Accepted(accepted) = event else {
+                return;
+            };
             counting_metrics.connection(match accepted {
                 Accepted::Served => "served",
                 Accepted::Refused => "refused",
