--- /dev/null
+++ b/crates/front/benches/refusal.rs
@@ -0,0 +1,333 @@
+//! Processor time that a router's thread takes for a refused stream, from accepting the connection
+//! to closing it, and for the steps of it.
+//!
+//! Four threads of callers connect over loopback; only the router's thread is measured. Each line
+//! adds work to the one before. Log lines go to standard output with the rate limit of a router,
+//! and results to standard error. `cargo test` runs a few requests of each kind.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt;
+use hibiscusrail_core::SystemClock;
+use hibiscusrail_fleet::engine::{Part, Prompt};
+use hibiscusrail_fleet::objects::{
+    Backend, Deployment, EngineFacts, Limits, OperatorConfig, Repeat, Revision, Route, Service,
+    Target, Workspace,
+};
+use hibiscusrail_fleet::placement::name_hash;
+use hibiscusrail_fleet::quota::WorkspaceHash;
+use hibiscusrail_fleet::{Event, RequestKey, Submission};
+use hibiscusrail_front::protocol::Protocol;
+use hibiscusrail_front::shell::Shell;
+use hibiscusrail_front::{caller, refusal};
+use hibiscusrail_net::server::Handler;
+use hibiscusrail_net::{bind, logs, serve_counted};
+use hibiscusrail_settings::FrontSettings;
+use http::{HeaderMap, HeaderName, StatusCode};
+use http_body_util::BodyExt;
+use rustix::time::{ClockId, clock_gettime};
+
+const WORKSPACES: usize = 30;
+const ENGINES: u16 = 90;
+/// Threads of callers, so that several connections wait at a time.
+const CALLERS: usize = 4;
+/// Size of a request's body in bytes.
+const BODY_BYTES: usize = 2_000;
+
+const SETTINGS: &str = "[front]
+name = r
+zone = a
+listen = 127.0.0.1:1
+ready_listen = 127.0.0.1:2
+peer_listen = 127.0.0.1:3
+metrics_listen = 127.0.0.1:4
+[store]
+address = 127.0.0.1:5
+";
+
+fn prompt() -> Prompt {
+    let part = |id, tokens| Part { id, tokens };
+    Prompt {
+        input: 1_460,
+        output: 80,
+        parts: vec![part(1, 800), part(2, 410), part(3, 250)],
+    }
+}
+
+fn protocol() -> Protocol {
+    Protocol {
+        request_id: HeaderName::from_static("x-id"),
+        deadline: HeaderName::from_static("x-wait-ms"),
+        last_event_id: HeaderName::from_static("last-event-id"),
+        seal: HeaderName::from_static("x-seal"),
+        workspace: HeaderName::from_static("x-workspace"),
+        expect_server: HeaderName::from_static("x-server"),
+        kv_source: HeaderName::from_static("x-copy-from"),
+        not_run: HeaderName::from_static("x-not-run"),
+        leaving: HeaderName::from_static("x-leaving"),
+        rate: HeaderName::from_static("x-rate"),
+        reserved: Vec::new(),
+        ready_path: "/ready",
+        prompt: |_: &HeaderMap| Some(prompt()),
+    }
+}
+
+fn deployment() -> Deployment {
+    let routes = (0..8).map(|n| Route {
+        name: format!("route{n}"),
+        host: "host.example".to_owned(),
+        prefix: format!("/route{n}/"),
+        targets: vec![Target {
+            service: "engines".to_owned(),
+            weight: 1,
+        }],
+        repeat: Repeat::Once,
+        stream: true,
+        resumable: true,
+        public: false,
+        timeout: Duration::from_secs(12),
+        target: Duration::from_millis(800),
+        attempts: 2,
+    });
+    let service = Service {
+        health: "/health".to_owned(),
+        connections: 590,
+        cold_time: Duration::ZERO,
+        cold_rate: 0.0,
+        engine: Some(EngineFacts {
+            slots: 16,
+            memory: 427_249,
+            event_tokens: 10,
+            copies: None,
+        }),
+    };
+    let workspaces = (0..WORKSPACES).map(|n| Workspace {
+        name: format!("workspace{n}"),
+        keys: vec![format!("key{n}")],
+    });
+    Deployment {
+        version: 1,
+        routes: routes.collect(),
+        services: BTreeMap::from([("engines".to_owned(), service)]),
+        workspaces: workspaces.collect(),
+        limits: Limits {
+            head_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            idle: Duration::from_secs(15),
+            throughput: 3_000_000.0,
+        },
+    }
+}
+
+fn shell() -> Rc<Shell> {
+    let settings = FrontSettings::parse("bench", SETTINGS).expect("the settings are valid");
+    let shell = Rc::new(Shell::new(settings, protocol(), Box::new(SystemClock)));
+    let config = OperatorConfig {
+        deployment: Some(deployment()),
+        evacuated: BTreeSet::new(),
+    };
+    shell.handle(Event::Config(Revision(1), config));
+    let engine = |number: u16| Backend {
+        service: "engines".to_owned(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: "a".to_owned(),
+        leaving: false,
+        lapsed: false,
+        slots: 16,
+        cold: Duration::ZERO,
+        sequence: u64::from(number),
+        born: 1,
+    };
+    let servers = (0..ENGINES).map(|n| (format!("e{n}"), engine(n)));
+    shell.handle(Event::Servers(Revision(1), servers.collect()));
+    shell
+}
+
+/// Makes the router refuse every stream.
+fn overload(shell: &Shell) {
+    for _ in 0..50 {
+        shell.handle(Event::LoopLag(Duration::from_secs(1)));
+    }
+}
+
+fn submission(shell: &Shell, key: u64) -> Submission {
+    let now = shell.now();
+    let workspace = format!("workspace{}", key % WORKSPACES as u64);
+    Submission {
+        key: RequestKey(u64::MAX - key),
+        workspace: Some(WorkspaceHash(u64::from(name_hash(&workspace)))),
+        service: "engines".to_owned(),
+        prompt: Some(prompt()),
+        target: now + Duration::from_millis(800),
+        deadline: now + Duration::from_secs(12),
+        repeat: Repeat::Once,
+        resumable: true,
+        max_attempts: 2,
+    }
+}
+
+/// Returns the processor time that this thread has used.
+fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    let seconds = u64::try_from(time.tv_sec).expect("the time is positive");
+    let nanoseconds = u32::try_from(time.tv_nsec).expect("below a second");
+    Duration::new(seconds, nanoseconds)
+}
+
+fn request(number: usize) -> Vec<u8> {
+    let body = "x".repeat(BODY_BYTES);
+    format!(
+        "POST /route{}/2f HTTP/1.1\r\nhost: host.example\r\nx-id: 9c41d07be2a3{number:04x}\r\n\
+         model: m\r\ntoken-usage: 1460,80\r\n\
+         prompt-prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nx-wait-ms: 12000\r\n\
+         authorization: Bearer key{}\r\ncontent-type: application/json\r\n\
+         user-agent: caller/1.0\r\naccept: text/event-stream\r\n\
+         content-length: {BODY_BYTES}\r\n\r\n{body}",
+        number % 8,
+        number % WORKSPACES,
+    )
+    .into_bytes()
+}
+
+/// Sends `count` requests, each on a connection of its own, and returns how many were refused.
+fn call(address: SocketAddr, count: usize) -> usize {
+    let mut refused = 0;
+    let mut response = Vec::new();
+    for number in 0..count {
+        let mut stream = TcpStream::connect(address).expect("it listens");
+        // The router may close the connection before it has read the request.
+        let _ = stream.write_all(&request(number));
+        response.clear();
+        let _ = stream.read_to_end(&mut response);
+        refused += usize::from(response.starts_with(b"HTTP/1.1 503"));
+    }
+    refused
+}
+
+/// Serves `count` requests and prints the processor time of one.
+fn measure(name: &str, count: usize, shell: &Rc<Shell>, handler: Option<Handler>) {
+    let runtime = compio::runtime::Runtime::new().expect("the event loop is created");
+    runtime.block_on(async {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback is up");
+        let address = listener.local_addr().expect("the listener is bound");
+        let refused = Arc::new(AtomicUsize::new(0));
+        let threads: Vec<_> = (0..CALLERS)
+            .map(|_| {
+                let refused = Arc::clone(&refused);
+                std::thread::spawn(move || {
+                    let count = call(address, count / CALLERS);
+                    refused.fetch_add(count, Ordering::Relaxed);
+                })
+            })
+            .collect();
+        let start = thread_time();
+        match handler {
+            Some(handler) => {
+                let limits = hibiscusrail_net::Limits::new();
+                let connections = Rc::clone(shell.connections());
+                let serving = serve_counted(listener, limits, handler, connections);
+                compio::runtime::spawn(serving).detach();
+            }
+            None => compio::runtime::spawn(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    drop(stream);
+                    // Lets the callers connect again, as the other cases do.
+                    compio::time::sleep(Duration::ZERO).await;
+                }
+            })
+            .detach(),
+        }
+        while threads.iter().any(|t| !t.is_finished()) {
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let used = thread_time() - start;
+        let refused = refused.load(Ordering::Relaxed);
+        report(name, used, count);
+        eprintln!("{:>50} refused {refused} of {count}", "");
+    });
+}
+
+fn report(name: &str, used: Duration, count: usize) {
+    let each = used.as_secs_f64() * 1e6 / count as f64;
+    eprintln!("{name:<50} {each:8.2} us");
+}
+
+/// Prints the processor time of one call of `work`.
+fn time(name: &str, count: usize, mut work: impl FnMut(u64)) {
+    let start = thread_time();
+    for number in 0..count {
+        work(number as u64);
+    }
+    report(name, thread_time() - start, count);
+}
+
+fn refusing(reads_body: bool) -> Handler {
+    Rc::new(move |request| {
+        async move {
+            if reads_body {
+                let _ = request.into_body().collect().await;
+            }
+            let mut response = refusal::text_response(StatusCode::SERVICE_UNAVAILABLE, "busy");
+            let close = http::HeaderValue::from_static("close");
+            response
+                .headers_mut()
+                .insert(http::header::CONNECTION, close);
+            response
+        }
+        .boxed_local()
+    })
+}
+
+fn main() {
+    let is_bench = std::env::args().any(|a| a == "--bench");
+    let count = if is_bench { 40_000 } else { 40 };
+    logs::init_rate_limited("info", 200).expect("the level is known");
+    let started = Instant::now();
+    let shell = shell();
+    overload(&shell);
+    measure("accept and close", count, &shell, None);
+    let plain = Rc::new(Shell::new(
+        shell.settings(),
+        protocol(),
+        Box::new(SystemClock),
+    ));
+    measure(
+        "+ hyper, body not read",
+        count,
+        &plain,
+        Some(refusing(false)),
+    );
+    measure("+ body", count, &plain, Some(refusing(true)));
+    measure(
+        "a router's refusal",
+        count,
+        &shell,
+        Some(caller::handler(&shell)),
+    );
+    overload(&shell);
+    time("reducer: a refused stream", count, |key| {
+        let submission = submission(&shell, key);
+        shell.with_fleet_mut(|f| f.handle(shell.now(), Event::Submit(submission)));
+    });
+    time("two log lines, mostly dropped", count, |key| {
+        log::info!(call = key, reason:? = "RouterBusy", late_ms = 500, standing:? = 1; "request_not_placed");
+        log::info!(
+            request = "9c41d07be2a35f68", call = key, workspace = "workspace1",
+            service = "engines", outcome = "NotRun", reason = "RouterBusy", attempts = 0,
+            events = 0, server = "", total_ms = 0;
+            "request_ended"
+        );
+    });
+    time("counters", count, |_| {
+        let metrics = shell.metrics();
+        metrics.request_ended("engines", "NotRun", "RouterBusy", Duration::ZERO);
+        metrics.workspace_request_ended("workspace1", "NotRun", "RouterBusy");
+    });
+    eprintln!("{:>50} {:?} in all", "", started.elapsed());
+}
