--- a/crates/front/tests/all/callers.rs
+++ b/crates/front/tests/all/callers.rs
@@ -9,8 +9,8 @@
 use hibiscusrail_fleet::objects::Revision;
 
 use super::support::{
-    Act, Front, STREAM_HEAD, Server, TIMEOUT, chunk, full_response, header, read_all, run, status,
-    wait_until,
+    Act, Front, STREAM_END, STREAM_HEAD, Server, TIMEOUT, chunk, full_response, header, read_all,
+    read_until, run, status, wait_until,
 };
 
 const REQUEST: &str = "POST /stream/x HTTP/1.1\r\nhost: host\r\nauthorization: Bearer key\r\n\
@@ -134,3 +134,48 @@
         }
     });
 }
+
+/// Requests of the flood in [`flood_is_refused_at_head`].
+const FLOOD: usize = 200;
+
+/// Guards against an overloaded router that spends its time on refusals: none may get a served
+/// connection or reach the reducer, and a stream under way goes on.
+#[test]
+fn flood_is_refused_at_head() {
+    run(async {
+        let (head, tail) = (
+            STREAM_HEAD.to_owned() + &chunk("id: 1\ndata: 1\n\n"),
+            chunk("id: 2\ndata: 2\n\n") + STREAM_END,
+        );
+        let server = Server::start(vec![Act::Pause(head, tail)]);
+        let front = Front::start_with(&[&server], 1_000);
+        let mut caller = TcpStream::connect(front.address).await.expect("it listens");
+        let BufResult(written, _) = caller.write_all(REQUEST.as_bytes().to_vec()).await;
+        written.expect("the router reads the request");
+        wait_until(|| server.received().len() == 1).await;
+        front.overload();
+        let keys_before = front.shell.new_request_key().0;
+        let body = "x".repeat(900);
+        let request = REQUEST.replace(
+            "\r\n\r\n",
+            &format!("\r\ncontent-length: 900\r\n\r\n{body}"),
+        );
+        let responses = (0..FLOOD).map(|_| front.raw(&request));
+        for response in futures_util::future::join_all(responses).await {
+            assert_eq!(status(&response), 503, "{response}");
+            assert!(header(&response, "retry-after").is_some(), "{response}");
+            assert_eq!(header(&response, "connection").as_deref(), Some("close"));
+            assert_eq!(header(&response, "x-id").as_deref(), Some("r"));
+        }
+        let submitted = front.shell.new_request_key().0 - keys_before - 1;
+        assert_eq!(submitted, 0, "refused requests reached the reducer");
+        let page = front.shell.metrics().render(0, true, 0);
+        let page = String::from_utf8(page).expect("metrics are text");
+        let served = "hibiscusrail_connections_total{outcome=\"served\"} 1\n";
+        assert!(page.contains(served), "refused requests were served");
+        let stream = compio::time::timeout(TIMEOUT, read_until(&mut caller, STREAM_END));
+        let stream = stream.await.expect("the stream goes on");
+        assert!(stream.contains("data: 2"), "{stream}");
+        assert_eq!(server.received().len(), 1);
+    });
+}
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -300,6 +300,13 @@
         Self { shell, address }
     }
 
+    /// Makes the router refuse every stream.
+    pub fn overload(&self) {
+        for _ in 0..50 {
+            self.shell.handle(Event::LoopLag(Duration::from_secs(1)));
+        }
+    }
+
     /// Sends a request and returns everything received until the connection closes.
     pub async fn call(&self, path: &str, extra: &str) -> String {
         let text = format!(
@@ -320,6 +327,19 @@
     }
 }
 
+/// Reads until the text ends with `end`, or the connection closes.
+pub async fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = String::new();
+    while !text.ends_with(end) {
+        let BufResult(read, buffer) = stream.read(vec![0; 4_096]).await;
+        match read {
+            Ok(count) if count > 0 => text.push_str(&String::from_utf8_lossy(&buffer[..count])),
+            _ => break,
+        }
+    }
+    text
+}
+
 /// Reads until the connection closes.
 pub async fn read_all(stream: &mut TcpStream) -> String {
     let mut text = String::new();
