net: leave other tasks their turn after each batch of accepted connections

Callers saw streams that stood still while a flood of connections met a router, and the lag of the loop rose to 0.3 to 0.6 s.

Cause: the task that accepts never gave up its turn while a connection was pending. An accept completes at once without a poll of the event loop, so batch followed batch until the system's queue was empty; MAX_ACCEPT_BATCH bounded nothing.

Now the task waits for the event loop's poll before each batch of 64: what is not accepted stays in the system's queue.

Ruled out: waking the task itself. The executor runs a woken task again before it polls for I/O when no other is ready.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use compio::driver::ToSharedFd;
 use compio::net::{TcpListener, TcpStream};
+use compio::runtime::fd::PollFd;
 use cyper_core::CompioTimer;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
@@ -18,6 +20,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::io::Errno;
 use rustix::net::SocketFlags;
 use socket2::{Domain, Protocol, Socket, Type};
 
@@ -249,45 +252,48 @@
     handler: Handler,
     connections: Rc<Connections>,
 ) {
+    let ready = match PollFd::from_shared_fd(listener.to_shared_fd()) {
+        Ok(ready) => ready,
+        Err(error) => {
+            log::error!(step = "accept", error:% = error; "accept_failed");
+            return;
+        }
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                admit(stream, limits, &handler, &connections);
-                let pending = accept_pending(&listener);
-                if pending.len() == MAX_ACCEPT_BATCH {
-                    connections.notify(AcceptEvent::BatchFull);
-                }
-                for stream in pending {
-                    admit(stream, limits, &handler, &connections);
-                }
-            }
-            Err(error) => {
-                connections.notify(AcceptEvent::Failed);
-                log::warn!(step = "accept", error:% = error; "accept_failed");
-                compio::time::sleep(Duration::from_millis(50)).await;
-            }
+        // Accepting itself completes at once while a connection is pending. Waiting for the event
+        // loop's poll leaves other tasks their turn after each batch.
+        let accepted = match ready.accept_ready().await {
+            Ok(()) => accept_batch(&listener, limits, &handler, &connections),
+            Err(error) => Err(error),
+        };
+        if let Err(error) = accepted {
+            connections.notify(AcceptEvent::Failed);
+            log::warn!(step = "accept", error:% = error; "accept_failed");
+            compio::time::sleep(Duration::from_millis(50)).await;
         }
     }
 }
 
-/// Accepts the connections that are already pending, up to a batch.
-///
-/// A busy event loop polls the listener seldom; one connection per turn would let
-/// the queue overflow.
-fn accept_pending(listener: &TcpListener) -> Vec<TcpStream> {
-    let mut streams = Vec::new();
-    while streams.len() < MAX_ACCEPT_BATCH {
+/// Accepts the pending connections, up to a batch; the rest stays in the system's queue.
+fn accept_batch(
+    listener: &TcpListener,
+    limits: Limits,
+    handler: &Handler,
+    connections: &Rc<Connections>,
+) -> io::Result<()> {
+    for _ in 0..MAX_ACCEPT_BATCH {
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-        let Ok(stream) = rustix::net::accept_with(listener.as_fd(), flags) else {
-            // None is pending, or the next accept reports the error.
-            break;
+        let stream = match rustix::net::accept_with(listener.as_fd(), flags) {
+            Ok(stream) => TcpStream::from_std(stream.into())?,
+            Err(Errno::AGAIN) => return Ok(()),
+            // The caller has gone.
+            Err(Errno::CONNABORTED | Errno::INTR) => continue,
+            Err(error) => return Err(error.into()),
         };
-        match TcpStream::from_std(stream.into()) {
-            Ok(stream) => streams.push(stream),
-            Err(error) => log::warn!(step = "accept", error:% = error; "accept_failed"),
-        }
+        admit(stream, limits, handler, connections);
     }
-    streams
+    connections.notify(AcceptEvent::BatchFull);
+    Ok(())
 }
 
 fn admit(stream: TcpStream, limits: Limits, handler: &Handler, connections: &Rc<Connections>) {
