fleet: decide on a stream at the head of its request, and count its demand once

Callers saw a flooded router serve next to nothing: each refused stream was read whole and submitted before the router's own load was looked at.

Fleet::overloaded records the demand of a request and says whether the router is too busy for it; Event::SubmitAdmitted submits one that it let pass, which is neither counted again nor refused for the same reason later. The decision itself is unchanged (Pressure::admits_stream). may_refuse_streams is cheap enough for every connection.

A request refused at its head does not count towards its service's retry budget, which makes the budget smaller in a flood, never larger.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -237,6 +237,9 @@
 pub enum Event {
     /// A caller's request was received completely.
     Submit(Submission),
+    /// A caller's request that [`Fleet::overloaded`](crate::Fleet::overloaded) counted and did not
+    /// refuse was received completely.
+    SubmitAdmitted(Submission),
     /// The first byte of the answer arrived.
     FirstByte(RequestKey),
     /// A stream delivered more tokens.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,8 +4,8 @@
 
 mod choice;
 mod homes;
-
 mod limits;
+mod overload;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -71,6 +71,8 @@
     /// Number of servers to which the request was sent or is being sent.
     attempts: u32,
     started: bool,
+    /// Whether this router was not too busy for it when its head arrived.
+    admitted: bool,
     /// Tokens that count as pending for the workspace.
     pending: f64,
     execution: Execution,
@@ -251,7 +253,14 @@
     /// Handles an event at time `now` and returns the resulting decisions.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Decision> {
         match event {
-            Event::Submit(submission) => self.submit(now, submission),
+            Event::Submit(submission) => {
+                let Submission {
+                    workspace, prompt, ..
+                } = &submission;
+                self.record_demand(now, *workspace, prompt.as_ref());
+                self.submit(now, submission, false);
+            }
+            Event::SubmitAdmitted(submission) => self.submit(now, submission, true),
             Event::FirstByte(key) => self.first_byte(now, key),
             Event::StreamProgress { key, gap, tokens } => {
                 self.stream_progressed(now, key, gap, tokens);
@@ -411,15 +420,7 @@
         }
     }
 
-    fn submit(&mut self, now: Instant, submission: Submission) {
-        if let (Some(workspace), Some(prompt)) = (submission.workspace, &submission.prompt) {
-            let charge = prompt.charge();
-            self.quota.add_requested(now, workspace, charge);
-            self.pressure.record_stream(workspace, charge);
-            let total = self.totals.entry(workspace).or_default();
-            total.requested += charge;
-            total.changed_at = Some(now);
-        }
+    fn submit(&mut self, now: Instant, submission: Submission, admitted: bool) {
         self.retry_window(&submission.service).record_request(now);
         let key = submission.key;
         self.requests.insert(
@@ -430,6 +431,7 @@
                 tried: Vec::new(),
                 attempts: 0,
                 started: false,
+                admitted,
                 pending: 0.0,
                 execution: Execution::NotRun,
             },
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -212,7 +212,7 @@
         }
         let share = self.share_status(now, key);
         let request = self.requests.get(&key);
-        let charge = initial_charge(request);
+        let charge = initial_charge(request.filter(|r| !r.admitted));
         let workspace = request.and_then(|r| r.submission.workspace);
         let shortfall = limits::shortfall(share);
         let admits = |charge| self.pressure.admits_stream(workspace, shortfall, charge);
@@ -235,14 +235,10 @@
     }
 
     fn share_status(&mut self, now: Instant, key: RequestKey) -> ShareStatus {
-        let deployment = self.config.deployment.as_ref();
-        let throughput = deployment.map_or(0.0, |d| d.limits.throughput);
         let request = self.requests.get(&key);
         let engine = request.filter(|r| r.submission.prompt.is_some());
-        match engine.and_then(|r| r.submission.workspace) {
-            Some(workspace) => self.quota.share_status(now, workspace, throughput),
-            None => ShareStatus::Within,
-        }
+        let workspace = engine.and_then(|r| r.submission.workspace);
+        self.workspace_share(now, workspace)
     }
 
     fn choose(
--- /dev/null
+++ b/crates/fleet/src/fleet/overload.rs
@@ -0,0 +1,76 @@
+//! Refusal of streams at the head of their request while this router is overloaded.
+//!
+//! The daemon asks before it reads a request's body. The demand of a request is recorded here, once,
+//! whether it is refused or goes on to [`Event::SubmitAdmitted`](crate::Event::SubmitAdmitted).
+
+use std::time::{Duration, Instant};
+
+use crate::engine::Prompt;
+use crate::quota::{ShareStatus, WorkspaceHash};
+
+use super::choice::SHORT_RETRY_AFTER;
+use super::{Fleet, limits};
+
+impl Fleet {
+    /// Returns whether [`Self::overloaded`] may refuse streams at present; cheap enough to be asked
+    /// for every connection.
+    #[must_use]
+    pub fn may_refuse_streams(&self) -> bool {
+        self.pressure.sheds_connections() || !self.pressure.admits_stream(None, 0.0, 0.0)
+    }
+
+    /// Records the demand of a request, and returns the retry delay if this router is too busy for
+    /// it. If it returns none, the request has to be submitted as an admitted one.
+    pub fn overloaded(
+        &mut self,
+        now: Instant,
+        workspace: Option<WorkspaceHash>,
+        prompt: Option<&Prompt>,
+    ) -> Option<Duration> {
+        self.record_demand(now, workspace, prompt);
+        let prompt = prompt?;
+        // Its refusal has a reason and a retry delay of its own.
+        if prompt
+            .shared_ids()
+            .any(|id| self.suspects.quarantine(now, id).is_some())
+        {
+            return None;
+        }
+        let shortfall = limits::shortfall(self.workspace_share(now, workspace));
+        let admits = self
+            .pressure
+            .admits_stream(workspace, shortfall, prompt.charge());
+        (!admits).then_some(SHORT_RETRY_AFTER)
+    }
+
+    /// Records the tokens that a request asks for.
+    pub(super) fn record_demand(
+        &mut self,
+        now: Instant,
+        workspace: Option<WorkspaceHash>,
+        prompt: Option<&Prompt>,
+    ) {
+        let (Some(workspace), Some(prompt)) = (workspace, prompt) else {
+            return;
+        };
+        let charge = prompt.charge();
+        self.quota.add_requested(now, workspace, charge);
+        self.pressure.record_stream(workspace, charge);
+        let total = self.totals.entry(workspace).or_default();
+        total.requested += charge;
+        total.changed_at = Some(now);
+    }
+
+    /// Returns the usage of a workspace compared with its fair share; none has no share.
+    pub fn workspace_share(
+        &mut self,
+        now: Instant,
+        workspace: Option<WorkspaceHash>,
+    ) -> ShareStatus {
+        let deployment = self.config.deployment.as_ref();
+        let throughput = deployment.map_or(0.0, |d| d.limits.throughput);
+        workspace.map_or(ShareStatus::Within, |w| {
+            self.quota.share_status(now, w, throughput)
+        })
+    }
+}
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the router's decisions, without I/O and on a simulated clock.
 
+mod admission;
 mod cold_return;
 mod connections;
 mod crowded_router;
