front: refuse streams at the head of their request while the router is overloaded

Callers saw a small router that a workspace's whole wave meets refuse next to everything, also what is within the share: 100 to 200 refusals and 0 to 10 answers a second.

Cause: a refused stream took the path of a served one: a task, a connection of hyper, the registration with the event loop, the whole body, the reducer, two log lines, and counters looked up by strings.

- net::triage: while the program says so, the first request of a new connection is read where it is accepted.
Its head is parsed and judged; a refusal is written at once, what has arrived of the body is read, and the connection is closed.
A body that has not arrived is waited for for 0.5 s by at most 128 connections, with one timer for all and no registration.
Heads that have not arrived get 30 ms; then hyper takes over with the bytes read.
Whatever is not plain HTTP/1.1 with one certain body length goes to hyper unjudged.
- front::overload judges with the same route lookup as before. 404, 401, 413 and 431 stay what they were, plain requests are served, a stopping router is not triaged.
Nothing of a refused request but its demand reaches the reducer.
- On kept connections the same decision is made before the body is collected.
- One line (stream_refused), skipped before it is formatted if the log's rate is used up; counters by handles.
Retry delays that rest on no server's state (0.3 s and 1 s) are spread by half of their length, by a hash of the request's id.

A refusal made four system calls (accept, receive, send, close) where hyper's makes about ten, by reading the code; calls were not counted. 200 of 200 refused requests reached the reducer and got a served connection before, none after (flood_is_refused_at_head).

Ruled out: the body as the cost (2 kB that have arrived with the head: no difference).

--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -1,18 +1,22 @@
 //! Processor time that a router's thread takes for a refused stream, from accepting the connection
 //! to closing it, and for the steps of it.
 //!
-//! Four threads of callers connect over loopback; only the router's thread is measured. Each line
-//! adds work to the one before. Log lines go to standard output with the rate limit of a router,
+//! Threads of callers connect over loopback; only the router's thread is measured. Its loop pauses
+//! in each turn, as that of an overloaded router, so that connections and their bytes wait. Log lines go to standard output with the rate limit of a router,
 //! and results to standard error. `cargo test` runs a few requests of each kind.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use compio::driver::ToSharedFd;
+use compio::net::TcpListener;
+use compio::runtime::fd::PollFd;
 use futures_util::FutureExt;
 use hibiscusrail_core::SystemClock;
 use hibiscusrail_fleet::engine::{Part, Prompt};
@@ -25,18 +29,21 @@
 use hibiscusrail_fleet::{Event, RequestKey, Submission};
 use hibiscusrail_front::protocol::Protocol;
 use hibiscusrail_front::shell::Shell;
-use hibiscusrail_front::{caller, refusal};
+use hibiscusrail_front::{caller, overload, refusal};
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::{bind, logs, serve_counted};
 use hibiscusrail_settings::FrontSettings;
 use http::{HeaderMap, HeaderName, StatusCode};
 use http_body_util::BodyExt;
+use rustix::net::{RecvFlags, SendFlags, SocketFlags, accept_with, recv, send};
 use rustix::time::{ClockId, clock_gettime};
 
 const WORKSPACES: usize = 30;
 const ENGINES: u16 = 90;
 /// Threads of callers, so that several connections wait at a time.
-const CALLERS: usize = 4;
+const CALLERS: usize = 40;
+/// Pause in each turn of the loop; it takes no processor time.
+const PAUSE: Duration = Duration::from_millis(2);
 /// Size of a request's body in bytes.
 const BODY_BYTES: usize = 2_000;
 
@@ -234,15 +241,15 @@
                 let serving = serve_counted(listener, limits, handler, connections);
                 compio::runtime::spawn(serving).detach();
             }
-            None => compio::runtime::spawn(async move {
-                while let Ok((stream, _)) = listener.accept().await {
-                    drop(stream);
-                    // Lets the callers connect again, as the other cases do.
-                    compio::time::sleep(Duration::ZERO).await;
-                }
-            })
-            .detach(),
+            None => compio::runtime::spawn(answer_at_once(listener)).detach(),
         }
+        compio::runtime::spawn(async {
+            loop {
+                std::thread::sleep(PAUSE);
+                compio::time::sleep(Duration::from_micros(1)).await;
+            }
+        })
+        .detach();
         while threads.iter().any(|t| !t.is_finished()) {
             compio::time::sleep(Duration::from_millis(20)).await;
         }
@@ -253,6 +260,21 @@
     });
 }
 
+/// Answers each connection by a fixed response: the system calls that no server can save.
+async fn answer_at_once(listener: TcpListener) {
+    let response = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\r\n";
+    let ready = PollFd::from_shared_fd(listener.to_shared_fd()).expect("it can be polled");
+    let mut buffer = vec![0; 16 << 10];
+    loop {
+        ready.accept_ready().await.expect("it listens");
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        while let Ok(stream) = accept_with(listener.as_fd(), flags) {
+            let _ = recv(&stream, &mut buffer[..], RecvFlags::DONTWAIT);
+            let _ = send(&stream, response, SendFlags::NOSIGNAL);
+        }
+    }
+}
+
 fn report(name: &str, used: Duration, count: usize) {
     let each = used.as_secs_f64() * 1e6 / count as f64;
     eprintln!("{name:<50} {each:8.2} us");
@@ -291,7 +313,7 @@
     let started = Instant::now();
     let shell = shell();
     overload(&shell);
-    measure("accept and close", count, &shell, None);
+    measure("accept, receive, send, close", count, &shell, None);
     let plain = Rc::new(Shell::new(
         shell.settings(),
         protocol(),
@@ -304,12 +326,15 @@
         Some(refusing(false)),
     );
     measure("+ body", count, &plain, Some(refusing(true)));
+    let handler = caller::handler(&shell);
     measure(
-        "a router's refusal",
+        "a refusal by hyper",
         count,
         &shell,
-        Some(caller::handler(&shell)),
+        Some(Rc::clone(&handler)),
     );
+    overload::install(&shell);
+    measure("a refusal at the head", count, &shell, Some(handler));
     overload(&shell);
     time("reducer: a refused stream", count, |key| {
         let submission = submission(&shell, key);
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -63,6 +63,12 @@
         self.key
     }
 
+    /// Returns the request's id as the caller sent it.
+    #[must_use]
+    pub fn request(&self) -> &str {
+        &self.request
+    }
+
     /// Records an attempt at `server`.
     pub fn start_attempt(&mut self, server: &str) {
         self.attempts += 1;
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -7,17 +7,19 @@
 use futures_util::FutureExt;
 use hibiscusrail_fleet::objects::{Deployment, EngineFacts, Repeat, Route};
 use hibiscusrail_fleet::placement::name_hash;
-use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::{Event, Fleet, Submission, event};
 use hibiscusrail_net::server::Handler;
+use hibiscusrail_net::triage::Admitted;
 use hibiscusrail_net::{Body, full};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body::Body as _;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use crate::answer::{self, RequestTracker};
 use crate::outgoing::Outgoing;
+use crate::overload::{StreamDemand, workspace_hash};
 use crate::refusal;
 use crate::shell::{NextStep, RequestError, Shell, millis};
 use crate::stop;
@@ -27,6 +29,8 @@
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Timeout of requests whose caller sets no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which the body of a refused request is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Shortest read timeout after which a retryable request is sent to another server.
 const MIN_READ_TIMEOUT: Duration = Duration::from_millis(600);
 /// Read timeout of a retryable request as a multiple of the route's latency target.
@@ -60,16 +64,44 @@
 }
 
 /// The route and service selected for a request, and what the configuration says of them.
+pub struct Found<'a> {
+    /// Route of the request.
+    pub route: &'a Route,
+    /// Name of the service among the route's targets.
+    pub service: &'a str,
+    /// Workspace of the caller; none on public routes.
+    pub workspace: Option<&'a str>,
+    /// Maximum size of the request's body in bytes.
+    pub max_body: usize,
+    /// Facts of the service's engines; none for plain services.
+    pub engine: Option<&'a EngineFacts>,
+}
+
+/// A copy of [`Found`], and the demand of a stream that is not decided on.
 struct Routed {
     route: Route,
     service: String,
     workspace: Option<String>,
     max_body: usize,
     engine: Option<EngineFacts>,
+    demand: Option<StreamDemand>,
+}
+
+impl Routed {
+    fn new(found: &Found<'_>, demand: Option<StreamDemand>) -> Self {
+        Self {
+            route: found.route.clone(),
+            service: found.service.to_owned(),
+            workspace: found.workspace.map(str::to_owned),
+            max_body: found.max_body,
+            engine: found.engine.cloned(),
+            demand,
+        }
+    }
 }
 
 /// Why a request is refused before it is submitted to the reducer.
-struct Refusal {
+pub struct Refusal {
     status: StatusCode,
     reason: &'static str,
 }
@@ -77,13 +109,19 @@
 async fn serve(shell: &Rc<Shell>, request: Request<Incoming>) -> Response<Body> {
     let started = shell.now();
     let (parts, body) = request.into_parts();
+    let length = body.size_hint().exact();
+    let mut admitted = parts.extensions.get::<Admitted>().is_some();
     let routed = shell.with_fleet(|f| {
         let deployment = f.config().deployment.as_ref();
         let deployment = deployment.ok_or(Refusal {
             status: StatusCode::SERVICE_UNAVAILABLE,
             reason: "no configuration yet",
         })?;
-        find_route(shell, deployment, &parts)
+        let found = find_route(shell, deployment, &parts)?;
+        let demand = (!admitted)
+            .then(|| StreamDemand::new(shell, &found, &parts.headers, length))
+            .flatten();
+        Ok(Routed::new(&found, demand))
     });
     let routed = match routed {
         Ok(routed) if !stop::accepts(shell, routed.route.stream) => {
@@ -96,6 +134,13 @@
         Ok(routed) => routed,
         Err(refusal) => return refuse(shell, &parts, &refusal),
     };
+    if let Some(demand) = &routed.demand {
+        if let Some(response) = demand.refuse(shell, &parts.headers) {
+            discard(&parts.headers, body).await;
+            return response.map(full);
+        }
+        admitted = true;
+    }
     let body = match Limited::new(body, routed.max_body).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
@@ -103,7 +148,19 @@
             return refuse(shell, &parts, &refusal);
         }
     };
-    submit(shell, started, &parts, body, routed).await
+    submit(shell, started, &parts, body, (routed, admitted)).await
+}
+
+/// Reads what arrives soon of a refused request's body: closing a connection with unread bytes
+/// would reset it, and the caller might lose the response.
+async fn discard(headers: &HeaderMap, mut body: Incoming) {
+    if headers.contains_key(header::EXPECT) {
+        // The caller sends the body only if it is asked to.
+        return;
+    }
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    // The response is sent in any case.
+    let _ = compio::time::timeout(DISCARD_TIMEOUT, reading).await;
 }
 
 fn body_error(error: &(dyn std::error::Error + 'static)) -> Refusal {
@@ -150,7 +207,16 @@
             .sum::<usize>()
 }
 
-fn find_route(shell: &Shell, deployment: &Deployment, parts: &Parts) -> Result<Routed, Refusal> {
+/// Selects the route and service of a request and checks its key and the size of its head.
+///
+/// # Errors
+///
+/// Fails with the refusal of the request.
+pub fn find_route<'a>(
+    shell: &Shell,
+    deployment: &'a Deployment,
+    parts: &Parts,
+) -> Result<Found<'a>, Refusal> {
     if head_bytes(parts) > deployment.limits.head_bytes {
         return Err(Refusal {
             status: StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -173,16 +239,16 @@
             status: StatusCode::UNAUTHORIZED,
             reason: "unknown API key",
         })?;
-        Some(found.name.clone())
+        Some(found.name.as_str())
     };
     let id = header_text(&parts.headers, &shell.protocol().request_id);
     let service = pick_service(route, id);
     let engine = deployment
         .services
-        .get(&service)
-        .and_then(|s| s.engine.clone());
-    Ok(Routed {
-        route: route.clone(),
+        .get(service)
+        .and_then(|s| s.engine.as_ref());
+    Ok(Found {
+        route,
         service,
         workspace,
         max_body: deployment.limits.body_bytes,
@@ -198,19 +264,19 @@
 }
 
 /// Picks a service among the route's targets by weight, from a hash of the request id.
-fn pick_service(route: &Route, id: &str) -> String {
+fn pick_service<'a>(route: &'a Route, id: &str) -> &'a str {
     let total: u32 = route.targets.iter().map(|t| t.weight).sum();
     let mut at = name_hash(id) % total.max(1);
     for target in &route.targets {
         if at < target.weight {
-            return target.service.clone();
+            return &target.service;
         }
         at -= target.weight;
     }
     route
         .targets
         .first()
-        .map(|t| t.service.clone())
+        .map(|t| t.service.as_str())
         .unwrap_or_default()
 }
 
@@ -222,7 +288,7 @@
 }
 
 /// Returns the timeout that the caller set, or the default.
-fn caller_timeout(shell: &Shell, headers: &HeaderMap) -> Duration {
+pub(crate) fn caller_timeout(shell: &Shell, headers: &HeaderMap) -> Duration {
     header_text(headers, &shell.protocol().deadline)
         .parse()
         .map_or(DEFAULT_TIMEOUT, Duration::from_millis)
@@ -233,7 +299,7 @@
     started: Instant,
     parts: &Parts,
     body: Bytes,
-    routed: Routed,
+    (routed, admitted): (Routed, bool),
 ) -> Response<Body> {
     let Routed {
         route,
@@ -251,11 +317,9 @@
     let request = header_text(&parts.headers, &shell.protocol().request_id);
     let name = workspace.as_deref().unwrap_or_default();
     let mut tracker = RequestTracker::new(shell, key, request, name, &service, started);
-    let step = shell.handle(Event::Submit(Submission {
+    let submission = Submission {
         key,
-        workspace: workspace
-            .as_deref()
-            .map(|w| WorkspaceHash(u64::from(name_hash(w)))),
+        workspace: workspace.as_deref().map(workspace_hash),
         service,
         prompt,
         target: started + route.target,
@@ -263,11 +327,16 @@
         repeat: route.repeat,
         resumable: route.resumable,
         max_attempts: route.attempts,
-    }));
+    };
+    let step = shell.handle(if admitted {
+        Event::SubmitAdmitted(submission)
+    } else {
+        Event::Submit(submission)
+    });
     // An overloaded router refuses most requests, so it builds the outgoing one only to send it.
     if let Some(NextStep::Fail(error)) = &step {
         tracker.fail(error);
-        return failure_response(shell, deadline, error, None);
+        return failure_response(shell, request, deadline, error, None);
     }
     let retryable = route.repeat == Repeat::Idempotent || route.resumable;
     let read_timeout = route.target.mul_f64(TIMEOUT_FACTOR).max(MIN_READ_TIMEOUT);
@@ -301,7 +370,7 @@
             Some(NextStep::Fail(error)) => {
                 tracker.fail(&error);
                 let deadline = plan.outgoing.deadline;
-                return failure_response(shell, deadline, &error, last_response);
+                return failure_response(shell, tracker.request(), deadline, &error, last_response);
             }
             // The reducer decides on a submitted request at once.
             None => return refusal::text_response(StatusCode::BAD_GATEWAY, "no decision"),
@@ -339,6 +408,7 @@
 /// Returns the response to a request that failed: the server's own error, or a refusal.
 fn failure_response(
     shell: &Shell,
+    id: &str,
     deadline: Instant,
     error: &RequestError,
     last_response: Option<Box<FullResponse>>,
@@ -348,5 +418,6 @@
     }
     let remaining = deadline.saturating_duration_since(shell.now());
     log::debug!(left_ms = millis(remaining); "refusal_sent");
-    refusal::failure(error.reason, error.execution, error.retry_after, remaining)
+    let wait = refusal::retry_delay(error.reason, error.retry_after, id);
+    refusal::failure(error.reason, error.execution, wait, remaining)
 }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod caller;
 pub mod metrics;
 pub mod outgoing;
+pub mod overload;
 pub mod peers;
 pub mod protocol;
 pub mod refusal;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -1,18 +1,45 @@
 //! Prometheus metrics of the daemon.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
-use hibiscusrail_fleet::event::Exclusions;
+use hibiscusrail_fleet::event::{Exclusions, Execution};
 use hibiscusrail_net::process::ProcessMetrics;
 use hibiscusrail_net::server::{AcceptEvent, Accepted};
 use prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histograms in seconds: 5 ms to 12 s.
 const LATENCY_BUCKETS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 12.0];
 
+/// Counters of the streams of a workspace that the overloaded router refuses.
+#[derive(Debug)]
+pub struct RefusalCounters {
+    name: String,
+    workspace: IntCounter,
+    service: IntCounter,
+    total: Histogram,
+}
+
+impl RefusalCounters {
+    /// Counts a refused stream.
+    pub fn count(&self) {
+        self.workspace.inc();
+        self.service.inc();
+        self.total.observe(0.0);
+    }
+
+    /// Returns the name of the workspace; empty for public routes.
+    #[must_use]
+    pub fn workspace(&self) -> &str {
+        &self.name
+    }
+}
+
 /// All metrics of one router.
 #[derive(Debug)]
 pub struct Metrics {
@@ -25,6 +52,8 @@
     exclusions: IntCounterVec,
     failures: IntCounterVec,
     store_errors: IntCounterVec,
+    /// Counters of refused streams, by workspace and service.
+    refusals: RefCell<BTreeMap<String, BTreeMap<String, Rc<RefusalCounters>>>>,
     accepted: IntCounterVec,
     full_batches: IntCounter,
     running: IntGauge,
@@ -160,6 +189,7 @@
                 )
                 .expect("the name is valid"),
             ),
+            refusals: RefCell::default(),
             registry: r,
         }
     }
@@ -169,11 +199,13 @@
         let outcome = |name| self.accepted.with_label_values(&[name]);
         let (served, refused) = (outcome("served"), outcome("refused"));
         let (closed, failed) = (outcome("closed"), outcome("failed"));
+        let triaged = outcome("triaged");
         let full_batches = self.full_batches.clone();
         move |event| match event {
             AcceptEvent::Accepted(Accepted::Served) => served.inc(),
             AcceptEvent::Accepted(Accepted::Refused) => refused.inc(),
             AcceptEvent::Accepted(Accepted::Closed) => closed.inc(),
+            AcceptEvent::Triaged => triaged.inc(),
             AcceptEvent::Failed => failed.inc(),
             AcceptEvent::BatchFull => full_batches.inc(),
         }
@@ -200,6 +232,27 @@
             .observe(total.as_secs_f64());
     }
 
+    /// Returns the counters of a workspace's refused streams at a service.
+    pub fn refusal_counters(&self, workspace: &str, service: &str) -> Rc<RefusalCounters> {
+        let mut known = self.refusals.borrow_mut();
+        if let Some(counters) = known.get(workspace).and_then(|c| c.get(service)) {
+            return Rc::clone(counters);
+        }
+        let (outcome, reason) = (format!("{:?}", Execution::NotRun), "RouterBusy");
+        let labels = [workspace, outcome.as_str(), reason];
+        let counters = Rc::new(RefusalCounters {
+            name: workspace.to_owned(),
+            workspace: self.workspaces.with_label_values(&labels),
+            service: self
+                .requests
+                .with_label_values(&[service, &outcome, reason]),
+            total: self.total.with_label_values(&[service]),
+        });
+        let services = known.entry(workspace.to_owned()).or_default();
+        services.insert(service.to_owned(), Rc::clone(&counters));
+        counters
+    }
+
     /// Records the time to first byte of a request.
     pub fn observe_first_byte(&self, service: &str, after: Duration) {
         self.first_byte
--- a/crates/front/src/refusal.rs
+++ b/crates/front/src/refusal.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use hibiscusrail_fleet::event::{Execution, Reason};
+use hibiscusrail_fleet::placement::name_hash;
 use hibiscusrail_net::{Body, full};
 use http::{HeaderValue, Response, StatusCode, header};
 
@@ -35,17 +37,54 @@
     response
 }
 
+/// Returns the response to a stream that the overloaded router refuses at its head.
+#[must_use]
+pub fn busy(retry_after: Duration, remaining: Duration) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from_static(b"RouterBusy, NotRun\n"));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let kind = HeaderValue::from_static("text/plain");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    set_retry_after(&mut response, retry_after.min(remaining / MAX_WAIT_DIVISOR));
+    response
+}
+
+/// Returns a retry delay of half to one and a half of `wait`, by a hash of the request's id, so that
+/// callers refused together do not come back together.
+#[must_use]
+pub fn spread(wait: Duration, id: &str) -> Duration {
+    wait.mul_f64(0.5 + f64::from(name_hash(id)) / f64::from(u32::MAX))
+}
+
+/// Returns the retry delay of a refused request; one that no server's state was the base of is
+/// spread.
+#[must_use]
+pub fn retry_delay(reason: Reason, wait: Duration, id: &str) -> Duration {
+    match reason {
+        Reason::RouterBusy
+        | Reason::NoServer
+        | Reason::NotReady
+        | Reason::Exhausted
+        | Reason::RetryBudget => spread(wait, id),
+        Reason::Busy
+        | Reason::OverShare
+        | Reason::Expired
+        | Reason::Throttled
+        | Reason::Quarantined => wait,
+    }
+}
+
 /// Returns the response on a connection over the limit and logs it with the request's `id`.
 #[must_use]
 pub fn too_many_connections(id: Option<&HeaderValue>) -> Response<Body> {
     let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
-    set_retry_after(&mut response, CONNECTION_LIMIT_RETRY_AFTER);
+    let text = id.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    set_retry_after(&mut response, spread(CONNECTION_LIMIT_RETRY_AFTER, text));
     log::info!(request:? = id, status = 503; "connection_refused");
     response
 }
 
 /// Sets `Retry-After` to `wait` in seconds, with three decimals.
-pub fn set_retry_after(response: &mut Response<Body>, wait: Duration) {
+pub fn set_retry_after<B>(response: &mut Response<B>, wait: Duration) {
     let text = format!("{:.3}", wait.as_secs_f64());
     let value = HeaderValue::from_str(&text).expect("digits are a valid header");
     response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -21,7 +21,7 @@
 use crate::protocol::Protocol;
 use crate::shell::Shell;
 use crate::watch::{self, Store};
-use crate::{caller, refusal, state, stop};
+use crate::{caller, overload, refusal, state, stop};
 
 /// Exit code if requests were still running when the stop timeout expired.
 const EXIT_ABORTED: u8 = 3;
@@ -143,6 +143,7 @@
     let limits = limits(settings.max_caller_connections());
     let connections = Rc::clone(shell.connections());
     let handler = caller::handler(shell);
+    overload::install(shell);
     compio::runtime::spawn(serve_counted(listener, limits, handler, connections)).detach();
     listen(settings.ready_listen, MAX_INTERNAL_CONNS, ready(shell))?;
     listen(settings.metrics_listen, MAX_INTERNAL_CONNS, metrics(shell))?;
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod notices;
+mod overload;
 mod requests;
 mod streams;
 mod support;
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -16,9 +16,9 @@
     Backend, Deployment, EngineFacts, Limits, OperatorConfig, Repeat, Revision, Route, Service,
     Target, Workspace,
 };
-use hibiscusrail_front::caller;
 use hibiscusrail_front::protocol::Protocol;
 use hibiscusrail_front::shell::Shell;
+use hibiscusrail_front::{caller, overload};
 use hibiscusrail_net::{bind, serve_counted};
 use hibiscusrail_settings::FrontSettings;
 use http::HeaderName;
@@ -295,6 +295,7 @@
         let mut limits = hibiscusrail_net::Limits::new();
         limits.max_connections = connections;
         let counted = Rc::clone(shell.connections());
+        overload::install(&shell);
         let serving = serve_counted(listener, limits, caller::handler(&shell), counted);
         compio::runtime::spawn(serving).detach();
         Self { shell, address }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod socket;
 pub mod sse;
 pub mod stall;
+pub mod triage;
 
 pub use body::{Body, BodySender, channel, empty, full, json};
 pub use client::{Connection, OwnedConnection, connect, connect_owned};
--- a/crates/net/src/logs.rs
+++ b/crates/net/src/logs.rs
@@ -4,7 +4,7 @@
 //! writes to standard output, never blocks and drops lines above a rate, so
 //! that neither a flood of requests nor a stalled reader can delay a router.
 
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard, OnceLock};
 use std::time::Instant;
 
 use logforth::Layout;
@@ -64,19 +64,28 @@
     dropped: u64,
 }
 
-/// Writes lines to standard output, limited by a token bucket, and drops the rest.
+/// Limit on the rate of lines, in lines per second.
 #[derive(Debug)]
-struct RateLimited {
+struct RateLimit {
     rate: f64,
-    layout: LogfmtLayout,
     bucket: Mutex<TokenBucket>,
 }
 
-impl RateLimited {
+/// Limit of the process's log, once it is set up.
+static LIMIT: OnceLock<RateLimit> = OnceLock::new();
+
+/// Returns whether the log accepts a line at present; counts a dropped line otherwise.
+///
+/// Asking first costs less than a line that is dropped.
+#[must_use]
+pub fn has_token() -> bool {
+    LIMIT.get().is_none_or(RateLimit::has_token)
+}
+
+impl RateLimit {
     fn new(rate: f64) -> Self {
         Self {
             rate,
-            layout: LogfmtLayout::default(),
             bucket: Mutex::new(TokenBucket {
                 tokens: rate * BURST_SECONDS,
                 refilled: Instant::now(),
@@ -85,14 +94,29 @@
         }
     }
 
-    /// Takes a token for a line and returns the number of lines dropped before it; none if there is
-    /// no token.
-    fn take_token(&self) -> Option<u64> {
+    /// Adds the tokens of the time that has passed and returns the bucket.
+    fn refill(&self) -> Option<MutexGuard<'_, TokenBucket>> {
         let mut bucket = self.bucket.lock().ok()?;
         let now = Instant::now();
         let elapsed = now.saturating_duration_since(bucket.refilled).as_secs_f64();
         bucket.refilled = now;
         bucket.tokens = (bucket.tokens + elapsed * self.rate).min(self.rate * BURST_SECONDS);
+        Some(bucket)
+    }
+
+    fn has_token(&self) -> bool {
+        let Some(mut bucket) = self.refill() else {
+            return false;
+        };
+        let has_token = bucket.tokens >= 1.0;
+        bucket.dropped += u64::from(!has_token);
+        has_token
+    }
+
+    /// Takes a token for a line and returns the number of lines dropped before it; none if there is
+    /// no token.
+    fn take_token(&self) -> Option<u64> {
+        let mut bucket = self.refill()?;
         if bucket.tokens < 1.0 {
             bucket.dropped += 1;
             return None;
@@ -108,13 +132,29 @@
     }
 }
 
+/// Writes lines to standard output, limited by a token bucket, and drops the rest.
+#[derive(Debug)]
+struct RateLimited {
+    limit: &'static RateLimit,
+    layout: LogfmtLayout,
+}
+
+impl RateLimited {
+    fn new(rate: f64) -> Self {
+        Self {
+            limit: LIMIT.get_or_init(|| RateLimit::new(rate)),
+            layout: LogfmtLayout::default(),
+        }
+    }
+}
+
 impl Append for RateLimited {
     fn append(
         &self,
         record: &logforth::record::Record,
         diags: &[Box<dyn logforth::Diagnostic>],
     ) -> Result<(), logforth::Error> {
-        let Some(dropped) = self.take_token() else {
+        let Some(dropped) = self.limit.take_token() else {
             return Ok(());
         };
         let mut bytes = self.layout.format(record, diags)?;
@@ -124,7 +164,7 @@
         bytes.push(b'\n');
         // If the reader stalls, the line is dropped instead of blocking the router.
         if rustix::io::write(rustix::stdio::stdout(), &bytes).is_err() {
-            self.count_dropped();
+            self.limit.count_dropped();
         }
         Ok(())
     }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,12 +1,12 @@
 //! Serves incoming HTTP connections within limits on their number, heads and stalls.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::driver::ToSharedFd;
 use compio::net::{TcpListener, TcpStream};
@@ -27,6 +27,7 @@
 use crate::body::Body;
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
+use crate::triage::{self, Admitted, Next, Opened, Triage, WaitingRoom};
 
 /// Limits on the connections of one listener.
 #[value]
@@ -109,6 +110,8 @@
 pub enum AcceptEvent {
     /// A connection was accepted.
     Accepted(Accepted),
+    /// A connection was refused or closed before it was served.
+    Triaged,
     /// A batch was full, so further connections may wait in the system's queue.
     BatchFull,
     /// A connection could not be accepted, for example without a free file descriptor.
@@ -124,6 +127,7 @@
     close: Cell<Option<oneshot::Sender<()>>>,
     closing: Shared<oneshot::Receiver<()>>,
     refuse: Option<RefusalHandler>,
+    triage: RefCell<Option<Rc<dyn Triage>>>,
     on_accept: Option<Rc<dyn Fn(AcceptEvent)>>,
 }
 
@@ -154,6 +158,7 @@
             close: Cell::new(Some(close)),
             closing: closing.shared(),
             refuse: None,
+            triage: RefCell::default(),
             on_accept: None,
         }
     }
@@ -188,6 +193,11 @@
         self.head_timeout.set(Some(timeout));
     }
 
+    /// Sets what decides on the first request of new connections while it is active.
+    pub fn set_triage(&self, triage: Rc<dyn Triage>) {
+        self.triage.replace(Some(triage));
+    }
+
     fn notify(&self, event: AcceptEvent) {
         if let Some(on_accept) = &self.on_accept {
             on_accept(event);
@@ -259,73 +269,134 @@
             return;
         }
     };
+    let server = Rc::new(Server {
+        limits,
+        handler,
+        connections,
+        waiting: RefCell::default(),
+    });
     loop {
         // Accepting itself completes at once while a connection is pending. Waiting for the event
         // loop's poll leaves other tasks their turn after each batch.
         let accepted = match ready.accept_ready().await {
-            Ok(()) => accept_batch(&listener, limits, &handler, &connections),
+            Ok(()) => server.accept_batch(&listener),
             Err(error) => Err(error),
         };
         if let Err(error) = accepted {
-            connections.notify(AcceptEvent::Failed);
+            server.connections.notify(AcceptEvent::Failed);
             log::warn!(step = "accept", error:% = error; "accept_failed");
             compio::time::sleep(Duration::from_millis(50)).await;
         }
     }
 }
 
-/// Accepts the pending connections, up to a batch; the rest stays in the system's queue.
-fn accept_batch(
-    listener: &TcpListener,
+/// A listener's limits and handlers, and the connections that are not decided on.
+struct Server {
     limits: Limits,
-    handler: &Handler,
-    connections: &Rc<Connections>,
-) -> io::Result<()> {
-    for _ in 0..MAX_ACCEPT_BATCH {
-        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-        let stream = match rustix::net::accept_with(listener.as_fd(), flags) {
-            Ok(stream) => TcpStream::from_std(stream.into())?,
-            Err(Errno::AGAIN) => return Ok(()),
-            // The caller has gone.
-            Err(Errno::CONNABORTED | Errno::INTR) => continue,
-            Err(error) => return Err(error.into()),
-        };
-        admit(stream, limits, handler, connections);
-    }
-    connections.notify(AcceptEvent::BatchFull);
-    Ok(())
+    handler: Handler,
+    connections: Rc<Connections>,
+    waiting: RefCell<WaitingRoom>,
 }
 
-fn admit(stream: TcpStream, limits: Limits, handler: &Handler, connections: &Rc<Connections>) {
-    let kind = connections.classify(limits);
-    let (limits, handler) = match (kind, &connections.refuse) {
-        (Accepted::Served, _) => {
-            let head_timeout = connections.head_timeout.get();
-            let limits = Limits {
-                head_timeout: head_timeout.unwrap_or(limits.head_timeout),
-                ..limits
+impl Server {
+    /// Accepts the pending connections, up to a batch; the rest stays in the system's queue.
+    fn accept_batch(self: &Rc<Self>, listener: &TcpListener) -> io::Result<()> {
+        let triage = self.connections.triage.borrow().clone();
+        let triage = triage.filter(|t| t.is_active());
+        for _ in 0..MAX_ACCEPT_BATCH {
+            let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+            let stream = match rustix::net::accept_with(listener.as_fd(), flags) {
+                Ok(stream) => stream,
+                Err(Errno::AGAIN) => return Ok(()),
+                // The caller has gone.
+                Err(Errno::CONNABORTED | Errno::INTR) => continue,
+                Err(error) => return Err(error.into()),
             };
-            (limits, Rc::clone(handler))
+            match &triage {
+                Some(triage) => self.open(stream, triage.as_ref()),
+                None => self.admit(Opened::new(stream)),
+            }
         }
-        (Accepted::Refused, Some(refuse)) => {
-            let limits = Limits {
-                head_timeout: REFUSAL_TIMEOUT,
-                ..limits
-            };
-            (limits, refusal_handler(refuse))
+        self.connections.notify(AcceptEvent::BatchFull);
+        Ok(())
+    }
+
+    /// Refuses a new connection, waits for its request or has it served.
+    fn open(self: &Rc<Self>, stream: OwnedFd, triage: &dyn Triage) {
+        match triage::open(Instant::now(), stream, triage) {
+            Next::Serve(opened) => self.leave_triage(Some(opened)),
+            Next::Done => self.leave_triage(None),
+            Next::Wait(waiting) => {
+                let mut room = self.waiting.borrow_mut();
+                let was_empty = room.is_empty();
+                let added = room.add(waiting);
+                drop(room);
+                match added {
+                    Ok(()) if was_empty => {
+                        compio::runtime::spawn(Rc::clone(self).watch_waiting()).detach();
+                    }
+                    Ok(()) => {}
+                    Err(opened) => self.leave_triage(opened),
+                }
+            }
         }
-        _ => {
-            log::debug!(limit = limits.max_connections; "connection_refused");
-            return;
+    }
+
+    /// Serves a connection, or counts it if it was closed.
+    fn leave_triage(&self, opened: Option<Opened>) {
+        match opened {
+            Some(opened) => self.admit(opened),
+            None => self.connections.notify(AcceptEvent::Triaged),
         }
-    };
-    let guard = CountGuard::new(connections, kind);
-    let closing = connections.closing.clone();
-    compio::runtime::spawn(async move {
-        serve_connection(stream, limits, handler, closing).await;
-        drop(guard);
-    })
-    .detach();
+    }
+
+    /// Looks at the waiting connections until there are none.
+    async fn watch_waiting(self: Rc<Self>) {
+        while !self.waiting.borrow().is_empty() {
+            compio::time::sleep(WaitingRoom::INTERVAL).await;
+            let Some(triage) = self.connections.triage.borrow().clone() else {
+                return;
+            };
+            let now = Instant::now();
+            let ended = self.waiting.borrow_mut().look(now, triage.as_ref());
+            for opened in ended {
+                self.leave_triage(opened);
+            }
+        }
+    }
+
+    fn admit(&self, opened: Opened) {
+        let connections = &self.connections;
+        let kind = connections.classify(self.limits);
+        let (limits, handler) = match (kind, &connections.refuse) {
+            (Accepted::Served, _) => {
+                let head_timeout = connections.head_timeout.get();
+                let limits = Limits {
+                    head_timeout: head_timeout.unwrap_or(self.limits.head_timeout),
+                    ..self.limits
+                };
+                (limits, Rc::clone(&self.handler))
+            }
+            (Accepted::Refused, Some(refuse)) => {
+                let limits = Limits {
+                    head_timeout: REFUSAL_TIMEOUT,
+                    ..self.limits
+                };
+                (limits, refusal_handler(refuse))
+            }
+            _ => {
+                log::debug!(limit = self.limits.max_connections; "connection_refused");
+                return;
+            }
+        };
+        let guard = CountGuard::new(connections, kind);
+        let closing = connections.closing.clone();
+        compio::runtime::spawn(async move {
+            serve_connection(opened, limits, handler, closing).await;
+            drop(guard);
+        })
+        .detach();
+    }
 }
 
 /// Returns a handler that refuses a request and closes the connection.
@@ -341,22 +412,34 @@
     })
 }
 
+fn to_stream(stream: OwnedFd) -> io::Result<SocketStream> {
+    let stream = TcpStream::from_std(stream.into())?;
+    stream.set_nodelay(true)?;
+    SocketStream::new(stream)
+}
+
 async fn serve_connection(
-    stream: TcpStream,
+    opened: Opened,
     limits: Limits,
     handler: Handler,
     closing: Shared<oneshot::Receiver<()>>,
 ) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    let service = service_fn(move |request| {
+    let stream = match to_stream(opened.stream) {
+        Ok(stream) => stream.with_prefix(opened.bytes),
+        Err(error) => {
+            log::debug!(step = "accept", error:% = error; "connection_ended");
+            return;
+        }
+    };
+    let admitted = Cell::new(opened.admitted);
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        // Only the first request on the connection was judged.
+        if admitted.take() {
+            request.extensions_mut().insert(Admitted);
+        }
         let response = handler(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
-    let Ok(stream) = SocketStream::new(stream) else {
-        return;
-    };
     let stream = WriteTimeout::new(stream, limits.write_timeout);
     let serving = http1::Builder::new()
         .timer(CompioTimer)
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub struct SocketStream {
     socket: PollFd<Socket>,
+    /// Bytes that were read before hyper took over.
+    prefix: Vec<u8>,
 }
 
 impl SocketStream {
@@ -39,7 +41,29 @@
     pub fn new(stream: TcpStream) -> io::Result<Self> {
         let socket = stream.into_poll_fd()?;
         socket.set_nonblocking(true)?;
-        Ok(Self { socket })
+        Ok(Self {
+            socket,
+            prefix: Vec::new(),
+        })
+    }
+
+    /// Sets bytes that were already read from the socket; they are read first.
+    #[must_use]
+    pub fn with_prefix(mut self, prefix: Vec<u8>) -> Self {
+        self.prefix = prefix;
+        self
+    }
+
+    /// Moves bytes that were read before into `buf`; returns whether there were any.
+    fn take_prefix(&mut self, buf: &mut ReadBufCursor<'_>) -> bool {
+        if self.prefix.is_empty() {
+            return false;
+        }
+        let rest = self
+            .prefix
+            .split_off(self.prefix.len().min(buf.remaining()));
+        buf.put_slice(&std::mem::replace(&mut self.prefix, rest));
+        true
     }
 
     /// Calls `send` until it succeeds or fails, and waits for the socket while it would block.
@@ -72,10 +96,13 @@
 
 impl Read for SocketStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.take_prefix(&mut buf) {
+            return Poll::Ready(Ok(()));
+        }
         loop {
             match read_available(&self.socket, &mut buf) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
--- /dev/null
+++ b/crates/net/src/triage.rs
@@ -0,0 +1,412 @@
+//! Refuses requests on new connections of an overloaded program, from the bytes that have arrived.
+//!
+//! A refused connection gets no task, no registration with the event loop and no connection of
+//! hyper: its head is parsed, the response is written, what has arrived of the body is read, and the
+//! connection is closed. Anything that is not a plain HTTP/1.1 request, and whatever the handler
+//! lets pass, goes on to hyper with the bytes that were read.
+
+use std::cell::RefCell;
+use std::io;
+use std::os::fd::{AsFd, OwnedFd};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri, Version, header};
+use rustix::net::{RecvFlags, SendFlags, Shutdown};
+
+/// Maximum bytes of a head that are read here; hyper reads longer ones within its own limit.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Maximum number of header lines; hyper has the same limit.
+const MAX_HEADERS: usize = 100;
+/// Maximum bytes read from one connection in a turn of the event loop.
+const MAX_TURN_BYTES: usize = 128 * 1024;
+/// Maximum connections whose bytes are waited for.
+const MAX_WAITING: usize = 128;
+/// Time for which the rest of a head is waited for before hyper takes over.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(30);
+/// Time for which the rest of a refused request's body is waited for.
+const BODY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval of looking at the connections that are waited for.
+const WAIT_INTERVAL: Duration = Duration::from_millis(5);
+/// Maximum bytes read from a socket at once.
+const READ_BYTES: usize = 16 * 1024;
+
+thread_local! {
+    /// Buffer that all reads on the event loop's thread share.
+    static BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
+}
+
+/// Decision on the first request of a new connection.
+#[derive(Debug)]
+pub enum Verdict {
+    /// Serve it; whether it is admitted is decided later.
+    Serve,
+    /// Serve it; the request was admitted and has [`Admitted`] among its extensions.
+    Admit,
+    /// Write this response and close the connection.
+    Refuse(Response<Bytes>),
+}
+
+/// Extension of a request that [`Triage::judge`] admitted.
+#[derive(Debug, Clone, Copy)]
+pub struct Admitted;
+
+/// Decides on the first request of new connections.
+pub trait Triage {
+    /// Returns whether requests may be refused at present; otherwise connections are served.
+    fn is_active(&self) -> bool;
+
+    /// Decides on a request; `length` is the size of its body, unless that is sent in chunks.
+    fn judge(&self, request: &Parts, length: Option<u64>) -> Verdict;
+}
+
+/// A connection with the bytes read from it.
+#[derive(Debug)]
+pub(crate) struct Opened {
+    pub(crate) stream: OwnedFd,
+    pub(crate) bytes: Vec<u8>,
+    pub(crate) admitted: bool,
+}
+
+impl Opened {
+    /// Creates a connection that nothing was read from.
+    pub(crate) fn new(stream: OwnedFd) -> Self {
+        Self {
+            stream,
+            bytes: Vec::new(),
+            admitted: false,
+        }
+    }
+}
+
+/// What is done next with a connection.
+pub(crate) enum Next {
+    /// hyper serves it.
+    Serve(Opened),
+    /// More bytes have to arrive.
+    Wait(Waiting),
+    /// It is closed.
+    Done,
+}
+
+/// What a waiting connection waits for.
+#[derive(Debug)]
+enum Stage {
+    /// The rest of the request's head.
+    Head,
+    /// The rest of a refused request's body: its remaining bytes, or its end if it has chunks.
+    Body(Option<u64>),
+}
+
+/// A connection that more bytes have to arrive on.
+#[derive(Debug)]
+pub(crate) struct Waiting {
+    stream: OwnedFd,
+    bytes: Vec<u8>,
+    stage: Stage,
+    until: Instant,
+}
+
+/// Size of a request's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    Length(u64),
+    Chunked,
+}
+
+/// A parsed request head.
+struct Head {
+    parts: Parts,
+    bytes: usize,
+    framing: Framing,
+}
+
+enum Parsed {
+    Complete(Box<Head>),
+    Partial,
+    /// Not a request that is handled here.
+    Other,
+}
+
+/// Connections that wait for bytes, in the order of their arrival.
+#[derive(Debug, Default)]
+pub(crate) struct WaitingRoom {
+    waiting: Vec<Waiting>,
+}
+
+impl WaitingRoom {
+    /// Returns the interval of looking at the connections.
+    pub(crate) const INTERVAL: Duration = WAIT_INTERVAL;
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Adds a connection. If there is no room for it, returns it for hyper, or none if it was closed.
+    pub(crate) fn add(&mut self, waiting: Waiting) -> Result<(), Option<Opened>> {
+        if self.waiting.len() >= MAX_WAITING {
+            return Err(waiting.give_up());
+        }
+        self.waiting.push(waiting);
+        Ok(())
+    }
+
+    /// Looks at all connections again and returns those that hyper serves; none for each closed one.
+    pub(crate) fn look(&mut self, now: Instant, triage: &dyn Triage) -> Vec<Option<Opened>> {
+        let mut ended = Vec::new();
+        for waiting in std::mem::take(&mut self.waiting) {
+            match waiting.look(now, triage) {
+                Next::Serve(opened) => ended.push(Some(opened)),
+                Next::Wait(waiting) if now < waiting.until => self.waiting.push(waiting),
+                Next::Wait(waiting) => ended.push(waiting.give_up()),
+                Next::Done => ended.push(None),
+            }
+        }
+        ended
+    }
+}
+
+/// Looks at a new connection.
+pub(crate) fn open(now: Instant, stream: OwnedFd, triage: &dyn Triage) -> Next {
+    let waiting = Waiting {
+        stream,
+        bytes: Vec::new(),
+        stage: Stage::Head,
+        until: now + HEAD_TIMEOUT,
+    };
+    waiting.look(now, triage)
+}
+
+impl Waiting {
+    /// Returns the connection for hyper if its request is not decided on; closes it otherwise.
+    fn give_up(self) -> Option<Opened> {
+        matches!(self.stage, Stage::Head).then_some(Opened {
+            stream: self.stream,
+            bytes: self.bytes,
+            admitted: false,
+        })
+    }
+
+    fn look(self, now: Instant, triage: &dyn Triage) -> Next {
+        match self.stage {
+            Stage::Head => self.look_at_head(now, triage),
+            Stage::Body(left) => self.discard_body(left),
+        }
+    }
+
+    fn serve(self, admitted: bool) -> Next {
+        Next::Serve(Opened {
+            stream: self.stream,
+            bytes: self.bytes,
+            admitted,
+        })
+    }
+
+    fn look_at_head(mut self, now: Instant, triage: &dyn Triage) -> Next {
+        match receive(&self.stream, |bytes| self.bytes.extend_from_slice(bytes)) {
+            Ok(0) => return Next::Done,
+            Ok(_) => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Next::Wait(self),
+            Err(error) => {
+                log::debug!(step = "triage", error:% = error; "connection_ended");
+                return Next::Done;
+            }
+        }
+        let head = match parse(&self.bytes) {
+            Parsed::Complete(head) => head,
+            Parsed::Partial if self.bytes.len() < MAX_HEAD_BYTES => return Next::Wait(self),
+            Parsed::Partial | Parsed::Other => return self.serve(false),
+        };
+        let length = match head.framing {
+            Framing::Length(length) => Some(length),
+            Framing::Chunked => None,
+        };
+        match triage.judge(&head.parts, length) {
+            Verdict::Serve => self.serve(false),
+            Verdict::Admit => self.serve(true),
+            Verdict::Refuse(response) => self.refuse(now, &head, &response),
+        }
+    }
+
+    /// Writes the response and closes the connection, once the body has been read.
+    fn refuse(mut self, now: Instant, head: &Head, response: &Response<Bytes>) -> Next {
+        let bytes = serialize(response);
+        let flags = SendFlags::DONTWAIT | SendFlags::NOSIGNAL;
+        match rustix::net::send(&self.stream, &bytes, flags) {
+            Ok(sent) if sent == bytes.len() => {}
+            // A new connection has room for a response, unless the caller has gone.
+            Ok(sent) => {
+                log::debug!(step = "refuse", sent = sent; "connection_ended");
+                return Next::Done;
+            }
+            Err(error) => {
+                log::debug!(step = "refuse", error:% = io::Error::from(error); "connection_ended");
+                return Next::Done;
+            }
+        }
+        let body = &self.bytes[head.bytes..];
+        let left = match head.framing {
+            Framing::Length(length) => Some(length.saturating_sub(body.len() as u64)),
+            Framing::Chunked if has_last_chunk(body) => Some(0),
+            Framing::Chunked => None,
+        };
+        if left == Some(0) {
+            return Next::Done;
+        }
+        self.bytes = Vec::new();
+        self.stage = Stage::Body(left);
+        self.until = now + BODY_TIMEOUT;
+        // The caller sees the end of the response and may stop sending.
+        if let Err(error) = rustix::net::shutdown(&self.stream, Shutdown::Write) {
+            log::debug!(step = "refuse", error:% = io::Error::from(error); "connection_ended");
+            return Next::Done;
+        }
+        self.discard_body(left)
+    }
+
+    /// Reads and drops what has arrived of a body with `left` bytes, so that closing the connection
+    /// does not reset it.
+    fn discard_body(mut self, left: Option<u64>) -> Next {
+        let (mut left, mut read) = (left, 0);
+        while left != Some(0) && read < MAX_TURN_BYTES {
+            match receive(&self.stream, |_| ()) {
+                Ok(0) => return Next::Done,
+                Ok(count) => {
+                    read += count;
+                    left = left.map(|l| l.saturating_sub(count as u64));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) => {
+                    log::debug!(step = "refuse", error:% = error; "connection_ended");
+                    return Next::Done;
+                }
+            }
+        }
+        if left == Some(0) {
+            return Next::Done;
+        }
+        self.stage = Stage::Body(left);
+        Next::Wait(self)
+    }
+}
+
+/// Reads what has arrived, up to [`READ_BYTES`], and returns its size; zero at the end.
+fn receive(stream: impl AsFd, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
+    BUFFER.with_borrow_mut(|buffer| {
+        loop {
+            match rustix::net::recv(stream.as_fd(), &mut buffer[..], RecvFlags::DONTWAIT) {
+                Ok((count, _)) => {
+                    take(&buffer[..count]);
+                    return Ok(count);
+                }
+                Err(rustix::io::Errno::INTR) => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+    })
+}
+
+fn parse(bytes: &[u8]) -> Parsed {
+    let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut lines);
+    let length = match request.parse(bytes) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) => return Parsed::Partial,
+        // hyper answers requests that are not valid.
+        Err(_) => return Parsed::Other,
+    };
+    let Some(head) = to_head(&request, length) else {
+        return Parsed::Other;
+    };
+    Parsed::Complete(Box::new(head))
+}
+
+/// Converts a parsed head; none if its body has no certain end or hyper treats it in another way.
+fn to_head(request: &httparse::Request<'_, '_>, bytes: usize) -> Option<Head> {
+    let path = request.path.filter(|p| p.starts_with('/'))?;
+    if request.version != Some(1) {
+        return None;
+    }
+    let mut headers = HeaderMap::with_capacity(request.headers.len());
+    for line in request.headers.iter() {
+        let name = HeaderName::from_bytes(line.name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_bytes(line.value).ok()?);
+    }
+    if headers.contains_key(header::UPGRADE) {
+        return None;
+    }
+    let framing = framing(&headers)?;
+    let (mut parts, ()) = Request::new(()).into_parts();
+    parts.method = Method::from_bytes(request.method?.as_bytes()).ok()?;
+    parts.uri = path.parse::<Uri>().ok()?;
+    parts.version = Version::HTTP_11;
+    parts.headers = headers;
+    Some(Head {
+        parts,
+        bytes,
+        framing,
+    })
+}
+
+/// Returns the size of a body; none if the headers leave any doubt.
+fn framing(headers: &HeaderMap) -> Option<Framing> {
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let framing = match (lengths.next(), codings.next()) {
+        (None, None) => Framing::Length(0),
+        (Some(length), None) => {
+            let text = length.to_str().ok()?;
+            let is_number = text.bytes().all(|b| b.is_ascii_digit());
+            Framing::Length(text.parse().ok().filter(|_| is_number)?)
+        }
+        (None, Some(coding)) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
+            Framing::Chunked
+        }
+        _ => return None,
+    };
+    (lengths.next().is_none() && codings.next().is_none()).then_some(framing)
+}
+
+/// Returns whether the chunks of a body end in these bytes.
+fn has_last_chunk(mut body: &[u8]) -> bool {
+    while let Ok(httparse::Status::Complete((start, size))) = httparse::parse_chunk_size(body) {
+        if size == 0 {
+            // The last chunk may be followed by trailers; an empty line ends them.
+            let rest = &body[start..];
+            return rest.starts_with(b"\r\n") || rest.windows(4).any(|w| w == b"\r\n\r\n");
+        }
+        let end = usize::try_from(size)
+            .ok()
+            .and_then(|size| start.checked_add(size)?.checked_add(2));
+        let Some(rest) = end.and_then(|end| body.get(end..)) else {
+            return false;
+        };
+        body = rest;
+    }
+    false
+}
+
+/// Returns the bytes of a response after which the connection is closed.
+fn serialize(response: &Response<Bytes>) -> Vec<u8> {
+    let status = response.status();
+    let mut bytes = Vec::with_capacity(256 + response.body().len());
+    bytes.extend_from_slice(b"HTTP/1.1 ");
+    bytes.extend_from_slice(status.as_str().as_bytes());
+    bytes.push(b' ');
+    bytes.extend_from_slice(status.canonical_reason().unwrap_or_default().as_bytes());
+    bytes.extend_from_slice(b"\r\n");
+    let is_set_here = |n: &HeaderName| [header::CONNECTION, header::CONTENT_LENGTH].contains(n);
+    for (name, value) in response.headers().iter().filter(|(n, _)| !is_set_here(n)) {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    let length = response.body().len();
+    bytes.extend_from_slice(
+        format!("connection: close\r\ncontent-length: {length}\r\n\r\n").as_bytes(),
+    );
+    bytes.extend_from_slice(response.body());
+    bytes
+}
