--- a/crates/front/tests/all/callers.rs
+++ b/crates/front/tests/all/callers.rs
@@ -95,6 +95,38 @@
     });
 }
 
+/// Returns whether callers' connections were counted by these outcomes.
+fn are_counted(front: &Front, expected: &[(&str, usize)]) -> bool {
+    let page = front.shell.metrics().render(0, true, 0);
+    let page = String::from_utf8(page).expect("metrics are text");
+    expected.iter().all(|(outcome, count)| {
+        let name = format!("hibiscusrail_connections_total{{outcome=\"{outcome}\"}}");
+        page.contains(&format!("{name} {count}\n"))
+    })
+}
+
+/// Guards against connections over the limit that are closed without a response: their callers
+/// don't know when to come back.
+#[test]
+fn connections_over_limit_all_get_a_response() {
+    run(async {
+        let server = Server::start(vec![Act::Write(full_response("200 OK", "body"))]);
+        let front = Front::start_with(&[&server], 2);
+        // These send nothing: two are served, and the others wait to be refused.
+        let mut silent = Vec::new();
+        for _ in 0..66 {
+            silent.push(TcpStream::connect(front.address).await.expect("it listens"));
+        }
+        wait_until(|| are_counted(&front, &[("served", 2), ("refused", 64)])).await;
+        for _ in 0..100 {
+            let response = front.raw(REQUEST).await;
+            assert_eq!(status(&response), 503, "{response}");
+            assert!(header(&response, "retry-after").is_some(), "{response}");
+        }
+        assert!(server.received().is_empty());
+    });
+}
+
 /// Guards against callers without a connection that nothing counts.
 #[test]
 fn connections_are_counted_by_outcome() {
@@ -106,15 +138,7 @@
         }
         // The limit is 2, and 64 more are refused by a response.
         let expected = [("served", 2), ("refused", 64), ("closed", 4)];
-        let counted = || {
-            let page = front.shell.metrics().render(0, true, 0);
-            let page = String::from_utf8(page).expect("metrics are text");
-            expected.iter().all(|(outcome, count)| {
-                let name = format!("hibiscusrail_connections_total{{outcome=\"{outcome}\"}}");
-                page.contains(&format!("{name} {count}\n"))
-            })
-        };
-        wait_until(counted).await;
+        wait_until(|| are_counted(&front, &expected)).await;
     });
 }
 
