net: refuse connections over the limit at the head of their request too

Cause, of those that the router accepted: over max_connections, 64 connections at a time are refused by a response and each further one is closed unread, which tells its caller nothing. Callers that send nothing hold a refusal for a second.

A connection over the limit whose request has arrived is now refused where it is accepted, by net::triage, whether the router is overloaded or not. Only those that need hyper still share the 64.

--- a/crates/front/src/overload.rs
+++ b/crates/front/src/overload.rs
@@ -129,4 +129,10 @@
             None => Verdict::Admit,
         }
     }
+
+    fn refuse_excess(&self, request: &Parts) -> Response<Bytes> {
+        let shell = self.shell.upgrade();
+        let id = shell.and_then(|s| request.headers.get(&s.protocol().request_id).cloned());
+        refusal::too_many_connections(id.as_ref())
+    }
 }
--- a/crates/front/src/refusal.rs
+++ b/crates/front/src/refusal.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hibiscusrail_fleet::event::{Execution, Reason};
 use hibiscusrail_fleet::placement::name_hash;
-use hibiscusrail_net::{Body, full};
+use hibiscusrail_net::{Body, full, logs};
 use http::{HeaderValue, Response, StatusCode, header};
 
 /// `Retry-After` is at most the caller's remaining time divided by this.
@@ -40,12 +40,8 @@
 /// Returns the response to a stream that the overloaded router refuses at its head.
 #[must_use]
 pub fn busy(retry_after: Duration, remaining: Duration) -> Response<Bytes> {
-    let mut response = Response::new(Bytes::from_static(b"RouterBusy, NotRun\n"));
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    let kind = HeaderValue::from_static("text/plain");
-    response.headers_mut().insert(header::CONTENT_TYPE, kind);
-    set_retry_after(&mut response, retry_after.min(remaining / MAX_WAIT_DIVISOR));
-    response
+    let wait = retry_after.min(remaining / MAX_WAIT_DIVISOR);
+    unavailable(b"RouterBusy, NotRun\n", wait)
 }
 
 /// Returns a retry delay of half to one and a half of `wait`, by a hash of the request's id, so that
@@ -75,11 +71,22 @@
 
 /// Returns the response on a connection over the limit and logs it with the request's `id`.
 #[must_use]
-pub fn too_many_connections(id: Option<&HeaderValue>) -> Response<Body> {
-    let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
+pub fn too_many_connections(id: Option<&HeaderValue>) -> Response<Bytes> {
     let text = id.and_then(|v| v.to_str().ok()).unwrap_or_default();
-    set_retry_after(&mut response, spread(CONNECTION_LIMIT_RETRY_AFTER, text));
-    log::info!(request:? = id, status = 503; "connection_refused");
+    let wait = spread(CONNECTION_LIMIT_RETRY_AFTER, text);
+    if logs::has_token() {
+        log::info!(request:? = id, status = 503; "connection_refused");
+    }
+    unavailable(b"too many connections\n", wait)
+}
+
+/// Returns a response with a line of text that tells the caller to come back after `wait`.
+fn unavailable(text: &'static [u8], wait: Duration) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from_static(text));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let kind = HeaderValue::from_static("text/plain");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    set_retry_after(&mut response, wait);
     response
 }
 
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -12,7 +12,7 @@
 use hibiscusrail_fleet::registry::ServerKey;
 use hibiscusrail_fleet::{Decision, Event, Fleet, RequestKey};
 use hibiscusrail_net::pool::Pool;
-use hibiscusrail_net::{Connections, OwnedConnection};
+use hibiscusrail_net::{Connections, OwnedConnection, full};
 use hibiscusrail_settings::FrontSettings;
 use http::HeaderMap;
 
@@ -89,7 +89,8 @@
     pub fn new(settings: FrontSettings, protocol: Protocol, clock: Box<dyn Clock>) -> Self {
         let params = settings.params.clone();
         let name = protocol.request_id.clone();
-        let refuse = move |headers: &HeaderMap| refusal::too_many_connections(headers.get(&name));
+        let refuse =
+            move |headers: &HeaderMap| refusal::too_many_connections(headers.get(&name)).map(full);
         let metrics = Metrics::new();
         let connections = Connections::new()
             .with_refusal(Rc::new(refuse))
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -27,7 +27,7 @@
 use crate::body::Body;
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
-use crate::triage::{self, Admitted, Next, Opened, Triage, WaitingRoom};
+use crate::triage::{self, Admitted, Next, Opened, OverLimit, Triage, WaitingRoom};
 
 /// Limits on the connections of one listener.
 #[value]
@@ -301,8 +301,6 @@
 impl Server {
     /// Accepts the pending connections, up to a batch; the rest stays in the system's queue.
     fn accept_batch(self: &Rc<Self>, listener: &TcpListener) -> io::Result<()> {
-        let triage = self.connections.triage.borrow().clone();
-        let triage = triage.filter(|t| t.is_active());
         for _ in 0..MAX_ACCEPT_BATCH {
             let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
             let stream = match rustix::net::accept_with(listener.as_fd(), flags) {
@@ -312,7 +310,7 @@
                 Err(Errno::CONNABORTED | Errno::INTR) => continue,
                 Err(error) => return Err(error.into()),
             };
-            match &triage {
+            match self.active_triage() {
                 Some(triage) => self.open(stream, triage.as_ref()),
                 None => self.admit(Opened::new(stream)),
             }
@@ -321,6 +319,15 @@
         Ok(())
     }
 
+    /// Returns what decides on new connections at present; none if all of them are served.
+    fn active_triage(&self) -> Option<Rc<dyn Triage>> {
+        let triage = self.connections.triage.borrow().clone()?;
+        if self.connections.open.get() >= self.limits.max_connections {
+            return Some(Rc::new(OverLimit(triage)));
+        }
+        triage.is_active().then_some(triage)
+    }
+
     /// Refuses a new connection, waits for its request or has it served.
     fn open(self: &Rc<Self>, stream: OwnedFd, triage: &dyn Triage) {
         match triage::open(Instant::now(), stream, triage) {
@@ -354,7 +361,9 @@
     async fn watch_waiting(self: Rc<Self>) {
         while !self.waiting.borrow().is_empty() {
             compio::time::sleep(WaitingRoom::INTERVAL).await;
-            let Some(triage) = self.connections.triage.borrow().clone() else {
+            let triage = self.active_triage();
+            let triage = triage.or_else(|| self.connections.triage.borrow().clone());
+            let Some(triage) = triage else {
                 return;
             };
             let now = Instant::now();
--- a/crates/net/src/triage.rs
+++ b/crates/net/src/triage.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::os::fd::{AsFd, OwnedFd};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -59,6 +60,26 @@
 
     /// Decides on a request; `length` is the size of its body, unless that is sent in chunks.
     fn judge(&self, request: &Parts, length: Option<u64>) -> Verdict;
+
+    /// Returns the response to a request on a connection over the limit.
+    fn refuse_excess(&self, request: &Parts) -> Response<Bytes>;
+}
+
+/// Refuses every request, as its connection is over the limit.
+pub(crate) struct OverLimit(pub(crate) Rc<dyn Triage>);
+
+impl Triage for OverLimit {
+    fn is_active(&self) -> bool {
+        true
+    }
+
+    fn judge(&self, request: &Parts, _length: Option<u64>) -> Verdict {
+        Verdict::Refuse(self.0.refuse_excess(request))
+    }
+
+    fn refuse_excess(&self, request: &Parts) -> Response<Bytes> {
+        self.0.refuse_excess(request)
+    }
 }
 
 /// A connection with the bytes read from it.
--- a/crates/net/tests/triage.rs
+++ b/crates/net/tests/triage.rs
@@ -49,6 +49,12 @@
         }
         Verdict::Serve
     }
+
+    fn refuse_excess(&self, _request: &Parts) -> Response<Bytes> {
+        let mut response = Response::new(Bytes::from_static(b"full\n"));
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        response
+    }
 }
 
 /// Responds with the path, the size of the body and whether the request was admitted.
