--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -12,7 +12,7 @@
 use hibiscusrail_fleet::registry::ServerKey;
 use hibiscusrail_fleet::{Decision, Event, Fleet, RequestKey};
 use hibiscusrail_net::pool::Pool;
-use hibiscusrail_net::{Connections, OwnedConnection};
+use hibiscusrail_net::{Connections, OwnedConnection, full};
 use hibiscusrail_settings::FrontSettings;
 use http::HeaderMap;
 
@@ -89,8 +89,12 @@
     pub fn new(settings: FrontSettings, protocol: Protocol, clock: Box<dyn Clock>) -> Self {
         let params = settings.params.clone();
         let name = protocol.request_id.clone();
-        let refuse = move |headers: &HeaderMap| refusal::too_many_connections(headers.get(&name));
-        let connections = Connections::new().with_refusal(Rc::new(refuse));
+        let refuse =
+            move |headers: &HeaderMap| refusal::too_many_connections(headers.get(&name)).map(full);
+        let metrics = Metrics::new();
+        let connections = Connections::new()
+            .with_refusal(Rc::new(refuse))
+            .with_on_accept(Rc::new(metrics.accept_counter()));
         let (report_tx, report_rx) = mpsc::channel(0);
         let fleet = Fleet::new(&settings.name, clock.epoch_ms(), params, clock.now());
         Self {
@@ -99,7 +103,7 @@
             settings: RefCell::new(settings),
             protocol,
             pool: Rc::new(Pool::new().with_max_idle(MAX_IDLE)),
-            metrics: Metrics::new(),
+            metrics,
             connections: Rc::new(connections),
             next_key: Cell::new(0),
             report_tx: RefCell::new(report_tx),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod sse;
 pub mod stall;
 pub mod time;
+pub mod triage;
 
 pub use body::{Body, BodySender, channel, empty, full, json};
 pub use client::{Connection, OwnedConnection, connect, connect_owned};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,14 +1,16 @@
 //! Serves incoming HTTP connections within limits on their number, heads and stalls.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use compio::driver::ToSharedFd;
 use compio::net::{TcpListener, TcpStream};
+use compio::runtime::fd::PollFd;
 use cyper_core::CompioTimer;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
@@ -18,6 +20,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::io::Errno;
 use rustix::net::SocketFlags;
 use socket2::{Domain, Protocol, Socket, Type};
 
@@ -25,6 +28,7 @@
 use crate::event_loop;
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
+use crate::triage::{self, Admitted, Next, Opened, OverLimit, Triage, WaitingRoom};
 
 /// Limits on the connections of one listener.
 #[value]
@@ -102,6 +106,19 @@
     Closed,
 }
 
+/// What happened at a listener, for counting.
+#[hibiscusrail_macros::id]
+pub enum AcceptEvent {
+    /// A connection was accepted.
+    Accepted(Accepted),
+    /// A connection was refused or closed before it was served.
+    Triaged,
+    /// A batch was full, so further connections may wait in the system's queue.
+    BatchFull,
+    /// A connection could not be accepted, for example without a free file descriptor.
+    Failed,
+}
+
 /// Counts the open connections of one listener and closes them on request.
 pub struct Connections {
     open: Cell<usize>,
@@ -111,7 +128,8 @@
     close: Cell<Option<oneshot::Sender<()>>>,
     closing: Shared<oneshot::Receiver<()>>,
     refuse: Option<RefusalHandler>,
-    on_accept: Option<Rc<dyn Fn(Accepted)>>,
+    triage: RefCell<Option<Rc<dyn Triage>>>,
+    on_accept: Option<Rc<dyn Fn(AcceptEvent)>>,
 }
 
 impl std::fmt::Debug for Connections {
@@ -141,6 +159,7 @@
             close: Cell::new(Some(close)),
             closing: closing.shared(),
             refuse: None,
+            triage: RefCell::default(),
             on_accept: None,
         }
     }
@@ -152,9 +171,9 @@
         self
     }
 
-    /// Sets a callback that is called for every accepted connection.
+    /// Sets a callback that is called for every event at the listener.
     #[must_use]
-    pub fn with_on_accept(mut self, on_accept: Rc<dyn Fn(Accepted)>) -> Self {
+    pub fn with_on_accept(mut self, on_accept: Rc<dyn Fn(AcceptEvent)>) -> Self {
         self.on_accept = Some(on_accept);
         self
     }
@@ -170,12 +189,23 @@
         self.close.take();
     }
 
-    /// Decides what is done with a new connection and calls the callback.
     /// Sets the timeout for the next request head on connections that are accepted from now on.
     pub fn set_head_timeout(&self, timeout: Duration) {
         self.head_timeout.set(Some(timeout));
     }
 
+    /// Sets what decides on the first request of new connections while it is active.
+    pub fn set_triage(&self, triage: Rc<dyn Triage>) {
+        self.triage.replace(Some(triage));
+    }
+
+    fn notify(&self, event: AcceptEvent) {
+        if let Some(on_accept) = &self.on_accept {
+            on_accept(event);
+        }
+    }
+
+    /// Decides what is done with a new connection and calls the callback.
     fn classify(&self, limits: Limits) -> Accepted {
         let accepted = if self.open.get() < limits.max_connections {
             Accepted::Served
@@ -184,9 +214,7 @@
         } else {
             Accepted::Closed
         };
-        if let Some(on_accept) = &self.on_accept {
-            on_accept(accepted);
-        }
+        self.notify(AcceptEvent::Accepted(accepted));
         accepted
     }
 }
@@ -235,71 +263,149 @@
     handler: Handler,
     connections: Rc<Connections>,
 ) {
+    let ready = match PollFd::from_shared_fd(listener.to_shared_fd()) {
+        Ok(ready) => ready,
+        Err(error) => {
+            log::error!(step = "accept", error:% = error; "accept_failed");
+            return;
+        }
+    };
+    let server = Rc::new(Server {
+        limits,
+        handler,
+        connections,
+        waiting: RefCell::default(),
+    });
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                admit(stream, limits, &handler, &connections);
-                for stream in accept_pending(&listener) {
-                    admit(stream, limits, &handler, &connections);
-                }
-            }
-            Err(error) => {
-                log::warn!(step = "accept", error:% = error; "accept_failed");
-                compio::time::sleep(Duration::from_millis(50)).await;
-            }
+        // Accepting itself completes at once while a connection is pending. Waiting for the event
+        // loop's poll leaves other tasks their turn after each batch.
+        let accepted = match ready.accept_ready().await {
+            Ok(()) => server.accept_batch(&listener),
+            Err(error) => Err(error),
+        };
+        if let Err(error) = accepted {
+            server.connections.notify(AcceptEvent::Failed);
+            log::warn!(step = "accept", error:% = error; "accept_failed");
+            compio::time::sleep(Duration::from_millis(50)).await;
         }
     }
 }
 
-/// Accepts the connections that are already pending, up to a batch.
-///
-/// A busy event loop polls the listener seldom; one connection per turn would let
-/// the queue overflow.
-fn accept_pending(listener: &TcpListener) -> Vec<TcpStream> {
-    let mut streams = Vec::new();
-    while streams.len() < MAX_ACCEPT_BATCH {
-        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-        let Ok(stream) = rustix::net::accept_with(listener.as_fd(), flags) else {
-            // None is pending, or the next accept reports the error.
-            break;
-        };
-        match TcpStream::from_std(stream.into()) {
-            Ok(stream) => streams.push(stream),
-            Err(error) => log::warn!(step = "accept", error:% = error; "accept_failed"),
-        }
-    }
-    streams
+/// A listener's limits and handlers, and the connections that are not decided on.
+struct Server {
+    limits: Limits,
+    handler: Handler,
+    connections: Rc<Connections>,
+    waiting: RefCell<WaitingRoom>,
 }
 
-fn admit(stream: TcpStream, limits: Limits, handler: &Handler, connections: &Rc<Connections>) {
-    let kind = connections.classify(limits);
-    let (limits, handler) = match (kind, &connections.refuse) {
-        (Accepted::Served, _) => {
-            let head_timeout = connections.head_timeout.get();
-            let limits = Limits {
-                head_timeout: head_timeout.unwrap_or(limits.head_timeout),
-                ..limits
+impl Server {
+    /// Accepts the pending connections, up to a batch; the rest stays in the system's queue.
+    fn accept_batch(self: &Rc<Self>, listener: &TcpListener) -> io::Result<()> {
+        for _ in 0..MAX_ACCEPT_BATCH {
+            let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+            let stream = match rustix::net::accept_with(listener.as_fd(), flags) {
+                Ok(stream) => stream,
+                Err(Errno::AGAIN) => return Ok(()),
+                // The caller has gone.
+                Err(Errno::CONNABORTED | Errno::INTR) => continue,
+                Err(error) => return Err(error.into()),
             };
-            (limits, Rc::clone(handler))
+            match self.active_triage() {
+                Some(triage) => self.open(stream, triage.as_ref()),
+                None => self.admit(Opened::new(stream)),
+            }
         }
-        (Accepted::Refused, Some(refuse)) => {
-            let limits = Limits {
-                head_timeout: REFUSAL_TIMEOUT,
-                ..limits
-            };
-            (limits, refusal_handler(refuse))
+        self.connections.notify(AcceptEvent::BatchFull);
+        Ok(())
+    }
+
+    /// Returns what decides on new connections at present; none if all of them are served.
+    fn active_triage(&self) -> Option<Rc<dyn Triage>> {
+        let triage = self.connections.triage.borrow().clone()?;
+        if self.connections.open.get() >= self.limits.max_connections {
+            return Some(Rc::new(OverLimit(triage)));
         }
-        _ => {
-            log::debug!(limit = limits.max_connections; "connection_refused");
-            return;
+        triage.is_active().then_some(triage)
+    }
+
+    /// Refuses a new connection, waits for its request or has it served.
+    fn open(self: &Rc<Self>, stream: OwnedFd, triage: &dyn Triage) {
+        match triage::open(Instant::now(), stream, triage) {
+            Next::Serve(opened) => self.leave_triage(Some(opened)),
+            Next::Done => self.leave_triage(None),
+            Next::Wait(waiting) => {
+                let mut room = self.waiting.borrow_mut();
+                let was_empty = room.is_empty();
+                let added = room.add(waiting);
+                drop(room);
+                match added {
+                    Ok(()) if was_empty => {
+                        event_loop::spawn(Rc::clone(self).watch_waiting());
+                    }
+                    Ok(()) => {}
+                    Err(opened) => self.leave_triage(opened),
+                }
+            }
         }
-    };
-    let guard = CountGuard::new(connections, kind);
-    let closing = connections.closing.clone();
-    event_loop::spawn(async move {
-        serve_connection(stream, limits, handler, closing).await;
-        drop(guard);
-    });
+    }
+
+    /// Serves a connection, or counts it if it was closed.
+    fn leave_triage(&self, opened: Option<Opened>) {
+        match opened {
+            Some(opened) => self.admit(opened),
+            None => self.connections.notify(AcceptEvent::Triaged),
+        }
+    }
+
+    /// Looks at the waiting connections until there are none.
+    async fn watch_waiting(self: Rc<Self>) {
+        while !self.waiting.borrow().is_empty() {
+            compio::time::sleep(WaitingRoom::INTERVAL).await;
+            let triage = self.active_triage();
+            let triage = triage.or_else(|| self.connections.triage.borrow().clone());
+            let Some(triage) = triage else {
+                return;
+            };
+            let now = Instant::now();
+            let ended = self.waiting.borrow_mut().look(now, triage.as_ref());
+            for opened in ended {
+                self.leave_triage(opened);
+            }
+        }
+    }
+
+    fn admit(&self, opened: Opened) {
+        let connections = &self.connections;
+        let kind = connections.classify(self.limits);
+        let (limits, handler) = match (kind, &connections.refuse) {
+            (Accepted::Served, _) => {
+                let head_timeout = connections.head_timeout.get();
+                let limits = Limits {
+                    head_timeout: head_timeout.unwrap_or(self.limits.head_timeout),
+                    ..self.limits
+                };
+                (limits, Rc::clone(&self.handler))
+            }
+            (Accepted::Refused, Some(refuse)) => {
+                let limits = Limits {
+                    head_timeout: REFUSAL_TIMEOUT,
+                    ..self.limits
+                };
+                (limits, refusal_handler(refuse))
+            }
+            _ => {
+                log::debug!(limit = self.limits.max_connections; "connection_refused");
+                return;
+            }
+        };
+        let guard = CountGuard::new(connections, kind);
+        let closing = connections.closing.clone();
+        event_loop::spawn(async move {
+            serve_connection(opened, limits, handler, closing).await;
+            drop(guard);
+        });
+    }
 }
 
 /// Returns a handler that refuses a request and closes the connection.
@@ -315,22 +421,34 @@
     })
 }
 
+fn to_stream(stream: OwnedFd) -> io::Result<SocketStream> {
+    let stream = TcpStream::from_std(stream.into())?;
+    stream.set_nodelay(true)?;
+    SocketStream::new(stream)
+}
+
 async fn serve_connection(
-    stream: TcpStream,
+    opened: Opened,
     limits: Limits,
     handler: Handler,
     closing: Shared<oneshot::Receiver<()>>,
 ) {
-    if stream.set_nodelay(true).is_err() {
-        return;
-    }
-    let service = service_fn(move |request| {
+    let stream = match to_stream(opened.stream) {
+        Ok(stream) => stream.with_prefix(opened.bytes),
+        Err(error) => {
+            log::debug!(step = "accept", error:% = error; "connection_ended");
+            return;
+        }
+    };
+    let admitted = Cell::new(opened.admitted);
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        // Only the first request on the connection was judged.
+        if admitted.take() {
+            request.extensions_mut().insert(Admitted);
+        }
         let response = handler(request);
         async move { Ok::<_, Infallible>(response.await) }
     });
-    let Ok(stream) = SocketStream::new(stream) else {
-        return;
-    };
     let stream = WriteTimeout::new(stream, limits.write_timeout);
     let serving = http1::Builder::new()
         .timer(CompioTimer)
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -33,6 +33,8 @@
     readable: bool,
     /// Whether a read of fewer bytes than asked shows that the socket is empty.
     short_reads: bool,
+    /// Bytes that were read before hyper took over.
+    prefix: Vec<u8>,
 }
 
 impl SocketStream {
@@ -48,6 +50,7 @@
             socket,
             readable: true,
             short_reads: false,
+            prefix: Vec::new(),
         })
     }
 
@@ -76,6 +79,7 @@
             socket,
             readable: true,
             short_reads: false,
+            prefix: Vec::new(),
         })
     }
 
@@ -89,6 +93,25 @@
         self
     }
 
+    /// Sets bytes that were already read from the socket; they are read first.
+    #[must_use]
+    pub fn with_prefix(mut self, prefix: Vec<u8>) -> Self {
+        self.prefix = prefix;
+        self
+    }
+
+    /// Moves bytes that were read before into `buf`; returns whether there were any.
+    fn take_prefix(&mut self, buf: &mut ReadBufCursor<'_>) -> bool {
+        if self.prefix.is_empty() {
+            return false;
+        }
+        let rest = self
+            .prefix
+            .split_off(self.prefix.len().min(buf.remaining()));
+        buf.put_slice(&std::mem::replace(&mut self.prefix, rest));
+        true
+    }
+
     /// Calls `send` until it succeeds or fails, and waits for the socket while it would block.
     fn poll_send(
         &self,
@@ -123,6 +146,9 @@
         cx: &mut Context<'_>,
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.take_prefix(&mut buf) {
+            return Poll::Ready(Ok(()));
+        }
         loop {
             if !self.readable {
                 std::task::ready!(self.socket.poll_read_ready(cx))?;
