fleet: derive a workspace's shortfall once in 20 ms while streams are refused

Callers saw refusals use up the time of a flooded router; most of the time to judge one was the workspace's standing, derived from all workspaces' windows for each request.

It is now used again for 20 ms, in which a wave brings 20 to 40 requests; shares are over a window of seconds. Requests that are submitted derive it afresh, as before.

overloaded_follows_standing_of_workspace fails if the shortfall is kept for a minute.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -28,6 +28,8 @@
 use crate::retry::RetryWindow;
 use crate::suspects::Suspects;
 
+use overload::Shortfalls;
+
 /// Number of routers from which only those of the same zone report to each other in every period.
 const FULL_MESH_ROUTERS: usize = 24;
 /// Report periods between two reports to other zones, for each [`FULL_MESH_ROUTERS`], so that the
@@ -124,6 +126,7 @@
     /// Number of other routers whose reports are current, as of the last tick.
     reporting: usize,
     pressure: Pressure,
+    shortfalls: Shortfalls,
     placements: VecDeque<(Instant, Placement)>,
     departures: Departures,
     suspects: Suspects,
@@ -171,6 +174,7 @@
             peers: Peers::default(),
             reporting: 0,
             pressure: Pressure::default(),
+            shortfalls: Shortfalls::default(),
             placements: VecDeque::new(),
             departures: Departures::default(),
             suspects: Suspects::default(),
--- a/crates/fleet/src/fleet/overload.rs
+++ b/crates/fleet/src/fleet/overload.rs
@@ -3,6 +3,7 @@
 //! The daemon asks before it reads a request's body. The demand of a request is recorded here, once,
 //! whether it is refused or goes on to [`Event::SubmitAdmitted`](crate::Event::SubmitAdmitted).
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::engine::Prompt;
@@ -11,6 +12,16 @@
 use super::choice::SHORT_RETRY_AFTER;
 use super::{Fleet, limits};
 
+/// Time for which the shortfall of a workspace is used again: a fraction of the window of shares,
+/// in which a wave brings many requests.
+const SHORTFALL_TTL: Duration = Duration::from_millis(20);
+
+/// Shortfalls of workspaces, each with the time at which it was derived.
+#[derive(Debug, Default)]
+pub(super) struct Shortfalls {
+    known: BTreeMap<WorkspaceHash, (Instant, f64)>,
+}
+
 impl Fleet {
     /// Returns whether [`Self::overloaded`] may refuse streams at present; cheap enough to be asked
     /// for every connection.
@@ -36,13 +47,28 @@
         {
             return None;
         }
-        let shortfall = limits::shortfall(self.workspace_share(now, workspace));
+        let shortfall = self.recent_shortfall(now, workspace);
         let admits = self
             .pressure
             .admits_stream(workspace, shortfall, prompt.charge());
         (!admits).then_some(SHORT_RETRY_AFTER)
     }
 
+    /// Returns how far a workspace is below its share, as of [`SHORTFALL_TTL`] ago at most.
+    fn recent_shortfall(&mut self, now: Instant, workspace: Option<WorkspaceHash>) -> f64 {
+        let Some(workspace) = workspace else {
+            return limits::shortfall(ShareStatus::Within);
+        };
+        if let Some((at, shortfall)) = self.shortfalls.known.get(&workspace)
+            && now.saturating_duration_since(*at) < SHORTFALL_TTL
+        {
+            return *shortfall;
+        }
+        let shortfall = limits::shortfall(self.workspace_share(now, Some(workspace)));
+        self.shortfalls.known.insert(workspace, (now, shortfall));
+        shortfall
+    }
+
     /// Records the tokens that a request asks for.
     pub(super) fn record_demand(
         &mut self,
--- a/crates/fleet/tests/all/admission.rs
+++ b/crates/fleet/tests/all/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hibiscusrail_fleet::peers::{Scope, Total};
+use hibiscusrail_fleet::peers::{Report, Scope, Total};
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::{Event, Fleet};
 
@@ -73,3 +73,50 @@
     fleet.handle(now, Event::Submit(request));
     assert!(!fleet.may_refuse_streams());
 }
+
+/// Reports from another router that workspace 1 received far more than its guaranteed share.
+fn report_large_share(fleet: &mut Fleet, now: Instant) {
+    for sequence in 1..=2 {
+        let since_start = |tokens| if sequence == 1 { 0 } else { tokens };
+        let total = |workspace, admitted| Total {
+            workspace,
+            requested: since_start(200_000),
+            admitted: since_start(admitted),
+            pending: 0,
+        };
+        let report = Report {
+            sender: 7,
+            incarnation: 1,
+            sequence,
+            totals: vec![total(1, 120_000), total(2, 45_000)],
+            ..Report::default()
+        };
+        fleet.handle(now, Event::Report(report));
+    }
+}
+
+/// Guards against a standing that is remembered for longer than a few requests of a wave.
+#[test]
+fn overloaded_follows_standing_of_workspace() {
+    let mut now = Instant::now();
+    let mut fleet = support::router("r", 4, now);
+    // The small streams below have less than the mean charge.
+    assert_eq!(
+        fleet.overloaded(now, WORKSPACE, Some(&prompt(1, 50_000))),
+        None
+    );
+    for _ in 0..200 {
+        now += Duration::from_millis(25);
+        fleet.handle(now, Event::LoopLag(Duration::from_millis(50)));
+    }
+    // Workspace 1 does not request most of the streams.
+    for _ in 0..5 {
+        let other = Some(WorkspaceHash(2));
+        let _ = fleet.overloaded(now, other, Some(&prompt(1, 50_000)));
+    }
+    let small = prompt(1, 100);
+    assert_eq!(fleet.overloaded(now, WORKSPACE, Some(&small)), None);
+    report_large_share(&mut fleet, now);
+    now += Duration::from_millis(20);
+    assert!(fleet.overloaded(now, WORKSPACE, Some(&small)).is_some());
+}
--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -6,6 +6,7 @@
 //! and results to standard error. `cargo test` runs a few requests of each kind.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hint::black_box;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsFd;
@@ -33,6 +34,7 @@
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::{bind, logs, serve_counted};
 use hibiscusrail_settings::FrontSettings;
+use http::request::Parts;
 use http::{HeaderMap, HeaderName, StatusCode};
 use http_body_util::BodyExt;
 use rustix::net::{RecvFlags, SendFlags, SocketFlags, accept_with, recv, send};
@@ -202,6 +204,20 @@
     .into_bytes()
 }
 
+/// Returns the head of a request as hyper parses it.
+fn head() -> Parts {
+    let request = http::Request::post("/route1/2f")
+        .header("host", "host.example")
+        .header("x-id", "9c41d07be2a35f68")
+        .header("model", "m")
+        .header("token-usage", "1460,80")
+        .header("prompt-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+        .header("x-wait-ms", "12000")
+        .header("authorization", "Bearer key1")
+        .header("content-length", BODY_BYTES);
+    request.body(()).expect("it is valid").into_parts().0
+}
+
 /// Sends `count` requests, each on a connection of its own, and returns how many were refused.
 fn call(address: SocketAddr, count: usize) -> usize {
     let mut refused = 0;
@@ -340,6 +356,16 @@
         let submission = submission(&shell, key);
         shell.with_fleet_mut(|f| f.handle(shell.now(), Event::Submit(submission)));
     });
+    let head = head();
+    let triage = overload::triage(&shell);
+    time("judging a head, with the reducer", count, |_| {
+        black_box(triage.judge(&head, Some(BODY_BYTES as u64)));
+    });
+    time("reducer: the same without a submission", count, |key| {
+        let workspace = Some(WorkspaceHash(key % 30));
+        let prompt = prompt();
+        black_box(shell.with_fleet_mut(|f| f.overloaded(shell.now(), workspace, Some(&prompt))));
+    });
     time("two log lines, mostly dropped", count, |key| {
         log::info!(call = key, reason:? = "RouterBusy", late_ms = 500, standing:? = 1; "request_not_placed");
         log::info!(
--- a/crates/front/src/overload.rs
+++ b/crates/front/src/overload.rs
@@ -96,12 +96,17 @@
     shell: Weak<Shell>,
 }
 
+/// Returns what decides on the first request of callers' new connections.
+#[must_use]
+pub fn triage(shell: &Rc<Shell>) -> Rc<dyn Triage> {
+    Rc::new(CallerTriage {
+        shell: Rc::downgrade(shell),
+    })
+}
+
 /// Lets the router refuse requests on new connections before they are served.
 pub fn install(shell: &Rc<Shell>) {
-    let triage = CallerTriage {
-        shell: Rc::downgrade(shell),
-    };
-    shell.connections().set_triage(Rc::new(triage));
+    shell.connections().set_triage(triage(shell));
 }
 
 impl Triage for CallerTriage {
