--- a/crates/net/src/triage.rs
+++ b/crates/net/src/triage.rs
@@ -85,6 +85,7 @@
 /// A connection with the bytes read from it.
 #[derive(Debug)]
 pub(crate) struct Opened {
+    /// Socket that does not block.
     pub(crate) stream: OwnedFd,
     pub(crate) bytes: Vec<u8>,
     pub(crate) admitted: bool,
@@ -253,8 +254,7 @@
     /// Writes the response and closes the connection, once the body has been read.
     fn refuse(mut self, now: Instant, head: &Head, response: &Response<Bytes>) -> Next {
         let bytes = serialize(response);
-        let flags = SendFlags::DONTWAIT | SendFlags::NOSIGNAL;
-        match rustix::net::send(&self.stream, &bytes, flags) {
+        match rustix::net::send(&self.stream, &bytes, SendFlags::NOSIGNAL) {
             Ok(sent) if sent == bytes.len() => {}
             // A new connection has room for a response, unless the caller has gone.
             Ok(sent) => {
@@ -316,7 +316,7 @@
 fn receive(stream: impl AsFd, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
     BUFFER.with_borrow_mut(|buffer| {
         loop {
-            match rustix::net::recv(stream.as_fd(), &mut buffer[..], RecvFlags::DONTWAIT) {
+            match rustix::net::recv(stream.as_fd(), &mut buffer[..], RecvFlags::empty()) {
                 Ok((count, _)) => {
                     take(&buffer[..count]);
                     return Ok(count);
