--- a/crates/fleet/tests/all/departures.rs
+++ b/crates/fleet/tests/all/departures.rs
@@ -111,3 +111,74 @@
     follower.handle(now, Event::Report(report));
     assert!(uses_first_engine(&mut follower, now));
 }
+
+/// Time after a server's departure from which no request may be sent to it.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
+/// Handles ticks until the bound on a departure at `left` has passed, and returns the time then.
+fn tick_past_bound(fleet: &mut Fleet, left: Instant) -> Instant {
+    let end = left + DRAIN_BOUND + Duration::from_millis(50);
+    let mut now = left;
+    while now < end {
+        now += fleet.report_period();
+        fleet.handle(now, Event::Tick);
+    }
+    now
+}
+
+// Guards against DRAIN broken by a follower that had no new list since an outage of the store: it
+// took the next server that left for one whose registration had expired in the outage.
+#[test]
+fn removal_long_after_outage_is_no_expiry() {
+    let start = Instant::now();
+    let mut fleet = support::router("follower", 2, start);
+    fleet.handle(start, Event::StoreFailed);
+    let back = start + Duration::from_millis(1_600);
+    fleet.handle(back, Event::StoreAnswered);
+    let left = back + Duration::from_secs(4);
+    fleet.handle(left, Event::Servers(Revision(2), removed()));
+    let late = tick_past_bound(&mut fleet, left);
+    assert!(!uses_first_engine(&mut fleet, late));
+}
+
+// Guards against DRAIN broken by a router whose calls to the store fail for its own late event loop
+// while others are answered: it took a server that left for one that expired in an outage.
+#[test]
+fn removal_while_store_answers_others_is_no_expiry() {
+    let start = Instant::now();
+    let mut reader = support::router("reader", 2, start);
+    let mut fleet = support::router("flooded", 2, start);
+    fleet.handle(start, Event::StoreFailed);
+    for ms in (100..1_500).step_by(100) {
+        let now = start + Duration::from_millis(ms);
+        reader.handle(now, Event::StoreAnswered);
+        let report = reader.report(now, Scope::All);
+        fleet.handle(now, Event::Report(report));
+    }
+    let left = start + Duration::from_millis(1_500);
+    fleet.handle(left, Event::StoreAnswered);
+    fleet.handle(left, Event::Servers(Revision(2), removed()));
+    let late = tick_past_bound(&mut fleet, left);
+    assert!(!uses_first_engine(&mut fleet, late));
+}
+
+// Guards against DRAIN broken by a router that fetches the list of one that keeps a server after an
+// outage: the time for which the server is kept began anew at each router that took the list over.
+#[test]
+fn expired_server_is_dropped_with_router_that_kept_it() {
+    let start = Instant::now();
+    let mut reader = support::router("reader", 2, start);
+    let mut follower = support::router("follower", 2, start);
+    reader.handle(start, Event::StoreFailed);
+    let back = start + Duration::from_secs(4);
+    reader.handle(back, Event::StoreAnswered);
+    reader.handle(back, Event::Servers(Revision(2), removed()));
+    let fetched = back + Duration::from_secs(1);
+    let entries = reader.registry().entries(fetched);
+    follower.handle(fetched, Event::Servers(Revision(2), entries));
+    let ended = back + Duration::from_millis(2_600);
+    reader.handle(ended, Event::Tick);
+    let report = reader.report(ended, Scope::All);
+    follower.handle(ended, Event::Report(report));
+    assert!(!uses_first_engine(&mut follower, ended));
+}
