fleet: end the time for which servers are kept after a store outage

A server that is missing in the first list after an outage is kept for 2.5 s, as its registration may only have expired. That state had no end: a router that follows others kept it until the next change, seconds or minutes later, and took the server that left then for an expired one. Calls that failed at one router alone, also for its own late event loop, counted as an outage. A router that took over the list began the 2.5 s anew and ignored the report of their end.

Now an outage is the time in which the store answered no router known here, the grace period ends 2.5 s after its return, and a report withdraws a kept server.

Ruled out: the age of the list.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -129,10 +129,11 @@
     unreported: Vec<(ServerKey, Option<Placement>)>,
     /// When the store last answered.
     store_answered_at: Instant,
-    /// When the first call since the last answer failed.
+    /// Since when the store has answered neither this router, whose calls fail, nor any other whose
+    /// report arrived; none if this router's last call was answered.
     store_failed_at: Option<Instant>,
-    /// Whether the next server list is the first since a store outage.
-    after_outage: bool,
+    /// When the store returned from an outage, until the first server list since.
+    store_returned_at: Option<Instant>,
     decisions: Vec<Decision>,
 }
 
@@ -175,7 +176,7 @@
             unreported: Vec::new(),
             store_answered_at: now,
             store_failed_at: None,
-            after_outage: false,
+            store_returned_at: None,
             decisions: Vec::new(),
             params,
         }
@@ -267,7 +268,7 @@
             Event::StoreFailed => {
                 self.store_failed_at.get_or_insert(now);
             }
-            Event::ServersUnchanged => self.after_outage = false,
+            Event::ServersUnchanged => self.store_returned_at = None,
             Event::Report(report) => self.apply_report(now, &report),
             Event::Members(names) => self.apply_members(&names),
             Event::LoopLag(lag) => self.observe_lag(now, lag),
@@ -804,11 +805,14 @@
             return;
         }
         // Servers missing from the first list after an outage may only have expired; those missing
-        // from a later list were removed.
+        // from a later list, or once the grace period since the return has passed, were removed.
+        let returned = self.store_returned_at.take();
+        let grace = self.params.lapse_grace;
+        let returned = returned.filter(|at| now.saturating_duration_since(*at) < grace);
         // A store restored from an older copy lacks newer servers until they register again.
         let restored = revision.era() > self.registry.revision().era();
-        let keep_missing = std::mem::take(&mut self.after_outage) || restored;
-        let changes = self.registry.apply(now, revision, servers, keep_missing);
+        let kept_since = if restored { Some(now) } else { returned };
+        let changes = self.registry.apply(now, revision, servers, kept_since);
         for id in changes.draining.iter().chain(&changes.removed) {
             self.departures.record(now, name_hash(id));
         }
@@ -825,15 +829,30 @@
         }
     }
 
-    /// Records that the store answered. Registrations may have expired during an outage.
+    /// Records that the store answered this router.
     fn store_answered(&mut self, now: Instant) {
         self.store_answered_at = now;
-        let Some(failed_at) = self.store_failed_at.take() else {
+        self.end_outage(now);
+        self.store_failed_at = None;
+    }
+
+    /// Records that the store answered another router at `at`, so that only this router's calls
+    /// fail: for a cut of its own, or since its event loop lags.
+    fn store_answered_peer(&mut self, at: Instant) {
+        if self.store_failed_at.is_some_and(|since| at > since) {
+            self.end_outage(at);
+            self.store_failed_at = Some(at);
+        }
+    }
+
+    /// Records the end of a time without an answer. Registrations may have expired in a long one.
+    fn end_outage(&mut self, at: Instant) {
+        let Some(since) = self.store_failed_at else {
             return;
         };
-        let outage = now.saturating_duration_since(failed_at);
+        let outage = at.saturating_duration_since(since);
         if outage > self.params.store_silence {
-            self.after_outage = true;
+            self.store_returned_at = Some(at);
             self.log(
                 "store_back",
                 "store",
@@ -864,6 +883,10 @@
             }
         }
         self.withdraw_departed(report);
+        let answered_at = now.checked_sub(Duration::from_millis(report.store_age));
+        if let Some(at) = answered_at.filter(|_| !report.incremental) {
+            self.store_answered_peer(at);
+        }
         for notice in &report.rates {
             let at = now.checked_sub(Duration::from_millis(notice.age));
             if let Some(at) = at {
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -109,14 +109,14 @@
 
     /// Applies a newer server list.
     ///
-    /// With `keep_missing`, servers missing from it are kept for a grace period, since their
-    /// registrations may have expired during a store outage.
+    /// With `kept_since`, servers missing from it are kept for a grace period from then on, since
+    /// their registrations may have expired during a store outage that ended at that time.
     pub fn apply(
         &mut self,
         now: Instant,
         revision: Revision,
         servers: &Servers,
-        keep_missing: bool,
+        kept_since: Option<Instant>,
     ) -> Changes {
         let mut changes = Changes::default();
         self.revision = revision;
@@ -145,10 +145,13 @@
             let Some(server) = self.servers.get_mut(key) else {
                 continue;
             };
-            if keep_missing && !server.backend.leaving && server.expired_at.is_none() {
-                server.expired_at = Some(now);
+            if server.expired_at.is_some() {
+                continue;
+            }
+            if kept_since.is_some() && !server.backend.leaving {
+                server.expired_at = kept_since;
                 changes.expired.push(server.id.clone());
-            } else if server.expired_at.is_none() {
+            } else {
                 changes.removed.push(server.id.clone());
                 self.depart(now, key);
             }
@@ -156,14 +159,16 @@
         changes
     }
 
-    /// Withdraws a server that is leaving or missing in a newer list, which only another router has.
+    /// Withdraws a server that is leaving or missing in a newer list, which only another router has,
+    /// or whose grace period after a store outage has ended at another router.
     ///
     /// Returns its id if it was not withdrawn before.
     pub fn withdraw(&mut self, hash: u32, newer: Revision) -> Option<&str> {
-        if newer <= self.revision {
+        let server = self.servers.get_mut(*self.by_hash.get(&hash)?)?;
+        let expired = newer == self.revision && server.expired_at.is_some();
+        if newer <= self.revision && !expired {
             return None;
         }
-        let server = self.servers.get_mut(*self.by_hash.get(&hash)?)?;
         let before = server.withdrawn;
         server.withdrawn = before.max(Some(newer));
         before.is_none().then_some(server.id.as_str())
