Say how old the server list is by which a request is placed

A router now keeps that time, counted conservatively: from when its own call was sent, or by the wait of a long poll without a change; through a report with the age that it tells and the time in which the datagram may have waited in the socket. request_placed names age_ms and source, server_leaving, server_gone and server_withdrawn age_ms; hibiscusrail_server_list_age_seconds has all placements. server_withdrawn is no longer repeated with each revision for a server that this router already knows to leave.

Decisions don't change.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -6,6 +6,7 @@
 use hibiscusrail_macros::{id, record, value};
 
 use crate::engine::Prompt;
+use crate::freshness::Confirmation;
 use crate::objects::{OperatorConfig, Repeat, Revision, Servers};
 use crate::peers::Report;
 use crate::quota::{ShareStatus, WorkspaceHash};
@@ -267,6 +268,8 @@
     StoreAnswered,
     /// A call to the store failed.
     StoreFailed,
+    /// The store confirmed a server list, which is still to be applied if it is new.
+    ServersConfirmed(Confirmation),
     /// The server registrations have not changed since they were last read.
     ServersUnchanged,
     /// A report from another router arrived.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::event::{
     Decision, Event, Execution, Outcome, Reason, RefusalInputs, RequestKey, Submission,
 };
+use crate::freshness::{Confirmation, Freshness, Source};
 use crate::notice::Rate;
 use crate::objects::{OperatorConfig, Repeat, Revision, Servers, Service};
 use crate::params::Params;
@@ -114,6 +115,7 @@
     /// are kept, as the operator writes them again.
     kept_evacuations: BTreeMap<String, Instant>,
     registry: Registry,
+    freshness: Freshness,
     requests: BTreeMap<RequestKey, Request>,
     quota: Quota,
     retry_windows: BTreeMap<String, RetryWindow>,
@@ -137,6 +139,11 @@
     decisions: Vec<Decision>,
 }
 
+/// Returns whole milliseconds, for a report.
+fn to_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns this router's load at a server for a report.
 fn server_load(now: Instant, server: &Server) -> ServerLoad {
     let interval = server.own_interval(now).as_micros();
@@ -163,6 +170,7 @@
             config_revision: Revision::default(),
             kept_evacuations: BTreeMap::new(),
             registry: Registry::default(),
+            freshness: Freshness::default(),
             requests: BTreeMap::new(),
             quota: Quota::new(params.quota_window),
             retry_windows: BTreeMap::new(),
@@ -200,6 +208,12 @@
         &self.registry
     }
 
+    /// Returns when the store last confirmed the server list, as far as this router knows.
+    #[must_use]
+    pub fn freshness(&self) -> &Freshness {
+        &self.freshness
+    }
+
     /// Replaces the parameters.
     pub fn set_params(&mut self, params: Params) {
         self.params = params;
@@ -264,6 +278,7 @@
             Event::ServerThrottled(server, pause) => self.server_throttled(now, server, pause),
             Event::Config(revision, config) => self.apply_config(now, revision, config),
             Event::Servers(revision, servers) => self.apply_servers(now, revision, &servers),
+            Event::ServersConfirmed(confirmation) => self.confirm_servers(confirmation),
             Event::StoreAnswered => self.store_answered(now),
             Event::StoreFailed => {
                 self.store_failed_at.get_or_insert(now);
@@ -349,7 +364,8 @@
             rates: self.rate_notices(now, max_age),
             suspects,
             cleared,
-            store_age: u64::try_from(store_age.as_millis()).unwrap_or(u64::MAX),
+            store_age: to_millis(store_age),
+            list_age: self.freshness.age(now).map(to_millis),
             placed,
             ..self.new_report()
         }
@@ -813,6 +829,8 @@
         let restored = revision.era() > self.registry.revision().era();
         let kept_since = if restored { Some(now) } else { returned };
         let changes = self.registry.apply(now, revision, servers, kept_since);
+        self.freshness.list_applied(revision);
+        let detail = format!("revision={}{}", revision.0, self.age_detail(now));
         for id in changes.draining.iter().chain(&changes.removed) {
             self.departures.record(now, name_hash(id));
         }
@@ -824,11 +842,22 @@
         ];
         for (event, ids) in lists {
             for id in ids {
-                self.log(event, &id, format!("revision={}", revision.0));
+                self.log(event, &id, detail.clone());
             }
         }
     }
 
+    /// Returns the age of the server list as a further value of a log line.
+    fn age_detail(&self, now: Instant) -> String {
+        let age = self.freshness.age(now);
+        age.map_or_else(String::new, |age| format!(" age_ms={}", age.as_millis()))
+    }
+
+    fn confirm_servers(&mut self, confirmation: Confirmation) {
+        let own = self.registry.revision();
+        self.freshness.confirm(own, confirmation);
+    }
+
     /// Records that the store answered this router.
     fn store_answered(&mut self, now: Instant) {
         self.store_answered_at = now;
@@ -882,6 +911,7 @@
                 server.record_part(placement.part);
             }
         }
+        self.confirm_by_report(now, report);
         self.withdraw_departed(report);
         let answered_at = now.checked_sub(Duration::from_millis(report.store_age));
         if let Some(at) = answered_at.filter(|_| !report.incremental) {
@@ -911,19 +941,36 @@
         }
     }
 
+    /// Records how old the sender's server list is, according to a report.
+    fn confirm_by_report(&mut self, now: Instant, report: &Report) {
+        let at = report
+            .list_age
+            .and_then(|age| now.checked_sub(Duration::from_millis(age)));
+        if let Some(at) = at {
+            self.confirm_servers(Confirmation {
+                revision: Revision(report.servers),
+                at,
+                source: Source::Router(report.sender),
+            });
+        }
+    }
+
     /// Withdraws the servers that left according to a report.
     fn withdraw_departed(&mut self, report: &Report) {
         let newer = Revision(report.servers);
+        let age = report.list_age.map(|age| format!(" age_ms={age}"));
+        let age = age.unwrap_or_default();
         for hash in &report.departed {
             let Some(id) = self.registry.withdraw(*hash, newer) else {
                 continue;
             };
             let id = id.to_owned();
             let detail = format!(
-                "revision={} own={} router={:08x}",
+                "revision={} own={} router={:08x}{}",
                 newer.0,
                 self.registry.revision().0,
                 report.sender,
+                age.as_str(),
             );
             self.log("server_withdrawn", &id, detail);
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`quota`]: max-min fair shares of the engines' throughput among workspaces;
 //! * [`cold`]: rate limit on requests to a cold server;
 //! * [`retry`]: retry budget of a service;
+//! * [`freshness`]: age of the server list;
 //! * [`health`]: circuit breaker and error rate of a server;
 //! * [`notice`]: what a server announced in its responses;
 //! * [`pressure`]: overload of this router's event loop;
@@ -26,6 +27,7 @@
 pub mod engine;
 pub mod event;
 pub mod fleet;
+pub mod freshness;
 pub mod health;
 pub mod notice;
 pub mod objects;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -139,6 +139,10 @@
     /// Rates that servers accept, or accepted until recently.
     #[prost(message, repeated, tag = "15")]
     pub rates: Vec<RateNotice>,
+    /// Milliseconds since the store confirmed the sender's server list, as far as it knows; none if
+    /// it does not.
+    #[prost(uint64, optional, tag = "16")]
+    pub list_age: Option<u64>,
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -162,7 +162,7 @@
     /// Withdraws a server that is leaving or missing in a newer list, which only another router has,
     /// or whose grace period after a store outage has ended at another router.
     ///
-    /// Returns its id if it was not withdrawn before.
+    /// Returns its id if it could receive requests until then.
     pub fn withdraw(&mut self, hash: u32, newer: Revision) -> Option<&str> {
         let server = self.servers.get_mut(*self.by_hash.get(&hash)?)?;
         let expired = newer == self.revision && server.expired_at.is_some();
@@ -171,7 +171,8 @@
         }
         let before = server.withdrawn;
         server.withdrawn = before.max(Some(newer));
-        before.is_none().then_some(server.id.as_str())
+        let is_news = before.is_none() && !server.backend.leaving;
+        is_news.then_some(server.id.as_str())
     }
 
     /// Removes the servers that expired more than `grace` ago, and returns their ids.
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod engines;
 mod flooded_zone;
+mod freshness;
 mod incremental_reports;
 mod kv_transfers;
 mod lopsided_wave;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -5,8 +5,8 @@
 use hibiscusrail_fleet::event::Exclusions;
 use hibiscusrail_net::process::ProcessMetrics;
 use prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histograms in seconds: 5 ms to 12 s.
@@ -29,6 +29,7 @@
     ready: IntGauge,
     revision: IntGauge,
     loop_lag: Gauge,
+    list_age: Histogram,
 }
 
 impl Default for Metrics {
@@ -143,6 +144,17 @@
                 )
                 .expect("the name is valid"),
             ),
+            list_age: register(
+                &r,
+                Histogram::with_opts(
+                    HistogramOpts::new(
+                        "hibiscusrail_server_list_age_seconds",
+                        "Age of the server list by which a request was placed.",
+                    )
+                    .buckets(LATENCY_BUCKETS.to_vec()),
+                )
+                .expect("the name is valid"),
+            ),
             registry: r,
         }
     }
@@ -180,6 +192,11 @@
         self.attempts.inc();
     }
 
+    /// Records the age of the server list by which a request was placed.
+    pub fn observe_list_age(&self, age: Duration) {
+        self.list_age.observe(age.as_secs_f64());
+    }
+
     /// Counts the servers that were over each limit at a refusal.
     pub fn servers_excluded(&self, exclusions: &Exclusions) {
         for (limit, count) in exclusions.by_limit() {
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -8,14 +8,15 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
+use hibiscusrail_fleet::freshness::Source;
 use hibiscusrail_fleet::peers::{Report, Scope};
 use hibiscusrail_fleet::{Event, Fleet};
 use prost::Message;
 
-use crate::shell::Shell;
+use crate::shell::{Shell, millis};
 use crate::state;
 
 /// Size of the receive buffer in bytes: more than the largest datagram.
@@ -47,6 +48,8 @@
     locations: RefCell<BTreeMap<String, PeerLocation>>,
     /// Whether newer state is being fetched from a router.
     fetching: Cell<bool>,
+    /// When the socket last held no datagram; none before the first was received.
+    emptied_at: Cell<Option<Instant>>,
 }
 
 impl Peers {
@@ -64,6 +67,7 @@
             socket,
             locations: RefCell::default(),
             fetching: Cell::new(false),
+            emptied_at: Cell::new(None),
         })
     }
 
@@ -174,7 +178,10 @@
     for _ in 0..MAX_BATCH {
         match peers.socket.recv_from(buffer) {
             Ok((length, address)) => handle_datagram(shell, peers, &buffer[..length], address),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                peers.emptied_at.set(Some(shell.now()));
+                return;
+            }
             Err(error) => {
                 log::debug!(step = "receive", error:% = error; "datagram_lost");
                 return;
@@ -184,16 +191,24 @@
 }
 
 fn handle_datagram(shell: &Rc<Shell>, peers: &Rc<Peers>, datagram: &[u8], address: SocketAddr) {
-    let report = match Report::decode(datagram) {
+    let mut report = match Report::decode(datagram) {
         Ok(report) => report,
         Err(error) => {
             log::warn!(step = "decode", peer:% = address, error:% = error; "datagram_dropped");
             return;
         }
     };
+    let now = shell.now();
+    // It may have arrived at any time since the socket was last empty.
+    let emptied_at = peers.emptied_at.get();
+    let waited = emptied_at.map(|at| millis(now.saturating_duration_since(at)));
+    report.list_age = report
+        .list_age
+        .zip(waited)
+        .map(|(age, waited)| age.saturating_add(waited));
     let (config, servers) = (report.orders, report.servers);
+    let source = Source::Router(report.sender);
     shell.handle(Event::Report(report));
-    let now = shell.now();
     let behind = shell.with_fleet(|f| {
         let needs_peer = f.store_is_lost() || (!f.reads_store(now) && peers.is_in_zone(address));
         needs_peer && (f.config_revision().0 < config || f.registry().revision().0 < servers)
@@ -201,7 +216,7 @@
     if behind && !peers.fetching.replace(true) {
         let (shell, peers) = (Rc::clone(shell), Rc::clone(peers));
         compio::runtime::spawn(async move {
-            state::catch_up(&shell, address).await;
+            state::catch_up(&shell, address, source).await;
             peers.fetching.set(false);
         })
         .detach();
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -9,6 +9,7 @@
 use futures_channel::mpsc;
 use hibiscusrail_core::Clock;
 use hibiscusrail_fleet::event::{Execution, Inputs, Reason, RefusalInputs};
+use hibiscusrail_fleet::freshness::Confirmation;
 use hibiscusrail_fleet::registry::ServerKey;
 use hibiscusrail_fleet::{Decision, Event, Fleet, RequestKey};
 use hibiscusrail_net::pool::Pool;
@@ -247,8 +248,13 @@
                     replaceable,
                     inputs,
                 } => {
-                    log_send(request, &id, expected, &inputs);
+                    let list = self.fleet.borrow().freshness().own();
+                    let age = list.map(|l| self.now().saturating_duration_since(l.at));
+                    log_send(request, &id, expected, &inputs, list.zip(age));
                     self.metrics.attempt_sent();
+                    if let Some(age) = age {
+                        self.metrics.observe_list_age(age);
+                    }
                     step = Some(NextStep::Send(Target {
                         server,
                         id,
@@ -288,7 +294,13 @@
     }
 }
 
-fn log_send(request: RequestKey, server: &str, expected: Duration, inputs: &Inputs) {
+fn log_send(
+    request: RequestKey,
+    server: &str,
+    expected: Duration,
+    inputs: &Inputs,
+    list: Option<(Confirmation, Duration)>,
+) {
     log::info!(
         call = request.0,
         server = server,
@@ -303,7 +315,9 @@
         home = inputs.preferred,
         copied = inputs.transferred,
         standing:? = inputs.share,
-        revision = inputs.revision.0;
+        revision = inputs.revision.0,
+        age_ms = list.map(|(_, age)| millis(age)),
+        source = list.map(|(list, _)| list.source.to_string());
         "request_placed"
     );
 }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -7,6 +7,7 @@
 
 use futures_util::FutureExt;
 use hibiscusrail_fleet::Event;
+use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::{connect_owned, empty, json};
@@ -16,7 +17,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::refusal;
-use crate::shell::Shell;
+use crate::shell::{Shell, millis};
 
 /// Path of state requests on the routers' port; the query holds the two revisions already known.
 const STATE_PATH: &str = "/state";
@@ -32,6 +33,10 @@
     pub orders: Option<(Revision, OperatorConfig)>,
     /// The servers; none if the requesting router has them.
     pub servers: Option<(Revision, Servers)>,
+    /// Milliseconds since the store confirmed the servers, as far as the sender knows; none from a
+    /// router of an older version.
+    #[serde(default)]
+    pub age: Option<u64>,
 }
 
 /// Why the state of a router could not be fetched.
@@ -107,13 +112,15 @@
         let newest = (f.config_revision(), f.registry().revision());
         State {
             orders: (newest.0 > config).then(|| (newest.0, f.config().clone())),
+            age: f.freshness().age(shell.now()).map(millis),
             servers: (newest.1 > servers).then(|| (newest.1, f.registry().entries(shell.now()))),
         }
     })
 }
 
 /// Fetches the tables of which `peer` has a newer revision and applies them.
-pub async fn catch_up(shell: &Rc<Shell>, peer: SocketAddr) {
+pub async fn catch_up(shell: &Rc<Shell>, peer: SocketAddr, source: Source) {
+    let asked = shell.now();
     match compio::time::timeout(REQUEST_TIMEOUT, fetch(shell, peer)).await {
         Ok(Ok(state)) => {
             if let Some((revision, config)) = state.orders {
@@ -122,6 +129,14 @@
             }
             if let Some((revision, servers)) = state.servers {
                 log::info!(peer:% = peer, servers = revision.0; "state_taken_over");
+                let age = state.age.map(Duration::from_millis);
+                if let Some(at) = age.and_then(|age| asked.checked_sub(age)) {
+                    shell.handle(Event::ServersConfirmed(Confirmation {
+                        revision,
+                        at,
+                        source,
+                    }));
+                }
                 shell.handle(Event::Servers(revision, servers));
             }
         }
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::Event;
+use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
 use serde::{Deserialize, Serialize};
 
@@ -172,8 +173,20 @@
         wait_until_watching(&shell).await;
         // After an outage there is no long poll: the current servers are needed at once.
         let wait = if link.lost { Duration::ZERO } else { LONG_POLL };
+        let sent = shell.now();
         let call = store.servers(wait);
         if let Some(table) = link.call(&shell, wait + RESPONSE_TIMEOUT, call).await {
+            // The store answers a change at once, and without one after the wait.
+            let held = if table.value.is_some() {
+                Duration::ZERO
+            } else {
+                wait
+            };
+            shell.handle(Event::ServersConfirmed(Confirmation {
+                revision: table.revision,
+                at: (sent + held).min(shell.now()),
+                source: Source::Store,
+            }));
             if let Some(servers) = table.value {
                 shell.handle(Event::Servers(table.revision, servers));
                 peers.send_zone_report(&shell);
