fleet: show that a late router places by a list of any age

The test models a loop of 600 ms a turn: bytes leave for a server 2.4 s after its departure, bound 2 s.

--- a/crates/fleet/tests/all/freshness.rs
+++ b/crates/fleet/tests/all/freshness.rs
@@ -5,9 +5,9 @@
 use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::Revision;
 use hibiscusrail_fleet::peers::Scope;
-use hibiscusrail_fleet::{Event, Fleet};
+use hibiscusrail_fleet::{Event, Fleet, Outcome, RequestKey};
 
-use super::support;
+use super::support::{self, prompt, sent_to, submission};
 
 /// Records that the store confirmed the list of a revision to a router.
 fn confirm(fleet: &mut Fleet, revision: u64, at: Instant) {
@@ -93,3 +93,34 @@
     let now = start + Duration::from_secs(1);
     assert_eq!(age(&follower, now), Some(Duration::from_secs(1)));
 }
+
+/// Time that one turn of a flooded router's event loop takes.
+const TURN: Duration = Duration::from_millis(600);
+
+// Guards against DRAIN broken by a router whose event loop is so late that neither reports nor the
+// store's answers reach it in time: it placed requests by a list of any age.
+#[test]
+fn flooded_router_uses_no_server_after_bound_on_its_departure() {
+    let start = Instant::now();
+    let mut fleet = support::router("flooded", 2, start);
+    fleet.handle(start, Event::StoreAnswered);
+    confirm(&mut fleet, 1, start);
+    // The store lists e0 as leaving right after; what tells so waits in the router's sockets.
+    let left = start + Duration::from_millis(10);
+    let bound = left + Duration::from_secs(2);
+    let mut key = 0;
+    for turn in 1..=6 {
+        let now = start + TURN * turn;
+        fleet.handle(now, Event::Tick);
+        for _ in 0..20 {
+            key += 1;
+            let request = submission(key, 1, prompt(key, 10), now);
+            let decisions = fleet.handle(now, Event::Submit(request));
+            let server = sent_to(&decisions);
+            // The callers leave before any server has answered.
+            fleet.handle(now, Event::Ended(RequestKey(key), Outcome::Left));
+            // The bytes leave in the next turn.
+            assert!(server != Some("e0") || now + TURN <= bound, "turn {turn}");
+        }
+    }
+}
