--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::event::{
     Decision, Event, Execution, Outcome, Reason, RefusalInputs, RequestKey, Submission,
 };
+use crate::freshness::{Confirmation, Freshness, Source};
 use crate::notice::Rate;
 use crate::objects::{OperatorConfig, Repeat, Revision, Servers, Service};
 use crate::params::Params;
@@ -118,6 +119,7 @@
     /// are kept, as the operator writes them again.
     kept_evacuations: BTreeMap<String, Instant>,
     registry: Registry,
+    freshness: Freshness,
     requests: BTreeMap<RequestKey, Request>,
     quota: Quota,
     retry_windows: BTreeMap<String, RetryWindow>,
@@ -134,13 +136,19 @@
     unreported: Vec<(ServerKey, Option<Placement>)>,
     /// When the store last answered.
     store_answered_at: Instant,
-    /// When the first call since the last answer failed.
+    /// Since when the store has answered neither this router, whose calls fail, nor any other whose
+    /// report arrived; none if this router's last call was answered.
     store_failed_at: Option<Instant>,
-    /// Whether the next server list is the first since a store outage.
-    after_outage: bool,
+    /// When the store returned from an outage, until the first server list since.
+    store_returned_at: Option<Instant>,
     decisions: Vec<Decision>,
 }
 
+/// Returns whole milliseconds, for a report.
+fn to_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns this router's load at a server for a report.
 fn server_load(now: Instant, server: &Server) -> ServerLoad {
     let interval = server.own_interval(now).as_micros();
@@ -167,6 +175,7 @@
             config_revision: Revision::default(),
             kept_evacuations: BTreeMap::new(),
             registry: Registry::default(),
+            freshness: Freshness::default(),
             requests: BTreeMap::new(),
             quota: Quota::new(params.quota_window),
             retry_windows: BTreeMap::new(),
@@ -181,7 +190,7 @@
             unreported: Vec::new(),
             store_answered_at: now,
             store_failed_at: None,
-            after_outage: false,
+            store_returned_at: None,
             decisions: Vec::new(),
             params,
         }
@@ -205,6 +214,12 @@
         &self.registry
     }
 
+    /// Returns when the store last confirmed the server list, as far as this router knows.
+    #[must_use]
+    pub fn freshness(&self) -> &Freshness {
+        &self.freshness
+    }
+
     /// Replaces the parameters.
     pub fn set_params(&mut self, params: Params) {
         self.params = params;
@@ -276,11 +291,12 @@
             Event::ServerThrottled(server, pause) => self.server_throttled(now, server, pause),
             Event::Config(revision, config) => self.apply_config(now, revision, config),
             Event::Servers(revision, servers) => self.apply_servers(now, revision, &servers),
+            Event::ServersConfirmed(confirmation) => self.confirm_servers(confirmation),
             Event::StoreAnswered => self.store_answered(now),
             Event::StoreFailed => {
                 self.store_failed_at.get_or_insert(now);
             }
-            Event::ServersUnchanged => self.after_outage = false,
+            Event::ServersUnchanged => self.store_returned_at = None,
             Event::Report(report) => self.apply_report(now, &report),
             Event::Members(names) => self.apply_members(&names),
             Event::LoopLag(lag) => self.observe_lag(now, lag),
@@ -361,7 +377,8 @@
             rates: self.rate_notices(now, max_age),
             suspects,
             cleared,
-            store_age: u64::try_from(store_age.as_millis()).unwrap_or(u64::MAX),
+            store_age: to_millis(store_age),
+            list_age: self.freshness.age(now).map(to_millis),
             placed,
             ..self.new_report()
         }
@@ -810,11 +827,16 @@
             return;
         }
         // Servers missing from the first list after an outage may only have expired; those missing
-        // from a later list were removed.
+        // from a later list, or once the grace period since the return has passed, were removed.
+        let returned = self.store_returned_at.take();
+        let grace = self.params.lapse_grace;
+        let returned = returned.filter(|at| now.saturating_duration_since(*at) < grace);
         // A store restored from an older copy lacks newer servers until they register again.
         let restored = revision.era() > self.registry.revision().era();
-        let keep_missing = std::mem::take(&mut self.after_outage) || restored;
-        let changes = self.registry.apply(now, revision, servers, keep_missing);
+        let kept_since = if restored { Some(now) } else { returned };
+        let changes = self.registry.apply(now, revision, servers, kept_since);
+        self.freshness.list_applied(revision);
+        let detail = format!("revision={}{}", revision.0, self.age_detail(now));
         for id in changes.draining.iter().chain(&changes.removed) {
             self.departures.record(now, name_hash(id));
         }
@@ -826,20 +848,46 @@
         ];
         for (event, ids) in lists {
             for id in ids {
-                self.log(event, &id, format!("revision={}", revision.0));
+                self.log(event, &id, detail.clone());
             }
         }
     }
 
-    /// Records that the store answered. Registrations may have expired during an outage.
+    /// Returns the age of the server list as a further value of a log line.
+    fn age_detail(&self, now: Instant) -> String {
+        let age = self.freshness.age(now);
+        age.map_or_else(String::new, |age| format!(" age_ms={}", age.as_millis()))
+    }
+
+    fn confirm_servers(&mut self, confirmation: Confirmation) {
+        let own = self.registry.revision();
+        self.freshness.confirm(own, confirmation);
+    }
+
+    /// Records that the store answered this router.
     fn store_answered(&mut self, now: Instant) {
         self.store_answered_at = now;
-        let Some(failed_at) = self.store_failed_at.take() else {
+        self.end_outage(now);
+        self.store_failed_at = None;
+    }
+
+    /// Records that the store answered another router at `at`, so that only this router's calls
+    /// fail: for a cut of its own, or since its event loop lags.
+    fn store_answered_peer(&mut self, at: Instant) {
+        if self.store_failed_at.is_some_and(|since| at > since) {
+            self.end_outage(at);
+            self.store_failed_at = Some(at);
+        }
+    }
+
+    /// Records the end of a time without an answer. Registrations may have expired in a long one.
+    fn end_outage(&mut self, at: Instant) {
+        let Some(since) = self.store_failed_at else {
             return;
         };
-        let outage = now.saturating_duration_since(failed_at);
+        let outage = at.saturating_duration_since(since);
         if outage > self.params.store_silence {
-            self.after_outage = true;
+            self.store_returned_at = Some(at);
             self.log(
                 "store_back",
                 "store",
@@ -869,7 +917,12 @@
                 server.record_part(placement.part);
             }
         }
+        self.confirm_by_report(now, report);
         self.withdraw_departed(report);
+        let answered_at = now.checked_sub(Duration::from_millis(report.store_age));
+        if let Some(at) = answered_at.filter(|_| !report.incremental) {
+            self.store_answered_peer(at);
+        }
         for notice in &report.rates {
             let at = now.checked_sub(Duration::from_millis(notice.age));
             if let Some(at) = at {
@@ -894,19 +947,36 @@
         }
     }
 
+    /// Records how old the sender's server list is, according to a report.
+    fn confirm_by_report(&mut self, now: Instant, report: &Report) {
+        let at = report
+            .list_age
+            .and_then(|age| now.checked_sub(Duration::from_millis(age)));
+        if let Some(at) = at {
+            self.confirm_servers(Confirmation {
+                revision: Revision(report.servers),
+                at,
+                source: Source::Router(report.sender),
+            });
+        }
+    }
+
     /// Withdraws the servers that left according to a report.
     fn withdraw_departed(&mut self, report: &Report) {
         let newer = Revision(report.servers);
+        let age = report.list_age.map(|age| format!(" age_ms={age}"));
+        let age = age.unwrap_or_default();
         for hash in &report.departed {
             let Some(id) = self.registry.withdraw(*hash, newer) else {
                 continue;
             };
             let id = id.to_owned();
             let detail = format!(
-                "revision={} own={} router={:08x}",
+                "revision={} own={} router={:08x}{}",
                 newer.0,
                 self.registry.revision().0,
                 report.sender,
+                age.as_str(),
             );
             self.log("server_withdrawn", &id, detail);
         }
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -61,6 +61,7 @@
     ready: IntGauge,
     revision: IntGauge,
     loop_lag: Gauge,
+    list_age: Histogram,
 }
 
 impl Default for Metrics {
@@ -190,6 +191,17 @@
                 .expect("the name is valid"),
             ),
             refusals: RefCell::default(),
+            list_age: register(
+                &r,
+                Histogram::with_opts(
+                    HistogramOpts::new(
+                        "hibiscusrail_server_list_age_seconds",
+                        "Age of the server list by which a request was placed.",
+                    )
+                    .buckets(LATENCY_BUCKETS.to_vec()),
+                )
+                .expect("the name is valid"),
+            ),
             registry: r,
         }
     }
@@ -265,6 +277,11 @@
         self.attempts.inc();
     }
 
+    /// Records the age of the server list by which a request was placed.
+    pub fn observe_list_age(&self, age: Duration) {
+        self.list_age.observe(age.as_secs_f64());
+    }
+
     /// Counts the servers that were over each limit at a refusal.
     pub fn servers_excluded(&self, exclusions: &Exclusions) {
         for (limit, count) in exclusions.by_limit() {
