fleet: bound the age of the server list by which requests are placed

Past the deployment's bound on departures (new setting [bounds] drain) less 500 ms a list is late, and a request goes only to servers that have answered a request sent within that age and did not say that they leave. 150 to 350 ms earlier any router asks the store itself, without a long poll. While the store is away for all or for this router, and nobody tells of a newer list, the list is used on; an overloaded router doesn't take its own failed calls for that.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -170,6 +170,8 @@
     /// Revision of a newer server list, known from another router, in which the server is leaving
     /// or missing.
     pub withdrawn: Option<Revision>,
+    /// When the newest request was sent whose answer did not say that the server leaves.
+    pub proven_at: Option<Instant>,
     /// Prompt tokens that this router sent for prefill since its start.
     pub sent_tokens: u64,
     /// Requests that this router sent since its start.
@@ -209,6 +211,7 @@
             peer_load: Load::default(),
             expired_at: None,
             withdrawn: None,
+            proven_at: None,
             sent_tokens: 0,
             sent_requests: 0,
             arrivals: Arrivals::default(),
@@ -240,6 +243,13 @@
         !self.backend.leaving && self.withdrawn.is_none() && self.notice.allows(now)
     }
 
+    /// Returns whether an answer proves that the server was not leaving within `age` before now.
+    #[must_use]
+    pub fn is_proven(&self, now: Instant, age: Duration) -> bool {
+        self.proven_at
+            .is_some_and(|at| now.saturating_duration_since(at) <= age)
+    }
+
     /// Returns the load from all routers.
     #[must_use]
     pub fn load(&self) -> Load {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -40,6 +40,13 @@
 const ZONE_WATCHERS: usize = 2;
 /// Maximum servers tried for a request; an unreachable one costs the time of a connection attempt.
 const MAX_TRIED: usize = 4;
+/// Time before the greatest age of a server list at which a router asks the store itself: that of a
+/// call.
+const ASK_TIME: Duration = Duration::from_millis(150);
+/// Range of the further time by which routers ask earlier than others.
+const ASK_JITTER: Duration = Duration::from_millis(200);
+/// Number of steps in that range.
+const ASK_STEPS: u32 = 16;
 /// Number of reports that repeat a placement; it is unlikely that all of them are lost.
 const PLACEMENT_REPORTS: u32 = 3;
 
@@ -214,6 +221,55 @@
         &self.freshness
     }
 
+    /// Returns whether this router should ask the store for the servers itself, whoever reads for
+    /// its zone, since its list is old.
+    #[must_use]
+    pub fn list_is_due(&self, now: Instant) -> bool {
+        // Routers of a zone reach the age together; the answer to the first of them, which its next
+        // report tells, serves the others.
+        let jitter = ASK_JITTER * (self.own_hash.0 % ASK_STEPS) / ASK_STEPS;
+        let due = self.params.max_list_age().saturating_sub(ASK_TIME + jitter);
+        self.freshness.age(now).is_none_or(|age| age >= due)
+    }
+
+    /// Returns the time until the server list reaches its greatest age, unless it is confirmed.
+    #[must_use]
+    pub fn time_until_late(&self, now: Instant) -> Duration {
+        let max_age = self.params.max_list_age();
+        let age = self.freshness.age(now);
+        age.map_or(max_age, |age| max_age.saturating_sub(age))
+    }
+
+    /// Returns whether this router's server list is too old to decide alone where requests may go,
+    /// and there may be a newer one that it would learn of in time if it were not late itself.
+    ///
+    /// While the store is away and nobody tells of a newer list, there is nothing newer to know. An
+    /// overloaded router does not know that by its own calls, which its event loop delays.
+    #[must_use]
+    pub fn list_is_late(&self, now: Instant) -> bool {
+        let max_age = self.params.max_list_age();
+        if self.freshness.age(now).is_none_or(|age| age <= max_age) {
+            return false;
+        }
+        let newer = self.freshness.newer();
+        if newer.is_some_and(|n| now.saturating_duration_since(n.at) <= max_age) {
+            return true;
+        }
+        let recent = now.checked_sub(self.report_period() * EXPIRY_PERIODS);
+        let answered = now.checked_sub(max_age);
+        let told_outage = recent
+            .zip(answered)
+            .is_some_and(|(recent, answered)| self.peers.tell_outage(recent, answered));
+        let is_cut_off = self.store_failed_at.is_some() && !self.sheds();
+        !is_cut_off && !told_outage
+    }
+
+    /// Returns whether a server may receive requests, regardless of its load and health; `late`
+    /// tells whether the server list is.
+    fn is_open(&self, now: Instant, server: &Server, late: bool) -> bool {
+        server.is_open(now) && (!late || server.is_proven(now, self.params.max_list_age()))
+    }
+
     /// Replaces the parameters.
     pub fn set_params(&mut self, params: Params) {
         self.params = params;
@@ -535,6 +591,7 @@
             return;
         };
         server.own_load.pending_prefill = server.own_load.pending_prefill.saturating_sub(pending);
+        server.proven_at = server.proven_at.max(Some(attempt.sent_at));
         server.observe_prefill(prefill_tokens, took, rate);
         if server.health.record_success() {
             let deployment = self.config.deployment.as_ref();
@@ -643,9 +700,10 @@
     /// Returns whether a request may still be sent to a server for which it was placed.
     #[must_use]
     pub fn may_send(&self, now: Instant, key: ServerKey) -> bool {
-        self.registry
-            .get(key)
-            .is_some_and(|s| s.is_open(now) && !self.config.evacuated.contains(&s.backend.zone))
+        self.registry.get(key).is_some_and(|s| {
+            self.is_open(now, s, self.list_is_late(now))
+                && !self.config.evacuated.contains(&s.backend.zone)
+        })
     }
 
     /// Records the silence of a server on a request that can't be sent elsewhere.
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -128,6 +128,8 @@
     /// Tokens of the prompt's shared prefix.
     shared: u32,
     share: ShareStatus,
+    /// Whether the server list is too old to decide alone.
+    late: bool,
     /// Number of routers that share each limit, with this one.
     routers: u32,
     /// Number of those whose load is unknown, since they don't report.
@@ -276,6 +278,7 @@
                 .as_ref()
                 .map_or(0, Prompt::shared_tokens),
             share,
+            late: self.list_is_late(now),
             routers,
             demand: self.quota.requested_rate(now) / self.pressure.mean_charge().max(1.0),
             silent: routers.saturating_sub(u32::try_from(self.reporting + 1).unwrap_or(u32::MAX)),
@@ -430,7 +433,7 @@
         key: ServerKey,
         server: &Server,
     ) -> bool {
-        server.is_open(ctx.now)
+        self.is_open(ctx.now, server, ctx.late)
             && !self.config.evacuated.contains(&server.backend.zone)
             && !request.tried.contains(&key)
             && server.health.is_available(ctx.now)
--- a/crates/fleet/src/params.rs
+++ b/crates/fleet/src/params.rs
@@ -13,6 +13,9 @@
     pub cold_factor: f64,
     /// Requests per second that the limit allows in addition; from the deployment's bounds.
     pub cold_slack: f64,
+    /// Time after a server's departure from which no request may reach it; from the deployment's
+    /// bounds.
+    pub drain_bound: Duration,
     /// Window over which shares of throughput are computed; from the deployment's bounds.
     pub quota_window: Duration,
     /// Limit on retries; from the deployment's bounds.
@@ -44,6 +47,15 @@
         rate * self.cold_factor + self.cold_slack
     }
 
+    /// Returns the age from which a server list doesn't decide alone where requests may go.
+    #[must_use]
+    pub fn max_list_age(&self) -> Duration {
+        /// Time from the last look at the list to the request's bytes at the server: a turn of the
+        /// event loop of a flooded router.
+        const SEND_TIME: Duration = Duration::from_millis(500);
+        self.drain_bound.saturating_sub(SEND_TIME)
+    }
+
     /// Returns the data sheet's time per output token with `running` requests, given the fraction
     /// of time spent on prefill.
     #[must_use]
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -374,6 +374,19 @@
             .count()
     }
 
+    /// Returns whether all reports received since `since`, one at least, tell that the store has
+    /// not answered their senders since `answered`.
+    #[must_use]
+    pub fn tell_outage(&self, since: Instant, answered: Instant) -> bool {
+        let mut current = self
+            .states
+            .values()
+            .filter(|s| s.received_at >= since)
+            .peekable();
+        current.peek().is_some()
+            && current.all(|s| s.store_answered_at.is_none_or(|at| at < answered))
+    }
+
     /// Counts the routers of a zone accepted by `is_ahead` that the store answered since `since`.
     pub fn watchers(&self, zone: u32, since: Instant, is_ahead: impl Fn(u32) -> bool) -> usize {
         let states = self.states.iter();
--- a/crates/fleet/tests/all/freshness.rs
+++ b/crates/fleet/tests/all/freshness.rs
@@ -94,6 +94,160 @@
     assert_eq!(age(&follower, now), Some(Duration::from_secs(1)));
 }
 
+/// Returns whether any of many requests, whose callers leave at once, is sent to `e0`.
+fn uses_first_engine(fleet: &mut Fleet, now: Instant) -> bool {
+    (0..20).any(|key| {
+        let request = submission(key, 1, prompt(key, 10), now);
+        let decisions = fleet.handle(now, Event::Submit(request));
+        fleet.handle(now, Event::Ended(RequestKey(key), Outcome::Left));
+        sent_to(&decisions) == Some("e0")
+    })
+}
+
+/// Sends a request to each of two engines at `sent` and has `e0` answer it at `answered`.
+fn answer_by_first_engine(fleet: &mut Fleet, sent: Instant, answered: Instant) {
+    let first = (100..140).find(|key| {
+        let request = submission(*key, 1, prompt(*key, 10), sent);
+        let decisions = fleet.handle(sent, Event::Submit(request));
+        let is_first = sent_to(&decisions) == Some("e0");
+        if !is_first {
+            fleet.handle(sent, Event::Ended(RequestKey(*key), Outcome::Left));
+        }
+        is_first
+    });
+    let key = RequestKey(first.expect("the engines are idle"));
+    fleet.handle(answered, Event::FirstByte(key));
+    fleet.handle(answered, Event::Ended(key, Outcome::Answered));
+}
+
+/// Age at which a list is too old, with the bound of [`support::params`].
+const TOO_OLD: Duration = Duration::from_millis(1_600);
+
+#[test]
+fn late_list_allows_server_that_answered_since() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 2, start);
+    fleet.handle(start, Event::StoreAnswered);
+    confirm(&mut fleet, 1, start);
+    let sent = start + Duration::from_millis(400);
+    answer_by_first_engine(&mut fleet, sent, start + TOO_OLD);
+    assert!(uses_first_engine(&mut fleet, start + TOO_OLD));
+    // The answer counts from when its request was sent.
+    let old = sent + TOO_OLD;
+    assert!(!uses_first_engine(&mut fleet, old));
+}
+
+#[test]
+fn late_list_allows_no_server_that_said_it_leaves() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 2, start);
+    fleet.handle(start, Event::StoreAnswered);
+    confirm(&mut fleet, 1, start);
+    answer_by_first_engine(&mut fleet, start, start);
+    let mut servers = fleet.registry().of_service(support::ENGINES);
+    let first = servers.find(|(_, s)| s.id == "e0").map(|(key, _)| key);
+    let first = first.expect("it is registered");
+    drop(servers);
+    fleet.handle(start, Event::ServerLeaving(first));
+    assert!(!uses_first_engine(&mut fleet, start + TOO_OLD));
+}
+
+#[test]
+fn late_list_stops_request_before_it_is_sent() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 2, start);
+    fleet.handle(start, Event::StoreAnswered);
+    confirm(&mut fleet, 1, start);
+    let key = fleet.registry().of_service(support::ENGINES).next();
+    let key = key.map(|(key, _)| key).expect("one is registered");
+    assert!(fleet.may_send(start, key));
+    assert!(!fleet.may_send(start + TOO_OLD, key));
+}
+
+#[test]
+fn late_list_is_used_again_once_confirmed() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 2, start);
+    fleet.handle(start, Event::StoreAnswered);
+    confirm(&mut fleet, 1, start);
+    let now = start + TOO_OLD;
+    assert!(!uses_first_engine(&mut fleet, now));
+    confirm(&mut fleet, 1, now);
+    assert!(uses_first_engine(&mut fleet, now));
+}
+
+#[test]
+fn old_list_of_router_cut_off_from_store_is_used() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 2, start);
+    fleet.handle(start, Event::StoreAnswered);
+    confirm(&mut fleet, 1, start);
+    fleet.handle(start + Duration::from_secs(1), Event::StoreFailed);
+    assert!(uses_first_engine(
+        &mut fleet,
+        start + Duration::from_secs(9)
+    ));
+}
+
+#[test]
+fn old_list_is_used_while_reports_tell_outage() {
+    let start = Instant::now();
+    let mut reader = support::router("reader", 2, start);
+    let mut follower = support::router("follower", 2, start);
+    reader.handle(start, Event::StoreAnswered);
+    confirm(&mut reader, 1, start);
+    confirm(&mut follower, 1, start);
+    let now = start + Duration::from_secs(9);
+    reader.handle(now, Event::StoreFailed);
+    let report = reader.report(now, Scope::All);
+    follower.handle(now, Event::Report(report));
+    assert!(uses_first_engine(&mut follower, now));
+}
+
+#[test]
+fn old_list_is_late_while_reports_tell_of_newer_one() {
+    let start = Instant::now();
+    let mut reader = support::router("reader", 2, start);
+    let mut follower = support::router("follower", 2, start);
+    confirm(&mut follower, 1, start);
+    let now = start + TOO_OLD;
+    // It is cut off from the store, but not from the reader.
+    follower.handle(now, Event::StoreFailed);
+    reader.handle(now, Event::Servers(Revision(2), support::servers(2)));
+    confirm(&mut reader, 2, now);
+    let report = reader.report(now, Scope::All);
+    follower.handle(now, Event::Report(report));
+    assert!(!uses_first_engine(&mut follower, now));
+    follower.handle(now, Event::Servers(Revision(2), support::servers(2)));
+    assert!(uses_first_engine(&mut follower, now));
+}
+
+#[test]
+fn old_list_of_overloaded_router_is_late_though_its_calls_fail() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 2, start);
+    confirm(&mut fleet, 1, start);
+    let now = start + TOO_OLD;
+    for turn in 0..20 {
+        let at = start + Duration::from_millis(turn * 80);
+        fleet.handle(at, Event::LoopLag(Duration::from_millis(80)));
+    }
+    fleet.handle(now, Event::StoreFailed);
+    assert!(fleet.list_is_late(now));
+}
+
+#[test]
+fn list_is_due_before_it_is_late() {
+    let start = Instant::now();
+    let mut fleet = support::router("follower", 2, start);
+    assert!(fleet.list_is_due(start), "its age is unknown");
+    confirm(&mut fleet, 1, start);
+    assert!(!fleet.list_is_due(start + Duration::from_secs(1)));
+    let due = start + Duration::from_millis(1_400);
+    assert!(fleet.list_is_due(due));
+    assert!(!fleet.list_is_late(due));
+}
+
 /// Time that one turn of a flooded router's event loop takes.
 const TURN: Duration = Duration::from_millis(600);
 
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -10,9 +10,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hibiscusrail_fleet::Event;
 use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
+use hibiscusrail_fleet::{Event, Fleet};
 use serde::{Deserialize, Serialize};
 
 use crate::peers::{PeerLocation, Peers};
@@ -166,13 +166,31 @@
     }
 }
 
+/// Waits until this router should read the servers itself, or its list is old.
+async fn wait_until_servers_due(shell: &Shell) {
+    while !shell.with_fleet(|f| f.reads_store(shell.now()) || f.list_is_due(shell.now())) {
+        compio::time::sleep(WATCH_CHECK_INTERVAL).await;
+    }
+}
+
+/// Returns how long the store may hold the next long poll for the servers.
+///
+/// There is none after an outage or at a router that does not follow the store, as the current
+/// servers are needed at once, and a short one if the list would grow too old meanwhile.
+fn servers_wait(fleet: &Fleet, now: Instant, lost: bool) -> Duration {
+    if lost || !fleet.reads_store(now) {
+        return Duration::ZERO;
+    }
+    let left = fleet.time_until_late(now);
+    LONG_POLL.min(left)
+}
+
 /// Follows the servers' entries until the task is dropped.
 pub async fn follow_servers(shell: Rc<Shell>, store: Rc<impl Store>, peers: Rc<Peers>) {
     let mut link = StoreLink::new("servers");
     loop {
-        wait_until_watching(&shell).await;
-        // After an outage there is no long poll: the current servers are needed at once.
-        let wait = if link.lost { Duration::ZERO } else { LONG_POLL };
+        wait_until_servers_due(&shell).await;
+        let wait = shell.with_fleet(|f| servers_wait(f, shell.now(), link.lost));
         let sent = shell.now();
         let call = store.servers(wait);
         if let Some(table) = link.call(&shell, wait + RESPONSE_TIMEOUT, call).await {
