fleet: let plain answers prove a server, and keep what reports told of its departure

Callers of services without streams would have been refused whole while the server list is late: only streams' first bytes proved that a server does not leave. An answer, also a failure, now does.

A newer list that lacks a server which is kept after an outage took back what a report had told of its departure, until the next report (DRAIN). Only a list that has the server does now.

late_list_allows_plain_server_that_answered and list_without_kept_server_leaves_it_withdrawn failed before.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -243,6 +243,11 @@
         !self.backend.leaving && self.withdrawn.is_none() && self.notice.allows(now)
     }
 
+    /// Records that the server has answered a request that was sent at this time.
+    pub fn record_proof(&mut self, sent_at: Instant) {
+        self.proven_at = self.proven_at.max(Some(sent_at));
+    }
+
     /// Returns whether an answer proves that the server was not leaving within `age` before now.
     #[must_use]
     pub fn is_proven(&self, now: Instant, age: Duration) -> bool {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -597,7 +597,7 @@
             return;
         };
         server.own_load.pending_prefill = server.own_load.pending_prefill.saturating_sub(pending);
-        server.proven_at = server.proven_at.max(Some(attempt.sent_at));
+        server.record_proof(attempt.sent_at);
         server.observe_prefill(prefill_tokens, took, rate);
         if server.health.record_success() {
             let deployment = self.config.deployment.as_ref();
@@ -643,6 +643,9 @@
             return;
         };
         self.record_outcome(now, attempt.server, outcome);
+        if matches!(outcome, Outcome::Answered | Outcome::Failed) {
+            self.record_proof(&attempt);
+        }
         self.judge_parts(now, key, &attempt, outcome);
         match outcome {
             Outcome::Answered | Outcome::Left => {
@@ -703,6 +706,13 @@
         }
     }
 
+    /// Records that a server has answered an attempt; what the answer said of it is known before.
+    fn record_proof(&mut self, attempt: &Attempt) {
+        if let Some(server) = self.registry.get_mut(attempt.server) {
+            server.record_proof(attempt.sent_at);
+        }
+    }
+
     /// Returns whether a request may still be sent to a server for which it was placed.
     #[must_use]
     pub fn may_send(&self, now: Instant, key: ServerKey) -> bool {
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -123,7 +123,10 @@
         self.departed
             .retain(|_, d| now.saturating_duration_since(d.removed_at) < DEPARTED_TTL);
         for server in self.servers.values_mut() {
-            server.withdrawn = server.withdrawn.filter(|newer| *newer > revision);
+            let listed = servers.contains_key(&server.id);
+            server.withdrawn = server
+                .withdrawn
+                .filter(|newer| !listed || *newer > revision);
         }
         for (id, backend) in servers {
             match self.by_id.get(id).copied() {
--- a/crates/fleet/tests/all/departures.rs
+++ b/crates/fleet/tests/all/departures.rs
@@ -182,3 +182,22 @@
     follower.handle(ended, Event::Report(report));
     assert!(!uses_first_engine(&mut follower, ended));
 }
+
+// Guards against DRAIN broken by a server that is kept after an outage: a newer list that lacks it
+// too took back what a report had told of its departure.
+#[test]
+fn list_without_kept_server_leaves_it_withdrawn() {
+    let start = Instant::now();
+    let mut reader = support::router("reader", 2, start);
+    let mut fleet = support::router("follower", 2, start);
+    fleet.handle(start, Event::StoreFailed);
+    let back = start + Duration::from_secs(4);
+    fleet.handle(back, Event::StoreAnswered);
+    fleet.handle(back, Event::Servers(Revision(2), removed()));
+    reader.handle(back, Event::Servers(Revision(3), removed()));
+    let report = reader.report(back, Scope::All);
+    fleet.handle(back, Event::Report(report));
+    assert!(!uses_first_engine(&mut fleet, back));
+    fleet.handle(back, Event::Servers(Revision(4), removed()));
+    assert!(!uses_first_engine(&mut fleet, back));
+}
--- a/crates/fleet/tests/all/freshness.rs
+++ b/crates/fleet/tests/all/freshness.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::freshness::{Confirmation, Source};
-use hibiscusrail_fleet::objects::Revision;
+use hibiscusrail_fleet::objects::{Repeat, Revision};
 use hibiscusrail_fleet::peers::Scope;
 use hibiscusrail_fleet::{Event, Fleet, Outcome, RequestKey};
 
@@ -278,3 +278,22 @@
         }
     }
 }
+
+// Guards against services without streams that are refused whole while the list is late: their
+// answers proved nothing.
+#[test]
+fn late_list_allows_plain_server_that_answered() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 2, start);
+    fleet.handle(start, Event::StoreAnswered);
+    confirm(&mut fleet, 1, start);
+    let sent = start + Duration::from_millis(400);
+    let request = support::plain(1, Repeat::Idempotent, sent);
+    let decisions = fleet.handle(sent, Event::Submit(request));
+    let server = sent_to(&decisions).expect("it is sent").to_owned();
+    let ended = Event::Ended(RequestKey(1), Outcome::Answered);
+    fleet.handle(start + TOO_OLD, ended);
+    let request = support::plain(2, Repeat::Idempotent, start + TOO_OLD);
+    let decisions = fleet.handle(start + TOO_OLD, Event::Submit(request));
+    assert_eq!(sent_to(&decisions), Some(server.as_str()));
+}
