--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -193,8 +193,8 @@
     let body = "x".repeat(BODY_BYTES);
     format!(
         "POST /route{}/2f HTTP/1.1\r\nhost: host.example\r\nx-id: 9c41d07be2a3{number:04x}\r\n\
-         model: m\r\ntoken-usage: 1460,80\r\n\
-         prompt-prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nx-wait-ms: 12000\r\n\
+         x-model: m\r\nx-usage: 1460,80\r\n\
+         x-prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nx-wait-ms: 12000\r\n\
          authorization: Bearer key{}\r\ncontent-type: application/json\r\n\
          user-agent: caller/1.0\r\naccept: text/event-stream\r\n\
          content-length: {BODY_BYTES}\r\n\r\n{body}",
@@ -209,9 +209,9 @@
     let request = http::Request::post("/route1/2f")
         .header("host", "host.example")
         .header("x-id", "9c41d07be2a35f68")
-        .header("model", "m")
-        .header("token-usage", "1460,80")
-        .header("prompt-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+        .header("x-model", "m")
+        .header("x-usage", "1460,80")
+        .header("x-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
         .header("x-wait-ms", "12000")
         .header("authorization", "Bearer key1")
         .header("content-length", BODY_BYTES);
