--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -134,7 +134,8 @@
     }
 }
 
-fn shell() -> Rc<Shell> {
+/// Returns a router without servers.
+fn empty_shell() -> Rc<Shell> {
     let settings = FrontSettings::parse("bench", SETTINGS).expect("the settings are valid");
     let shell = Rc::new(Shell::new(settings, protocol(), Box::new(SystemClock)));
     let config = OperatorConfig {
@@ -142,6 +143,11 @@
         evacuated: BTreeSet::new(),
     };
     shell.handle(Event::Config(Revision(1), config));
+    shell
+}
+
+fn shell() -> Rc<Shell> {
+    let shell = empty_shell();
     let engine = |number: u16| Backend {
         service: "engines".to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
@@ -233,8 +239,37 @@
     refused
 }
 
+/// Like [`call`] on one connection, which each response has to leave open.
+fn call_kept(address: SocketAddr, count: usize) -> usize {
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    let mut buffer = [0; 4_096];
+    let mut refused = 0;
+    for number in 0..count {
+        stream.write_all(&request(number)).expect("it is open");
+        let mut response = Vec::new();
+        // The bodies end in a newline, and heads in a whole line end.
+        while !response.ends_with(b"\n") || response.ends_with(b"\r\n") {
+            let read = stream.read(&mut buffer).expect("it is open");
+            assert!(read > 0, "the connection is closed");
+            response.extend_from_slice(&buffer[..read]);
+        }
+        refused += usize::from(response.starts_with(b"HTTP/1.1 503"));
+    }
+    refused
+}
+
 /// Serves `count` requests and prints the processor time of one.
 fn measure(name: &str, count: usize, shell: &Rc<Shell>, handler: Option<Handler>) {
+    measure_calls(call, name, count, shell, handler);
+}
+
+fn measure_calls(
+    call: fn(SocketAddr, usize) -> usize,
+    name: &str,
+    count: usize,
+    shell: &Rc<Shell>,
+    handler: Option<Handler>,
+) {
     let runtime = compio::runtime::Runtime::new().expect("the event loop is created");
     runtime.block_on(async {
         let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback is up");
@@ -351,6 +386,9 @@
     );
     overload::install(&shell);
     measure("a refusal at the head", count, &shell, Some(handler));
+    let empty = empty_shell();
+    let handler = caller::handler(&empty);
+    measure_calls(call_kept, "kept: no server", count, &empty, Some(handler));
     overload(&shell);
     time("reducer: a refused stream", count, |key| {
         let submission = submission(&shell, key);
