front: count what a late event loop does, and callers' connections

A router that a wave of one workspace floods refuses nearly all of it, and neither the metrics nor the lines said what filled its loop: refusals, streams under way, reports, the store.

Events of the loop are now counted by kind of work, with the reducer's time and the loop's lateness for them; loop_late logs them once a second while the loop is late. Callers' connections are counted by what was done with them, and those that the system drops for a full accept queue, which nothing counted. Time for reading and writing bytes is not split: process_cpu_seconds_total has all of it.

A test compares the metrics page with docs/METRICS.md.

--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,8 +4,8 @@
 //! [`caller`] serves callers, [`upstream`] sends attempts to backend servers and [`answer`] relays
 //! response streams; [`shell`] passes their events to the reducer and returns its decisions.
 //! [`peers`] exchanges reports with the other routers, [`watch`] follows the store through the
-//! [`Store`](watch::Store) that the deployment's adapter implements, and [`protocol`] holds the
-//! deployment's header names.
+//! [`Store`](watch::Store) that the deployment's adapter implements, [`work`] counts what the event
+//! loop does, and [`protocol`] holds the deployment's header names.
 
 pub mod answer;
 pub mod caller;
@@ -20,5 +20,6 @@
 pub mod stop;
 pub mod upstream;
 pub mod watch;
+pub mod work;
 
 pub use start::{StartError, run};
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -1,14 +1,17 @@
 //! Prometheus metrics of the daemon.
 
+use std::fs;
 use std::time::Duration;
 
 use hibiscusrail_fleet::event::Exclusions;
 use hibiscusrail_net::process::ProcessMetrics;
 use prometheus::{
-    Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    CounterVec, Encoder, Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry, TextEncoder,
 };
 
+use crate::work::Work;
+
 /// Upper bounds of the latency histograms in seconds: 5 ms to 12 s.
 const LATENCY_BUCKETS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 12.0];
 
@@ -29,6 +32,11 @@
     ready: IntGauge,
     revision: IntGauge,
     loop_lag: Gauge,
+    work: IntCounterVec,
+    work_time: CounterVec,
+    work_late: CounterVec,
+    accepted: IntCounterVec,
+    overflows: IntCounter,
 }
 
 impl Default for Metrics {
@@ -42,6 +50,21 @@
     register(registry, counters)
 }
 
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("the name is valid");
+    register(registry, counter)
+}
+
+fn seconds_gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::new(name, help).expect("the name is valid");
+    register(registry, gauge)
+}
+
+fn seconds(registry: &Registry, name: &str, help: &str) -> CounterVec {
+    let counters = CounterVec::new(Opts::new(name, help), &["work"]).expect("the name is valid");
+    register(registry, counters)
+}
+
 fn histograms(registry: &Registry, name: &str, help: &str) -> HistogramVec {
     let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
     let histograms = HistogramVec::new(options, &["service"]).expect("the name is valid");
@@ -96,10 +119,10 @@
                 "hibiscusrail_request_seconds",
                 "Time from a request's head to its end.",
             ),
-            attempts: register(
+            attempts: counter(
                 &r,
-                IntCounter::new("hibiscusrail_attempts_total", "Requests sent to servers.")
-                    .expect("the name is valid"),
+                "hibiscusrail_attempts_total",
+                "Requests sent to servers.",
             ),
             exclusions: counters(
                 &r,
@@ -135,13 +158,37 @@
                 "hibiscusrail_orders_revision",
                 "Revision of the operator's orders in force.",
             ),
-            loop_lag: register(
+            loop_lag: seconds_gauge(
+                &r,
+                "hibiscusrail_loop_late_seconds",
+                "Mean lateness of the loop; new connections go elsewhere while it is high.",
+            ),
+            work: counters(
                 &r,
-                Gauge::new(
-                    "hibiscusrail_loop_late_seconds",
-                    "Mean lateness of the loop; new connections go elsewhere while it is high.",
-                )
-                .expect("the name is valid"),
+                "hibiscusrail_loop_work_total",
+                "Events that the loop handled, by kind of work.",
+                &["work"],
+            ),
+            work_time: seconds(
+                &r,
+                "hibiscusrail_loop_work_seconds_total",
+                "Time of the reducer and its decisions, by kind of work.",
+            ),
+            work_late: seconds(
+                &r,
+                "hibiscusrail_loop_work_late_seconds_total",
+                "Sum of the loop's lateness when each event was handled, by kind of work.",
+            ),
+            accepted: counters(
+                &r,
+                "hibiscusrail_accepted_connections_total",
+                "Callers' connections accepted, by outcome.",
+                &["outcome"],
+            ),
+            overflows: counter(
+                &r,
+                "hibiscusrail_accept_queue_overflows_total",
+                "Connections to this host that the system dropped for a full accept queue.",
             ),
             registry: r,
         }
@@ -204,6 +251,28 @@
         self.loop_lag.set(lag.as_secs_f64());
     }
 
+    /// Sets the counters of the event loop's work and of the callers' connections.
+    #[allow(clippy::cast_precision_loss)]
+    pub fn set_work(&self, work: &Work) {
+        for (kind, amount) in work.amounts() {
+            let labels = [kind.name()];
+            let counter = self.work.with_label_values(&labels);
+            counter.inc_by(amount.count.saturating_sub(counter.get()));
+            let counter = self.work_time.with_label_values(&labels);
+            counter.inc_by((amount.time.as_secs_f64() - counter.get()).max(0.0));
+            let counter = self.work_late.with_label_values(&labels);
+            counter.inc_by((amount.late.as_secs_f64() - counter.get()).max(0.0));
+        }
+        for (outcome, count) in work.accepted().by_outcome() {
+            let counter = self.accepted.with_label_values(&[outcome]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+        if let Some(count) = accept_overflows() {
+            let counter = &self.overflows;
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     /// Sets the gauges to the given values and returns all metrics in the text format.
     #[must_use]
     pub fn render(&self, running: usize, ready: bool, revision: u64) -> Vec<u8> {
@@ -219,6 +288,17 @@
     }
 }
 
+/// Returns how many connections the system dropped since its start because the queue of a listener
+/// was full; none if it does not report it.
+fn accept_overflows() -> Option<u64> {
+    let text = fs::read_to_string("/proc/net/netstat").ok()?;
+    let mut lines = text.lines().filter_map(|l| l.strip_prefix("TcpExt:"));
+    let (names, values) = (lines.next()?, lines.next()?);
+    let mut fields = names.split_whitespace().zip(values.split_whitespace());
+    let (_, value) = fields.find(|(name, _)| *name == "ListenOverflows")?;
+    value.parse().ok()
+}
+
 fn register_process(registry: &Registry) {
     registry
         .register(Box::new(ProcessMetrics::new()))
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
 use crate::refusal;
+use crate::work::{Kind, Work};
 
 /// Maximum idle time of reused connections; servers close theirs after a whole number of seconds.
 const MAX_IDLE: Duration = Duration::from_millis(900);
@@ -69,6 +70,7 @@
     pool: Rc<Pool<OwnedConnection>>,
     metrics: Metrics,
     connections: Rc<Connections>,
+    work: Work,
     next_key: Cell<u64>,
     /// Signals that an incremental report is due.
     report_tx: RefCell<mpsc::Sender<()>>,
@@ -90,7 +92,11 @@
         let params = settings.params.clone();
         let name = protocol.request_id.clone();
         let refuse = move |headers: &HeaderMap| refusal::too_many_connections(headers.get(&name));
-        let connections = Connections::new().with_refusal(Rc::new(refuse));
+        let work = Work::new(clock.now());
+        let accepted = Rc::clone(work.accepted());
+        let connections = Connections::new()
+            .with_refusal(Rc::new(refuse))
+            .with_on_accept(Rc::new(move |kind| accepted.add(kind)));
         let (report_tx, report_rx) = mpsc::channel(0);
         let fleet = Fleet::new(&settings.name, clock.epoch_ms(), params, clock.now());
         Self {
@@ -101,6 +107,7 @@
             pool: Rc::new(Pool::new().with_max_idle(MAX_IDLE)),
             metrics: Metrics::new(),
             connections: Rc::new(connections),
+            work,
             next_key: Cell::new(0),
             report_tx: RefCell::new(report_tx),
             report_rx: Cell::new(Some(report_rx)),
@@ -157,6 +164,12 @@
         &self.connections
     }
 
+    /// Returns the counts of the event loop's work.
+    #[must_use]
+    pub fn work(&self) -> &Work {
+        &self.work
+    }
+
     /// Returns whether more than half of the allowed callers' connections are open.
     #[must_use]
     pub fn connections_half_full(&self) -> bool {
@@ -225,8 +238,17 @@
 
     /// Passes an event to the reducer and returns the decision on a request, if there is one.
     pub fn handle(&self, event: Event) -> Option<NextStep> {
+        let began = self.now();
+        let kind = Kind::of(&event);
+        let step = self.decide(began, event);
+        let time = self.now().saturating_duration_since(began);
+        self.work.add(kind.with_step(step.as_ref()), time);
+        step
+    }
+
+    fn decide(&self, now: Instant, event: Event) -> Option<NextStep> {
         let is_config = matches!(event, Event::Config(..));
-        let decisions = self.fleet.borrow_mut().handle(self.now(), event);
+        let decisions = self.fleet.borrow_mut().handle(now, event);
         if is_config && let Some(deployment) = &self.fleet.borrow().config().deployment {
             self.connections.set_head_timeout(deployment.limits.idle);
         }
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -202,6 +202,7 @@
         shell
             .metrics()
             .set_connections(shell.connections().open_count());
+        shell.metrics().set_work(shell.work());
         let page = shell.metrics().render(running, shell.is_ready(), revision);
         std::future::ready(Response::new(full(page))).boxed_local()
     })
@@ -213,6 +214,7 @@
         let due = shell.now() + LAG_INTERVAL;
         compio::time::sleep(LAG_INTERVAL).await;
         let lag = shell.now().saturating_duration_since(due);
+        shell.work().set_lag(shell.now(), lag);
         shell.handle(Event::LoopLag(lag));
     }
 }
--- /dev/null
+++ b/crates/front/src/work.rs
@@ -0,0 +1,241 @@
+//! Counts what the event loop works on and how late it is.
+//!
+//! A router that is short of processor time shows by these counts which work fills its loop. They
+//! cost two readings of the clock for each event.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::Event;
+use hibiscusrail_net::server::Accepted;
+
+use crate::shell::{NextStep, millis};
+
+/// Lag from which a second of the loop's work is logged: a quarter of 120 ms, the shortest bound on
+/// forwarding an event.
+const LOGGED_LAG: Duration = Duration::from_millis(30);
+/// Minimum time between two log lines about the loop's work.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Kind of work of the event loop.
+#[hibiscusrail_macros::id]
+pub enum Kind {
+    /// A request was refused by the reducer.
+    Refusal,
+    /// A request was sent to a server.
+    Start,
+    /// A stream went on, or an attempt ended.
+    Stream,
+    /// Another router's report was applied.
+    Report,
+    /// The store answered, or a call to it failed.
+    Store,
+    /// Timers and measurements.
+    Other,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 6] = [
+        Self::Refusal,
+        Self::Start,
+        Self::Stream,
+        Self::Report,
+        Self::Store,
+        Self::Other,
+    ];
+
+    /// Returns the label of the metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Refusal => "refusal",
+            Self::Start => "start",
+            Self::Stream => "stream",
+            Self::Report => "report",
+            Self::Store => "store",
+            Self::Other => "other",
+        }
+    }
+
+    /// Returns the kind of an event, as far as it is known before the reducer decides.
+    #[must_use]
+    pub fn of(event: &Event) -> Self {
+        match event {
+            Event::Submit(_) => Self::Start,
+            Event::FirstByte(_)
+            | Event::StreamProgress { .. }
+            | Event::Ended(..)
+            | Event::ServerSilent(_)
+            | Event::ServerLeaving(_)
+            | Event::ServerRate(..)
+            | Event::ServerThrottled(..) => Self::Stream,
+            Event::Report(_) => Self::Report,
+            Event::Config(..)
+            | Event::Servers(..)
+            | Event::StoreAnswered
+            | Event::StoreFailed
+            | Event::ServersUnchanged
+            | Event::Members(_) => Self::Store,
+            Event::LoopLag(_) | Event::Tick => Self::Other,
+        }
+    }
+
+    /// Returns the kind of an event after the decision on it.
+    #[must_use]
+    pub fn with_step(self, step: Option<&NextStep>) -> Self {
+        match step {
+            Some(NextStep::Fail(_)) => Self::Refusal,
+            Some(NextStep::Send(_)) => Self::Start,
+            None => self,
+        }
+    }
+}
+
+/// Amount of one kind of work.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Amount {
+    /// Number of events.
+    pub count: u64,
+    /// Time in the reducer and for carrying out its decisions; the bytes around them are not in it.
+    pub time: Duration,
+    /// Sum of the loop's lag, as last measured, when each event was handled.
+    pub late: Duration,
+}
+
+/// Work of the event loop since the start, and in the current second.
+#[derive(Debug)]
+pub struct Work {
+    amounts: Cell<[Amount; Kind::ALL.len()]>,
+    accepted: Rc<AcceptCounts>,
+    lag: Cell<Duration>,
+    max_lag: Cell<Duration>,
+    logged: Cell<Logged>,
+}
+
+/// State at the last log line.
+#[derive(Debug, Clone, Copy)]
+struct Logged {
+    at: Instant,
+    amounts: [Amount; Kind::ALL.len()],
+    served: u64,
+    turned_away: u64,
+}
+
+/// Connections accepted from callers, by what was done with them.
+#[derive(Debug, Default)]
+pub struct AcceptCounts {
+    served: Cell<u64>,
+    refused: Cell<u64>,
+    closed: Cell<u64>,
+}
+
+impl AcceptCounts {
+    /// Counts a connection.
+    pub fn add(&self, accepted: Accepted) {
+        let counter = match accepted {
+            Accepted::Served => &self.served,
+            Accepted::Refused => &self.refused,
+            Accepted::Closed => &self.closed,
+        };
+        counter.set(counter.get() + 1);
+    }
+
+    /// Returns the counts by the label of the metrics.
+    #[must_use]
+    pub fn by_outcome(&self) -> [(&'static str, u64); 3] {
+        [
+            ("served", self.served.get()),
+            ("refused", self.refused.get()),
+            ("closed", self.closed.get()),
+        ]
+    }
+}
+
+impl Work {
+    /// Creates counts of zero.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        let amounts = [Amount::default(); Kind::ALL.len()];
+        Self {
+            amounts: Cell::new(amounts),
+            accepted: Rc::default(),
+            lag: Cell::default(),
+            max_lag: Cell::default(),
+            logged: Cell::new(Logged {
+                at: now,
+                amounts,
+                served: 0,
+                turned_away: 0,
+            }),
+        }
+    }
+
+    /// Returns the counts of accepted connections.
+    #[must_use]
+    pub fn accepted(&self) -> &Rc<AcceptCounts> {
+        &self.accepted
+    }
+
+    /// Counts an event that took `time`.
+    pub fn add(&self, kind: Kind, time: Duration) {
+        let mut amounts = self.amounts.get();
+        let amount = &mut amounts[kind as usize];
+        amount.count += 1;
+        amount.time += time;
+        amount.late += self.lag.get();
+        self.amounts.set(amounts);
+    }
+
+    /// Returns the amounts since the start.
+    #[must_use]
+    pub fn amounts(&self) -> [(Kind, Amount); Kind::ALL.len()] {
+        let amounts = self.amounts.get();
+        Kind::ALL.map(|kind| (kind, amounts[kind as usize]))
+    }
+
+    /// Records the loop's lag; logs the work of the last second if the lag was high in it.
+    pub fn set_lag(&self, now: Instant, lag: Duration) {
+        self.lag.set(lag);
+        self.max_lag.set(self.max_lag.get().max(lag));
+        let before = self.logged.get();
+        let elapsed = now.saturating_duration_since(before.at);
+        if elapsed < LOG_INTERVAL {
+            return;
+        }
+        let amounts = self.amounts.get();
+        let [(_, served), (_, refused), (_, closed)] = self.accepted.by_outcome();
+        let turned_away = refused + closed;
+        self.logged.set(Logged {
+            at: now,
+            amounts,
+            served,
+            turned_away,
+        });
+        let max_lag = self.max_lag.take();
+        if max_lag < LOGGED_LAG {
+            return;
+        }
+        let count = |kind: Kind| amounts[kind as usize].count - before.amounts[kind as usize].count;
+        let time =
+            |kind: Kind| millis(amounts[kind as usize].time - before.amounts[kind as usize].time);
+        log::info!(
+            over_ms = millis(elapsed),
+            late_ms = millis(max_lag),
+            refusals = count(Kind::Refusal),
+            refusal_ms = time(Kind::Refusal),
+            starts = count(Kind::Start),
+            start_ms = time(Kind::Start),
+            streams = count(Kind::Stream),
+            stream_ms = time(Kind::Stream),
+            reports = count(Kind::Report),
+            report_ms = time(Kind::Report),
+            store = count(Kind::Store),
+            store_ms = time(Kind::Store),
+            accepted = served - before.served,
+            turned_away = turned_away - before.turned_away;
+            "loop_late"
+        );
+    }
+}
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod metrics;
 mod notices;
 mod requests;
 mod streams;
