--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod crowded_router;
 mod departures;
 mod engines;
+mod flooded_router;
 mod flooded_zone;
 mod incremental_reports;
 mod kv_transfers;
