--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod crowded_router;
 mod departures;
 mod engines;
+mod flooded_router;
 mod flooded_zone;
 mod freshness;
 mod incremental_reports;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -9,10 +9,12 @@
 use hibiscusrail_net::process::ProcessMetrics;
 use hibiscusrail_net::server::{AcceptEvent, Accepted};
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry, TextEncoder,
+    CounterVec, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+    IntGauge, Opts, Registry, TextEncoder,
 };
 
+use crate::work::Work;
+
 /// Upper bounds of the latency histograms in seconds: 5 ms to 12 s.
 const LATENCY_BUCKETS: [f64; 11] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 12.0];
 
@@ -62,6 +64,51 @@
     revision: IntGauge,
     loop_lag: Gauge,
     list_age: Histogram,
+    work: WorkMetrics,
+}
+
+/// Counters of the event loop's work, by its kind.
+#[derive(Debug)]
+struct WorkMetrics {
+    count: IntCounterVec,
+    time: CounterVec,
+    late: CounterVec,
+}
+
+impl WorkMetrics {
+    fn new(registry: &Registry) -> Self {
+        Self {
+            count: counters(
+                registry,
+                "hibiscusrail_loop_work_total",
+                "Events that the loop handled, by kind of work.",
+                &["work"],
+            ),
+            time: seconds(
+                registry,
+                "hibiscusrail_loop_work_seconds_total",
+                "Time of the reducer and its decisions, by kind of work.",
+            ),
+            late: seconds(
+                registry,
+                "hibiscusrail_loop_work_late_seconds_total",
+                "Sum of the loop's lateness when each event was handled, by kind of work.",
+            ),
+        }
+    }
+
+    #[allow(clippy::cast_precision_loss)]
+    fn set(&self, work: &Work) {
+        for (kind, amount) in work.amounts() {
+            let labels = [kind.name()];
+            let counter = self.count.with_label_values(&labels);
+            counter.inc_by(amount.count.saturating_sub(counter.get()));
+            let counter = self.time.with_label_values(&labels);
+            counter.inc_by((amount.time.as_secs_f64() - counter.get()).max(0.0));
+            let counter = self.late.with_label_values(&labels);
+            counter.inc_by((amount.late.as_secs_f64() - counter.get()).max(0.0));
+        }
+    }
 }
 
 impl Default for Metrics {
@@ -75,6 +122,21 @@
     register(registry, counters)
 }
 
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(name, help).expect("the name is valid");
+    register(registry, counter)
+}
+
+fn seconds_gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::new(name, help).expect("the name is valid");
+    register(registry, gauge)
+}
+
+fn seconds(registry: &Registry, name: &str, help: &str) -> CounterVec {
+    let counters = CounterVec::new(Opts::new(name, help), &["work"]).expect("the name is valid");
+    register(registry, counters)
+}
+
 fn histograms(registry: &Registry, name: &str, help: &str) -> HistogramVec {
     let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec());
     let histograms = HistogramVec::new(options, &["service"]).expect("the name is valid");
@@ -129,10 +191,10 @@
                 "hibiscusrail_request_seconds",
                 "Time from a request's head to its end.",
             ),
-            attempts: register(
+            attempts: counter(
                 &r,
-                IntCounter::new("hibiscusrail_attempts_total", "Requests sent to servers.")
-                    .expect("the name is valid"),
+                "hibiscusrail_attempts_total",
+                "Requests sent to servers.",
             ),
             exclusions: counters(
                 &r,
@@ -182,14 +244,12 @@
                 "hibiscusrail_orders_revision",
                 "Revision of the operator's orders in force.",
             ),
-            loop_lag: register(
+            loop_lag: seconds_gauge(
                 &r,
-                Gauge::new(
-                    "hibiscusrail_loop_late_seconds",
-                    "Mean lateness of the loop; new connections go elsewhere while it is high.",
-                )
-                .expect("the name is valid"),
+                "hibiscusrail_loop_late_seconds",
+                "Mean lateness of the loop; new connections go elsewhere while it is high.",
             ),
+            work: WorkMetrics::new(&r),
             refusals: RefCell::default(),
             list_age: register(
                 &r,
@@ -306,6 +366,11 @@
         self.loop_lag.set(lag.as_secs_f64());
     }
 
+    /// Sets the counters of the event loop's work.
+    pub fn set_work(&self, work: &Work) {
+        self.work.set(work);
+    }
+
     /// Sets the gauges to the given values and returns all metrics in the text format.
     #[must_use]
     pub fn render(&self, running: usize, ready: bool, revision: u64) -> Vec<u8> {
--- a/crates/front/src/overload.rs
+++ b/crates/front/src/overload.rs
@@ -20,6 +20,7 @@
 use crate::metrics::RefusalCounters;
 use crate::refusal;
 use crate::shell::{Shell, millis};
+use crate::work::Kind;
 
 /// A requested stream, as far as its head says.
 pub struct StreamDemand {
@@ -59,6 +60,8 @@
         let wait = shell.with_fleet_mut(|f| f.overloaded(now, self.workspace, prompt))?;
         let id = headers.get(&shell.protocol().request_id);
         self.counters.count();
+        let time = shell.now().saturating_duration_since(now);
+        shell.work().add(Kind::Refusal, time);
         if logs::has_token() {
             let (late, share) =
                 shell.with_fleet_mut(|f| (f.loop_lag(), f.workspace_share(now, self.workspace)));
