front: add failing tests of servers that are silent and go on

Callers saw a stream that was cut, or a 502, beside a server that was silent for a second or so: the router gave up the attempt first and only then looked for another server. The tests run a router over real sockets against a server that is silent for 900 ms, beside one that refuses connections.

All three fail on this code: the stream ends after its first event, and both other requests get a 502.

--- a/crates/front/tests/all/answers.rs
+++ b/crates/front/tests/all/answers.rs
@@ -147,3 +147,18 @@
         assert_eq!(server.received().len(), 2, "both attempts were silent");
     });
 }
+
+/// Guards against a 502 for a request whose server is silent and goes on, as no other one is left.
+#[test]
+fn response_after_silence_is_relayed_if_no_other_server_is_left() {
+    run(async {
+        let act = Act::Pause(String::new(), full_response("200 OK", "body"));
+        let server = Server::start(vec![act]);
+        let front = Front::start(&[&server, &Server::unreachable()]);
+        for _ in 0..2 {
+            let response = front.call("/again/x", "").await;
+            assert_eq!(status(&response), 200, "{response}");
+        }
+        assert_eq!(server.received().len(), 2);
+    });
+}
--- a/crates/front/tests/all/streams.rs
+++ b/crates/front/tests/all/streams.rs
@@ -155,3 +155,41 @@
         }
     });
 }
+
+/// Guards against a stream that is cut since the only server that could replace its silent one is
+/// unreachable.
+#[test]
+fn stream_silent_is_not_cut_if_replacement_is_unreachable() {
+    run(async {
+        let pause = Act::Pause(
+            STREAM_HEAD.to_owned() + &chunk(&event(1)),
+            chunk(&event(2)) + STREAM_END,
+        );
+        let server = Server::start(vec![pause]);
+        let front = Front::start(&[&server, &Server::unreachable()]);
+        for _ in 0..2 {
+            let response = front.call("/resume/x", "").await;
+            assert!(response.contains(&event(2)), "{response}");
+            assert!(response.ends_with(STREAM_END), "{response}");
+        }
+        assert_eq!(server.received().len(), 2);
+    });
+}
+
+/// Guards against a stream without an answer since its server was silent before the first event.
+#[test]
+fn stream_silent_before_first_event_is_not_cut_if_replacement_is_unreachable() {
+    run(async {
+        let pause = Act::Pause(
+            String::new(),
+            STREAM_HEAD.to_owned() + &chunk(&event(1)) + STREAM_END,
+        );
+        let server = Server::start(vec![pause]);
+        let front = Front::start(&[&server, &Server::unreachable()]);
+        for _ in 0..2 {
+            let response = front.call("/resume/x", "").await;
+            assert_eq!(status(&response), 200, "{response}");
+            assert!(response.ends_with(STREAM_END), "{response}");
+        }
+    });
+}
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -69,6 +69,16 @@
         server
     }
 
+    /// Returns a server that refuses connections.
+    pub fn unreachable() -> Self {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback is up");
+        Self {
+            address: listener.local_addr().expect("the listener is bound"),
+            received: Rc::default(),
+            disconnects: Rc::default(),
+        }
+    }
+
     /// Returns the requests received, each with its body.
     pub fn received(&self) -> Vec<String> {
         self.received.borrow().clone()
