fleet: don't take a deadline for the silence of a server

An engine that was sending was counted as unreachable, paused and probed, since streams from it had reached their deadlines: an attempt that was not complete at its deadline ended as Silent, like one whose server had sent nothing for too long. Streams of other callers could then not be replaced or resumed there.

The outcome is Expired now. It counts against a server only for a request that has not started and may not be repeated: silence on all others is reported when it begins. expired_stream_does_not_count_against_server fails on the code before (NoServer); expired_request_that_may_not_repeat_counts_against_server guards the other side.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -57,7 +57,7 @@
     /// The connection was lost, or the answer was incomplete or not that server's to this request.
     Broken,
     /// The server had not answered completely at the deadline.
-    Silent,
+    Expired,
     /// The caller disconnected.
     Left,
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -652,7 +652,10 @@
             self.requests.remove(&key);
             return;
         };
-        self.record_outcome(now, attempt.server, outcome);
+        match outcome {
+            Outcome::Expired => self.judge_expiry(now, key, &attempt),
+            _ => self.record_outcome(now, attempt.server, outcome),
+        }
         if matches!(outcome, Outcome::Unreachable | Outcome::Withdrawn) {
             self.uncount_attempt(key);
             if self.restore_replaced(key) {
@@ -676,7 +679,7 @@
             }
             Outcome::NotRun | Outcome::Misdirected | Outcome::Unreachable | Outcome::Withdrawn => {}
             Outcome::Failed => self.set_execution(key, Execution::Failed),
-            Outcome::Broken | Outcome::Silent => self.set_execution(key, Execution::Unknown),
+            Outcome::Broken | Outcome::Expired => self.set_execution(key, Execution::Unknown),
         }
         self.retry(now, key, outcome);
     }
@@ -823,7 +826,7 @@
                 server.health.record_error();
                 None
             }
-            Outcome::Misdirected | Outcome::Unreachable | Outcome::Silent => {
+            Outcome::Misdirected | Outcome::Unreachable | Outcome::Expired => {
                 server.health.record_unreachable(now)
             }
         };
--- a/crates/fleet/src/fleet/stalls.rs
+++ b/crates/fleet/src/fleet/stalls.rs
@@ -132,7 +132,22 @@
         let detail = format!("running={}", server.load().running);
         let id = server.id.clone();
         self.log("server_silent", &id, detail);
-        self.record_outcome(now, key, Outcome::Silent);
+        self.record_outcome(now, key, Outcome::Expired);
+    }
+
+    /// Judges the server of an attempt that was not complete at its deadline.
+    ///
+    /// That alone is no sign of silence: a stream may be under way, or the deadline was near when the
+    /// request was sent. Silence on requests that may be repeated was recorded when it began.
+    pub(super) fn judge_expiry(&mut self, now: Instant, key: RequestKey, attempt: &Attempt) {
+        let request = self.requests.get(&key);
+        let is_silence = request.is_some_and(|r| !r.started && !r.may_repeat());
+        let outcome = if is_silence {
+            Outcome::Expired
+        } else {
+            Outcome::Withdrawn
+        };
+        self.record_outcome(now, attempt.server, outcome);
     }
 
     fn subtract_load(&mut self, attempt: &Attempt) {
--- a/crates/fleet/tests/all/outcomes.rs
+++ b/crates/fleet/tests/all/outcomes.rs
@@ -32,7 +32,7 @@
 
 #[test]
 fn ended_unsafe_retry_is_not_sent() {
-    for outcome in [Outcome::Broken, Outcome::Silent] {
+    for outcome in [Outcome::Broken, Outcome::Expired] {
         let decisions = fail(Repeat::Once, &[outcome]);
         assert_eq!(execution(&decisions), Some(Execution::Unknown));
     }
@@ -97,7 +97,7 @@
     let mut fleet = support::router("r", 1, now);
     fleet.handle(now, Event::Submit(plain(1, Repeat::Idempotent, now)));
     let late = now + Duration::from_secs(3);
-    let decisions = fleet.handle(late, Event::Ended(RequestKey(1), Outcome::Silent));
+    let decisions = fleet.handle(late, Event::Ended(RequestKey(1), Outcome::Expired));
     assert_eq!(failure_reason(&decisions), Some(Reason::Expired));
 }
 
--- a/crates/fleet/tests/all/stalls.rs
+++ b/crates/fleet/tests/all/stalls.rs
@@ -197,3 +197,37 @@
     fleet.handle(late, Event::Ended(KEY, Outcome::Answered));
     assert_eq!(fleet.requests(), 0);
 }
+
+/// Guards against a sound server that is left alone since streams from it ran into their deadlines.
+#[test]
+fn expired_stream_does_not_count_against_server() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    let late = now + Duration::from_secs(12);
+    for key in 1..=4 {
+        submit(&mut fleet, submission(key, 1, prompt(1, 10), now), now);
+        fleet.handle(now, Event::FirstByte(RequestKey(key)));
+    }
+    for key in 1..=4 {
+        let decisions = fleet.handle(late, Event::Ended(RequestKey(key), Outcome::Expired));
+        assert_eq!(failure_reason(&decisions), Some(Reason::Expired));
+    }
+    let sent = fleet.handle(late, Event::Submit(submission(5, 1, prompt(1, 10), late)));
+    assert!(sent_to(&sent).is_some(), "{sent:?}");
+}
+
+/// Guards against a dead server that stays in use since only requests that may not be repeated tell.
+#[test]
+fn expired_request_that_may_not_repeat_counts_against_server() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    let late = now + Duration::from_secs(3);
+    for key in 1..=6 {
+        submit(&mut fleet, plain(key, Repeat::Once, now), now);
+    }
+    for key in 1..=6 {
+        fleet.handle(late, Event::Ended(RequestKey(key), Outcome::Expired));
+    }
+    let refused = fleet.handle(late, Event::Submit(plain(7, Repeat::Once, late)));
+    assert_eq!(failure_reason(&refused), Some(Reason::NoServer));
+}
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -15,6 +15,8 @@
     self, AttemptError, EventStream, Hop, Interruption, OpenStream, Plan, Reply, StreamItem,
 };
 
+/// Outcome counted for an attempt at a silent server that was cancelled for another one.
+const REPLACED: &str = "Replaced";
 /// Outcome logged for a request whose response reached the caller in full.
 const ANSWERED: &str = "answered";
 
@@ -79,8 +81,7 @@
 
     /// Records that the attempt at a silent server was cancelled, as the request is sent to `next`.
     fn attempt_replaced(&mut self, next: &str) {
-        let outcome = format!("{:?}", Outcome::Silent);
-        self.shell.metrics().attempt_failed(&outcome);
+        self.shell.metrics().attempt_failed(REPLACED);
         log::info!(
             request = self.request.as_str(),
             server = self.server.as_str(),
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -258,7 +258,7 @@
             }
         }
         let rest = hibiscusrail_net::timeout(self.remaining(shell), reading).await;
-        rest.map_err(|_| Outcome::Silent.into())
+        rest.map_err(|_| Outcome::Expired.into())
     }
 
     /// Connects to the server `target` that is to replace a silent one, and waits for `reading`
