fleet: don't ask a request for its share again after its server broke

Callers got a 502 for a request whose server crashed or reset the connection, though other servers had free slots: the retry was held to the limits on new requests, among them a start within a target that was mostly over by then. A refusal at that point can't be "not run", so it helps nobody.

A request that may have run is now held to slots, pauses, the retry budget and the attempts of its route only, as streams that have begun were before. One that has certainly not run is still refused with a retry delay.

ended_broken_request_is_retried_without_limits_on_new_ones fails on the code before (OverShare).

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -100,11 +100,10 @@
         submission.resumable || (!self.started && submission.repeat == Repeat::Idempotent)
     }
 
-    /// Returns whether the request's server may be running it, so that a refusal can't say that it has
-    /// not run. It was admitted before and is not subject to the limits on new requests any more.
+    /// Returns whether a server may have run the request, so that a refusal can't say that none has. It was admitted before and is not subject to the limits on new requests any more.
     fn may_have_run(&self) -> bool {
         let is_silent = self.attempt.as_ref().is_some_and(|a| a.silent);
-        self.started || is_silent
+        self.started || is_silent || self.execution == Execution::Unknown
     }
 
     /// Returns whether the request may be sent to a further server.
--- a/crates/fleet/tests/all/outcomes.rs
+++ b/crates/fleet/tests/all/outcomes.rs
@@ -121,3 +121,25 @@
     let decisions = fleet.handle(now, Event::Submit(plain(1, Repeat::Once, now)));
     assert_eq!(execution(&decisions), Some(Execution::NotRun));
 }
+
+/// Guards against a 502 for a request that was admitted before and whose server broke after its
+/// target, since a new request would be refused then.
+#[test]
+fn ended_broken_request_is_retried_without_limits_on_new_ones() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 2, now);
+    let first = fleet.handle(now, Event::Submit(submission(1, 1, prompt(1, 10), now)));
+    let first = sent_to(&first).expect("an engine is free").to_owned();
+    let late = now + Duration::from_millis(1_200);
+    for key in 10..60 {
+        fleet.handle(
+            late,
+            Event::Submit(submission(key, 1, prompt(key, 4_000), late)),
+        );
+    }
+    let refused = fleet.handle(late, Event::Submit(submission(100, 1, prompt(1, 10), now)));
+    assert!(failure_reason(&refused).is_some(), "{refused:?}");
+    let retried = fleet.handle(late, Event::Ended(RequestKey(1), Outcome::Broken));
+    let second = sent_to(&retried).expect("the other engine has free slots");
+    assert_ne!(first, second);
+}
