net: log how a caller's connection ended, with the request under way

connection_ended was logged at debug level, without a request id, and only for errors. A lost request could not be told from one whose caller had left: of a response that broke off nothing but `error from user's Body stream` remained.

Each end of a served connection now names the id of the request under way or last answered, how many requests the connection served, what it was doing (idle, handling, responding, flushing) and for how long, and the cause: head timeout, peer closed, response aborted, write timeout, bad request, or closed by this end. An end that leaves a request without its complete response is logged at info level, the rest at debug level, both within the log's rate. A response counts as delivered only once it has left hyper's buffers, so a caller that stops reading is seen too. The name of the id header is a parameter of the connections.

--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -97,6 +97,7 @@
         let metrics = Metrics::new();
         let connections = Connections::new()
             .with_refusal(Rc::new(refuse))
+            .with_id_header(protocol.request_id.clone())
             .with_on_accept(Rc::new(metrics.accept_counter()));
         let work = Work::new(clock.now());
         let (report_tx, report_rx) = mpsc::channel(0);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod sse;
 pub mod stall;
 pub mod time;
+mod trace;
 pub mod triage;
 
 pub use body::{Body, BodySender, channel, empty, full, json};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -16,7 +16,7 @@
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared};
 use hibiscusrail_macros::value;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, HeaderName, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -28,6 +28,7 @@
 use crate::event_loop;
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
+use crate::trace::{Trace, Traced};
 use crate::triage::{self, Admitted, Next, Opened, OverLimit, Triage, WaitingRoom};
 
 /// Limits on the connections of one listener.
@@ -128,6 +129,8 @@
     close: Cell<Option<oneshot::Sender<()>>>,
     closing: Shared<oneshot::Receiver<()>>,
     refuse: Option<RefusalHandler>,
+    /// Header with a request's id, for the log.
+    id_header: Option<HeaderName>,
     triage: RefCell<Option<Rc<dyn Triage>>>,
     on_accept: Option<Rc<dyn Fn(AcceptEvent)>>,
 }
@@ -159,6 +162,7 @@
             close: Cell::new(Some(close)),
             closing: closing.shared(),
             refuse: None,
+            id_header: None,
             triage: RefCell::default(),
             on_accept: None,
         }
@@ -171,6 +175,13 @@
         self
     }
 
+    /// Sets the header with a request's id, which the log names.
+    #[must_use]
+    pub fn with_id_header(mut self, name: HeaderName) -> Self {
+        self.id_header = Some(name);
+        self
+    }
+
     /// Sets a callback that is called for every event at the listener.
     #[must_use]
     pub fn with_on_accept(mut self, on_accept: Rc<dyn Fn(AcceptEvent)>) -> Self {
@@ -401,8 +412,9 @@
         };
         let guard = CountGuard::new(connections, kind);
         let closing = connections.closing.clone();
+        let trace = Rc::new(Trace::new(connections.id_header.clone()));
         event_loop::spawn(async move {
-            serve_connection(opened, limits, handler, closing).await;
+            serve_connection(opened, limits, handler, closing, trace).await;
             drop(guard);
         });
     }
@@ -432,24 +444,33 @@
     limits: Limits,
     handler: Handler,
     closing: Shared<oneshot::Receiver<()>>,
+    trace: Rc<Trace>,
 ) {
     let stream = match to_stream(opened.stream) {
-        Ok(stream) => stream.with_prefix(opened.bytes),
+        Ok(stream) => stream
+            .with_prefix(opened.bytes)
+            .with_end_flag(Rc::clone(&trace.peer_closed)),
         Err(error) => {
             log::debug!(step = "accept", error:% = error; "connection_ended");
             return;
         }
     };
     let admitted = Cell::new(opened.admitted);
+    let tracing = Rc::clone(&trace);
     let service = service_fn(move |mut request: Request<Incoming>| {
         // Only the first request on the connection was judged.
         if admitted.take() {
             request.extensions_mut().insert(Admitted);
         }
+        tracing.begin(request.headers());
+        let trace = Rc::clone(&tracing);
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move { Ok::<_, Infallible>(response.await.map(|body| trace.respond(body))) }
     });
-    let stream = WriteTimeout::new(stream, limits.write_timeout);
+    let stream = Traced::new(
+        WriteTimeout::new(stream, limits.write_timeout),
+        Rc::clone(&trace),
+    );
     let serving = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.head_timeout)
@@ -467,7 +488,5 @@
             serving.await
         }
     };
-    if let Err(error) = result {
-        log::debug!(step = "serve", error:% = error; "connection_ended");
-    }
+    trace.log_end(&result);
 }
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -5,10 +5,11 @@
 //! is ready. The stream of `cyper-core` keeps two buffers for each connection,
 //! which takes too much memory with thousands of open streams.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, Read as _};
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use compio::net::TcpStream;
@@ -35,6 +36,8 @@
     short_reads: bool,
     /// Bytes that were read before hyper took over.
     prefix: Vec<u8>,
+    /// Set once the end of the peer's bytes was read.
+    ended: Option<Rc<Cell<bool>>>,
 }
 
 impl SocketStream {
@@ -51,6 +54,7 @@
             readable: true,
             short_reads: false,
             prefix: Vec::new(),
+            ended: None,
         })
     }
 
@@ -80,6 +84,7 @@
             readable: true,
             short_reads: false,
             prefix: Vec::new(),
+            ended: None,
         })
     }
 
@@ -100,6 +105,13 @@
         self
     }
 
+    /// Sets the flag that records the end of the peer's bytes.
+    #[must_use]
+    pub fn with_end_flag(mut self, ended: Rc<Cell<bool>>) -> Self {
+        self.ended = Some(ended);
+        self
+    }
+
     /// Moves bytes that were read before into `buf`; returns whether there were any.
     fn take_prefix(&mut self, buf: &mut ReadBufCursor<'_>) -> bool {
         if self.prefix.is_empty() {
@@ -130,13 +142,13 @@
     }
 }
 
-/// Reads available bytes into `buf`; returns whether it read as many as asked.
-fn read_available(mut socket: &Socket, buf: &mut ReadBufCursor<'_>) -> io::Result<bool> {
+/// Reads available bytes into `buf`; returns their number and whether it read as many as asked.
+fn read_available(mut socket: &Socket, buf: &mut ReadBufCursor<'_>) -> io::Result<(usize, bool)> {
     BUFFER.with_borrow_mut(|buffer| {
         let length = buf.remaining().min(buffer.len());
         let count = socket.read(&mut buffer[..length])?;
         buf.put_slice(&buffer[..count]);
-        Ok(count == length)
+        Ok((count, count == length))
     })
 }
 
@@ -157,10 +169,15 @@
             match read_available(&self.socket, &mut buf) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
-                result => {
-                    return Poll::Ready(
-                        result.map(|full| self.readable = full || !self.short_reads),
-                    );
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok((count, full)) => {
+                    self.readable = full || !self.short_reads;
+                    if count == 0
+                        && let Some(ended) = &self.ended
+                    {
+                        ended.set(true);
+                    }
+                    return Poll::Ready(Ok(()));
                 }
             }
         }
