net: let a raised idle limit hold for connections that are open already

What callers saw: after a change of the configuration that raised the idle limit, a connection opened before was closed at the old limit. Callers reuse connections for up to four fifths of the limit in force, so a request could cross the close and get neither an answer nor a refusal.

Cause: hyper's header_read_timeout is fixed when a connection is accepted, and set_head_timeout took effect on later ones only.

The connections' timer now decides itself when the wait for a head is over: at the limit in force when the wait began, or at the one in force now, whichever is later. A lowered limit holds from the next response on a connection, since a caller that knows the older one may rely on it until then.

Whether the users' lost request was one of these is not shown by this test.

--- a/crates/front/tests/all/callers.rs
+++ b/crates/front/tests/all/callers.rs
@@ -60,17 +60,22 @@
     });
 }
 
+/// Applies a configuration with another limit on the idle time of callers' connections.
+fn set_idle_limit(front: &Front, idle: Duration) {
+    let (revision, mut config) = front
+        .shell
+        .with_fleet(|f| (f.config_revision(), f.config().clone()));
+    let deployment = config.deployment.as_mut().expect("there is one");
+    deployment.limits.idle = idle;
+    let revision = Revision(revision.0 + 1);
+    front.shell.handle(Event::Config(revision, config));
+}
+
 #[test]
 fn connection_idle_longer_than_configured_is_closed() {
     run(async {
         let front = Front::start(&[]);
-        let (revision, mut config) = front
-            .shell
-            .with_fleet(|f| (f.config_revision(), f.config().clone()));
-        let deployment = config.deployment.as_mut().expect("there is one");
-        deployment.limits.idle = Duration::from_millis(200);
-        let revision = Revision(revision.0 + 1);
-        front.shell.handle(Event::Config(revision, config));
+        set_idle_limit(&front, Duration::from_millis(200));
         let mut caller = TcpStream::connect(front.address).await.expect("it listens");
         compio::time::timeout(TIMEOUT, read_all(&mut caller))
             .await
@@ -78,6 +83,27 @@
     });
 }
 
+/// Guards against requests that get no answer (LOST): callers use their open connections for as long
+/// as the configuration in force allows.
+#[test]
+fn connection_idle_as_long_as_a_changed_configuration_allows_is_kept() {
+    run(async {
+        let server = Server::start(vec![Act::Write(full_response("200 OK", "body"))]);
+        let front = Front::start(&[&server]);
+        set_idle_limit(&front, Duration::from_millis(300));
+        let mut caller = TcpStream::connect(front.address).await.expect("it listens");
+        compio::time::sleep(Duration::from_millis(100)).await;
+        set_idle_limit(&front, Duration::from_secs(2));
+        compio::time::sleep(Duration::from_millis(500)).await;
+        let request = "GET /again/x HTTP/1.1\r\nhost: host\r\nauthorization: Bearer key\r\n\
+                       x-id: r\r\nx-wait-ms: 5000\r\n\r\n";
+        let BufResult(written, _) = caller.write_all(request.as_bytes().to_vec()).await;
+        written.expect("the connection is kept");
+        let response = read_until(&mut caller, "body").await;
+        assert_eq!(status(&response), 200);
+    });
+}
+
 /// Guards against callers that stay at an overloaded router: the platform sends their next
 /// connections to another one.
 #[test]
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod client;
 pub mod event_loop;
+mod head_timer;
 pub mod headers;
 pub mod logs;
 pub mod pool;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -6,12 +6,12 @@
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use compio::driver::ToSharedFd;
 use compio::net::{TcpListener, TcpStream};
 use compio::runtime::fd::PollFd;
-use cyper_core::CompioTimer;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared};
@@ -26,6 +26,7 @@
 
 use crate::body::Body;
 use crate::event_loop;
+use crate::head_timer::{HeadTimer, SharedTimeout};
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
 use crate::trace::{Trace, Traced};
@@ -124,8 +125,8 @@
 pub struct Connections {
     open: Cell<usize>,
     refused: Cell<usize>,
-    /// Replaces the head timeout of the listener's limits for new connections.
-    head_timeout: Cell<Option<Duration>>,
+    /// Replaces the head timeout of the listener's limits.
+    head_timeout: Arc<SharedTimeout>,
     close: Cell<Option<oneshot::Sender<()>>>,
     closing: Shared<oneshot::Receiver<()>>,
     refuse: Option<RefusalHandler>,
@@ -158,7 +159,7 @@
         Self {
             open: Cell::new(0),
             refused: Cell::new(0),
-            head_timeout: Cell::new(None),
+            head_timeout: Arc::default(),
             close: Cell::new(Some(close)),
             closing: closing.shared(),
             refuse: None,
@@ -200,9 +201,11 @@
         self.close.take();
     }
 
-    /// Sets the timeout for the next request head on connections that are accepted from now on.
+    /// Sets the timeout for the next request head.
+    ///
+    /// A longer one holds for all connections at once, a shorter one on each from its next response.
     pub fn set_head_timeout(&self, timeout: Duration) {
-        self.head_timeout.set(Some(timeout));
+        self.head_timeout.set(timeout);
     }
 
     /// Sets what decides on the first request of new connections while it is active.
@@ -389,21 +392,15 @@
     fn admit(&self, opened: Opened) {
         let connections = &self.connections;
         let kind = connections.classify(self.limits);
-        let (limits, handler) = match (kind, &connections.refuse) {
+        let (timer, handler) = match (kind, &connections.refuse) {
             (Accepted::Served, _) => {
-                let head_timeout = connections.head_timeout.get();
-                let limits = Limits {
-                    head_timeout: head_timeout.unwrap_or(self.limits.head_timeout),
-                    ..self.limits
-                };
-                (limits, Rc::clone(&self.handler))
+                let shared = Arc::clone(&connections.head_timeout);
+                let timer = HeadTimer::new(self.limits.head_timeout, shared);
+                (timer, Rc::clone(&self.handler))
             }
             (Accepted::Refused, Some(refuse)) => {
-                let limits = Limits {
-                    head_timeout: REFUSAL_TIMEOUT,
-                    ..self.limits
-                };
-                (limits, refusal_handler(refuse))
+                let timer = HeadTimer::new(REFUSAL_TIMEOUT, Arc::default());
+                (timer, refusal_handler(refuse))
             }
             _ => {
                 log::debug!(limit = self.limits.max_connections; "connection_refused");
@@ -413,8 +410,9 @@
         let guard = CountGuard::new(connections, kind);
         let closing = connections.closing.clone();
         let trace = Rc::new(Trace::new(connections.id_header.clone()));
+        let limits = self.limits;
         event_loop::spawn(async move {
-            serve_connection(opened, limits, handler, closing, trace).await;
+            serve_connection(opened, limits, timer, handler, closing, trace).await;
             drop(guard);
         });
     }
@@ -442,6 +440,7 @@
 async fn serve_connection(
     opened: Opened,
     limits: Limits,
+    timer: HeadTimer,
     handler: Handler,
     closing: Shared<oneshot::Receiver<()>>,
     trace: Rc<Trace>,
@@ -472,8 +471,8 @@
         Rc::clone(&trace),
     );
     let serving = http1::Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(limits.head_timeout)
+        .timer(timer)
+        .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.max_head_bytes)
         .serve_connection(stream, service);
     let mut serving = std::pin::pin!(serving);
--- /dev/null
+++ b/crates/net/tests/idle.rs
@@ -0,0 +1,109 @@
+//! How long idle connections are kept.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt;
+use hibiscusrail_net::{Connections, EventLoop, Limits, bind, event_loop, full, serve_counted};
+use http::Response;
+
+/// Timeout of every read in these tests.
+const TIMEOUT: Duration = Duration::from_secs(10);
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+const SHORT: Duration = Duration::from_millis(300);
+const LONG: Duration = Duration::from_millis(1_500);
+
+/// Runs a test beside a server whose connections may be idle for [`SHORT`].
+fn run<F: Future<Output = ()>>(test: impl FnOnce(SocketAddr, Rc<Connections>) -> F) {
+    let event_loop = EventLoop::new(Instant::now).expect("the event loop is created");
+    event_loop.run(async {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback is up");
+        let address = listener.local_addr().expect("the listener is bound");
+        let connections = Rc::new(Connections::new());
+        connections.set_head_timeout(SHORT);
+        let handler = Rc::new(|_| std::future::ready(Response::new(full("ok"))).boxed_local());
+        let serving = serve_counted(listener, Limits::new(), handler, Rc::clone(&connections));
+        event_loop::spawn(serving);
+        test(address, connections).await;
+    });
+}
+
+/// Opens a connection and waits until a first request on it is answered.
+async fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("it listens");
+    stream.set_nonblocking(true).expect("it is a socket");
+    call(stream).await.expect("the first request is answered")
+}
+
+/// Sends a request and waits for its answer; none if the connection ends instead.
+async fn call(mut stream: TcpStream) -> Option<TcpStream> {
+    stream.write_all(REQUEST).ok()?;
+    answer(&mut stream).await.then_some(stream)
+}
+
+/// Waits for an answer; returns false if the connection ends instead.
+async fn answer(stream: &mut TcpStream) -> bool {
+    let start = Instant::now();
+    let mut received = Vec::new();
+    while start.elapsed() < TIMEOUT {
+        let mut buffer = [0; 1_024];
+        match stream.read(&mut buffer) {
+            Ok(0) => return false,
+            Ok(count) => received.extend_from_slice(&buffer[..count]),
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => return false,
+        }
+        if received.ends_with(b"\r\n\r\nok") {
+            return true;
+        }
+        compio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("neither an answer nor an end");
+}
+
+/// Waits until the peer closes an idle connection and returns how long that took.
+async fn closed_after(mut stream: TcpStream) -> Duration {
+    let start = Instant::now();
+    assert!(!answer(&mut stream).await, "nothing was asked");
+    start.elapsed()
+}
+
+/// Guards against requests that get no answer (LOST): after the limit was raised, callers use
+/// connections that were opened before for as long as the new limit allows.
+#[test]
+fn raised_limit_holds_for_open_connections() {
+    run(|address, connections| async move {
+        let stream = connect(address).await;
+        connections.set_head_timeout(LONG);
+        compio::time::sleep(2 * SHORT).await;
+        let stream = call(stream).await.expect("the connection is kept");
+        assert!(closed_after(stream).await >= LONG - SHORT);
+    });
+}
+
+/// Guards against connections that are kept forever once the limit was raised.
+#[test]
+fn raised_limit_closes_idle_connections_in_time() {
+    run(|address, connections| async move {
+        let stream = connect(address).await;
+        connections.set_head_timeout(LONG);
+        let after = closed_after(stream).await;
+        assert!(after >= LONG - SHORT && after < 2 * LONG, "{after:?}");
+    });
+}
+
+/// Guards against a lowered limit that closes connections on which callers still rely.
+#[test]
+fn lowered_limit_holds_from_the_next_response() {
+    run(|address, connections| async move {
+        connections.set_head_timeout(LONG);
+        let (first, second) = (connect(address).await, connect(address).await);
+        connections.set_head_timeout(SHORT);
+        compio::time::sleep(2 * SHORT).await;
+        let first = call(first).await.expect("the connection is kept");
+        assert!(closed_after(first).await < LONG - SHORT);
+        assert!(call(second).await.is_some(), "the connection is kept");
+    });
+}
