net: serve a request that arrives as its connection's idle time ends

What callers saw: no answer and a reset, for a request that was sent within the connection's idle limit.

Cause: hyper reads, finds nothing since the event loop has not reported the bytes yet, and then asks the timer, which is due. On a late loop this takes no narrow race: the loop first wakes what timers are due for, runs a batch of tasks, and looks at sockets only after it. Closing the socket with the request unread resets it.

When the time is over, the timer now has the connection ask the system once more, whatever the loop has reported, and ends the wait only if nothing is there.

Before: request_at_the_end_of_the_idle_time_is_answered fails at its first of five rounds ("the request was lost"); it writes the request between the wake for the timer and the next look at sockets. After: passes. A loop that is blocked past the limit with the request in the socket already was not at fault: it looks at sockets before it runs what the timer woke.

--- a/crates/net/src/head_timer.rs
+++ b/crates/net/src/head_timer.rs
@@ -2,7 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -35,12 +35,23 @@
 pub(crate) struct HeadTimer {
     default: Duration,
     shared: Arc<SharedTimeout>,
+    /// Asks the connection to look for bytes that the event loop has not reported yet.
+    look: Arc<AtomicBool>,
 }
 
 impl HeadTimer {
     /// Creates a timer whose timeout is `default` as long as `shared` is not set.
     pub(crate) fn new(default: Duration, shared: Arc<SharedTimeout>) -> Self {
-        Self { default, shared }
+        Self {
+            default,
+            shared,
+            look: Arc::default(),
+        }
+    }
+
+    /// Returns the flag that is set when the connection must look for bytes.
+    pub(crate) fn look_flag(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.look)
     }
 
     fn timeout(&self) -> Duration {
@@ -56,7 +67,7 @@
     fn sleep_until(&self, since: Instant) -> Pin<Box<dyn Sleep>> {
         let timeout = self.timeout();
         Box::pin(HeadSleep {
-            sleep: CompioTimer.sleep_until(since + timeout),
+            sleep: Some(CompioTimer.sleep_until(since + timeout)),
             since,
             timeout,
             timer: self.clone(),
@@ -64,9 +75,10 @@
     }
 }
 
-/// Waits until the time for a request head is over.
+/// Waits until the time for a request head is over and no byte of it is left unread.
 struct HeadSleep {
-    sleep: Pin<Box<dyn Sleep>>,
+    /// None once the time is over.
+    sleep: Option<Pin<Box<dyn Sleep>>>,
     since: Instant,
     /// Timeout at the beginning.
     timeout: Duration,
@@ -79,13 +91,19 @@
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
-        loop {
-            std::task::ready!(self.sleep.as_mut().poll(cx));
+        while let Some(sleep) = &mut self.sleep {
+            std::task::ready!(sleep.as_mut().poll(cx));
             let due = self.since + self.timeout.max(self.timer.timeout());
-            if Instant::now() >= due {
-                return Poll::Ready(());
+            if Instant::now() < due {
+                self.sleep = Some(CompioTimer.sleep_until(due));
+                continue;
             }
-            self.sleep = CompioTimer.sleep_until(due);
+            self.sleep = None;
+            // hyper reads before it polls the timer, so it looks at the socket once more.
+            self.timer.look.store(true, Ordering::Relaxed);
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
         }
+        Poll::Ready(())
     }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -448,7 +448,8 @@
     let stream = match to_stream(opened.stream) {
         Ok(stream) => stream
             .with_prefix(opened.bytes)
-            .with_end_flag(Rc::clone(&trace.peer_closed)),
+            .with_end_flag(Rc::clone(&trace.peer_closed))
+            .with_look_flag(timer.look_flag()),
         Err(error) => {
             log::debug!(step = "accept", error:% = error; "connection_ended");
             return;
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -10,6 +10,8 @@
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use compio::net::TcpStream;
@@ -38,6 +40,8 @@
     prefix: Vec<u8>,
     /// Set once the end of the peer's bytes was read.
     ended: Option<Rc<Cell<bool>>>,
+    /// Set when the next read must not rely on what the event loop has reported.
+    look: Option<Arc<AtomicBool>>,
 }
 
 impl SocketStream {
@@ -55,6 +59,7 @@
             short_reads: false,
             prefix: Vec::new(),
             ended: None,
+            look: None,
         })
     }
 
@@ -85,6 +90,7 @@
             short_reads: false,
             prefix: Vec::new(),
             ended: None,
+            look: None,
         })
     }
 
@@ -112,6 +118,14 @@
         self
     }
 
+    /// Sets a flag that makes the next read ask the system, even if the event loop has not reported
+    /// any bytes; the read clears it.
+    #[must_use]
+    pub fn with_look_flag(mut self, look: Arc<AtomicBool>) -> Self {
+        self.look = Some(look);
+        self
+    }
+
     /// Moves bytes that were read before into `buf`; returns whether there were any.
     fn take_prefix(&mut self, buf: &mut ReadBufCursor<'_>) -> bool {
         if self.prefix.is_empty() {
@@ -161,6 +175,11 @@
         if self.take_prefix(&mut buf) {
             return Poll::Ready(Ok(()));
         }
+        if let Some(look) = &self.look
+            && look.swap(false, Ordering::Relaxed)
+        {
+            self.readable = true;
+        }
         loop {
             if !self.readable {
                 std::task::ready!(self.socket.poll_read_ready(cx))?;
--- a/crates/net/tests/idle.rs
+++ b/crates/net/tests/idle.rs
@@ -1,4 +1,4 @@
-//! How long idle connections are kept.
+//! How long idle connections are kept, and requests that arrive as their time is over.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -107,3 +107,27 @@
         assert!(call(second).await.is_some(), "the connection is kept");
     });
 }
+
+/// Guards against a request that gets no answer (LOST): on a late event loop it arrives before the
+/// loop acts on the end of the connection's idle time.
+#[test]
+fn request_at_the_end_of_the_idle_time_is_answered() {
+    run(|address, _| async move {
+        for _ in 0..5 {
+            let mut stream = connect(address).await;
+            let end = Instant::now() + SHORT;
+            let late = async {
+                compio::time::sleep_until(end - SHORT / 3).await;
+                std::thread::sleep(SHORT / 2);
+            };
+            // Runs once the loop has seen which timers are due, before it looks at sockets again.
+            let mut writer = stream.try_clone().expect("it is a socket");
+            let writing = async {
+                compio::time::sleep_until(end - SHORT / 6).await;
+                writer.write_all(REQUEST).expect("the connection is open");
+            };
+            futures_util::future::join(late, writing).await;
+            assert!(answer(&mut stream).await, "the request was lost");
+        }
+    });
+}
