net: look for the end of a pooled connection before a request is sent on it

What callers saw: a 502 for a request that a router had sent on a connection which the server had already closed. The request counts as one that may have run, so its next attempt needs a retry's budget and admission again.

Cause: the pool asked what the event loop had reported up to its last turn. On a late loop, or within one batch of tasks, the end of the connection had arrived and was not seen. OwnedConnection::is_ready now has the next read ask the system, which costs a system call for each use of a pooled connection.

Before: take_connection_closed_since_the_last_turn_is_dropped fails, the closed connection is taken. After: passes.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
@@ -55,7 +57,7 @@
 ///
 /// Fails if the peer can't be reached within `limit`.
 pub async fn connect(peer: SocketAddr, limit: Duration) -> Result<Connection, ConnectError> {
-    let (sender, connection) = handshake(peer, limit).await?;
+    let (sender, connection) = handshake(peer, limit, Arc::default()).await?;
     event_loop::spawn(async move {
         // The error also reaches the task that awaits the response.
         let _ = connection.await;
@@ -72,6 +74,8 @@
     sender: Connection,
     /// None once the connection has ended.
     driver: Option<Pin<Box<Driver>>>,
+    /// Makes the next read ask the system.
+    look: Arc<AtomicBool>,
 }
 
 impl std::fmt::Debug for OwnedConnection {
@@ -130,9 +134,9 @@
         }
     }
 
-    /// Returns whether a request can be sent at once, after a look at what arrived up to the last turn
-    /// of the event loop.
+    /// Returns whether a request can be sent at once, after a look at what has arrived.
     pub fn is_ready(&mut self) -> bool {
+        self.look.store(true, Ordering::Relaxed);
         self.poll_driver(&mut Context::from_waker(Waker::noop()));
         self.sender.is_ready()
     }
@@ -153,10 +157,12 @@
     peer: SocketAddr,
     limit: Duration,
 ) -> Result<OwnedConnection, ConnectError> {
-    let (sender, driver) = handshake(peer, limit).await?;
+    let look = Arc::default();
+    let (sender, driver) = handshake(peer, limit, Arc::clone(&look)).await?;
     Ok(OwnedConnection {
         sender,
         driver: Some(Box::pin(driver)),
+        look,
     })
 }
 
@@ -165,12 +171,13 @@
 async fn handshake(
     peer: SocketAddr,
     limit: Duration,
+    look: Arc<AtomicBool>,
 ) -> Result<(Connection, Driver), ConnectError> {
     let Ok(stream) = timeout(limit, SocketStream::connect(peer)).await else {
         return TimeoutSnafu { peer, limit }.fail();
     };
     let stream = stream.context(RefusedSnafu { peer })?;
-    let stream = stream.with_short_reads();
+    let stream = stream.with_short_reads().with_look_flag(look);
     http1::handshake(stream)
         .await
         .context(HandshakeSnafu { peer })
--- a/crates/net/tests/connections.rs
+++ b/crates/net/tests/connections.rs
@@ -191,3 +191,48 @@
         assert_eq!(handled.get(), 0);
     });
 }
+
+/// Guards against requests that are sent on a connection whose end has arrived but was not reported
+/// by a late event loop (LOST): whether such a request ran is unknown, and it may get no other server.
+#[test]
+fn take_connection_closed_since_the_last_turn_is_dropped() {
+    run(async {
+        let (mut connection, mut server, address) = connect_pair().await;
+        exchange(&mut connection, &mut server).await;
+        let pool = Pool::new();
+        pool.put(address, connection, Instant::now());
+        compio::time::sleep(SETTLE).await;
+        drop(server);
+        assert!(pool.take(address, Instant::now()).is_none());
+    });
+}
+
+/// A request that crosses the end of its connection has left: it is not given back, since the server
+/// may have run it.
+#[test]
+fn send_request_crossing_the_end_is_not_given_back() {
+    run(async {
+        let (mut connection, mut server, _) = connect_pair().await;
+        exchange(&mut connection, &mut server).await;
+        let sent = connection.try_send(Request::new(empty()));
+        let ended = async { drop(server) };
+        let (sent, ()) = futures_util::future::join(sent, ended).await;
+        let mut error = sent.expect_err("the connection ends");
+        assert!(error.take_message().is_none());
+    });
+}
+
+/// Guards against requests that fail though no byte of them was sent: they can go to any server.
+#[test]
+fn send_request_on_ended_connection_is_given_back() {
+    run(async {
+        let (mut connection, mut server, _) = connect_pair().await;
+        exchange(&mut connection, &mut server).await;
+        drop(server);
+        compio::time::sleep(SETTLE).await;
+        connection.is_ready();
+        let sent = connection.try_send(Request::new(empty())).await;
+        let mut error = sent.expect_err("the connection has ended");
+        assert!(error.take_message().is_some());
+    });
+}
