net: read on after a response to a caller that is still sending

What callers saw: a write that fails while they send a body, as the router had answered from the head and closed its socket with bytes unread, which resets the connection. A caller that stops there never reads the refusal.

Places: a served connection whose handler does not read the body (401, 404, 413, "stopping"); with 64 refused connections' bodies awaited, the body of any further one; a refused body that takes over half a second.

All of them now end in one function: this side is closed, so that the caller sees the end of the response, and what it still sends is read and dropped until it has sent the whole body or closes its side. The waiting room now holds heads only, so bodies don't take places of requests that are not decided on.

Not tried: a network that loses or delays packets, where the closed socket would not send the response again.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod event_loop;
 mod head_timer;
 pub mod headers;
+mod linger;
 pub mod logs;
 pub mod pool;
 pub mod process;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -27,6 +28,7 @@
 use crate::body::Body;
 use crate::event_loop;
 use crate::head_timer::{HeadTimer, SharedTimeout};
+use crate::linger::LingerQueue;
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
 use crate::trace::{Trace, Traced};
@@ -289,6 +291,7 @@
         handler,
         connections,
         waiting: RefCell::default(),
+        lingering: Rc::default(),
     });
     loop {
         // Accepting itself completes at once while a connection is pending. Waiting for the event
@@ -311,6 +314,7 @@
     handler: Handler,
     connections: Rc<Connections>,
     waiting: RefCell<WaitingRoom>,
+    lingering: Rc<LingerQueue>,
 }
 
 impl Server {
@@ -345,9 +349,15 @@
 
     /// Refuses a new connection, waits for its request or has it served.
     fn open(self: &Rc<Self>, stream: OwnedFd, triage: &dyn Triage) {
-        match triage::open(Instant::now(), stream, triage) {
-            Next::Serve(opened) => self.leave_triage(Some(opened)),
-            Next::Done => self.leave_triage(None),
+        let now = Instant::now();
+        let next = triage::open(now, stream, triage);
+        self.leave_triage(now, next);
+    }
+
+    /// Does what is next with a connection, and counts it if it is not served.
+    fn leave_triage(self: &Rc<Self>, now: Instant, next: Next) {
+        match next {
+            Next::Serve(opened) => self.admit(opened),
             Next::Wait(waiting) => {
                 let mut room = self.waiting.borrow_mut();
                 let was_empty = room.is_empty();
@@ -358,17 +368,14 @@
                         event_loop::spawn(Rc::clone(self).watch_waiting());
                     }
                     Ok(()) => {}
-                    Err(opened) => self.leave_triage(opened),
+                    Err(opened) => self.admit(opened),
                 }
             }
-        }
-    }
-
-    /// Serves a connection, or counts it if it was closed.
-    fn leave_triage(&self, opened: Option<Opened>) {
-        match opened {
-            Some(opened) => self.admit(opened),
-            None => self.connections.notify(AcceptEvent::Triaged),
+            Next::Refused(stream, left) => {
+                self.lingering.close(now, stream, left);
+                self.connections.notify(AcceptEvent::Triaged);
+            }
+            Next::Done => self.connections.notify(AcceptEvent::Triaged),
         }
     }
 
@@ -383,8 +390,8 @@
             };
             let now = Instant::now();
             let ended = self.waiting.borrow_mut().look(now, triage.as_ref());
-            for opened in ended {
-                self.leave_triage(opened);
+            for next in ended {
+                self.leave_triage(now, next);
             }
         }
     }
@@ -411,9 +418,13 @@
         let closing = connections.closing.clone();
         let trace = Rc::new(Trace::new(connections.id_header.clone()));
         let limits = self.limits;
+        let lingering = Rc::clone(&self.lingering);
         event_loop::spawn(async move {
-            serve_connection(opened, limits, timer, handler, closing, trace).await;
+            let rest = serve_connection(opened, limits, timer, handler, closing, trace).await;
             drop(guard);
+            if let Some(stream) = rest {
+                lingering.close(Instant::now(), stream, None);
+            }
         });
     }
 }
@@ -437,6 +448,7 @@
     SocketStream::new(stream)
 }
 
+/// Serves a connection to its end; returns its socket if the peer may still be sending.
 async fn serve_connection(
     opened: Opened,
     limits: Limits,
@@ -444,7 +456,7 @@
     handler: Handler,
     closing: Shared<oneshot::Receiver<()>>,
     trace: Rc<Trace>,
-) {
+) -> Option<OwnedFd> {
     let stream = match to_stream(opened.stream) {
         Ok(stream) => stream
             .with_prefix(opened.bytes)
@@ -452,7 +464,7 @@
             .with_look_flag(timer.look_flag()),
         Err(error) => {
             log::debug!(step = "accept", error:% = error; "connection_ended");
-            return;
+            return None;
         }
     };
     let admitted = Cell::new(opened.admitted);
@@ -462,7 +474,8 @@
         if admitted.take() {
             request.extensions_mut().insert(Admitted);
         }
-        tracing.begin(request.headers());
+        let has_body = !http_body::Body::is_end_stream(request.body());
+        tracing.begin(request.headers(), has_body);
         let trace = Rc::clone(&tracing);
         let response = handler(request);
         async move { Ok::<_, Infallible>(response.await.map(|body| trace.respond(body))) }
@@ -471,22 +484,27 @@
         WriteTimeout::new(stream, limits.write_timeout),
         Rc::clone(&trace),
     );
-    let serving = http1::Builder::new()
+    let mut serving = http1::Builder::new()
         .timer(timer)
         .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.max_head_bytes)
         .serve_connection(stream, service);
-    let mut serving = std::pin::pin!(serving);
     let ended = futures_util::select! {
-        result = serving.as_mut().fuse() => Some(result),
+        result = (&mut serving).fuse() => Some(result),
         _ = closing.fuse() => None,
     };
-    let result = match ended {
-        Some(result) => result,
+    let (result, was_idle) = match ended {
+        Some(result) => (result, false),
         None => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+            let was_idle = trace.is_idle();
+            Pin::new(&mut serving).graceful_shutdown();
+            ((&mut serving).await, was_idle)
         }
     };
     trace.log_end(&result);
+    if was_idle || !trace.may_receive(&result) {
+        return None;
+    }
+    let stream = serving.into_parts().io;
+    stream.get_ref().get_ref().try_clone().ok()
 }
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -8,6 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::io::{self, Read as _};
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::{AsFd, OwnedFd};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 use compio::runtime::fd::PollFd;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustix::io::Errno;
+use rustix::net::RecvFlags;
 use socket2::{Domain, Protocol, Socket, Type};
 
 /// Maximum bytes read from a socket at once.
@@ -126,6 +128,15 @@
         self
     }
 
+    /// Returns another handle to the socket, which keeps the connection open when this one is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system gives no file descriptor.
+    pub fn try_clone(&self) -> io::Result<OwnedFd> {
+        self.socket.as_fd().try_clone_to_owned()
+    }
+
     /// Moves bytes that were read before into `buf`; returns whether there were any.
     fn take_prefix(&mut self, buf: &mut ReadBufCursor<'_>) -> bool {
         if self.prefix.is_empty() {
@@ -156,6 +167,22 @@
     }
 }
 
+/// Reads what has arrived, up to a limit, and returns its size; zero at the end.
+pub(crate) fn receive(stream: impl AsFd, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
+    BUFFER.with_borrow_mut(|buffer| {
+        loop {
+            match rustix::net::recv(stream.as_fd(), &mut buffer[..], RecvFlags::empty()) {
+                Ok((count, _)) => {
+                    take(&buffer[..count]);
+                    return Ok(count);
+                }
+                Err(Errno::INTR) => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+    })
+}
+
 /// Reads available bytes into `buf`; returns their number and whether it read as many as asked.
 fn read_available(mut socket: &Socket, buf: &mut ReadBufCursor<'_>) -> io::Result<(usize, bool)> {
     BUFFER.with_borrow_mut(|buffer| {
--- a/crates/net/src/stall.rs
+++ b/crates/net/src/stall.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Returns the wrapped connection.
+    #[must_use]
+    pub fn get_ref(&self) -> &S {
+        &self.inner
+    }
+
     /// Starts, checks or clears the timer after a write was polled.
     fn check_progress<T>(
         &mut self,
--- a/crates/net/src/trace.rs
+++ b/crates/net/src/trace.rs
@@ -70,6 +70,8 @@
 struct State {
     /// Id of the request under way or last answered.
     request: Option<HeaderValue>,
+    /// Whether the request has a body, which may be left unread.
+    has_body: bool,
     requests: u32,
     stage: Stage,
     since: Instant,
@@ -91,6 +93,7 @@
             id_header,
             state: RefCell::new(State {
                 request: None,
+                has_body: false,
                 requests: 0,
                 stage: Stage::Idle,
                 since: Instant::now(),
@@ -106,11 +109,12 @@
     }
 
     /// Records that a request's head has arrived.
-    pub(crate) fn begin(&self, headers: &HeaderMap) {
+    pub(crate) fn begin(&self, headers: &HeaderMap, has_body: bool) {
         let id = self.id_header.as_ref().and_then(|n| headers.get(n));
         {
             let mut state = self.state.borrow_mut();
             state.request = id.cloned();
+            state.has_body = has_body;
             state.requests = state.requests.saturating_add(1);
         }
         self.enter(Stage::Handling);
@@ -132,6 +136,20 @@
         }
     }
 
+    /// Returns whether the connection waits for a request.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.state.borrow().stage == Stage::Idle
+    }
+
+    /// Returns whether this end closed the connection after a response to a peer that may still send.
+    pub(crate) fn may_receive(&self, result: &hyper::Result<()>) -> bool {
+        match Cause::new(result, self.peer_closed.get()) {
+            Cause::Closed => self.state.borrow().has_body,
+            Cause::BadRequest => true,
+            _ => false,
+        }
+    }
+
     /// Logs the end of the connection, at debug level unless a request was left without its response.
     pub(crate) fn log_end(&self, result: &hyper::Result<()>) {
         let state = self.state.borrow();
@@ -205,6 +223,10 @@
     pub(crate) fn new(inner: S, trace: Rc<Trace>) -> Self {
         Self { inner, trace }
     }
+
+    pub(crate) fn get_ref(&self) -> &S {
+        &self.inner
+    }
 }
 
 impl<S: Read + Unpin> Read for Traced<S> {
--- a/crates/net/src/triage.rs
+++ b/crates/net/src/triage.rs
@@ -1,42 +1,32 @@
 //! Refuses requests on new connections of an overloaded program, from the bytes that have arrived.
 //!
 //! A refused connection gets no task, no registration with the event loop and no connection of
-//! hyper: its head is parsed, the response is written, what has arrived of the body is read, and the
-//! connection is closed. Anything that is not a plain HTTP/1.1 request, and whatever the handler
+//! hyper: its head is parsed, the response is written, and the connection is closed once the body has
+//! been read. Anything that is not a plain HTTP/1.1 request, and whatever the handler
 //! lets pass, goes on to hyper with the bytes that were read.
 
-use std::cell::RefCell;
 use std::io;
-use std::os::fd::{AsFd, OwnedFd};
+use std::os::fd::OwnedFd;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri, Version, header};
-use rustix::net::{RecvFlags, SendFlags, Shutdown};
+use rustix::net::SendFlags;
+
+use crate::socket::receive;
 
 /// Maximum bytes of a head that are read here; hyper reads longer ones within its own limit.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Maximum number of header lines; hyper has the same limit.
 const MAX_HEADERS: usize = 100;
-/// Maximum bytes read from one connection in a turn of the event loop.
-const MAX_TURN_BYTES: usize = 128 * 1024;
 /// Maximum connections whose bytes are waited for.
 const MAX_WAITING: usize = 64;
 /// Time for which the rest of a head is waited for before hyper takes over.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(30);
-/// Time for which the rest of a refused request's body is waited for.
-const BODY_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval of looking at the connections that are waited for.
 const WAIT_INTERVAL: Duration = Duration::from_millis(20);
-/// Maximum bytes read from a socket at once.
-const READ_BYTES: usize = 16 * 1024;
-
-thread_local! {
-    /// Buffer that all reads on the event loop's thread share.
-    static BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
-}
 
 /// Decision on the first request of a new connection.
 #[derive(Debug)]
@@ -106,27 +96,19 @@
 pub(crate) enum Next {
     /// hyper serves it.
     Serve(Opened),
-    /// More bytes have to arrive.
+    /// The rest of the head has to arrive.
     Wait(Waiting),
+    /// Its request was refused and so many bytes of the body are left, or an unknown number.
+    Refused(OwnedFd, Option<u64>),
     /// It is closed.
     Done,
 }
 
-/// What a waiting connection waits for.
-#[derive(Debug)]
-enum Stage {
-    /// The rest of the request's head.
-    Head,
-    /// The rest of a refused request's body: its remaining bytes, or its end if it has chunks.
-    Body(Option<u64>),
-}
-
-/// A connection that more bytes have to arrive on.
+/// A connection whose request's head has not arrived.
 #[derive(Debug)]
 pub(crate) struct Waiting {
     stream: OwnedFd,
     bytes: Vec<u8>,
-    stage: Stage,
     until: Instant,
 }
 
@@ -151,7 +133,7 @@
     Other,
 }
 
-/// Connections that wait for bytes, in the order of their arrival.
+/// Connections that wait for their heads, in the order of their arrival.
 #[derive(Debug, Default)]
 pub(crate) struct WaitingRoom {
     waiting: Vec<Waiting>,
@@ -165,8 +147,8 @@
         self.waiting.is_empty()
     }
 
-    /// Adds a connection. If there is no room for it, returns it for hyper, or none if it was closed.
-    pub(crate) fn add(&mut self, waiting: Waiting) -> Result<(), Option<Opened>> {
+    /// Adds a connection; if there is no room for it, returns it for hyper.
+    pub(crate) fn add(&mut self, waiting: Waiting) -> Result<(), Opened> {
         if self.waiting.len() >= MAX_WAITING {
             return Err(waiting.give_up());
         }
@@ -174,15 +156,14 @@
         Ok(())
     }
 
-    /// Looks at all connections again and returns those that hyper serves; none for each closed one.
-    pub(crate) fn look(&mut self, now: Instant, triage: &dyn Triage) -> Vec<Option<Opened>> {
+    /// Looks at all connections again and returns what is done with those that don't wait any longer.
+    pub(crate) fn look(&mut self, now: Instant, triage: &dyn Triage) -> Vec<Next> {
         let mut ended = Vec::new();
         for waiting in std::mem::take(&mut self.waiting) {
-            match waiting.look(now, triage) {
-                Next::Serve(opened) => ended.push(Some(opened)),
+            match waiting.look(triage) {
                 Next::Wait(waiting) if now < waiting.until => self.waiting.push(waiting),
-                Next::Wait(waiting) => ended.push(waiting.give_up()),
-                Next::Done => ended.push(None),
+                Next::Wait(waiting) => ended.push(Next::Serve(waiting.give_up())),
+                next => ended.push(next),
             }
         }
         ended
@@ -194,26 +175,18 @@
     let waiting = Waiting {
         stream,
         bytes: Vec::new(),
-        stage: Stage::Head,
         until: now + HEAD_TIMEOUT,
     };
-    waiting.look(now, triage)
+    waiting.look(triage)
 }
 
 impl Waiting {
-    /// Returns the connection for hyper if its request is not decided on; closes it otherwise.
-    fn give_up(self) -> Option<Opened> {
-        matches!(self.stage, Stage::Head).then_some(Opened {
+    /// Returns the connection for hyper, as its request is not decided on.
+    fn give_up(self) -> Opened {
+        Opened {
             stream: self.stream,
             bytes: self.bytes,
             admitted: false,
-        })
-    }
-
-    fn look(self, now: Instant, triage: &dyn Triage) -> Next {
-        match self.stage {
-            Stage::Head => self.look_at_head(now, triage),
-            Stage::Body(left) => self.discard_body(left),
         }
     }
 
@@ -225,7 +198,7 @@
         })
     }
 
-    fn look_at_head(mut self, now: Instant, triage: &dyn Triage) -> Next {
+    fn look(mut self, triage: &dyn Triage) -> Next {
         match receive(&self.stream, |bytes| self.bytes.extend_from_slice(bytes)) {
             Ok(0) => return Next::Done,
             Ok(_) => {}
@@ -247,12 +220,12 @@
         match triage.judge(&head.parts, length) {
             Verdict::Serve => self.serve(false),
             Verdict::Admit => self.serve(true),
-            Verdict::Refuse(response) => self.refuse(now, &head, &response),
+            Verdict::Refuse(response) => self.refuse(&head, &response),
         }
     }
 
-    /// Writes the response and closes the connection, once the body has been read.
-    fn refuse(mut self, now: Instant, head: &Head, response: &Response<Bytes>) -> Next {
+    /// Writes the response.
+    fn refuse(self, head: &Head, response: &Response<Bytes>) -> Next {
         let bytes = serialize(response);
         match rustix::net::send(&self.stream, &bytes, SendFlags::NOSIGNAL) {
             Ok(sent) if sent == bytes.len() => {}
@@ -272,60 +245,8 @@
             Framing::Chunked if has_last_chunk(body) => Some(0),
             Framing::Chunked => None,
         };
-        if left == Some(0) {
-            return Next::Done;
-        }
-        self.bytes = Vec::new();
-        self.stage = Stage::Body(left);
-        self.until = now + BODY_TIMEOUT;
-        // The caller sees the end of the response and may stop sending.
-        if let Err(error) = rustix::net::shutdown(&self.stream, Shutdown::Write) {
-            log::debug!(step = "refuse", error:% = io::Error::from(error); "connection_ended");
-            return Next::Done;
-        }
-        self.discard_body(left)
+        Next::Refused(self.stream, left)
     }
-
-    /// Reads and drops what has arrived of a body with `left` bytes, so that closing the connection
-    /// does not reset it.
-    fn discard_body(mut self, left: Option<u64>) -> Next {
-        let (mut left, mut read) = (left, 0);
-        while left != Some(0) && read < MAX_TURN_BYTES {
-            match receive(&self.stream, |_| ()) {
-                Ok(0) => return Next::Done,
-                Ok(count) => {
-                    read += count;
-                    left = left.map(|l| l.saturating_sub(count as u64));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
-                Err(error) => {
-                    log::debug!(step = "refuse", error:% = error; "connection_ended");
-                    return Next::Done;
-                }
-            }
-        }
-        if left == Some(0) {
-            return Next::Done;
-        }
-        self.stage = Stage::Body(left);
-        Next::Wait(self)
-    }
-}
-
-/// Reads what has arrived, up to [`READ_BYTES`], and returns its size; zero at the end.
-fn receive(stream: impl AsFd, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
-    BUFFER.with_borrow_mut(|buffer| {
-        loop {
-            match rustix::net::recv(stream.as_fd(), &mut buffer[..], RecvFlags::empty()) {
-                Ok((count, _)) => {
-                    take(&buffer[..count]);
-                    return Ok(count);
-                }
-                Err(rustix::io::Errno::INTR) => {}
-                Err(error) => return Err(error.into()),
-            }
-        }
-    })
 }
 
 fn parse(bytes: &[u8]) -> Parsed {
