front: keep the connection of a request that is refused before its body

What callers saw: a 401, 404, 431 or "stopping" with nothing in it about the connection, which was then closed; the next request that they sent on it got neither an answer nor a refusal. These responses come up beside changes of the configuration that drop a route or a key, most of all with bodies that don't arrive with the head.

Cause: the handler responded from the head and dropped the body; hyper reads what it has of a dropped body, and closes the connection if that is not all, after a response that it has written as one of a kept connection. The refusal of a stream at its head read the body first; these did not.

They now read the body for the same 200 ms. If it is complete by then, the connection is kept; otherwise, and after a 413, the response says that the connection closes.

Before, over sockets: with the body 50 ms after the head, the next request gets no answer (refusal_before_the_body_keeps_the_connection); with a body 500 ms later the response has no `connection: close` (refusal_of_slow_body_says_that_the_connection_closes).

--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -129,10 +129,10 @@
                 status: StatusCode::SERVICE_UNAVAILABLE,
                 reason: "the router is stopping",
             };
-            return refuse(shell, &parts, &refusal);
+            return refuse_unread(shell, &parts, body, &refusal).await;
         }
         Ok(routed) => routed,
-        Err(refusal) => return refuse(shell, &parts, &refusal),
+        Err(refusal) => return refuse_unread(shell, &parts, body, &refusal).await,
     };
     if let Some(demand) = &routed.demand {
         if let Some(response) = demand.refuse(shell, &parts.headers) {
@@ -145,22 +145,53 @@
         Ok(body) => body.to_bytes(),
         Err(error) => {
             let refusal = body_error(error.as_ref());
-            return refuse(shell, &parts, &refusal);
+            return close_after(refuse(shell, &parts, &refusal));
         }
     };
     submit(shell, started, &parts, body, (routed, admitted)).await
 }
 
-/// Reads what arrives soon of a refused request's body: closing a connection with unread bytes
-/// would reset it, and the caller might lose the response.
-async fn discard(headers: &HeaderMap, mut body: Incoming) {
+/// Reads what arrives soon of a refused request's body; returns whether that is all, so that the
+/// connection can be used again.
+async fn discard(headers: &HeaderMap, mut body: Incoming) -> bool {
     if headers.contains_key(header::EXPECT) {
         // The caller sends the body only if it is asked to.
-        return;
+        return body.is_end_stream();
     }
-    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
-    // The response is sent in any case.
-    let _ = compio::time::timeout(DISCARD_TIMEOUT, reading).await;
+    let reading = async {
+        while let Some(frame) = body.frame().await {
+            if frame.is_err() {
+                return false;
+            }
+        }
+        true
+    };
+    compio::time::timeout(DISCARD_TIMEOUT, reading)
+        .await
+        .unwrap_or(false)
+}
+
+/// Refuses a request whose body was not read.
+async fn refuse_unread(
+    shell: &Shell,
+    parts: &Parts,
+    body: Incoming,
+    refusal: &Refusal,
+) -> Response<Body> {
+    let is_read = discard(&parts.headers, body).await;
+    let response = refuse(shell, parts, refusal);
+    if is_read {
+        response
+    } else {
+        close_after(response)
+    }
+}
+
+/// Tells the caller that the connection is closed after the response.
+fn close_after(mut response: Response<Body>) -> Response<Body> {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
 }
 
 fn body_error(error: &(dyn std::error::Error + 'static)) -> Refusal {
--- a/crates/front/tests/all/callers.rs
+++ b/crates/front/tests/all/callers.rs
@@ -104,6 +104,54 @@
     });
 }
 
+/// Sends a request that has no route, and its body after `pause`; returns the responses to it and, on
+/// the same connection, to another one.
+async fn refused_with_late_body(pause: Duration) -> (String, Option<String>) {
+    let front = Front::start(&[]);
+    let head = "POST /nowhere/x HTTP/1.1\r\nhost: host\r\ncontent-length: 4\r\n\r\n";
+    let mut caller = TcpStream::connect(front.address).await.expect("it listens");
+    let mut writer = caller.clone();
+    let BufResult(written, _) = writer.write_all(head.as_bytes().to_vec()).await;
+    written.expect("it is open");
+    let write_body = async {
+        compio::time::sleep(pause).await;
+        let BufResult(written, _) = writer.write_all(b"body".to_vec()).await;
+        written.expect("the router reads on");
+    };
+    let read_response = read_until(&mut caller, "no route\n");
+    let ((), first) = futures_util::future::join(write_body, read_response).await;
+    let BufResult(written, _) = caller.write_all(head.replace('4', "0").into_bytes()).await;
+    let second = read_until(&mut caller, "no route\n").await;
+    (
+        first,
+        written.is_ok().then_some(second).filter(|s| !s.is_empty()),
+    )
+}
+
+/// Guards against a connection that is closed under its caller (LOST): the response did not say so,
+/// and the next request on it got no answer.
+#[test]
+fn refusal_before_the_body_keeps_the_connection() {
+    run(async {
+        let (first, second) = refused_with_late_body(Duration::from_millis(50)).await;
+        assert_eq!(status(&first), 404);
+        assert_eq!(header(&first, "connection"), None);
+        assert_eq!(status(&second.expect("the connection is kept")), 404);
+    });
+}
+
+/// Guards against a caller that sends its next request on a connection which is to be closed (LOST),
+/// since its body came too late to be read.
+#[test]
+fn refusal_of_slow_body_says_that_the_connection_closes() {
+    run(async {
+        let (first, second) = refused_with_late_body(Duration::from_millis(500)).await;
+        assert_eq!(status(&first), 404);
+        assert_eq!(header(&first, "connection").as_deref(), Some("close"));
+        assert_eq!(second, None);
+    });
+}
+
 /// Guards against callers that stay at an overloaded router: the platform sends their next
 /// connections to another one.
 #[test]
