net: serve a request that has arrived when a listener closes its connections

What callers saw: around a graceful stop, no answer to a request that was sent on a kept connection before the router closed it.

Cause: hyper's graceful shutdown closes an idle connection without a look at the socket, so a request that the event loop has not reported yet is reset. On a late loop that may be any request of the last turn.

The connection now asks the system once and is polled before it is shut down; a request that is there is served, and its response says that the connection closes. The head of a request that has arrived in part only is still dropped.

Before: request_that_arrived_before_the_close_is_answered fails ("the request was lost"). After: passes.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -8,6 +8,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use compio::driver::ToSharedFd;
@@ -457,11 +458,12 @@
     closing: Shared<oneshot::Receiver<()>>,
     trace: Rc<Trace>,
 ) -> Option<OwnedFd> {
+    let look = timer.look_flag();
     let stream = match to_stream(opened.stream) {
         Ok(stream) => stream
             .with_prefix(opened.bytes)
             .with_end_flag(Rc::clone(&trace.peer_closed))
-            .with_look_flag(timer.look_flag()),
+            .with_look_flag(Arc::clone(&look)),
         Err(error) => {
             log::debug!(step = "accept", error:% = error; "connection_ended");
             return None;
@@ -496,9 +498,16 @@
     let (result, was_idle) = match ended {
         Some(result) => (result, false),
         None => {
-            let was_idle = trace.is_idle();
-            Pin::new(&mut serving).graceful_shutdown();
-            ((&mut serving).await, was_idle)
+            // A request that the event loop has not reported yet is served first.
+            look.store(true, Ordering::Relaxed);
+            match (&mut serving).now_or_never() {
+                Some(result) => (result, false),
+                None => {
+                    let was_idle = trace.is_idle();
+                    Pin::new(&mut serving).graceful_shutdown();
+                    ((&mut serving).await, was_idle)
+                }
+            }
         }
     };
     trace.log_end(&result);
--- a/crates/net/tests/idle.rs
+++ b/crates/net/tests/idle.rs
@@ -131,3 +131,16 @@
         }
     });
 }
+
+/// Guards against a request that gets no answer (LOST): it has arrived when the router closes its
+/// connections, and the event loop has not reported it.
+#[test]
+fn request_that_arrived_before_the_close_is_answered() {
+    run(|address, connections| async move {
+        let mut stream = connect(address).await;
+        stream.write_all(REQUEST).expect("the connection is open");
+        connections.close();
+        assert!(answer(&mut stream).await, "the request was lost");
+        assert!(!answer(&mut stream).await, "the connection is closed");
+    });
+}
