net: bound what all lingering connections read in a turn

128 connections with 128 KiB each may have taken 16 MiB of one turn of the event loop, while a router that refuses has the least time for it. All of them now share 1 MiB a turn; what is left waits in the sockets. The tests of crates/net pass as before; the cost was not measured.

--- a/crates/net/src/linger.rs
+++ b/crates/net/src/linger.rs
@@ -24,6 +24,8 @@
 const MAX_BYTES: usize = 16 * 1024 * 1024;
 /// Maximum bytes read from a connection in a turn of the event loop.
 const MAX_TURN_BYTES: usize = 128 * 1024;
+/// Maximum bytes read from all connections in a turn of the event loop.
+const MAX_TOTAL_BYTES: usize = 1024 * 1024;
 /// Interval of looking at the connections.
 const INTERVAL: Duration = Duration::from_millis(20);
 
@@ -38,10 +40,12 @@
 }
 
 impl Lingering {
-    /// Reads and drops what has arrived; returns whether more may come.
-    fn look(&mut self, now: Instant) -> bool {
+    /// Reads and drops what has arrived, up to about `budget` bytes, which are taken from it; returns
+    /// whether more may come.
+    fn look(&mut self, now: Instant, budget: &mut usize) -> bool {
+        let limit = MAX_TURN_BYTES.min(*budget);
         let mut turn = 0;
-        while self.left != Some(0) && turn < MAX_TURN_BYTES {
+        while self.left != Some(0) && turn < limit {
             match receive(self.stream.as_fd(), |_| ()) {
                 Ok(0) => return false,
                 Ok(count) => {
@@ -53,6 +57,7 @@
                 Err(_) => return false,
             }
         }
+        *budget = budget.saturating_sub(turn);
         self.read += turn;
         self.left != Some(0) && self.read < MAX_BYTES && now < self.until
     }
@@ -77,7 +82,8 @@
             read: 0,
             until: now + LINGER_TIME,
         };
-        if !lingering.look(now) {
+        let mut budget = MAX_TURN_BYTES;
+        if !lingering.look(now, &mut budget) {
             return;
         }
         let mut connections = self.connections.borrow_mut();
@@ -95,7 +101,9 @@
         while !self.connections.borrow().is_empty() {
             compio::time::sleep(INTERVAL).await;
             let now = Instant::now();
-            self.connections.borrow_mut().retain_mut(|c| c.look(now));
+            let mut budget = MAX_TOTAL_BYTES;
+            let mut connections = self.connections.borrow_mut();
+            connections.retain_mut(|c| c.look(now, &mut budget));
         }
     }
 }
