front: refuse at once while the process is stopping

Since refusals wait up to 200 ms for the body, one that arrives as the process exits could be cut: the last responses have 100 ms. A router that is stopping now refuses without that wait; its responses say that the connection closes in any case.

Before: request_while_exiting_is_refused_before_its_body takes 201 ms for the 503 (the first of its two requests).

--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -178,7 +178,8 @@
     body: Incoming,
     refusal: &Refusal,
 ) -> Response<Body> {
-    let is_read = discard(&parts.headers, body).await;
+    // A process that is stopping may end before the body arrives.
+    let is_read = !shell.is_stopping() && discard(&parts.headers, body).await;
     let response = refuse(shell, parts, refusal);
     if is_read {
         response
--- a/crates/front/tests/all/requests.rs
+++ b/crates/front/tests/all/requests.rs
@@ -126,3 +126,22 @@
         assert!(server.received().is_empty());
     });
 }
+
+/// Guards against a request that gets no answer (LOST): its refusal waits for a body, and the process
+/// ends first.
+#[test]
+fn request_while_exiting_is_refused_before_its_body() {
+    run(async {
+        let front = Front::start(&[]);
+        front.shell.stop();
+        front.shell.begin_exit();
+        for (path, expected) in [("/once/x", 503), ("/nowhere/x", 404)] {
+            let started = front.shell.now();
+            // The body never arrives.
+            let response = front.call(path, "content-length: 4\r\n").await;
+            assert_eq!(status(&response), expected);
+            let after = front.shell.now().duration_since(started);
+            assert!(after < Duration::from_millis(100), "{after:?}");
+        }
+    });
+}
