--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod body;
 pub mod client;
 pub mod event_loop;
+mod head_timer;
 pub mod headers;
+mod linger;
 pub mod logs;
 pub mod pool;
 pub mod process;
@@ -15,6 +17,7 @@
 pub mod sse;
 pub mod stall;
 pub mod time;
+mod trace;
 pub mod triage;
 
 pub use body::{Body, BodySender, channel, empty, full, json};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -5,18 +5,20 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
+use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use compio::driver::ToSharedFd;
 use compio::net::{TcpListener, TcpStream};
 use compio::runtime::fd::PollFd;
-use cyper_core::CompioTimer;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared};
 use hibiscusrail_macros::value;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, HeaderName, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,8 +28,11 @@
 
 use crate::body::Body;
 use crate::event_loop;
+use crate::head_timer::{HeadTimer, SharedTimeout};
+use crate::linger::LingerQueue;
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
+use crate::trace::{Trace, Traced};
 use crate::triage::{self, Admitted, Next, Opened, OverLimit, Triage, WaitingRoom};
 
 /// Limits on the connections of one listener.
@@ -123,11 +128,13 @@
 pub struct Connections {
     open: Cell<usize>,
     refused: Cell<usize>,
-    /// Replaces the head timeout of the listener's limits for new connections.
-    head_timeout: Cell<Option<Duration>>,
+    /// Replaces the head timeout of the listener's limits.
+    head_timeout: Arc<SharedTimeout>,
     close: Cell<Option<oneshot::Sender<()>>>,
     closing: Shared<oneshot::Receiver<()>>,
     refuse: Option<RefusalHandler>,
+    /// Header with a request's id, for the log.
+    id_header: Option<HeaderName>,
     triage: RefCell<Option<Rc<dyn Triage>>>,
     on_accept: Option<Rc<dyn Fn(AcceptEvent)>>,
 }
@@ -155,10 +162,11 @@
         Self {
             open: Cell::new(0),
             refused: Cell::new(0),
-            head_timeout: Cell::new(None),
+            head_timeout: Arc::default(),
             close: Cell::new(Some(close)),
             closing: closing.shared(),
             refuse: None,
+            id_header: None,
             triage: RefCell::default(),
             on_accept: None,
         }
@@ -171,6 +179,13 @@
         self
     }
 
+    /// Sets the header with a request's id, which the log names.
+    #[must_use]
+    pub fn with_id_header(mut self, name: HeaderName) -> Self {
+        self.id_header = Some(name);
+        self
+    }
+
     /// Sets a callback that is called for every event at the listener.
     #[must_use]
     pub fn with_on_accept(mut self, on_accept: Rc<dyn Fn(AcceptEvent)>) -> Self {
@@ -189,9 +204,11 @@
         self.close.take();
     }
 
-    /// Sets the timeout for the next request head on connections that are accepted from now on.
+    /// Sets the timeout for the next request head.
+    ///
+    /// A longer one holds for all connections at once, a shorter one on each from its next response.
     pub fn set_head_timeout(&self, timeout: Duration) {
-        self.head_timeout.set(Some(timeout));
+        self.head_timeout.set(timeout);
     }
 
     /// Sets what decides on the first request of new connections while it is active.
@@ -275,6 +292,7 @@
         handler,
         connections,
         waiting: RefCell::default(),
+        lingering: Rc::default(),
     });
     loop {
         // Accepting itself completes at once while a connection is pending. Waiting for the event
@@ -297,6 +315,7 @@
     handler: Handler,
     connections: Rc<Connections>,
     waiting: RefCell<WaitingRoom>,
+    lingering: Rc<LingerQueue>,
 }
 
 impl Server {
@@ -331,9 +350,15 @@
 
     /// Refuses a new connection, waits for its request or has it served.
     fn open(self: &Rc<Self>, stream: OwnedFd, triage: &dyn Triage) {
-        match triage::open(Instant::now(), stream, triage) {
-            Next::Serve(opened) => self.leave_triage(Some(opened)),
-            Next::Done => self.leave_triage(None),
+        let now = Instant::now();
+        let next = triage::open(now, stream, triage);
+        self.leave_triage(now, next);
+    }
+
+    /// Does what is next with a connection, and counts it if it is not served.
+    fn leave_triage(self: &Rc<Self>, now: Instant, next: Next) {
+        match next {
+            Next::Serve(opened) => self.admit(opened),
             Next::Wait(waiting) => {
                 let mut room = self.waiting.borrow_mut();
                 let was_empty = room.is_empty();
@@ -344,17 +369,14 @@
                         event_loop::spawn(Rc::clone(self).watch_waiting());
                     }
                     Ok(()) => {}
-                    Err(opened) => self.leave_triage(opened),
+                    Err(opened) => self.admit(opened),
                 }
             }
-        }
-    }
-
-    /// Serves a connection, or counts it if it was closed.
-    fn leave_triage(&self, opened: Option<Opened>) {
-        match opened {
-            Some(opened) => self.admit(opened),
-            None => self.connections.notify(AcceptEvent::Triaged),
+            Next::Refused(stream, left) => {
+                self.lingering.close(now, stream, left);
+                self.connections.notify(AcceptEvent::Triaged);
+            }
+            Next::Done => self.connections.notify(AcceptEvent::Triaged),
         }
     }
 
@@ -369,8 +391,8 @@
             };
             let now = Instant::now();
             let ended = self.waiting.borrow_mut().look(now, triage.as_ref());
-            for opened in ended {
-                self.leave_triage(opened);
+            for next in ended {
+                self.leave_triage(now, next);
             }
         }
     }
@@ -378,21 +400,15 @@
     fn admit(&self, opened: Opened) {
         let connections = &self.connections;
         let kind = connections.classify(self.limits);
-        let (limits, handler) = match (kind, &connections.refuse) {
+        let (timer, handler) = match (kind, &connections.refuse) {
             (Accepted::Served, _) => {
-                let head_timeout = connections.head_timeout.get();
-                let limits = Limits {
-                    head_timeout: head_timeout.unwrap_or(self.limits.head_timeout),
-                    ..self.limits
-                };
-                (limits, Rc::clone(&self.handler))
+                let shared = Arc::clone(&connections.head_timeout);
+                let timer = HeadTimer::new(self.limits.head_timeout, shared);
+                (timer, Rc::clone(&self.handler))
             }
             (Accepted::Refused, Some(refuse)) => {
-                let limits = Limits {
-                    head_timeout: REFUSAL_TIMEOUT,
-                    ..self.limits
-                };
-                (limits, refusal_handler(refuse))
+                let timer = HeadTimer::new(REFUSAL_TIMEOUT, Arc::default());
+                (timer, refusal_handler(refuse))
             }
             _ => {
                 log::debug!(limit = self.limits.max_connections; "connection_refused");
@@ -401,9 +417,15 @@
         };
         let guard = CountGuard::new(connections, kind);
         let closing = connections.closing.clone();
+        let trace = Rc::new(Trace::new(connections.id_header.clone()));
+        let limits = self.limits;
+        let lingering = Rc::clone(&self.lingering);
         event_loop::spawn(async move {
-            serve_connection(opened, limits, handler, closing).await;
+            let rest = serve_connection(opened, limits, timer, handler, closing, trace).await;
             drop(guard);
+            if let Some(stream) = rest {
+                lingering.close(Instant::now(), stream, None);
+            }
         });
     }
 }
@@ -427,47 +449,71 @@
     SocketStream::new(stream)
 }
 
+/// Serves a connection to its end; returns its socket if the peer may still be sending.
 async fn serve_connection(
     opened: Opened,
     limits: Limits,
+    timer: HeadTimer,
     handler: Handler,
     closing: Shared<oneshot::Receiver<()>>,
-) {
+    trace: Rc<Trace>,
+) -> Option<OwnedFd> {
+    let look = timer.look_flag();
     let stream = match to_stream(opened.stream) {
-        Ok(stream) => stream.with_prefix(opened.bytes),
+        Ok(stream) => stream
+            .with_prefix(opened.bytes)
+            .with_end_flag(Rc::clone(&trace.peer_closed))
+            .with_look_flag(Arc::clone(&look)),
         Err(error) => {
             log::debug!(step = "accept", error:% = error; "connection_ended");
-            return;
+            return None;
         }
     };
     let admitted = Cell::new(opened.admitted);
+    let tracing = Rc::clone(&trace);
     let service = service_fn(move |mut request: Request<Incoming>| {
         // Only the first request on the connection was judged.
         if admitted.take() {
             request.extensions_mut().insert(Admitted);
         }
+        let has_body = !http_body::Body::is_end_stream(request.body());
+        tracing.begin(request.headers(), has_body);
+        let trace = Rc::clone(&tracing);
         let response = handler(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move { Ok::<_, Infallible>(response.await.map(|body| trace.respond(body))) }
     });
-    let stream = WriteTimeout::new(stream, limits.write_timeout);
-    let serving = http1::Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(limits.head_timeout)
+    let stream = Traced::new(
+        WriteTimeout::new(stream, limits.write_timeout),
+        Rc::clone(&trace),
+    );
+    let mut serving = http1::Builder::new()
+        .timer(timer)
+        .header_read_timeout(Duration::ZERO)
         .max_buf_size(limits.max_head_bytes)
         .serve_connection(stream, service);
-    let mut serving = std::pin::pin!(serving);
     let ended = futures_util::select! {
-        result = serving.as_mut().fuse() => Some(result),
+        result = (&mut serving).fuse() => Some(result),
         _ = closing.fuse() => None,
     };
-    let result = match ended {
-        Some(result) => result,
+    let (result, was_idle) = match ended {
+        Some(result) => (result, false),
         None => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+            // A request that the event loop has not reported yet is served first.
+            look.store(true, Ordering::Relaxed);
+            match (&mut serving).now_or_never() {
+                Some(result) => (result, false),
+                None => {
+                    let was_idle = trace.is_idle();
+                    Pin::new(&mut serving).graceful_shutdown();
+                    ((&mut serving).await, was_idle)
+                }
+            }
         }
     };
-    if let Err(error) = result {
-        log::debug!(step = "serve", error:% = error; "connection_ended");
+    trace.log_end(&result);
+    if was_idle || !trace.may_receive(&result) {
+        return None;
     }
+    let stream = serving.into_parts().io;
+    stream.get_ref().get_ref().try_clone().ok()
 }
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -5,16 +5,21 @@
 //! is ready. The stream of `cyper-core` keeps two buffers for each connection,
 //! which takes too much memory with thousands of open streams.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, Read as _};
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::{AsFd, OwnedFd};
 use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use compio::net::TcpStream;
 use compio::runtime::fd::PollFd;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustix::io::Errno;
+use rustix::net::RecvFlags;
 use socket2::{Domain, Protocol, Socket, Type};
 
 /// Maximum bytes read from a socket at once.
@@ -35,6 +40,10 @@
     short_reads: bool,
     /// Bytes that were read before hyper took over.
     prefix: Vec<u8>,
+    /// Set once the end of the peer's bytes was read.
+    ended: Option<Rc<Cell<bool>>>,
+    /// Set when the next read must not rely on what the event loop has reported.
+    look: Option<Arc<AtomicBool>>,
 }
 
 impl SocketStream {
@@ -51,6 +60,8 @@
             readable: true,
             short_reads: false,
             prefix: Vec::new(),
+            ended: None,
+            look: None,
         })
     }
 
@@ -80,6 +91,8 @@
             readable: true,
             short_reads: false,
             prefix: Vec::new(),
+            ended: None,
+            look: None,
         })
     }
 
@@ -100,6 +113,30 @@
         self
     }
 
+    /// Sets the flag that records the end of the peer's bytes.
+    #[must_use]
+    pub fn with_end_flag(mut self, ended: Rc<Cell<bool>>) -> Self {
+        self.ended = Some(ended);
+        self
+    }
+
+    /// Sets a flag that makes the next read ask the system, even if the event loop has not reported
+    /// any bytes; the read clears it.
+    #[must_use]
+    pub fn with_look_flag(mut self, look: Arc<AtomicBool>) -> Self {
+        self.look = Some(look);
+        self
+    }
+
+    /// Returns another handle to the socket, which keeps the connection open when this one is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system gives no file descriptor.
+    pub fn try_clone(&self) -> io::Result<OwnedFd> {
+        self.socket.as_fd().try_clone_to_owned()
+    }
+
     /// Moves bytes that were read before into `buf`; returns whether there were any.
     fn take_prefix(&mut self, buf: &mut ReadBufCursor<'_>) -> bool {
         if self.prefix.is_empty() {
@@ -130,13 +167,29 @@
     }
 }
 
-/// Reads available bytes into `buf`; returns whether it read as many as asked.
-fn read_available(mut socket: &Socket, buf: &mut ReadBufCursor<'_>) -> io::Result<bool> {
+/// Reads what has arrived, up to a limit, and returns its size; zero at the end.
+pub(crate) fn receive(stream: impl AsFd, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
+    BUFFER.with_borrow_mut(|buffer| {
+        loop {
+            match rustix::net::recv(stream.as_fd(), &mut buffer[..], RecvFlags::empty()) {
+                Ok((count, _)) => {
+                    take(&buffer[..count]);
+                    return Ok(count);
+                }
+                Err(Errno::INTR) => {}
+                Err(error) => return Err(error.into()),
+            }
+        }
+    })
+}
+
+/// Reads available bytes into `buf`; returns their number and whether it read as many as asked.
+fn read_available(mut socket: &Socket, buf: &mut ReadBufCursor<'_>) -> io::Result<(usize, bool)> {
     BUFFER.with_borrow_mut(|buffer| {
         let length = buf.remaining().min(buffer.len());
         let count = socket.read(&mut buffer[..length])?;
         buf.put_slice(&buffer[..count]);
-        Ok(count == length)
+        Ok((count, count == length))
     })
 }
 
@@ -149,6 +202,11 @@
         if self.take_prefix(&mut buf) {
             return Poll::Ready(Ok(()));
         }
+        if let Some(look) = &self.look
+            && look.swap(false, Ordering::Relaxed)
+        {
+            self.readable = true;
+        }
         loop {
             if !self.readable {
                 std::task::ready!(self.socket.poll_read_ready(cx))?;
@@ -157,10 +215,15 @@
             match read_available(&self.socket, &mut buf) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
-                result => {
-                    return Poll::Ready(
-                        result.map(|full| self.readable = full || !self.short_reads),
-                    );
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok((count, full)) => {
+                    self.readable = full || !self.short_reads;
+                    if count == 0
+                        && let Some(ended) = &self.ended
+                    {
+                        ended.set(true);
+                    }
+                    return Poll::Ready(Ok(()));
                 }
             }
         }
