front: add failing tests of replacements that reject a request

Callers saw a stream that is cut, or a 502, though their silent server goes on after 900 ms: its attempt is cancelled once another server has accepted the connection, and that one then answers that it did not run the request. With two attempts for a route nothing is left.

A connection is no acceptance: the old attempt is ended before anybody is known to do its work.

--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod metrics;
 mod notices;
 mod overload;
+mod replacements;
 mod requests;
 mod streams;
 mod support;
--- /dev/null
+++ b/crates/front/tests/all/replacements.rs
@@ -0,0 +1,60 @@
+//! Servers that replace a silent one, and what callers get if they can't.
+
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::Fleet;
+use hibiscusrail_front::stop;
+
+use super::support::{
+    Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, full_response, run, status,
+};
+
+fn event(id: u32) -> String {
+    format!("id: {id}\ndata: {id}\n\n")
+}
+
+/// Returns the response of a server that is full and did not run the request.
+fn rejection() -> Act {
+    let response = full_response("503 Service Unavailable", "full");
+    Act::Write(response.replace("x-seal: s", "x-not-run: 1"))
+}
+
+/// Guards against a stream that is cut since the server that was to replace its silent one rejects
+/// the request.
+#[test]
+fn stream_silent_is_not_cut_if_replacement_rejects_it() {
+    run(async {
+        let pause = Act::Pause(
+            STREAM_HEAD.to_owned() + &chunk(&event(1)),
+            chunk(&event(2)) + STREAM_END,
+        );
+        let server = Server::start(vec![pause]);
+        let full = Server::start(vec![rejection()]);
+        let front = Front::start(&[&server, &full]);
+        for _ in 0..2 {
+            let response = front.call("/resume/x", "").await;
+            if status(&response) == 503 {
+                // The first request went to the full server and from there nowhere else.
+                continue;
+            }
+            assert!(response.contains(&event(2)), "{response}");
+            assert!(response.ends_with(STREAM_END), "{response}");
+        }
+        assert!(!server.received().is_empty());
+    });
+}
+
+/// Guards against a 502 since the server that was to replace a silent one rejects the request.
+#[test]
+fn response_after_silence_is_relayed_if_replacement_rejects_it() {
+    run(async {
+        let act = Act::Pause(String::new(), full_response("200 OK", "body"));
+        let server = Server::start(vec![act]);
+        let full = Server::start(vec![rejection()]);
+        let front = Front::start(&[&server, &full]);
+        for _ in 0..2 {
+            let response = front.call("/again/x", "").await;
+            assert_eq!(status(&response), 200, "{response}");
+        }
+    });
+}
