fleet: add failing tests of admitted requests that are refused for their share

Callers saw a 502 (OverShare or Busy, Unknown) for a request that had been admitted: after its server broke, or after the server that replaced a silent one rejected it, the request has no attempt any more, so it is subject to the limits on new requests, with a target that is over.

--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -19,6 +19,7 @@
 mod placement;
 mod quota;
 mod registry;
+mod replacements;
 mod reports;
 mod retries;
 mod server_rates;
--- /dev/null
+++ b/crates/fleet/tests/all/replacements.rs
@@ -0,0 +1,51 @@
+//! Requests that have lost a server which may have run them, and servers that are silent at a probe.
+
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::{Event, Fleet, Outcome, RequestKey};
+
+use super::support::{self, ENGINES, failure_reason, prompt, sent_to, submission};
+
+const KEY: RequestKey = RequestKey(1);
+/// Silence after which the daemon looks for another server.
+const SILENCE: Duration = Duration::from_millis(1_800);
+
+/// Lets both engines of a router prefill until a new request would start late.
+fn crowd(fleet: &mut Fleet, now: Instant) {
+    for key in 10..60 {
+        let submission = submission(key, 1, prompt(key, 4_000), now);
+        fleet.handle(now, Event::Submit(submission));
+    }
+}
+
+/// Guards against a request that was admitted and is refused for its share after the server that
+/// replaced a silent one rejected it.
+#[test]
+fn replaced_request_that_is_rejected_is_sent_to_third_server() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 3, now);
+    let mut request = submission(1, 1, prompt(1, 10), now);
+    request.max_attempts = 4;
+    fleet.handle(now, Event::Submit(request));
+    let late = now + SILENCE;
+    crowd(&mut fleet, late);
+    assert!(sent_to(&fleet.handle(late, Event::Stalled(KEY))).is_some());
+    fleet.handle(late, Event::Replaced(KEY));
+    let decisions = fleet.handle(late, Event::Ended(KEY, Outcome::NotRun));
+    assert_eq!(failure_reason(&decisions), None, "{decisions:?}");
+    assert!(sent_to(&decisions).is_some(), "{decisions:?}");
+}
+
+/// Guards against a request that was admitted and is refused for its share, with a 502, after the
+/// connection to its server broke.
+#[test]
+fn broken_request_over_share_is_sent_elsewhere_after_target() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 2, now);
+    fleet.handle(now, Event::Submit(submission(1, 1, prompt(1, 10), now)));
+    let late = now + SILENCE;
+    crowd(&mut fleet, late);
+    let decisions = fleet.handle(late, Event::Ended(KEY, Outcome::Broken));
+    assert_eq!(failure_reason(&decisions), None, "{decisions:?}");
+    assert!(sent_to(&decisions).is_some(), "{decisions:?}");
+}
