fleet: add a failing test of a cold server that is silent at its probe

A server that was unreachable and has restarted cold answers its probe late. The connection of a probe is younger than the pause, so it does not show that the server has not restarted.

--- a/crates/fleet/tests/all/replacements.rs
+++ b/crates/fleet/tests/all/replacements.rs
@@ -49,3 +49,35 @@
     assert_eq!(failure_reason(&decisions), None, "{decisions:?}");
     assert!(sent_to(&decisions).is_some(), "{decisions:?}");
 }
+
+/// Guards against a burst to a server that restarted cold and was slow to answer its probe.
+#[test]
+fn server_silent_at_its_probe_is_cold() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 1, start);
+    for key in 0..2 {
+        let submission = submission(key, 1, prompt(1, 10), start);
+        fleet.handle(start, Event::Submit(submission));
+        fleet.handle(start, Event::Ended(RequestKey(key), Outcome::Unreachable));
+    }
+    let probed = start + Duration::from_millis(500);
+    let probe = fleet.handle(
+        probed,
+        Event::Submit(submission(6, 1, prompt(1, 10), probed)),
+    );
+    assert!(sent_to(&probe).is_some(), "one request probes the server");
+    let stalled = probed + SILENCE;
+    fleet.handle(stalled, Event::Stalled(RequestKey(6)));
+    let now = stalled + Duration::from_millis(200);
+    fleet.handle(now, Event::FirstByte(RequestKey(6)));
+    let burst = (10..40)
+        .filter(|key| {
+            sent_to(&fleet.handle(now, Event::Submit(submission(*key, 1, prompt(1, 10), now))))
+                .is_some()
+        })
+        .count();
+    assert!(
+        burst <= 1,
+        "{burst} requests at once to a server that may be cold"
+    );
+}
