--- a/crates/fleet/tests/all/replacements.rs
+++ b/crates/fleet/tests/all/replacements.rs
@@ -81,3 +81,16 @@
         "{burst} requests at once to a server that may be cold"
     );
 }
+
+/// Guards against a server that is paused since a single request was silent until its deadline.
+#[test]
+fn single_silence_until_deadline_does_not_pause_server() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    fleet.handle(now, Event::Submit(submission(1, 1, prompt(1, 10), now)));
+    fleet.handle(now + SILENCE, Event::Stalled(KEY));
+    let end = now + Duration::from_secs(12);
+    fleet.handle(end, Event::Ended(KEY, Outcome::Silent));
+    let sent = fleet.handle(end, Event::Submit(submission(2, 1, prompt(1, 10), end)));
+    assert!(sent_to(&sent).is_some(), "{sent:?}");
+}
