--- a/crates/fleet/tests/all/replacements.rs
+++ b/crates/fleet/tests/all/replacements.rs
@@ -94,3 +94,16 @@
     let sent = fleet.handle(end, Event::Submit(submission(2, 1, prompt(1, 10), end)));
     assert!(sent_to(&sent).is_some(), "{sent:?}");
 }
+
+/// Guards against a silent server that is given up right before the deadline, when no other one can
+/// answer in time any more.
+#[test]
+fn silent_server_is_kept_near_deadline() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 2, now);
+    fleet.handle(now, Event::Submit(submission(1, 1, prompt(1, 10), now)));
+    // The prompt alone takes about 90 ms to prefill.
+    let late = now + Duration::from_secs(12) - Duration::from_millis(20);
+    let decisions = fleet.handle(late, Event::Stalled(KEY));
+    assert_eq!(sent_to(&decisions), None, "{decisions:?}");
+}
