fleet: add a failing test of a silence that lowers the prefill rate

The first tokens of requests that waited for a silent server count as slow prefill. Fails on this code.

--- a/crates/fleet/tests/all/replacements.rs
+++ b/crates/fleet/tests/all/replacements.rs
@@ -107,3 +107,27 @@
     let decisions = fleet.handle(late, Event::Stalled(KEY));
     assert_eq!(sent_to(&decisions), None, "{decisions:?}");
 }
+
+/// Guards against a sound server that is held to be slow since its first tokens came late once.
+#[test]
+fn silence_does_not_lower_prefill_rate() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 1, now);
+    for key in 1..=8 {
+        fleet.handle(now, Event::Submit(submission(key, 1, prompt(1, 10), now)));
+    }
+    let time = |fleet: &Fleet| {
+        let mut engines = fleet
+            .registry()
+            .all()
+            .filter(|s| s.backend.service == ENGINES);
+        engines.next().map(|s| s.prefill_time(5_000, 55.0))
+    };
+    let before = time(&fleet);
+    let late = now + SILENCE;
+    for key in 1..=8 {
+        fleet.handle(late, Event::Stalled(RequestKey(key)));
+        fleet.handle(late, Event::FirstByte(RequestKey(key)));
+    }
+    assert_eq!(time(&fleet), before);
+}
