front: add a failing test of a silent server at the end of the stop

A request whose server is silent is held to its deadline. If the process ends before, the caller's connection is closed without an answer.

--- a/crates/front/tests/all/replacements.rs
+++ b/crates/front/tests/all/replacements.rs
@@ -58,3 +58,24 @@
         }
     });
 }
+
+/// Guards against a caller whose connection is closed without an answer as the process stops, since
+/// its server is silent.
+#[test]
+fn request_at_silent_server_is_answered_at_end_of_stop() {
+    run(async {
+        let server = Server::start(vec![Act::Hang(String::new())]);
+        let front = Front::start(&[&server]);
+        let stopping = async {
+            compio::time::sleep(Duration::from_millis(100)).await;
+            front.shell.stop();
+            front.shell.connections().close();
+            let end = Instant::now() + Duration::from_millis(1_000);
+            let cut = stop::drain(&front.shell, end).await;
+            (cut, front.shell.with_fleet(Fleet::requests))
+        };
+        let calling = front.call("/again/x", "");
+        let (response, (cut, _)) = futures_util::future::join(calling, stopping).await;
+        assert_eq!(cut, 0, "the process would end now: {response}");
+    });
+}
