front: add a test that a replaced connection is closed at once

The only test that the silent server's connection is closed waits up to ten seconds for it. This one allows 50 ms from the request to the other server on, as both must not work on it together for long. Passes on this code.

--- a/crates/front/tests/all/replacements.rs
+++ b/crates/front/tests/all/replacements.rs
@@ -59,6 +59,38 @@
     });
 }
 
+/// Guards against a silent server whose connection is still open while its replacement works.
+#[test]
+fn replaced_connection_is_closed_at_once() {
+    run(async {
+        let silent = Act::Hang(STREAM_HEAD.to_owned() + &chunk(&event(1)));
+        let pause = Act::Pause(
+            STREAM_HEAD.to_owned() + &chunk(&event(2)),
+            chunk(&event(3)) + STREAM_END,
+        );
+        let servers = [Server::start(vec![silent]), Server::start(vec![pause])];
+        let front = Front::start(&[&servers[0], &servers[1]]);
+        let calling = async {
+            front.call("/resume/x", "").await;
+            if servers[0].received().is_empty() {
+                front.call("/resume/x", "").await;
+            }
+        };
+        let watching = async {
+            while servers[0].received().is_empty() {
+                compio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let sent = servers[1].received().len();
+            while servers[1].received().len() == sent {
+                compio::time::sleep(Duration::from_millis(1)).await;
+            }
+            compio::time::sleep(Duration::from_millis(50)).await;
+            assert_eq!(servers[0].disconnects(), 1);
+        };
+        futures_util::future::join(calling, watching).await;
+    });
+}
+
 /// Guards against a caller whose connection is closed without an answer as the process stops, since
 /// its server is silent.
 #[test]
