net: add tests of requests that arrive as their connection is closed

The idle timeout is not affected: a request that arrived before it and is read after it is answered, 20 of 20.

--- /dev/null
+++ b/crates/net/tests/closing.rs
@@ -0,0 +1,91 @@
+//! Requests that arrive as the server closes their connection.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt;
+use hibiscusrail_net::server::Handler;
+use hibiscusrail_net::{Connections, EventLoop, Limits, bind, event_loop, full, serve_counted};
+use http::Response;
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: host\r\n\r\n";
+/// Time in which the event loop sees what its peer in the same process has sent.
+const SETTLE: Duration = Duration::from_millis(30);
+
+fn run(test: impl Future<Output = ()>) {
+    let event_loop = EventLoop::new(Instant::now).expect("the event loop is created");
+    event_loop.run(test);
+}
+
+/// Starts a server that answers at once.
+fn start(limits: Limits) -> (Rc<Connections>, SocketAddr) {
+    let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback is up");
+    let address = listener.local_addr().expect("the listener is bound");
+    let handler: Handler = Rc::new(|_| std::future::ready(Response::new(full("ok"))).boxed_local());
+    let connections = Rc::new(Connections::new());
+    let serving = serve_counted(listener, limits, handler, Rc::clone(&connections));
+    event_loop::spawn(serving);
+    (connections, address)
+}
+
+/// Returns a connection on which one request was answered.
+async fn kept(address: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    stream.write_all(REQUEST).expect("it is open");
+    compio::time::sleep(SETTLE).await;
+    let count = stream.read(&mut [0; 1_024]).expect("it is answered");
+    assert!(count > 0);
+    stream
+}
+
+/// Returns whether a response arrives.
+fn is_answered(stream: &mut TcpStream) -> bool {
+    stream
+        .set_read_timeout(Some(SETTLE))
+        .expect("it is a socket");
+    matches!(stream.read(&mut [0; 1_024]), Ok(count) if count > 0)
+}
+
+/// Guards against a request that arrived while the event loop was late, and whose connection is then
+/// closed without an answer as the process stops.
+#[test]
+fn close_answers_request_that_arrived_before() {
+    run(async {
+        let (connections, address) = start(Limits::new());
+        let mut streams = Vec::new();
+        for _ in 0..20 {
+            streams.push(kept(address).await);
+        }
+        for stream in &mut streams {
+            stream.write_all(REQUEST).expect("it is open");
+        }
+        connections.close();
+        compio::time::sleep(SETTLE).await;
+        let answered = streams
+            .iter_mut()
+            .filter_map(|s| is_answered(s).then_some(()))
+            .count();
+        assert_eq!(answered, 20);
+    });
+}
+
+/// Guards against a request that arrived before its connection had been idle for too long, and is not
+/// read since the event loop is late.
+#[test]
+fn idle_timeout_answers_request_that_arrived_before() {
+    run(async {
+        let mut limits = Limits::new();
+        limits.head_timeout = Duration::from_millis(100);
+        let (_connections, address) = start(limits);
+        for _ in 0..20 {
+            let mut stream = kept(address).await;
+            stream.write_all(REQUEST).expect("it is open");
+            // The event loop looks again only after the timeout.
+            std::thread::sleep(Duration::from_millis(150));
+            compio::time::sleep(SETTLE).await;
+            assert!(is_answered(&mut stream));
+        }
+    });
+}
