front: end the attempt at a silent server once another one has taken the request

A stream was cut, or a request got a 502, when the server that was to replace a silent one accepted the connection and then turned the request away (503 as it was full, 421, a reset): the silent attempt had been ended for it, and would have gone on. Found in review; the class is that of the silent servers, with a connection taken for acceptance.

The request is now sent while the silent attempt goes on. That one ends once the other server has answered with a head that takes the request, or 100 ms after the bytes left, as an engine answers only with its first token; both may work on it for that time. If the other server fails or rejects, the silent one keeps the request, and the attempt counts. A retry of which nothing was sent goes back to the budget. Why a request waits is logged once for each reason.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -257,18 +257,22 @@
         /// Number of tokens that arrived.
         tokens: u32,
     },
-    /// An attempt ended. If its request was to replace an attempt at a silent server and was not
-    /// sent, that one goes on.
+    /// An attempt ended. If it was to replace one at a silent server, that one goes on.
     Ended(RequestKey, Outcome),
     /// The server of a request that may be repeated has been silent for longer than expected.
     ///
     /// The attempt goes on until [`Event::Replaced`], if the decision is to send the request to
     /// another server, and else until its deadline.
     Stalled(RequestKey),
-    /// A request is being sent in place of the attempt at a silent server, which was cancelled.
+    /// The attempt at a silent server is cancelled, as another server has the request.
     Replaced(RequestKey),
-    /// A silent server went on before the request was sent to another one, and keeps it.
-    Resumed(RequestKey),
+    /// A silent server went on before another one answered, and keeps the request.
+    Resumed {
+        /// Id of the request.
+        key: RequestKey,
+        /// Whether the request was sent to the other server, which may have begun to run it.
+        sent: bool,
+    },
     /// A server's response says that it is leaving.
     ServerLeaving(ServerKey),
     /// A server's response names the requests per second that it accepts from all routers together,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -73,6 +73,8 @@
     progress: u32,
     /// Whether the server has been silent for longer than expected.
     silent: bool,
+    /// Why the request was last kept at its silent server.
+    kept_for: Option<Reason>,
 }
 
 /// State of a caller's request from arrival to end.
@@ -80,7 +82,7 @@
 struct Request {
     submission: Submission,
     attempt: Option<Attempt>,
-    /// Attempt at a silent server, until the request is sent to the server of `attempt`.
+    /// Attempt at a silent server, until the server of `attempt` has the request.
     replaced: Option<Attempt>,
     tried: Vec<ServerKey>,
     /// Number of servers to which the request was sent or is being sent.
@@ -354,7 +356,7 @@
             Event::Ended(key, outcome) => self.attempt_ended(now, key, outcome),
             Event::Stalled(key) => self.attempt_stalled(now, key),
             Event::Replaced(key) => self.attempt_replaced(key),
-            Event::Resumed(key) => self.attempt_resumed(now, key),
+            Event::Resumed { key, sent } => self.attempt_resumed(now, key, sent),
             Event::ServerLeaving(server) => self.server_leaving(server),
             Event::ServerRate(server, rate) => self.server_rate(now, server, rate),
             Event::ServerThrottled(server, pause) => self.server_throttled(now, server, pause),
@@ -612,15 +614,15 @@
         };
         server.own_load.pending_prefill = server.own_load.pending_prefill.saturating_sub(pending);
         server.record_proof(attempt.sent_at);
-        server.observe_prefill(prefill_tokens, took, rate);
         let was_silent = std::mem::take(&mut attempt.silent);
+        server.observe_prefill(prefill_tokens, took, rate);
         if server.health.record_success() {
             let deployment = self.config.deployment.as_ref();
             let cold = deployment
                 .and_then(|d| d.services.get(&request.submission.service))
                 .map_or(Duration::ZERO, |s| s.cold_time);
             // The server may have restarted while it was unreachable, so it counts as cold until
-            // its next registration says whether it is.
+            // its next registration says whether it is; not one that only was silent.
             if !was_silent {
                 server.cold_until = (!cold.is_zero()).then(|| now + cold);
             }
@@ -655,14 +657,6 @@
             Outcome::Expired => self.judge_expiry(now, key, &attempt),
             _ => self.record_outcome(now, attempt.server, outcome),
         }
-        if matches!(outcome, Outcome::Unreachable | Outcome::Withdrawn) {
-            self.uncount_attempt(key);
-            if self.restore_replaced(key) {
-                return;
-            }
-        } else {
-            self.release_replaced(key);
-        }
         if matches!(outcome, Outcome::Answered | Outcome::Failed) {
             self.record_proof(&attempt);
         }
@@ -672,14 +666,22 @@
                 if outcome == Outcome::Answered {
                     self.count_begun(now, key);
                 }
+                self.release_replaced(key);
                 self.settle_charge(now, key);
                 self.requests.remove(&key);
                 return;
             }
-            Outcome::NotRun | Outcome::Misdirected | Outcome::Unreachable | Outcome::Withdrawn => {}
+            Outcome::NotRun | Outcome::Misdirected => {}
+            Outcome::Unreachable | Outcome::Withdrawn => self.uncount_attempt(key),
             Outcome::Failed => self.set_execution(key, Execution::Failed),
             Outcome::Broken | Outcome::Expired => self.set_execution(key, Execution::Unknown),
         }
+        if self.restore_replaced(key) {
+            if matches!(outcome, Outcome::Unreachable | Outcome::Withdrawn) {
+                self.return_retry(now, key);
+            }
+            return;
+        }
         self.retry(now, key, outcome);
     }
 
@@ -868,6 +870,14 @@
         self.retry_window(&service).try_retry(now, routers)
     }
 
+    /// Returns the retry of an attempt of which no byte was sent to the budget.
+    fn return_retry(&mut self, now: Instant, key: RequestKey) {
+        let request = self.requests.get(&key);
+        if let Some(service) = request.map(|r| r.submission.service.clone()) {
+            self.retry_window(&service).return_retry(now);
+        }
+    }
+
     fn apply_config(&mut self, now: Instant, revision: Revision, mut config: OperatorConfig) {
         if revision <= self.config_revision {
             return;
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -647,6 +647,7 @@
             prefill_tokens: candidate.inputs.pending_prefill + load.pending_prefill,
             progress: 0,
             silent: false,
+            kept_for: None,
         });
         request.tried.push(candidate.key);
         request.attempts += 1;
--- a/crates/fleet/src/fleet/stalls.rs
+++ b/crates/fleet/src/fleet/stalls.rs
@@ -1,8 +1,8 @@
 //! Requests whose server is silent.
 //!
 //! A server may be silent for a while and go on, so silence counts against its health but ends no
-//! attempt. The request is sent to another server once one is found that accepts it; until then,
-//! and if there is none, it waits for the silent one.
+//! attempt. The request is sent to another server that has room for it; until that one has taken
+//! it, and if there is none, it waits for the silent one.
 
 use std::time::Instant;
 
@@ -23,6 +23,17 @@
             self.server_silent(now, server);
         }
         if let Err(reason) = self.replace_attempt(now, key) {
+            self.keep_attempt(key, reason);
+        }
+    }
+
+    /// Tells why a request waits for its silent server, unless it was told before.
+    fn keep_attempt(&mut self, key: RequestKey, reason: Reason) {
+        let request = self.requests.get_mut(&key);
+        let Some(attempt) = request.and_then(|r| r.attempt.as_mut()) else {
+            return;
+        };
+        if attempt.kept_for.replace(reason) != Some(reason) {
             self.decisions.push(Decision::Wait {
                 request: key,
                 reason,
@@ -60,7 +71,7 @@
         Ok(())
     }
 
-    /// Ends the attempt at a silent server, as its request is being sent to another one.
+    /// Ends the attempt at a silent server, as another one has the request.
     pub(super) fn attempt_replaced(&mut self, key: RequestKey) {
         self.release_replaced(key);
         self.set_execution(key, Execution::Unknown);
@@ -75,7 +86,7 @@
     }
 
     /// Takes back the choice of another server, as the silent one went on.
-    pub(super) fn attempt_resumed(&mut self, now: Instant, key: RequestKey) {
+    pub(super) fn attempt_resumed(&mut self, now: Instant, key: RequestKey, sent: bool) {
         let is_replaced = |r: &super::Request| r.replaced.is_some();
         if !self.requests.get(&key).is_some_and(is_replaced) {
             return;
@@ -84,10 +95,15 @@
             return;
         };
         self.record_outcome(now, unused.server, Outcome::Withdrawn);
-        self.uncount_attempt(key);
-        if let Some(request) = self.requests.get_mut(&key) {
-            // Nothing was sent there, so it may be chosen again.
-            request.tried.pop();
+        if sent {
+            self.set_execution(key, Execution::Unknown);
+        } else {
+            self.uncount_attempt(key);
+            self.return_retry(now, key);
+            if let Some(request) = self.requests.get_mut(&key) {
+                // It may be chosen again.
+                request.tried.pop();
+            }
         }
         self.restore_replaced(key);
     }
@@ -104,24 +120,24 @@
         true
     }
 
-    /// Records that the server of an attempt went on after a silence.
-    pub(super) fn silence_ended(&mut self, key: RequestKey) {
+    /// Records that a stream went on; returns whether its server had been silent.
+    pub(super) fn silence_ended(&mut self, key: RequestKey) -> bool {
         let request = self.requests.get_mut(&key);
         let Some(attempt) = request.and_then(|r| r.attempt.as_mut()) else {
-            return;
+            return false;
         };
         if !std::mem::take(&mut attempt.silent) {
-            return;
+            return false;
         }
+        attempt.kept_for = None;
         let server = attempt.server;
-        let Some(server) = self.registry.get_mut(server) else {
-            return;
-        };
-        if server.health.record_success() {
+        let server = self.registry.get_mut(server);
+        let back = server.and_then(|s| s.health.record_success().then(|| s.id.clone()));
+        if let Some(id) = back {
             // The connection is the same, so the server has not restarted.
-            let id = server.id.clone();
             self.log("server_back", &id, "silent=true".to_owned());
         }
+        true
     }
 
     /// Records the silence of a server for longer than expected.
--- a/crates/fleet/src/retry.rs
+++ b/crates/fleet/src/retry.rs
@@ -62,4 +62,9 @@
         self.retries.add(now, 1.0);
         true
     }
+
+    /// Takes back a retry that was counted shortly before and sent nothing.
+    pub fn return_retry(&mut self, now: Instant) {
+        self.retries.add(now, -1.0);
+    }
 }
--- a/crates/fleet/tests/all/replacements.rs
+++ b/crates/fleet/tests/all/replacements.rs
@@ -90,7 +90,7 @@
     fleet.handle(now, Event::Submit(submission(1, 1, prompt(1, 10), now)));
     fleet.handle(now + SILENCE, Event::Stalled(KEY));
     let end = now + Duration::from_secs(12);
-    fleet.handle(end, Event::Ended(KEY, Outcome::Silent));
+    fleet.handle(end, Event::Ended(KEY, Outcome::Expired));
     let sent = fleet.handle(end, Event::Submit(submission(2, 1, prompt(1, 10), end)));
     assert!(sent_to(&sent).is_some(), "{sent:?}");
 }
--- a/crates/fleet/tests/all/stalls.rs
+++ b/crates/fleet/tests/all/stalls.rs
@@ -130,7 +130,13 @@
     let late = now + SILENCE;
     let other = sent_to(&fleet.handle(late, Event::Stalled(KEY))).map(str::to_owned);
     assert!(other.is_some());
-    fleet.handle(late, Event::Resumed(KEY));
+    fleet.handle(
+        late,
+        Event::Resumed {
+            key: KEY,
+            sent: false,
+        },
+    );
     assert_eq!(running(&fleet), 1);
     let again = sent_to(&fleet.handle(late + SILENCE, Event::Stalled(KEY))).map(str::to_owned);
     assert_eq!(again, other);
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -79,7 +79,7 @@
         server.clone_into(&mut self.server);
     }
 
-    /// Records that the attempt at a silent server was cancelled, as the request is sent to `next`.
+    /// Records that the attempt at a silent server was cancelled, as `next` has the request.
     fn attempt_replaced(&mut self, next: &str) {
         self.shell.metrics().attempt_failed(REPLACED);
         log::info!(
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -9,7 +9,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use futures_util::future::{Either, select};
+use futures_util::FutureExt;
+use futures_util::future::{Either, LocalBoxFuture, select};
 use hibiscusrail_fleet::{Event, Fleet, Outcome, RequestKey};
 use hibiscusrail_net::sse::Splitter;
 use hibiscusrail_net::{Body, OwnedConnection, connect_owned, headers};
@@ -31,6 +32,9 @@
 /// that sends bytes without end fills the router's memory.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Time for which a silent server and the one that is to replace it may both have the request, so
+/// that one that turns it away ends nothing.
+const HANDOVER_TIME: Duration = Duration::from_millis(100);
 /// Time between two looks for a server that replaces a silent one.
 const STALL_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -52,20 +56,30 @@
     pub read_timeout: Option<Duration>,
 }
 
+/// The head of a server's response, and the connection that delivers the rest.
+type Exchange = Result<(OwnedConnection, Response<Incoming>), AttemptError>;
+
 /// The server of an attempt.
-#[derive(Debug)]
 pub struct Hop {
     /// The server.
     pub target: Target,
-    /// Connection that was opened for the attempt; none if it still has to get one.
-    connection: Option<OwnedConnection>,
+    /// The server's response, if the request was sent there already.
+    exchange: Option<LocalBoxFuture<'static, Exchange>>,
+}
+
+impl std::fmt::Debug for Hop {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Hop")
+            .field("target", &self.target)
+            .finish_non_exhaustive()
+    }
 }
 
 impl From<Target> for Hop {
     fn from(target: Target) -> Self {
         Self {
             target,
-            connection: None,
+            exchange: None,
         }
     }
 }
@@ -117,7 +131,7 @@
 pub enum Interruption {
     /// It failed.
     Failed(AttemptError),
-    /// Its server was silent; the request is to be sent to this one.
+    /// Its server was silent, and this one has the request.
     Replaced(Hop),
 }
 
@@ -159,7 +173,7 @@
     connection: OwnedConnection,
     body: Incoming,
     splitter: Splitter,
-    patience: Patience,
+    plan: Plan,
     /// Id of the last event returned.
     pub last_id: Option<u64>,
     /// When the last events arrived; at first, when the response began.
@@ -194,10 +208,15 @@
     hop: Hop,
     resume: Option<u64>,
 ) -> Result<Reply, Interruption> {
-    let Hop { target, connection } = hop;
+    let Hop { target, exchange } = hop;
     let target = &target;
-    let patience = Patience::new(plan);
-    let sending = send(shell, plan, target, connection, resume);
+    let patience = Patience::new(plan, resume);
+    let sending = async {
+        match exchange {
+            Some(exchange) => exchange.await,
+            None => send(shell, plan, target, resume).await,
+        }
+    };
     let sent = patience.wait(shell, target.expected * 2, sending).await;
     let (connection, response) = sent??;
     read_notices(shell, target, response.headers(), response.status());
@@ -206,28 +225,23 @@
     if is_stream {
         open_stream(shell, plan, target, resume, connection, response).await
     } else {
-        read_full(shell, plan, target, connection, response).await
+        read_full(shell, plan, target, resume, connection, response).await
     }
 }
 
-/// How long an attempt waits for bytes of its server.
+/// Waits for the bytes of an attempt's server.
 ///
-/// A silent server may still go on, so an attempt ends before its deadline only once the request is
-/// sent to another server.
-#[derive(Debug, Clone, Copy)]
-struct Patience {
-    request: RequestKey,
-    read_timeout: Option<Duration>,
-    deadline: Instant,
+/// A silent server may still go on, so an attempt ends before its deadline only once another server
+/// has the request.
+struct Patience<'a> {
+    plan: &'a Plan,
+    /// Id of the last event that the caller has.
+    resume: Option<u64>,
 }
 
-impl Patience {
-    fn new(plan: &Plan) -> Self {
-        Self {
-            request: plan.key,
-            read_timeout: plan.read_timeout,
-            deadline: plan.outgoing.deadline,
-        }
+impl<'a> Patience<'a> {
+    fn new(plan: &'a Plan, resume: Option<u64>) -> Self {
+        Self { plan, resume }
     }
 
     /// Waits for `reading`, which is expected to take `expected`.
@@ -237,20 +251,20 @@
     /// Fails at the deadline, or with the server that replaces the silent one.
     async fn wait<T>(
         &self,
-        shell: &Shell,
+        shell: &Rc<Shell>,
         expected: Duration,
         reading: impl Future<Output = T>,
     ) -> Result<T, Interruption> {
         let mut reading = pin!(reading);
         // A busy router may not have read yet what has arrived.
         let allowance = shell.with_fleet(Fleet::loop_lag) * 2;
-        let mut limit = self.read_timeout.map(|t| t + expected + allowance);
+        let mut limit = self.plan.read_timeout.map(|t| t + expected + allowance);
         while let Some(until) = limit.filter(|l| *l < self.remaining(shell)) {
             if let Ok(value) = hibiscusrail_net::timeout(until, reading.as_mut()).await {
                 return Ok(value);
             }
             limit = Some(STALL_INTERVAL);
-            if let Some(target) = shell.stalled(self.request) {
+            if let Some(target) = shell.stalled(self.plan.key) {
                 let replaced = self.replace(shell, target, reading.as_mut()).await;
                 if let Some(ended) = replaced {
                     return ended;
@@ -261,49 +275,120 @@
         rest.map_err(|_| Outcome::Expired.into())
     }
 
-    /// Connects to the server `target` that is to replace a silent one, and waits for `reading`
-    /// meanwhile.
+    /// Sends the request to the server `target` as well, and waits for the silent one until the other
+    /// one has taken it.
     ///
-    /// Returns what was read or the connected server; none if it can't be connected.
+    /// Returns what was read or the server that has the request; none if that one failed.
     async fn replace<T>(
         &self,
-        shell: &Shell,
+        shell: &Rc<Shell>,
         target: Target,
-        reading: Pin<&mut impl Future<Output = T>>,
+        mut reading: Pin<&mut impl Future<Output = T>>,
     ) -> Option<Result<T, Interruption>> {
-        let opened = {
-            let opening = pin!(open(shell, &target));
-            match select(reading, opening).await {
-                Either::Left((value, _)) => Err(value),
-                Either::Right((opened, _)) => Ok(opened),
-            }
+        let resumed = |sent| {
+            let key = self.plan.key;
+            shell.handle(Event::Resumed { key, sent });
         };
-        let opened = match opened {
-            Ok(opened) => opened,
+        let opened = race(reading.as_mut(), open(shell, &target)).await;
+        let connection = match opened {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(outcome)) => return self.replacement_failed(shell, &target, outcome),
             Err(value) => {
-                shell.handle(Event::Resumed(self.request));
+                resumed(false);
                 return Some(Ok(value));
             }
         };
-        match opened {
-            Ok(connection) => {
-                shell.handle(Event::Replaced(self.request));
-                let connection = Some(connection);
-                Some(Err(Interruption::Replaced(Hop { target, connection })))
+        let request = self.build(shell, &target);
+        let mut exchange = exchange(connection, request).boxed_local();
+        let answering = hibiscusrail_net::timeout(HANDOVER_TIME, exchange.as_mut());
+        let answered = match race(reading, answering).await {
+            Ok(answered) => answered,
+            Err(value) => {
+                resumed(true);
+                return Some(Ok(value));
             }
-            Err(outcome) => {
-                // The silent attempt goes on.
-                shell.handle(Event::Ended(self.request, outcome));
-                None
+        };
+        match answered {
+            // It may be reading the prompt.
+            Err(_) => {}
+            Ok(Err(failure)) => return self.replacement_failed(shell, &target, failure.outcome),
+            Ok(Ok((connection, response))) => {
+                if let Err(outcome) = check_replacement(shell, self.plan, &target, &response) {
+                    return self.replacement_failed(shell, &target, outcome);
+                }
+                exchange = std::future::ready(Ok((connection, response))).boxed_local();
             }
         }
+        shell.handle(Event::Replaced(self.plan.key));
+        let exchange = Some(exchange);
+        Some(Err(Interruption::Replaced(Hop { target, exchange })))
+    }
+
+    /// Records that a server which was to replace a silent one did not take the request; the silent
+    /// attempt goes on.
+    fn replacement_failed<T>(
+        &self,
+        shell: &Shell,
+        target: &Target,
+        outcome: Outcome,
+    ) -> Option<Result<T, Interruption>> {
+        shell.metrics().attempt_failed(&format!("{outcome:?}"));
+        log::info!(
+            call = self.plan.key.0,
+            server = target.id.as_str(),
+            outcome:? = outcome;
+            "replacement_failed"
+        );
+        shell.handle(Event::Ended(self.plan.key, outcome));
+        None
+    }
+
+    fn build(&self, shell: &Shell, target: &Target) -> Request<Body> {
+        let outgoing = &self.plan.outgoing;
+        outgoing.build(shell.protocol(), target, self.resume, shell.now())
     }
 
     fn remaining(&self, shell: &Shell) -> Duration {
-        self.deadline.saturating_duration_since(shell.now())
+        let deadline = self.plan.outgoing.deadline;
+        deadline.saturating_duration_since(shell.now())
     }
 }
 
+/// Waits for `other`.
+///
+/// # Errors
+///
+/// Returns the output of `first` if that is complete before or at the same time.
+async fn race<T, U>(
+    first: Pin<&mut impl Future<Output = T>>,
+    other: impl Future<Output = U>,
+) -> Result<U, T> {
+    match select(first, pin!(other)).await {
+        Either::Left((value, _)) => Err(value),
+        Either::Right((value, _)) => Ok(value),
+    }
+}
+
+/// Reads the head of a response from the server that is to replace a silent one.
+///
+/// # Errors
+///
+/// Returns how the attempt ended if the server did not take the request or failed.
+fn check_replacement(
+    shell: &Shell,
+    plan: &Plan,
+    target: &Target,
+    response: &Response<Incoming>,
+) -> Result<(), Outcome> {
+    let status = response.status();
+    read_notices(shell, target, response.headers(), status);
+    check_head(shell, plan, response.headers(), status).map_err(|f| f.outcome)?;
+    if status.is_server_error() {
+        return Err(Outcome::Failed);
+    }
+    Ok(())
+}
+
 /// Opens a connection to a server that may still receive requests.
 ///
 /// # Errors
@@ -326,19 +411,9 @@
     shell.with_fleet(|f| f.may_send(shell.now(), target.server))
 }
 
-async fn send(
-    shell: &Rc<Shell>,
-    plan: &Plan,
-    target: &Target,
-    connection: Option<OwnedConnection>,
-    resume: Option<u64>,
-) -> Result<(OwnedConnection, Response<Incoming>), AttemptError> {
+async fn send(shell: &Rc<Shell>, plan: &Plan, target: &Target, resume: Option<u64>) -> Exchange {
     let protocol = shell.protocol();
     let build = || plan.outgoing.build(protocol, target, resume, shell.now());
-    if let Some(mut connection) = connection {
-        let response = send_on(&mut connection, build()).await?;
-        return Ok((connection, response));
-    }
     // The server may have announced its end since it was chosen.
     if !may_send(shell, target) {
         return Err(Outcome::Withdrawn.into());
@@ -356,22 +431,18 @@
             }
         }
     }
-    let mut connection = open(shell, target).await?;
-    let response = send_on(&mut connection, build()).await?;
-    Ok((connection, response))
+    let connection = open(shell, target).await?;
+    exchange(connection, build()).await
 }
 
-async fn send_on(
-    connection: &mut OwnedConnection,
-    request: Request<Body>,
-) -> Result<Response<Incoming>, AttemptError> {
-    connection
-        .try_send(request)
-        .await
-        .map_err(|mut error| match error.take_message() {
-            Some(_) => Outcome::Unreachable.into(),
-            None => Outcome::Broken.into(),
-        })
+/// Sends the request on a new connection.
+async fn exchange(mut connection: OwnedConnection, request: Request<Body>) -> Exchange {
+    let sent = connection.try_send(request).await;
+    let response = sent.map_err(|mut error| match error.take_message() {
+        Some(_) => Outcome::Unreachable,
+        None => Outcome::Broken,
+    })?;
+    Ok((connection, response))
 }
 
 /// Tells the reducer what a response's head says of its server.
@@ -463,12 +534,13 @@
     shell: &Rc<Shell>,
     plan: &Plan,
     target: &Target,
+    resume: Option<u64>,
     mut connection: OwnedConnection,
     response: Response<Incoming>,
 ) -> Result<Reply, Interruption> {
     let (parts, body) = response.into_parts();
     let collecting = connection.wait(Limited::new(body, MAX_FULL_BYTES).collect());
-    let patience = Patience::new(plan);
+    let patience = Patience::new(plan, resume);
     let collected = match patience.wait(shell, Duration::ZERO, collecting).await? {
         Ok(collected) => collected.to_bytes(),
         Err(_) => return Err(Outcome::Broken.into()),
@@ -524,7 +596,7 @@
         connection,
         body,
         splitter: Splitter::new(),
-        patience: Patience::new(plan),
+        plan: plan.clone(),
         last_id: resume,
         last_arrival: shell.now(),
     };
@@ -547,10 +619,11 @@
     /// # Errors
     ///
     /// Returns how the stream broke, or the server that replaces a silent one.
-    pub async fn next(&mut self, shell: &Shell) -> Result<StreamItem, Interruption> {
+    pub async fn next(&mut self, shell: &Rc<Shell>) -> Result<StreamItem, Interruption> {
         loop {
             let reading = self.connection.wait(self.body.frame());
-            let frame = match self.patience.wait(shell, Duration::ZERO, reading).await? {
+            let patience = Patience::new(&self.plan, self.last_id);
+            let frame = match patience.wait(shell, Duration::ZERO, reading).await? {
                 Some(Err(_)) => return Err(Outcome::Broken.into()),
                 None if self.splitter.pending_bytes() > 0 => {
                     return Err(Outcome::Broken.into());
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -67,7 +67,7 @@
             | Event::Ended(..)
             | Event::Stalled(_)
             | Event::Replaced(_)
-            | Event::Resumed(_)
+            | Event::Resumed { .. }
             | Event::ServerLeaving(_)
             | Event::ServerRate(..)
             | Event::ServerThrottled(..) => Self::Stream,
