fleet: count a server that was silent at its probe as cold

A server that restarts while it is paused, and is slow to answer the probe, got 30 requests at once, bound 1: the connection of a probe is younger than the pause, so its silence says nothing of a restart. Only attempts older than the pause show that the server has not restarted.

server_silent_at_its_probe_is_cold failed before.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -75,6 +75,8 @@
     silent: bool,
     /// Why the request was last kept at its silent server.
     kept_for: Option<Reason>,
+    /// Whether the request was the first after a pause, so that the server may have restarted before.
+    probe: bool,
 }
 
 /// State of a caller's request from arrival to end.
@@ -623,7 +625,7 @@
                 .map_or(Duration::ZERO, |s| s.cold_time);
             // The server may have restarted while it was unreachable, so it counts as cold until
             // its next registration says whether it is; not one that only was silent.
-            if !was_silent {
+            if !was_silent || attempt.probe {
                 server.cold_until = (!cold.is_zero()).then(|| now + cold);
             }
             let id = server.id.clone();
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -622,6 +622,7 @@
         let Some(server) = self.registry.get_mut(candidate.key) else {
             return;
         };
+        let probe = server.health.needs_probe();
         server.health.request_sent();
         let load = Load {
             pending_prefill: u64::from(candidate.inputs.prefill_tokens),
@@ -648,6 +649,7 @@
             progress: 0,
             silent: false,
             kept_for: None,
+            probe,
         });
         request.tried.push(candidate.key);
         request.attempts += 1;
