fleet: keep a silent server when no other one can answer in time

Right before the deadline a request was moved to an engine that could not send its first token in time any more; the silent one might have.

silent_server_is_kept_near_deadline failed before.

--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -82,7 +82,7 @@
     /// Time spent waiting for other requests at the server.
     wait: Duration,
     source: Option<SocketAddr>,
-    inputs: Inputs,
+    pub(super) inputs: Inputs,
 }
 
 /// Rank of a server among the homes of a prefix; the highest is the first home's.
--- a/crates/fleet/src/fleet/stalls.rs
+++ b/crates/fleet/src/fleet/stalls.rs
@@ -50,9 +50,7 @@
         let Some(request) = self.requests.get(&key) else {
             return Err(Reason::Expired);
         };
-        if now >= request.submission.deadline {
-            return Err(Reason::Expired);
-        }
+        let deadline = request.submission.deadline;
         if !request.may_repeat() || !request.has_attempts() {
             return Err(Reason::Exhausted);
         }
@@ -61,6 +59,9 @@
         }
         let share = self.share_status(now, key);
         let candidate = self.choose(now, key, share).map_err(|r| r.reason)?;
+        if now + candidate.inputs.first_byte >= deadline {
+            return Err(Reason::Expired);
+        }
         if !self.try_retry(now, key) {
             return Err(Reason::RetryBudget);
         }
