front: answer requests at silent servers before the process exits

At the end of a stop, callers whose servers were silent lost their connections without an answer, since such requests wait for their servers now. When the process is about to exit, requests without a response get a 502 (Stopping), in the time that is kept for the last responses.

request_at_silent_server_is_answered_at_end_of_stop failed before.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -92,6 +92,8 @@
     RetryBudget,
     /// The deadline has passed.
     Expired,
+    /// The router stops before a server has answered.
+    Stopping,
     /// All servers of the service asked for a pause or accept no more at the rate that they named.
     Throttled,
     /// A shared part of the prompt crashed several engines.
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -104,6 +104,14 @@
                 self.attempt_replaced(&hop.target.id);
                 return Ok(hop);
             }
+            Interruption::Stopping => {
+                self.shell.handle(Event::Ended(self.key, Outcome::Left));
+                return Err(RequestError {
+                    reason: Reason::Stopping,
+                    execution: Execution::Unknown,
+                    retry_after: Duration::ZERO,
+                });
+            }
         };
         match self.attempt_failed(&failure) {
             NextStep::Send(target) => Ok(target.into()),
--- a/crates/front/src/refusal.rs
+++ b/crates/front/src/refusal.rs
@@ -60,6 +60,7 @@
         | Reason::NoServer
         | Reason::NotReady
         | Reason::Exhausted
+        | Reason::Stopping
         | Reason::RetryBudget => spread(wait, id),
         Reason::Busy
         | Reason::OverShare
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_channel::mpsc;
+use futures_channel::{mpsc, oneshot};
+use futures_util::FutureExt;
+use futures_util::future::Shared;
 use hibiscusrail_core::Clock;
 use hibiscusrail_fleet::event::{Execution, Inputs, Reason, RefusalInputs};
 use hibiscusrail_fleet::freshness::Confirmation;
@@ -75,7 +77,9 @@
     report_tx: RefCell<mpsc::Sender<()>>,
     report_rx: Cell<Option<mpsc::Receiver<()>>>,
     stopping: Cell<Option<Instant>>,
-    exiting: Cell<bool>,
+    /// Dropped when the process is about to exit.
+    running: Cell<Option<oneshot::Sender<()>>>,
+    exiting: Shared<oneshot::Receiver<()>>,
 }
 
 impl std::fmt::Debug for Shell {
@@ -99,6 +103,7 @@
             .with_on_accept(Rc::new(metrics.accept_counter()));
         let work = Work::new(clock.now());
         let (report_tx, report_rx) = mpsc::channel(0);
+        let (running, exiting) = oneshot::channel();
         let fleet = Fleet::new(&settings.name, clock.epoch_ms(), params, clock.now());
         Self {
             fleet: RefCell::new(fleet),
@@ -113,7 +118,8 @@
             report_tx: RefCell::new(report_tx),
             report_rx: Cell::new(Some(report_rx)),
             stopping: Cell::new(None),
-            exiting: Cell::new(false),
+            running: Cell::new(Some(running)),
+            exiting: exiting.shared(),
         }
     }
 
@@ -195,15 +201,22 @@
         self.stopping.set(Some(self.now()));
     }
 
-    /// Marks the process as about to exit: every new request is refused.
+    /// Marks the process as about to exit: every new request is refused, and those without an answer
+    /// get one.
     pub fn begin_exit(&self) {
-        self.exiting.set(true);
+        self.running.take();
+    }
+
+    /// Waits until the process is about to exit.
+    pub async fn exit_begins(&self) {
+        // The sender sends nothing, so it is an error in any case.
+        let _ = self.exiting.clone().await;
     }
 
     /// Returns whether the process is about to exit.
     #[must_use]
     pub fn is_exiting(&self) -> bool {
-        self.exiting.get()
+        self.exiting.clone().now_or_never().is_some()
     }
 
     /// Returns whether the router is ready for callers.
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -133,6 +133,8 @@
     Failed(AttemptError),
     /// Its server was silent, and this one has the request.
     Replaced(Hop),
+    /// The process is about to exit.
+    Stopping,
 }
 
 impl Interruption {
@@ -140,7 +142,7 @@
     pub fn take_response(&mut self) -> Option<Box<FullResponse>> {
         match self {
             Self::Failed(failure) => failure.response.take(),
-            Self::Replaced(_) => None,
+            Self::Replaced(_) | Self::Stopping => None,
         }
     }
 }
@@ -207,6 +209,19 @@
     plan: &Plan,
     hop: Hop,
     resume: Option<u64>,
+) -> Result<Reply, Interruption> {
+    // A caller must not lose its connection without an answer.
+    let running = pin!(run_attempt(shell, plan, hop, resume));
+    race(running, shell.exit_begins())
+        .await
+        .map_or_else(|reply| reply, |()| Err(Interruption::Stopping))
+}
+
+async fn run_attempt(
+    shell: &Rc<Shell>,
+    plan: &Plan,
+    hop: Hop,
+    resume: Option<u64>,
 ) -> Result<Reply, Interruption> {
     let Hop { target, exchange } = hop;
     let target = &target;
