--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -102,7 +102,7 @@
             Interruption::Failed(failure) => failure,
             Interruption::Replaced(hop) => {
                 self.attempt_replaced(&hop.target.id);
-                return Ok(hop);
+                return Ok(*hop);
             }
             Interruption::Stopping => {
                 self.shell.handle(Event::Ended(self.key, Outcome::Left));
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -132,7 +132,7 @@
     /// It failed.
     Failed(AttemptError),
     /// Its server was silent, and this one has the request.
-    Replaced(Hop),
+    Replaced(Box<Hop>),
     /// The process is about to exit.
     Stopping,
 }
@@ -336,7 +336,8 @@
         }
         shell.handle(Event::Replaced(self.plan.key));
         let exchange = Some(exchange);
-        Some(Err(Interruption::Replaced(Hop { target, exchange })))
+        let hop = Box::new(Hop { target, exchange });
+        Some(Err(Interruption::Replaced(hop)))
     }
 
     /// Records that a server which was to replace a silent one did not take the request; the silent
