front: test requests that are in progress while the configuration changes

Six tests over sockets, each with six changes (route, API key, service or engine facts removed, timeout shortened, body limit lowered): between the head and the body; while the server of an attempt is silent for 900 ms, before and after the first event of a stream; before a stream breaks off that can be resumed. The caller must get a complete response, or a refusal of a request that no server received; a stream that has begun must end whole.

Cause: `Fleet::choose` looks up the service of a request in the configuration in force at every attempt, and fails with `NotReady` if it is not there.

Whether the users' changes remove a service whose requests are in progress is open.

--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod config_changes;
 mod metrics;
 mod notices;
 mod overload;
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -40,6 +40,8 @@
     Pause(String, String),
     /// Like [`Act::Write`], then sends nothing until the router closes the connection.
     Hang(String),
+    /// Like [`Act::Close`], but closes the connection after a while.
+    CloseLater(String, Duration),
 }
 
 /// A stand-in server that handles each request by the next act, and all later ones by the last.
@@ -85,8 +87,11 @@
             self.received.borrow_mut().push(head);
             let act = acts[next.get().min(acts.len() - 1)].clone();
             next.set(next.get() + 1);
-            let (Act::Write(text) | Act::Close(text) | Act::Hang(text) | Act::Pause(text, _)) =
-                &act;
+            let (Act::Write(text)
+            | Act::Close(text)
+            | Act::CloseLater(text, _)
+            | Act::Hang(text)
+            | Act::Pause(text, _)) = &act;
             let bytes = text.replace("{id}", &id).into_bytes();
             let BufResult(mut written, _) = stream.write_all(bytes).await;
             if let Act::Pause(_, rest) = &act {
@@ -94,6 +99,9 @@
                 let bytes = rest.replace("{id}", &id).into_bytes();
                 written = stream.write_all(bytes).await.0;
             }
+            if let Act::CloseLater(_, after) = &act {
+                compio::time::sleep(*after).await;
+            }
             match (written, act) {
                 (Ok(()), Act::Write(_) | Act::Pause(..)) => {}
                 (Ok(()), Act::Hang(_)) => {
@@ -301,6 +309,18 @@
         Self { shell, address }
     }
 
+    /// Changes the router's configuration.
+    pub fn configure(&self, change: impl FnOnce(&mut Deployment)) {
+        let (mut config, revision) = self
+            .shell
+            .with_fleet(|f| (f.config().clone(), f.config_revision()));
+        let deployment = config.deployment.as_mut().expect("there is a deployment");
+        change(deployment);
+        deployment.version += 1;
+        let revision = Revision(revision.0 + 1);
+        self.shell.handle(Event::Config(revision, config));
+    }
+
     /// Makes the router refuse every stream.
     pub fn overload(&self) {
         for _ in 0..50 {
