front: test a silent server whose zone is evacuated meanwhile

Three requests at a server that is silent for 900 ms and goes on, while the zone of all servers is evacuated: an idempotent one, a resumable stream before its first event and one after it. Each must get its response.

Seen on: all three fail. The attempt is given up after its read timeout, then there is no server to place it at: "502 NoServer, Unknown", and the stream under way is cut.

--- a/crates/front/tests/all/config_changes.rs
+++ b/crates/front/tests/all/config_changes.rs
@@ -286,3 +286,39 @@
         faults.assert_none();
     });
 }
+
+/// Guards against a request that is taken away from a silent server, since no other server may
+/// receive it after an evacuation.
+#[test]
+fn evacuation_while_server_is_silent_leaves_request_answered() {
+    run(async {
+        let mut faults = Faults::default();
+        let begun = STREAM_HEAD.to_owned() + &chunk(&event(1));
+        let cases = [
+            ("/again/x", Act::Pause(String::new(), whole()), "whole"),
+            (
+                "/resume/x",
+                Act::Pause(String::new(), whole_stream(&[1])),
+                STREAM_END,
+            ),
+            (
+                "/resume/x",
+                Act::Pause(begun, STREAM_END.to_owned()),
+                STREAM_END,
+            ),
+        ];
+        for (path, pause, end) in cases {
+            let servers = [
+                Server::start(vec![pause.clone()]),
+                Server::start(vec![pause]),
+            ];
+            let front = Front::start(&[&servers[0], &servers[1]]);
+            let mut stream = send(&front, &(request_head(path, 4, "") + "body")).await;
+            wait_until(|| servers.iter().any(|s| !s.received().is_empty())).await;
+            front.evacuate();
+            let response = read_response(&mut stream).await;
+            faults.check(response.ends_with(end), ("zone evacuated", path), &response);
+        }
+        faults.assert_none();
+    });
+}
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -309,14 +309,27 @@
         Self { shell, address }
     }
 
-    /// Changes the router's configuration.
+    /// Changes the router's deployment configuration.
     pub fn configure(&self, change: impl FnOnce(&mut Deployment)) {
+        self.change_config(|config| {
+            let deployment = config.deployment.as_mut().expect("there is a deployment");
+            change(deployment);
+            deployment.version += 1;
+        });
+    }
+
+    /// Evacuates the availability zone of all servers.
+    pub fn evacuate(&self) {
+        self.change_config(|config| {
+            config.evacuated.insert("a".to_owned());
+        });
+    }
+
+    fn change_config(&self, change: impl FnOnce(&mut OperatorConfig)) {
         let (mut config, revision) = self
             .shell
             .with_fleet(|f| (f.config().clone(), f.config_revision()));
-        let deployment = config.deployment.as_mut().expect("there is a deployment");
-        change(deployment);
-        deployment.version += 1;
+        change(&mut config);
         let revision = Revision(revision.0 + 1);
         self.shell.handle(Event::Config(revision, config));
     }
