--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -40,6 +40,8 @@
     Pause(String, String),
     /// Like [`Act::Write`], then sends nothing until the router closes the connection.
     Hang(String),
+    /// Like [`Act::Close`], but closes the connection after a while.
+    CloseLater(String, Duration),
 }
 
 /// A stand-in server that handles each request by the next act, and all later ones by the last.
@@ -95,8 +97,11 @@
             self.received.borrow_mut().push(head);
             let act = acts[next.get().min(acts.len() - 1)].clone();
             next.set(next.get() + 1);
-            let (Act::Write(text) | Act::Close(text) | Act::Hang(text) | Act::Pause(text, _)) =
-                &act;
+            let (Act::Write(text)
+            | Act::Close(text)
+            | Act::CloseLater(text, _)
+            | Act::Hang(text)
+            | Act::Pause(text, _)) = &act;
             let bytes = text.replace("{id}", &id).into_bytes();
             let BufResult(mut written, _) = stream.write_all(bytes).await;
             if let Act::Pause(_, rest) = &act {
@@ -104,6 +109,9 @@
                 let bytes = rest.replace("{id}", &id).into_bytes();
                 written = stream.write_all(bytes).await.0;
             }
+            if let Act::CloseLater(_, after) = &act {
+                compio::time::sleep(*after).await;
+            }
             match (written, act) {
                 (Ok(()), Act::Write(_) | Act::Pause(..)) => {}
                 (Ok(()), Act::Hang(_)) => {
@@ -311,6 +319,31 @@
         Self { shell, address }
     }
 
+    /// Changes the router's deployment configuration.
+    pub fn configure(&self, change: impl FnOnce(&mut Deployment)) {
+        self.change_config(|config| {
+            let deployment = config.deployment.as_mut().expect("there is a deployment");
+            change(deployment);
+            deployment.version += 1;
+        });
+    }
+
+    /// Evacuates the availability zone of all servers.
+    pub fn evacuate(&self) {
+        self.change_config(|config| {
+            config.evacuated.insert("a".to_owned());
+        });
+    }
+
+    fn change_config(&self, change: impl FnOnce(&mut OperatorConfig)) {
+        let (mut config, revision) = self
+            .shell
+            .with_fleet(|f| (f.config().clone(), f.config_revision()));
+        change(&mut config);
+        let revision = Revision(revision.0 + 1);
+        self.shell.handle(Event::Config(revision, config));
+    }
+
     /// Makes the router refuse every stream.
     pub fn overload(&self) {
         for _ in 0..50 {
