fleet: resume requests of a service that the configuration no longer has

A stream whose server broke beside a change of the configuration that removes its service was cut: the service was looked up in the configuration in force at every attempt, and there was none any more (NotReady), though its servers still ran and the request had been accepted by the old configuration. New requests can't reach it: their route is gone.

The facts of a removed service are kept while requests in progress use it.

config_change_leaves_broken_stream_resumed failed before (cut).

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -137,6 +137,8 @@
     members: Vec<u32>,
     config: OperatorConfig,
     config_revision: Revision,
+    /// Services that the configuration no longer has and that requests in progress use.
+    retired_services: BTreeMap<String, Service>,
     /// Evacuated zones that a store restored from an older copy does not list, and until when they
     /// are kept, as the operator writes them again.
     kept_evacuations: BTreeMap<String, Instant>,
@@ -195,6 +197,7 @@
             members: vec![name_hash(name)],
             config: OperatorConfig::default(),
             config_revision: Revision::default(),
+            retired_services: BTreeMap::new(),
             kept_evacuations: BTreeMap::new(),
             registry: Registry::default(),
             freshness: Freshness::default(),
@@ -501,8 +504,12 @@
         });
     }
 
+    /// Returns the facts of a service; of one that the configuration no longer has, while requests to
+    /// it are in progress.
     fn service(&self, name: &str) -> Option<&Service> {
-        self.config.deployment.as_ref()?.services.get(name)
+        let deployment = self.config.deployment.as_ref();
+        let current = deployment.and_then(|d| d.services.get(name));
+        current.or_else(|| self.retired_services.get(name))
     }
 
     /// Returns the number of routers that share each limit.
@@ -915,10 +922,33 @@
         // An unreadable configuration does not replace the one in force.
         let before = self.config.deployment.take();
         self.config = config;
-        self.config.deployment = self.config.deployment.take().or(before);
+        match (&self.config.deployment, before) {
+            (Some(_), Some(before)) => self.retire_services(before.services),
+            (None, before) => self.config.deployment = before,
+            (Some(_), None) => {}
+        }
         self.log("orders_in_force", "orders", detail);
     }
 
+    /// Keeps the services of the configuration before that requests in progress still use.
+    fn retire_services(&mut self, before: BTreeMap<String, Service>) {
+        self.retired_services.extend(before);
+        self.drop_retired_services();
+    }
+
+    /// Drops the retired services that the configuration has again or that no request uses any more.
+    fn drop_retired_services(&mut self) {
+        if self.retired_services.is_empty() {
+            return;
+        }
+        let requests = self.requests.values();
+        let used: BTreeSet<&str> = requests.map(|r| r.submission.service.as_str()).collect();
+        let deployment = self.config.deployment.as_ref();
+        let is_current = |name: &str| deployment.is_some_and(|d| d.services.contains_key(name));
+        self.retired_services
+            .retain(|name, _| used.contains(name.as_str()) && !is_current(name));
+    }
+
     fn apply_servers(&mut self, now: Instant, revision: Revision, servers: &Servers) {
         if revision <= self.registry.revision() {
             return;
@@ -1133,6 +1163,7 @@
             self.departures.record(now, name_hash(&id));
             self.log("server_gone", &id, "lapsed=true".to_owned());
         }
+        self.drop_retired_services();
         let expired = self
             .kept_evacuations
             .extract_if(.., |_, until| now >= *until);
