front: name the request on which a server may have crashed

Callers of a deadly request saw server after server end (BUDGET), and no log told which attempts were the same request: the caller's id is new with each.

A submission now has a fingerprint of method, host, path and query, workspace and body, formed once the body is whole; request_suspected logs it with the call and the server when the connection to the server was lost. The host is part of it since requests to other hosts go to other services.

--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -110,6 +110,7 @@
     Submission {
         key: RequestKey(key),
         workspace: Some(WorkspaceHash(key % WORKSPACES)),
+        fingerprint: key,
         service: SERVICE.to_owned(),
         prompt: Some(Prompt {
             input: 8_000,
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -23,6 +23,8 @@
     pub key: RequestKey,
     /// Workspace of the caller; none on public routes.
     pub workspace: Option<WorkspaceHash>,
+    /// Identity of the request, the same at every router and in all attempts of the caller.
+    pub fingerprint: u64,
     /// Name of the requested service.
     pub service: String,
     /// Prompt for an engine; none for plain services.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -666,6 +666,9 @@
             self.record_proof(&attempt);
         }
         self.judge_parts(now, key, &attempt, outcome);
+        if outcome == Outcome::Broken {
+            self.log_suspected(key, attempt.server);
+        }
         match outcome {
             Outcome::Answered | Outcome::Left => {
                 if outcome == Outcome::Answered {
@@ -711,6 +714,18 @@
         }
     }
 
+    /// Logs a request whose server may have crashed on it.
+    fn log_suspected(&mut self, key: RequestKey, server: ServerKey) {
+        let request = self.requests.get(&key).map(|r| &r.submission);
+        let server = self.registry.get(server).map(|s| s.id.as_str());
+        let Some((request, server)) = request.zip(server) else {
+            return;
+        };
+        let detail = format!("call={} server={server}", key.0);
+        let subject = format!("{:x}", request.fingerprint);
+        self.log("request_suspected", &subject, detail);
+    }
+
     fn log_quarantined(&mut self, parts: &[u64], router: u32) {
         for part in parts {
             let detail = format!("reported_by={router:08x}");
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -175,6 +175,7 @@
     Submission {
         key: RequestKey(key),
         workspace: Some(WorkspaceHash(workspace)),
+        fingerprint: key,
         service: ENGINES.to_owned(),
         prompt: Some(prompt),
         target: now + Duration::from_secs(1),
@@ -190,6 +191,7 @@
     Submission {
         key: RequestKey(key),
         workspace: None,
+        fingerprint: key,
         service: PLAIN.to_owned(),
         prompt: None,
         target: now + Duration::from_millis(300),
--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -177,6 +177,7 @@
     Submission {
         key: RequestKey(u64::MAX - key),
         workspace: Some(WorkspaceHash(u64::from(name_hash(&workspace)))),
+        fingerprint: key,
         service: "engines".to_owned(),
         prompt: Some(prompt()),
         target: now + Duration::from_millis(800),
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 
 use crate::answer::{self, RequestTracker};
+use crate::fingerprint::{Identity, fingerprint};
 use crate::outgoing::Outgoing;
 use crate::overload::{StreamDemand, workspace_hash};
 use crate::refusal;
@@ -255,14 +256,12 @@
             reason: "the head is too large",
         });
     }
-    let host = parts.uri.authority().map_or_else(
-        || header_text(&parts.headers, &header::HOST),
-        |a| a.as_str(),
-    );
-    let route = deployment.route(host, parts.uri.path()).ok_or(Refusal {
-        status: StatusCode::NOT_FOUND,
-        reason: "no route",
-    })?;
+    let route = deployment
+        .route(host(parts), parts.uri.path())
+        .ok_or(Refusal {
+            status: StatusCode::NOT_FOUND,
+            reason: "no route",
+        })?;
     let workspace = if route.public || deployment.workspaces.is_empty() {
         None
     } else {
@@ -288,6 +287,15 @@
     })
 }
 
+/// Returns the host that a request names, without port.
+fn host(parts: &Parts) -> &str {
+    let host = parts.uri.authority().map_or_else(
+        || header_text(&parts.headers, &header::HOST),
+        |a| a.as_str(),
+    );
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
 /// Returns the API key of a bearer authorization.
 fn bearer_key(headers: &HeaderMap) -> Option<&str> {
     let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
@@ -352,6 +360,13 @@
     let submission = Submission {
         key,
         workspace: workspace.as_deref().map(workspace_hash),
+        fingerprint: fingerprint(Identity {
+            method: &parts.method,
+            host: host(parts),
+            target: parts.uri.path_and_query().map_or("", |p| p.as_str()),
+            workspace: workspace.as_deref(),
+            body: &body,
+        }),
         service,
         prompt,
         target: started + route.target,
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod answer;
 pub mod caller;
+pub mod fingerprint;
 pub mod metrics;
 pub mod outgoing;
 pub mod overload;
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod config_changes;
+mod fingerprint;
 mod metrics;
 mod notices;
 mod overload;
