--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod cold_return;
 mod connections;
 mod crowded_router;
+mod deadly;
 mod departures;
 mod engines;
 mod flooded_router;
