fleet: quarantine requests that crash the servers that run them

Cause: only shared parts of prompts were held to account. judge_parts returned for requests without a prompt and after a stream's first events, so no router ever suspected a request as a whole. Class: an answer's end judged for one kind of request only.

Suspects are now prompt parts and whole requests, by one mechanism. A request whose connection to the server was lost, at any progress, counts a failure; the server's hash is kept with the attempt since the server may have left the list. The router with the highest rendezvous weight tries it first, the others after twice the time.

Reports carry the age of each failure, so no echo makes one younger; all that know of a quarantined request report it whole, so it outlives those that saw the crashes. A full report tells each suspect in turn. What was answered in the last 10 s is no suspect, wherever it was answered. An error that a server reports does not clear, since it need not come from a run. An answer of the wrong server or of too many bytes is Invalid now, not Broken: the server lives.

Retry-After of a quarantined request is the true time left.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -56,8 +56,10 @@
     Unreachable,
     /// The server may not receive requests any more; no byte was sent.
     Withdrawn,
-    /// The connection was lost, or the answer was incomplete or not that server's to this request.
+    /// The connection was lost, or the stream ended before it was complete.
     Broken,
+    /// The answer is too large or not that server's to this request.
+    Invalid,
     /// The server had not answered completely at the deadline.
     Expired,
     /// The caller disconnected.
@@ -98,7 +100,7 @@
     Stopping,
     /// All servers of the service asked for a pause or accept no more at the rate that they named.
     Throttled,
-    /// A shared part of the prompt crashed several engines.
+    /// The request or a shared part of its prompt crashed several servers.
     Quarantined,
 }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -6,6 +6,7 @@
 mod homes;
 mod limits;
 mod overload;
+mod quarantine;
 mod stalls;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -28,7 +29,7 @@
 use crate::quota::{Quota, WorkspaceHash};
 use crate::registry::{Registry, ServerKey};
 use crate::retry::RetryWindow;
-use crate::suspects::Suspects;
+use crate::suspects::{News, SuspectKey, Suspects};
 
 use overload::Shortfalls;
 
@@ -65,6 +66,8 @@
 #[derive(Debug)]
 struct Attempt {
     server: ServerKey,
+    /// Hash of the server's id; the server may have gone when the attempt ends.
+    server_hash: u32,
     sent_at: Instant,
     load: Load,
     /// Tokens prefilled until the first output token, including those of earlier requests.
@@ -431,7 +434,11 @@
             .iter()
             .filter(|(_, t)| t.changed_at.is_some_and(is_recent));
         let loads = loads.map(|s| server_load(now, s)).collect();
-        let (suspects, cleared) = self.suspects.report(now);
+        let News { suspects, cleared } = self.suspects.report(now, scope);
+        let (cleared_requests, cleared_parts): (Vec<SuspectKey>, Vec<SuspectKey>) = cleared
+            .into_iter()
+            .partition(|key| matches!(key, SuspectKey::Request(_)));
+        let hashes = |keys: Vec<SuspectKey>| keys.into_iter().map(SuspectKey::hash).collect();
         let totals = totals
             .map(|(workspace, t)| Total {
                 workspace: workspace.0,
@@ -449,7 +456,8 @@
             departed: self.departures.recent(now),
             rates: self.rate_notices(now, max_age),
             suspects,
-            cleared,
+            cleared: hashes(cleared_parts),
+            cleared_requests: hashes(cleared_requests),
             store_age: to_millis(store_age),
             list_age: self.freshness.age(now).map(to_millis),
             placed,
@@ -665,10 +673,7 @@
         if matches!(outcome, Outcome::Answered | Outcome::Failed) {
             self.record_proof(&attempt);
         }
-        self.judge_parts(now, key, &attempt, outcome);
-        if outcome == Outcome::Broken {
-            self.log_suspected(key, attempt.server);
-        }
+        self.judge_request(now, key, &attempt, outcome);
         match outcome {
             Outcome::Answered | Outcome::Left => {
                 if outcome == Outcome::Answered {
@@ -682,7 +687,9 @@
             Outcome::NotRun | Outcome::Misdirected => {}
             Outcome::Unreachable | Outcome::Withdrawn => self.uncount_attempt(key),
             Outcome::Failed => self.set_execution(key, Execution::Failed),
-            Outcome::Broken | Outcome::Expired => self.set_execution(key, Execution::Unknown),
+            Outcome::Broken | Outcome::Invalid | Outcome::Expired => {
+                self.set_execution(key, Execution::Unknown);
+            }
         }
         if self.restore_replaced(key) {
             if matches!(outcome, Outcome::Unreachable | Outcome::Withdrawn) {
@@ -693,46 +700,6 @@
         self.retry(now, key, outcome);
     }
 
-    /// Suspects the shared parts of a prompt whose engine failed at the start of the answer, and
-    /// clears those of a complete answer.
-    fn judge_parts(&mut self, now: Instant, key: RequestKey, attempt: &Attempt, outcome: Outcome) {
-        let request = self.requests.get(&key);
-        let Some(prompt) = request.and_then(|r| r.submission.prompt.as_ref()) else {
-            return;
-        };
-        match outcome {
-            Outcome::Answered => self.suspects.record_answer(now, prompt.shared_ids()),
-            Outcome::Broken if attempt.progress == 0 => {
-                let Some(engine) = self.registry.get(attempt.server).map(|s| s.hash) else {
-                    return;
-                };
-                let parts = prompt.shared_ids();
-                let quarantined = self.suspects.record_failure(now, engine, parts);
-                self.log_quarantined(&quarantined, self.own_hash.0);
-            }
-            _ => {}
-        }
-    }
-
-    /// Logs a request whose server may have crashed on it.
-    fn log_suspected(&mut self, key: RequestKey, server: ServerKey) {
-        let request = self.requests.get(&key).map(|r| &r.submission);
-        let server = self.registry.get(server).map(|s| s.id.as_str());
-        let Some((request, server)) = request.zip(server) else {
-            return;
-        };
-        let detail = format!("call={} server={server}", key.0);
-        let subject = format!("{:x}", request.fingerprint);
-        self.log("request_suspected", &subject, detail);
-    }
-
-    fn log_quarantined(&mut self, parts: &[u64], router: u32) {
-        for part in parts {
-            let detail = format!("reported_by={router:08x}");
-            self.log("part_quarantined", &format!("{part:x}"), detail);
-        }
-    }
-
     /// Records that a request was run or may have been.
     fn set_execution(&mut self, key: RequestKey, execution: Execution) {
         if let Some(request) = self.requests.get_mut(&key) {
@@ -843,7 +810,7 @@
                 server.health.end_probe();
                 None
             }
-            Outcome::Failed | Outcome::NotRun | Outcome::Broken => {
+            Outcome::Failed | Outcome::NotRun | Outcome::Broken | Outcome::Invalid => {
                 server.health.record_error();
                 None
             }
@@ -1041,8 +1008,7 @@
                 self.set_rate(at, notice.server, notice.rate, report.sender);
             }
         }
-        let quarantined = self.suspects.apply(now, &report.suspects, &report.cleared);
-        self.log_quarantined(&quarantined, report.sender);
+        self.apply_suspects(now, report);
         for (hash, sent) in change.sent {
             if let Some(server) = self.registry.by_hash_mut(hash) {
                 server.record_peer_requests(now, sent.requests, sent.tokens);
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -229,14 +229,6 @@
         }
     }
 
-    /// Returns the time until the request may be sent again, if it is quarantined.
-    pub(super) fn quarantine(&self, now: Instant, request: &Request) -> Option<Duration> {
-        let prompt = request.submission.prompt.as_ref()?;
-        let parts = prompt.shared_ids();
-        let left = parts.filter_map(|id| self.suspects.quarantine(now, id));
-        left.max()
-    }
-
     pub(super) fn share_status(&mut self, now: Instant, key: RequestKey) -> ShareStatus {
         let request = self.requests.get(&key);
         let engine = request.filter(|r| r.submission.prompt.is_some());
@@ -643,6 +635,7 @@
         }
         request.attempt = Some(Attempt {
             server: candidate.key,
+            server_hash: server.hash,
             sent_at: now,
             load,
             prefill_tokens: candidate.inputs.pending_prefill + load.pending_prefill,
--- a/crates/fleet/src/fleet/overload.rs
+++ b/crates/fleet/src/fleet/overload.rs
@@ -8,6 +8,7 @@
 
 use crate::engine::Prompt;
 use crate::quota::{ShareStatus, WorkspaceHash};
+use crate::suspects::SuspectKey;
 
 use super::choice::SHORT_RETRY_AFTER;
 use super::{Fleet, limits};
@@ -41,10 +42,10 @@
         self.record_demand(now, workspace, prompt);
         let prompt = prompt?;
         // Its refusal has a reason and a retry delay of its own.
-        if prompt
-            .shared_ids()
-            .any(|id| self.suspects.quarantine(now, id).is_some())
-        {
+        if prompt.shared_ids().any(|id| {
+            let key = SuspectKey::Part(id);
+            self.suspects.quarantine(now, key, false).is_some()
+        }) {
             return None;
         }
         let shortfall = self.recent_shortfall(now, workspace);
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -130,7 +130,7 @@
     /// Hashes of the ids of servers that recently left, according to the sender's server list.
     #[prost(fixed32, repeated, tag = "12")]
     pub departed: Vec<u32>,
-    /// Prompt parts on which engines failed at the sender.
+    /// Requests and prompt parts on which servers failed.
     #[prost(message, repeated, tag = "13")]
     pub suspects: Vec<Suspect>,
     /// Prompt parts that other routers suspect and that the sender saw answered.
@@ -143,6 +143,9 @@
     /// it does not.
     #[prost(uint64, optional, tag = "16")]
     pub list_age: Option<u64>,
+    /// Fingerprints of requests that other routers suspect and that the sender saw answered.
+    #[prost(fixed64, repeated, tag = "17")]
+    pub cleared_requests: Vec<u64>,
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -1,151 +1,358 @@
-//! Prompt parts that crash the engines which answer requests with them.
+//! Requests and prompt parts that crash the servers which run them.
 //!
-//! If the connection to an engine breaks at the start of an answer, each shared part of the prompt
-//! is a suspect, since the engine may have crashed on it. A complete answer, at any router, clears
-//! the parts of its prompt. A part that several engines failed on and none answered is quarantined.
+//! If the connection to a server breaks, the server may have crashed on the request as a whole, or,
+//! at the start of an answer, on any shared part of its prompt. A complete answer, at any router,
+//! clears the request and its parts. A suspect that several servers failed on and none answered is
+//! quarantined at all routers.
+//!
+//! Requests that share a part differ, so the part is tried again after a while. A request is the
+//! same each time and costs a server, so its quarantine grows with each, and one router tries first.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use hibiscusrail_macros::{id, value};
 use prost::Message;
 use rustc_hash::FxHashMap;
 
-/// Number of engines that must have failed on a part. Other requests break with a crashed engine,
-/// so one or two failures prove nothing about a part that few requests share.
-const MIN_ENGINES: usize = 3;
-/// Time after which a failure no longer counts, so that a quarantined part is tried again.
-const FAILURE_TTL: Duration = Duration::from_secs(30);
-/// Time for which an answer clears the parts of its prompt in the eyes of other routers.
+use crate::peers::Scope;
+
+/// Number of servers that must have failed on a suspect. Other requests break with a crashed server,
+/// so one or two failures prove nothing about what few requests share.
+const MIN_SERVERS: usize = 3;
+/// Number of servers from which a request is suspected enough to be sent one at a time.
+const LIMITED_SERVERS: usize = 2;
+/// Time after which a failure no longer counts against a part, so that it is tried again.
+const PART_TTL: Duration = Duration::from_secs(30);
+/// Time after the last failure for which those of a request count.
+const REQUEST_TTL: Duration = Duration::from_secs(60 * 60);
+/// Quarantine of a request on which [`MIN_SERVERS`] servers failed.
+const MIN_QUARANTINE: Duration = Duration::from_secs(30);
+/// Factor by which the quarantine of a request grows with each further server.
+const QUARANTINE_GROWTH: u32 = 4;
+/// Longest quarantine of a request.
+const MAX_QUARANTINE: Duration = Duration::from_secs(30 * 60);
+/// Time for which an answer clears a request and the parts of its prompt.
 const ANSWER_TTL: Duration = Duration::from_secs(10);
-/// Number of answered parts from which old ones are dropped; bounds the memory.
-const MAX_ANSWERED: usize = 4_096;
-/// Maximum number of suspects in a report; bounds its size.
-const MAX_REPORTED: usize = 32;
+/// Time for which a failure that quarantines nothing is reported.
+const REPORT_TTL: Duration = Duration::from_secs(5);
+/// Maximum number of suspects; bounds the memory.
+const MAX_SUSPECTS: usize = 2_048;
+/// Maximum number of servers of a suspect; bounds the memory and the size of reports.
+const MAX_SERVERS: usize = 16;
+/// Number of answers that are remembered for sure; bounds the memory at twice as many.
+const MAX_ANSWERS: usize = 4_096;
+/// Maximum number of suspects in a report, and of cleared ones; bounds its size.
+const MAX_REPORTED: usize = 64;
+
+/// Identity of a suspect.
+#[id]
+pub enum SuspectKey {
+    /// Id of a shared part of prompts.
+    Part(u64),
+    /// Fingerprint of a request.
+    Request(u64),
+}
+
+impl SuspectKey {
+    /// Returns the id of the part or the fingerprint of the request.
+    #[must_use]
+    pub fn hash(self) -> u64 {
+        match self {
+            Self::Part(hash) | Self::Request(hash) => hash,
+        }
+    }
 
-/// Suspect part in a report.
+    fn is_request(self) -> bool {
+        matches!(self, Self::Request(_))
+    }
+}
+
+/// Suspect in a report.
 #[derive(Clone, PartialEq, Message)]
 pub struct Suspect {
-    /// Id of the part.
+    /// Id of the part or fingerprint of the request.
     #[prost(fixed64, tag = "1")]
-    pub part: u64,
-    /// Hashes of the ids of the engines that failed at the sender.
+    pub hash: u64,
+    /// Hashes of the ids of the servers that failed: those of the sender, and all that it knows of
+    /// once the suspect is quarantined.
     #[prost(fixed32, repeated, tag = "2")]
-    pub engines: Vec<u32>,
+    pub servers: Vec<u32>,
+    /// Milliseconds since each of these failures; without them the failures are new.
+    #[prost(uint32, repeated, tag = "3")]
+    pub ages: Vec<u32>,
+    /// Whether it is a whole request.
+    #[prost(bool, tag = "4")]
+    pub request: bool,
+}
+
+impl Suspect {
+    fn key(&self) -> SuspectKey {
+        if self.request {
+            SuspectKey::Request(self.hash)
+        } else {
+            SuspectKey::Part(self.hash)
+        }
+    }
+}
+
+/// What a report says of suspects.
+#[derive(Debug, Default)]
+pub struct News {
+    /// Suspects that the sender saw servers fail on, and all that are quarantined.
+    pub suspects: Vec<Suspect>,
+    /// Suspects of others that the sender saw answered.
+    pub cleared: Vec<SuspectKey>,
 }
 
-/// Failure of an engine on a part.
-#[derive(Debug, Clone, Copy)]
+/// Failure of a server on a suspect.
+#[value]
 struct Failure {
     at: Instant,
     /// Whether this router saw it itself.
     own: bool,
 }
 
-/// Suspect parts and recently answered parts.
+/// Failures of servers on one suspect, by the hash of the server's id.
+#[derive(Debug, Default)]
+struct Failures(BTreeMap<u32, Failure>);
+
+/// Answered suspects in two generations, of which the older is dropped as a whole.
+#[derive(Debug, Default)]
+struct Answers {
+    recent: FxHashMap<SuspectKey, Answer>,
+    older: FxHashMap<SuspectKey, Answer>,
+}
+
+/// Complete answer to a request.
+#[value]
+struct Answer {
+    at: Instant,
+    /// Whether this router saw it itself.
+    own: bool,
+}
+
+/// Suspects and recently answered requests and parts.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    /// Failures by part and engine.
-    failures: BTreeMap<u64, BTreeMap<u32, Failure>>,
-    answered: FxHashMap<u64, Instant>,
-    /// Answered parts that other routers suspect.
-    cleared: BTreeMap<u64, Instant>,
+    failures: BTreeMap<SuspectKey, Failures>,
+    answers: Answers,
+    /// Answered suspects that other routers suspect.
+    cleared: BTreeMap<SuspectKey, Instant>,
+    /// Numbers of suspects that reports of each scope have gone past.
+    cursors: [usize; 2],
+}
+
+impl Failures {
+    /// Returns when the last server failed.
+    fn last(&self) -> Option<Instant> {
+        self.0.values().map(|f| f.at).max()
+    }
+
+    /// Adds a failure or makes a known one older; what others repeat does not make it newer.
+    fn add(&mut self, server: u32, failure: Failure) {
+        let known = self.0.entry(server).or_insert(failure);
+        known.at = known.at.min(failure.at);
+        known.own |= failure.own;
+        if self.0.len() > MAX_SERVERS {
+            let oldest = self.0.iter().min_by_key(|(_, f)| f.at);
+            let oldest = oldest.map(|(server, _)| *server);
+            oldest.and_then(|server| self.0.remove(&server));
+        }
+    }
+
+    /// Drops the failures that no longer count; returns whether any is left.
+    fn expire(&mut self, now: Instant, key: SuspectKey) -> bool {
+        let ttl = if key.is_request() {
+            let last = self.last().filter(|at| is_recent(now, *at, REQUEST_TTL));
+            return last.is_some();
+        } else {
+            PART_TTL
+        };
+        self.0.retain(|_, failure| is_recent(now, failure.at, ttl));
+        !self.0.is_empty()
+    }
+
+    /// Returns the time for which the suspect is still quarantined; `waits` tells whether another
+    /// router tries a request first.
+    fn quarantine(&self, now: Instant, key: SuspectKey, waits: bool) -> Option<Duration> {
+        let excess = self.0.len().checked_sub(MIN_SERVERS)?;
+        let until = if key.is_request() {
+            let growth = u32::try_from(excess).unwrap_or(u32::MAX);
+            let length = MIN_QUARANTINE * QUARANTINE_GROWTH.saturating_pow(growth.min(8));
+            self.last()? + length.min(MAX_QUARANTINE) * if waits { 2 } else { 1 }
+        } else {
+            let mut times: Vec<Instant> = self.0.values().map(|f| f.at + PART_TTL).collect();
+            times.sort_unstable();
+            times.get(excess).copied()?
+        };
+        let left = until.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Returns the suspect for a report, if the router has something to tell of it.
+    fn report(&self, now: Instant, key: SuspectKey) -> Option<Suspect> {
+        let whole = self.0.len() >= MIN_SERVERS;
+        let is_news = |f: &Failure| {
+            let ttl = if key.is_request() {
+                REPORT_TTL
+            } else {
+                PART_TTL
+            };
+            f.own && is_recent(now, f.at, ttl)
+        };
+        let told = self.0.iter().filter(|(_, f)| whole || is_news(f));
+        let age = |at| now.saturating_duration_since(at).as_millis();
+        let age = |f: &Failure| u32::try_from(age(f.at)).unwrap_or(u32::MAX);
+        let (servers, ages): (Vec<u32>, Vec<u32>) = told.map(|(s, f)| (*s, age(f))).unzip();
+        (!servers.is_empty()).then(|| Suspect {
+            hash: key.hash(),
+            servers,
+            ages,
+            request: key.is_request(),
+        })
+    }
+}
+
+impl Answers {
+    fn add(&mut self, key: SuspectKey, answer: Answer) {
+        if self.recent.len() >= MAX_ANSWERS {
+            self.older = std::mem::take(&mut self.recent);
+        }
+        let known = self.get(answer.at, key);
+        let own = answer.own || known.is_some_and(|a| a.own);
+        self.recent.insert(key, Answer { own, ..answer });
+    }
+
+    fn get(&self, now: Instant, key: SuspectKey) -> Option<Answer> {
+        let answer = self.recent.get(&key).or_else(|| self.older.get(&key));
+        answer.copied().filter(|a| is_recent(now, a.at, ANSWER_TTL))
+    }
 }
 
 impl Suspects {
-    /// Records that an engine failed at the start of an answer; returns the parts quarantined by it.
+    /// Records that a server failed; returns the suspects quarantined by it.
     pub fn record_failure(
         &mut self,
         now: Instant,
-        engine: u32,
-        parts: impl Iterator<Item = u64>,
-    ) -> Vec<u64> {
-        parts
-            .filter(|part| self.add(now, *part, engine, true))
+        server: u32,
+        keys: impl Iterator<Item = SuspectKey>,
+    ) -> Vec<SuspectKey> {
+        let failure = Failure { at: now, own: true };
+        keys.filter(|key| self.add(now, *key, server, failure))
             .collect()
     }
 
-    /// Records a complete answer, which clears the parts of its prompt.
-    pub fn record_answer(&mut self, now: Instant, parts: impl Iterator<Item = u64>) {
-        if self.answered.len() >= MAX_ANSWERED {
-            self.answered
-                .retain(|_, at| now.saturating_duration_since(*at) < ANSWER_TTL);
-        }
-        for part in parts {
-            self.answered.insert(part, now);
-            self.failures.remove(&part);
+    /// Records a complete answer, which clears the request and the parts of its prompt.
+    pub fn record_answer(&mut self, now: Instant, keys: impl Iterator<Item = SuspectKey>) {
+        for key in keys {
+            self.answers.add(key, Answer { at: now, own: true });
+            self.failures.remove(&key);
         }
     }
 
-    /// Applies the suspects and cleared parts of a report; returns the parts quarantined by it.
-    pub fn apply(&mut self, now: Instant, suspects: &[Suspect], cleared: &[u64]) -> Vec<u64> {
-        for part in cleared {
-            self.failures.remove(part);
+    /// Applies what a report says; returns the suspects quarantined by it.
+    pub fn apply(&mut self, now: Instant, news: &News) -> Vec<SuspectKey> {
+        for key in &news.cleared {
+            let answer = Answer {
+                at: now,
+                own: false,
+            };
+            self.answers.add(*key, answer);
+            self.failures.remove(key);
         }
         let mut quarantined = Vec::new();
-        for suspect in suspects {
-            if self.is_answered(now, suspect.part) {
-                self.cleared.insert(suspect.part, now);
-                continue;
+        for suspect in &news.suspects {
+            let key = suspect.key();
+            let answer = self.answers.get(now, key);
+            if answer.is_some_and(|a| a.own) && self.cleared.len() < MAX_REPORTED {
+                self.cleared.insert(key, now);
+            }
+            let ages = suspect.ages.iter().copied().chain(std::iter::repeat(0));
+            let mut is_new = false;
+            for (server, age) in suspect.servers.iter().zip(ages) {
+                let at = now.checked_sub(Duration::from_millis(age.into()));
+                let failure = Failure {
+                    at: at.unwrap_or(now),
+                    own: false,
+                };
+                is_new |= self.add(now, key, *server, failure);
             }
-            for engine in &suspect.engines {
-                if self.add(now, suspect.part, *engine, false) {
-                    quarantined.push(suspect.part);
-                }
+            if is_new {
+                quarantined.push(key);
             }
         }
         quarantined
     }
 
-    /// Returns the suspects seen by this router and the suspects of others that it clears.
-    pub fn report(&mut self, now: Instant) -> (Vec<Suspect>, Vec<u64>) {
-        let is_recent = |at: Instant, ttl| now.saturating_duration_since(at) < ttl;
-        self.failures.retain(|_, engines| {
-            engines.retain(|_, failure| is_recent(failure.at, FAILURE_TTL));
-            !engines.is_empty()
-        });
-        self.cleared.retain(|_, at| is_recent(*at, ANSWER_TTL));
-        let mut suspects: Vec<Suspect> = Vec::new();
-        for (part, engines) in &self.failures {
-            let own = engines.iter().filter(|(_, failure)| failure.own);
-            let engines: Vec<u32> = own.map(|(engine, _)| *engine).collect();
-            if !engines.is_empty() {
-                suspects.push(Suspect {
-                    part: *part,
-                    engines,
-                });
-            }
+    /// Returns what the next report to the routers in `scope` says.
+    pub fn report(&mut self, now: Instant, scope: Scope) -> News {
+        self.failures
+            .retain(|key, failures| failures.expire(now, *key));
+        self.cleared.retain(|_, at| is_recent(now, *at, ANSWER_TTL));
+        let told = self.failures.iter();
+        let told = told.filter_map(|(key, f)| Some((f.0.len(), f.report(now, *key)?)));
+        let (mut likely, mut others): (Vec<_>, Vec<_>) =
+            told.partition(|(servers, _)| *servers >= LIMITED_SERVERS);
+        // Each in turn, so that many innocent ones keep none out for long.
+        let cursor = &mut self.cursors[usize::from(scope == Scope::All)];
+        for list in [&mut likely, &mut others] {
+            let length = list.len().max(1);
+            list.rotate_left(*cursor % length);
+        }
+        *cursor = cursor.wrapping_add(MAX_REPORTED / 2);
+        let first = likely.len().min(MAX_REPORTED / 2);
+        let rest = likely.split_off(first);
+        let all = likely.into_iter().chain(others).chain(rest);
+        News {
+            suspects: all.take(MAX_REPORTED).map(|(_, s)| s).collect(),
+            cleared: self.cleared.keys().copied().collect(),
         }
-        suspects.sort_by_key(|s| std::cmp::Reverse(s.engines.len()));
-        suspects.truncate(MAX_REPORTED);
-        (suspects, self.cleared.keys().copied().collect())
     }
 
-    /// Returns the time until requests with a part may be sent again, if it is quarantined.
+    /// Returns the time until requests with a suspect may be sent again, if it is quarantined;
+    /// `waits` tells whether another router tries a request first.
+    #[must_use]
+    pub fn quarantine(&self, now: Instant, key: SuspectKey, waits: bool) -> Option<Duration> {
+        self.failures.get(&key)?.quarantine(now, key, waits)
+    }
+
+    /// Returns the number of servers that failed on a suspect.
+    #[must_use]
+    pub fn servers(&self, key: SuspectKey) -> usize {
+        self.failures.get(&key).map_or(0, |f| f.0.len())
+    }
+
+    /// Returns whether a request is suspected enough to be sent one at a time.
     #[must_use]
-    pub fn quarantine(&self, now: Instant, part: u64) -> Option<Duration> {
-        let engines = self.failures.get(&part)?;
-        let mut left: Vec<Duration> = engines
-            .values()
-            .map(|f| (f.at + FAILURE_TTL).saturating_duration_since(now))
-            .filter(|left| !left.is_zero())
-            .collect();
-        left.sort_unstable();
-        let excess = left.len().checked_sub(MIN_ENGINES)?;
-        left.get(excess).copied()
-    }
-
-    /// Adds a failure; returns whether it quarantines the part.
-    fn add(&mut self, now: Instant, part: u64, engine: u32, own: bool) -> bool {
-        let before = self.quarantine(now, part).is_some();
-        let engines = self.failures.entry(part).or_default();
-        let failure = engines.entry(engine).or_insert(Failure { at: now, own });
-        failure.own |= own;
-        !before && self.quarantine(now, part).is_some()
-    }
-
-    fn is_answered(&self, now: Instant, part: u64) -> bool {
-        self.answered
-            .get(&part)
-            .is_some_and(|at| now.saturating_duration_since(*at) < ANSWER_TTL)
+    pub fn is_limited(&self, key: SuspectKey) -> bool {
+        self.servers(key) >= LIMITED_SERVERS
     }
+
+    /// Adds a failure; returns whether it quarantines the suspect.
+    fn add(&mut self, now: Instant, key: SuspectKey, server: u32, failure: Failure) -> bool {
+        if self.answers.get(now, key).is_some() {
+            return false;
+        }
+        if self.failures.len() >= MAX_SUSPECTS && !self.failures.contains_key(&key) {
+            self.drop_least();
+        }
+        let before = self.quarantine(now, key, false).is_some();
+        let failures = self.failures.entry(key).or_default();
+        failures.add(server, failure);
+        failures.expire(now, key);
+        !before && self.quarantine(now, key, false).is_some()
+    }
+
+    /// Drops the suspect with the fewest servers, of these the oldest.
+    fn drop_least(&mut self) {
+        let weight = |f: &Failures| (f.0.len(), f.last());
+        let least = self.failures.iter().min_by_key(|(_, f)| weight(f));
+        let least = least.map(|(key, _)| *key);
+        least.and_then(|key| self.failures.remove(&key));
+    }
+}
+
+fn is_recent(now: Instant, at: Instant, ttl: Duration) -> bool {
+    now.saturating_duration_since(at) < ttl
 }
--- a/crates/fleet/tests/all/deadly.rs
+++ b/crates/fleet/tests/all/deadly.rs
@@ -373,3 +373,123 @@
         }
     }
 }
+
+/// Returns a site whose routers all know of a request that crashed three servers.
+fn quarantined(count: usize, now: Instant) -> Site {
+    let mut site = Site::new(count, now);
+    for _ in 0..MIN_SERVERS {
+        site.crash(0, DEADLY, now);
+    }
+    site.exchange(1, now);
+    site
+}
+
+// Guards against routers that all try a request again as its quarantine ends.
+#[test]
+fn quarantine_ends_at_one_router_first() {
+    let start = Instant::now();
+    let mut site = quarantined(7, start);
+    let later = start + Duration::from_secs(31);
+    site.exchange(1, later);
+    let crashed: Vec<usize> = (0..7)
+        .map(|at| site.crash(at, DEADLY, later))
+        .filter(|n| *n > 0)
+        .collect();
+    assert_eq!(crashed, [1]);
+}
+
+// Guards against a request that stays refused since the router that tries it first gets none.
+#[test]
+fn quarantine_ends_at_each_router_later() {
+    let start = Instant::now();
+    let later = start + Duration::from_secs(61);
+    for at in 0..7 {
+        let mut site = quarantined(7, start);
+        site.exchange(1, later);
+        site.answer(at, DEADLY, later);
+        site.exchange(1, later);
+        site.exchange(1, later);
+        for at in 0..7 {
+            site.answer(at, DEADLY, later);
+        }
+    }
+}
+
+// Guards against routers whose reports of each other's failures keep a quarantine alive.
+#[test]
+fn quarantine_is_not_prolonged_by_reports() {
+    let start = Instant::now();
+    let mut site = quarantined(3, start);
+    for step in 0..300 {
+        site.exchange(1, start + PERIOD * step);
+    }
+    let later = start + Duration::from_secs(31);
+    let sent = (0..3).filter(|at| sent_to(&site.submit(*at, DEADLY, later)).is_some());
+    assert_eq!(sent.count(), 1);
+}
+
+// Guards against copies of a request that are all sent before the first has crashed its server.
+#[test]
+fn request_on_which_two_servers_failed_is_sent_one_at_a_time() {
+    let now = Instant::now();
+    let mut site = Site::new(1, now);
+    assert_eq!(site.crash(0, DEADLY, now), 2);
+    let first = site.submit(0, DEADLY, now);
+    assert!(sent_to(&first).is_some(), "{first:?}");
+    let key = RequestKey(site.next.2);
+    assert!(site.refuses(0, DEADLY, now));
+    site.routers[0].handle(now, Event::Ended(key, Outcome::Answered));
+    let sent = site.submit(0, DEADLY, now);
+    assert!(sent_to(&sent).is_some(), "{sent:?}");
+}
+
+// Guards against errors that a server reports without a run clearing a deadly request.
+#[test]
+fn request_is_quarantined_beside_errors_of_servers() {
+    let now = Instant::now();
+    let mut site = Site::new(1, now);
+    let mut crashed = 0;
+    for _ in 0..8 {
+        crashed += site.crash(0, DEADLY, now);
+        site.submit(0, DEADLY, now);
+        let key = RequestKey(site.next.2);
+        site.routers[0].handle(now, Event::Ended(key, Outcome::Failed));
+        site.routers[0].handle(now, Event::Ended(key, Outcome::Failed));
+    }
+    assert_eq!(crashed, MIN_SERVERS);
+}
+
+// Guards against servers that answer wrongly being taken for crashed.
+#[test]
+fn request_that_was_answered_wrongly_is_sent() {
+    let now = Instant::now();
+    let mut site = Site::new(1, now);
+    for _ in 0..4 {
+        let sent = site.submit(0, 7, now);
+        assert!(sent_to(&sent).is_some(), "{sent:?}");
+        let key = RequestKey(site.next.2);
+        site.routers[0].handle(now, Event::Ended(key, Outcome::Invalid));
+        site.routers[0].handle(now, Event::Ended(key, Outcome::Invalid));
+    }
+}
+
+// Guards against servers that crash, and are gone from the list, before the connection ends.
+#[test]
+fn request_is_suspected_for_servers_that_have_gone() {
+    let now = Instant::now();
+    let mut site = Site::new(1, now);
+    for _ in 0..MIN_SERVERS {
+        let sent = site.submit(0, DEADLY, now);
+        let Some(id) = sent_to(&sent).map(str::to_owned) else {
+            break;
+        };
+        let key = RequestKey(site.next.2);
+        site.replace_server(&id, now);
+        let again = site.routers[0].handle(now, Event::Ended(key, Outcome::Broken));
+        if let Some(id) = sent_to(&again).map(str::to_owned) {
+            site.replace_server(&id, now);
+            site.routers[0].handle(now, Event::Ended(key, Outcome::Broken));
+        }
+    }
+    assert!(site.refuses(0, DEADLY, now));
+}
--- a/crates/front/src/refusal.rs
+++ b/crates/front/src/refusal.rs
@@ -31,8 +31,12 @@
     };
     let mut response = text_response(status, &format!("{reason:?}, {execution:?}"));
     if status == StatusCode::SERVICE_UNAVAILABLE {
-        let wait = retry_after.min(remaining / MAX_WAIT_DIVISOR);
-        set_retry_after(&mut response, wait);
+        // No server runs a quarantined request before its time, however often it comes.
+        let max_wait = match reason {
+            Reason::Quarantined => Duration::MAX,
+            _ => remaining / MAX_WAIT_DIVISOR,
+        };
+        set_retry_after(&mut response, retry_after.min(max_wait));
     }
     response
 }
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -15,7 +15,7 @@
 use hibiscusrail_net::sse::Splitter;
 use hibiscusrail_net::{Body, OwnedConnection, connect_owned, headers};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
 use crate::outgoing::Outgoing;
@@ -541,7 +541,7 @@
     }
     let proven = !status.is_success() || headers.contains_key(&protocol.seal);
     if !echoed || !proven || headers.contains_key(header::CONTENT_ENCODING) {
-        return Err(Outcome::Broken.into());
+        return Err(Outcome::Invalid.into());
     }
     Ok(())
 }
@@ -559,6 +559,7 @@
     let patience = Patience::new(plan, resume);
     let collected = match patience.wait(shell, Duration::ZERO, collecting).await? {
         Ok(collected) => collected.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => return Err(Outcome::Invalid.into()),
         Err(_) => return Err(Outcome::Broken.into()),
     };
     return_to_pool(shell, target.address, connection);
@@ -655,7 +656,7 @@
             if self.splitter.pending_bytes() > MAX_EVENT_BYTES {
                 let limit = MAX_EVENT_BYTES;
                 log::warn!(step = "event", peer:% = self.address, limit = limit; "event_too_large");
-                return Err(Outcome::Broken.into());
+                return Err(Outcome::Invalid.into());
             }
             if !bytes.is_empty() {
                 let now = shell.now();
