fleet: suspect requests given up at servers that fall silent and leave

A host that goes dark under a request closes no connection: the attempt is replaced or reaches its deadline, and nothing was held against the request.

A request given up at a silent server is remembered for 10 s; if the server leaves the list by then, it counts as failed on the request. Silence of a server that stays in the list counts for nothing.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -360,7 +360,7 @@
             }
             Event::Ended(key, outcome) => self.attempt_ended(now, key, outcome),
             Event::Stalled(key) => self.attempt_stalled(now, key),
-            Event::Replaced(key) => self.attempt_replaced(key),
+            Event::Replaced(key) => self.attempt_replaced(now, key),
             Event::Resumed { key, sent } => self.attempt_resumed(now, key, sent),
             Event::ServerLeaving(server) => self.server_leaving(server),
             Event::ServerRate(server, rate) => self.server_rate(now, server, rate),
@@ -919,6 +919,9 @@
         for id in changes.draining.iter().chain(&changes.removed) {
             self.departures.record(now, name_hash(id));
         }
+        for id in &changes.removed {
+            self.judge_departure(now, name_hash(id));
+        }
         let lists = [
             ("server_started", changes.started),
             ("server_leaving", changes.draining),
@@ -1112,6 +1115,7 @@
         self.reporting = self.peers.reporting(now, ttl, is_member);
         for id in self.registry.remove_expired(now, self.params.lapse_grace) {
             self.departures.record(now, name_hash(&id));
+            self.judge_departure(now, name_hash(&id));
             self.log("server_gone", &id, "lapsed=true".to_owned());
         }
         let expired = self
--- a/crates/fleet/src/fleet/quarantine.rs
+++ b/crates/fleet/src/fleet/quarantine.rs
@@ -91,10 +91,32 @@
                 self.log_suspected(key, attempt);
                 self.log_quarantined(now, &quarantined, self.own_hash.0);
             }
+            Outcome::Expired => self.judge_silence(now, submission.fingerprint, attempt),
+            Outcome::Left if attempt.silent => {
+                self.judge_silence(now, submission.fingerprint, attempt);
+            }
             _ => {}
         }
     }
 
+    /// Suspects a request that is given up at a silent server, if that leaves the list.
+    ///
+    /// A host may crash without closing its connections.
+    pub(super) fn judge_silence(&mut self, now: Instant, fingerprint: u64, attempt: &Attempt) {
+        let server = attempt.server_hash;
+        let key = SuspectKey::Request(fingerprint);
+        self.suspects.record_silence(now, server, key);
+        if self.registry.get(attempt.server).is_none() {
+            self.judge_departure(now, server);
+        }
+    }
+
+    /// Suspects the requests that were given up at a server which has left the list.
+    pub(super) fn judge_departure(&mut self, now: Instant, server: u32) {
+        let quarantined = self.suspects.server_gone(now, server);
+        self.log_quarantined(now, &quarantined, self.own_hash.0);
+    }
+
     /// Applies what another router's report says of suspects.
     pub(super) fn apply_suspects(&mut self, now: Instant, report: &Report) {
         let parts = report.cleared.iter().copied().map(SuspectKey::Part);
--- a/crates/fleet/src/fleet/stalls.rs
+++ b/crates/fleet/src/fleet/stalls.rs
@@ -73,8 +73,13 @@
     }
 
     /// Ends the attempt at a silent server, as another one has the request.
-    pub(super) fn attempt_replaced(&mut self, key: RequestKey) {
-        self.release_replaced(key);
+    pub(super) fn attempt_replaced(&mut self, now: Instant, key: RequestKey) {
+        let request = self.requests.get_mut(&key);
+        let replaced = request.and_then(|r| Some((r.submission.fingerprint, r.replaced.take()?)));
+        if let Some((fingerprint, attempt)) = replaced {
+            self.subtract_load(&attempt);
+            self.judge_silence(now, fingerprint, &attempt);
+        }
         self.set_execution(key, Execution::Unknown);
     }
 
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -8,7 +8,7 @@
 //! Requests that share a part differ, so the part is tried again after a while. A request is the
 //! same each time and costs a server, so its quarantine grows with each, and one router tries first.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use hibiscusrail_macros::{id, value};
@@ -36,6 +36,10 @@
 const ANSWER_TTL: Duration = Duration::from_secs(10);
 /// Time for which a failure that quarantines nothing is reported.
 const REPORT_TTL: Duration = Duration::from_secs(5);
+/// Time for which a silent server that then leaves the list may have crashed on its request.
+const SILENCE_TTL: Duration = Duration::from_secs(10);
+/// Maximum number of requests given up at silent servers that are remembered; bounds the memory.
+const MAX_SILENCES: usize = 1_024;
 /// Maximum number of suspects; bounds the memory.
 const MAX_SUSPECTS: usize = 2_048;
 /// Maximum number of servers of a suspect; bounds the memory and the size of reports.
@@ -132,10 +136,20 @@
     own: bool,
 }
 
+/// Request that was given up at a silent server.
+#[value]
+struct Silence {
+    at: Instant,
+    server: u32,
+    key: SuspectKey,
+}
+
 /// Suspects and recently answered requests and parts.
 #[derive(Debug, Default)]
 pub struct Suspects {
     failures: BTreeMap<SuspectKey, Failures>,
+    /// The oldest first.
+    silences: VecDeque<Silence>,
     answers: Answers,
     /// Answered suspects that other routers suspect.
     cleared: BTreeMap<SuspectKey, Instant>,
@@ -243,6 +257,29 @@
             .collect()
     }
 
+    /// Records that a request was given up at a silent server, which may have crashed on it.
+    pub fn record_silence(&mut self, now: Instant, server: u32, key: SuspectKey) {
+        if self.silences.len() >= MAX_SILENCES {
+            self.silences.pop_front();
+        }
+        let silence = Silence {
+            at: now,
+            server,
+            key,
+        };
+        self.silences.push_back(silence);
+    }
+
+    /// Records that a server left the list, so that its silence was a crash; returns the suspects
+    /// quarantined by it.
+    pub fn server_gone(&mut self, now: Instant, server: u32) -> Vec<SuspectKey> {
+        self.silences
+            .retain(|silence| is_recent(now, silence.at, SILENCE_TTL));
+        let silences = self.silences.iter().filter(|s| s.server == server);
+        let keys: Vec<SuspectKey> = silences.map(|s| s.key).collect();
+        self.record_failure(now, server, keys.into_iter())
+    }
+
     /// Records a complete answer, which clears the request and the parts of its prompt.
     pub fn record_answer(&mut self, now: Instant, keys: impl Iterator<Item = SuspectKey>) {
         for key in keys {
--- a/crates/fleet/tests/all/deadly.rs
+++ b/crates/fleet/tests/all/deadly.rs
@@ -493,3 +493,39 @@
     }
     assert!(site.refuses(0, DEADLY, now));
 }
+
+// Guards against hosts that go dark under a request, so that no connection ends.
+#[test]
+fn request_is_suspected_for_silent_servers_that_leave_list() {
+    let start = Instant::now();
+    let mut site = Site::new(2, start);
+    let mut dark = 0;
+    for step in 0..8 {
+        let now = start + Duration::from_secs(5) * step;
+        site.exchange(1, now);
+        let sent = site.submit(0, DEADLY, now);
+        let Some(first) = sent_to(&sent).map(str::to_owned) else {
+            break;
+        };
+        let key = RequestKey(site.next.2);
+        let stalled = site.routers[0].handle(now, Event::Stalled(key));
+        dark += 1;
+        let second = sent_to(&stalled).map(str::to_owned);
+        if second.is_some() {
+            dark += 1;
+            site.routers[0].handle(now, Event::Replaced(key));
+        }
+        let later = now + Duration::from_secs(2);
+        for id in [Some(first), second].into_iter().flatten() {
+            site.replace_server(&id, later);
+        }
+        site.routers[0].handle(later, Event::Ended(key, Outcome::Expired));
+    }
+    // Until a server has left the list, its silence proves nothing.
+    assert!(dark <= MIN_SERVERS + 1, "{dark} servers");
+    let later = start + Duration::from_secs(12);
+    site.exchange(1, later);
+    for at in 0..2 {
+        assert!(site.refuses(at, DEADLY, later), "router {at}");
+    }
+}
