--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod notices;
 mod overload;
 mod replacements;
+mod refusal;
 mod requests;
 mod streams;
 mod support;
