fleet: tell other routers that a suspect was answered

A router forgets the failures of a request as it is answered, but told others only when they reported it. They kept its failures for an hour, and a sound request that ran into three crashes in that time, each answered at once elsewhere, was refused for 30 s and longer.

What is cleared is reported for 10 s, whoever suspects it; 256 at most.

request_answered_after_each_crash_is_sent_elsewhere failed before: Quarantined, retry_after 240 s.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -133,7 +133,7 @@
     /// Requests and prompt parts on which servers failed.
     #[prost(message, repeated, tag = "13")]
     pub suspects: Vec<Suspect>,
-    /// Prompt parts that other routers suspect and that the sender saw answered.
+    /// Prompt parts that were suspected and that the sender saw answered.
     #[prost(fixed64, repeated, tag = "14")]
     pub cleared: Vec<u64>,
     /// Rates that servers accept, or accepted until recently.
@@ -143,7 +143,7 @@
     /// it does not.
     #[prost(uint64, optional, tag = "16")]
     pub list_age: Option<u64>,
-    /// Fingerprints of requests that other routers suspect and that the sender saw answered.
+    /// Fingerprints of requests that were suspected and that the sender saw answered.
     #[prost(fixed64, repeated, tag = "17")]
     pub cleared_requests: Vec<u64>,
     /// Placements within the last few report periods.
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -46,8 +46,10 @@
 const MAX_SERVERS: usize = 16;
 /// Number of answers that are remembered for sure; bounds the memory at twice as many.
 const MAX_ANSWERS: usize = 4_096;
-/// Maximum number of suspects in a report, and of cleared ones; bounds its size.
+/// Maximum number of suspects in a report; bounds its size.
 const MAX_REPORTED: usize = 64;
+/// Maximum number of cleared suspects in a report; bounds its size.
+const MAX_CLEARED: usize = 256;
 
 /// Identity of a suspect.
 #[id]
@@ -105,7 +107,7 @@
 pub struct News {
     /// Suspects that the sender saw servers fail on, and all that are quarantined.
     pub suspects: Vec<Suspect>,
-    /// Suspects of others that the sender saw answered.
+    /// Suspects that the sender saw answered since.
     pub cleared: Vec<SuspectKey>,
 }
 
@@ -151,7 +153,7 @@
     /// The oldest first.
     silences: VecDeque<Silence>,
     answers: Answers,
-    /// Answered suspects that other routers suspect.
+    /// Answered suspects that other routers may suspect.
     cleared: BTreeMap<SuspectKey, Instant>,
     /// Numbers of suspects that reports of each scope have gone past.
     cursors: [usize; 2],
@@ -284,7 +286,9 @@
     pub fn record_answer(&mut self, now: Instant, keys: impl Iterator<Item = SuspectKey>) {
         for key in keys {
             self.answers.add(key, Answer { at: now, own: true });
-            self.failures.remove(&key);
+            if self.failures.remove(&key).is_some() {
+                self.tell_cleared(now, key);
+            }
         }
     }
 
@@ -302,8 +306,8 @@
         for suspect in &news.suspects {
             let key = suspect.key();
             let answer = self.answers.get(now, key);
-            if answer.is_some_and(|a| a.own) && self.cleared.len() < MAX_REPORTED {
-                self.cleared.insert(key, now);
+            if answer.is_some_and(|a| a.own) {
+                self.tell_cleared(now, key);
             }
             let ages = suspect.ages.iter().copied().chain(std::iter::repeat(0));
             let mut is_new = false;
@@ -381,6 +385,13 @@
         !before && self.quarantine(now, key, false).is_some()
     }
 
+    /// Tells other routers for a while that a suspect was answered.
+    fn tell_cleared(&mut self, now: Instant, key: SuspectKey) {
+        if self.cleared.len() < MAX_CLEARED || self.cleared.contains_key(&key) {
+            self.cleared.insert(key, now);
+        }
+    }
+
     /// Drops the suspect with the fewest servers, of these the oldest.
     fn drop_least(&mut self) {
         let weight = |f: &Failures| (f.0.len(), f.last());
--- a/crates/fleet/tests/all/deadly.rs
+++ b/crates/fleet/tests/all/deadly.rs
@@ -529,3 +529,24 @@
         assert!(site.refuses(at, DEADLY, later), "router {at}");
     }
 }
+
+// Guards against crashes that routers remember of a request which was answered elsewhere since.
+#[test]
+fn request_answered_after_each_crash_is_sent_elsewhere() {
+    let start = Instant::now();
+    let mut site = Site::new(2, start);
+    let mut now = start;
+    for _ in 0..4 {
+        now += Duration::from_secs(60);
+        let sent = site.submit(0, 7, now);
+        let key = RequestKey(site.next.2);
+        let id = sent_to(&sent).expect("it is sent").to_owned();
+        site.routers[0].handle(now, Event::Ended(key, Outcome::Broken));
+        site.replace_server(&id, now);
+        site.exchange(1, now);
+        site.routers[0].handle(now, Event::Ended(key, Outcome::Answered));
+        site.exchange(1, now);
+    }
+    let sent = site.submit(1, 7, now);
+    assert!(sent_to(&sent).is_some(), "{sent:?}");
+}
