--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -3,9 +3,11 @@
 mod answers;
 mod callers;
 mod config_changes;
+mod fingerprint;
 mod metrics;
 mod notices;
 mod overload;
+mod refusal;
 mod replacements;
 mod requests;
 mod streams;
