--- a/crates/front/tests/all/config_changes.rs
+++ b/crates/front/tests/all/config_changes.rs
@@ -8,8 +8,8 @@
 use hibiscusrail_fleet::objects::Deployment;
 
 use super::support::{
-    Act, Front, STREAM_END, STREAM_HEAD, Server, TIMEOUT, chunk, full_response, header, read_all,
-    read_until, run, status, wait_until,
+    Act, Front, STREAM_END, STREAM_HEAD, Server, TIMEOUT, chunk, event, full_response, header,
+    read_all, read_until, run, status, wait_until,
 };
 
 /// A change of the configuration.
@@ -57,10 +57,6 @@
     deployment.limits.body_bytes = 1;
 }
 
-fn event(id: u32) -> String {
-    format!("id: {id}\ndata: {id}\n\n")
-}
-
 /// Returns the head of a request with a body of `length` bytes.
 fn request_head(path: &str, length: usize, extra: &str) -> String {
     format!(
@@ -124,6 +120,13 @@
     }
 }
 
+/// Starts two servers that both handle every request by `act`, and a router before them.
+fn start_pair(act: Act) -> ([Server; 2], Front) {
+    let servers = [Server::start(vec![act.clone()]), Server::start(vec![act])];
+    let front = Front::start(&[&servers[0], &servers[1]]);
+    (servers, front)
+}
+
 fn whole() -> String {
     full_response("200 OK", "whole")
 }
@@ -191,11 +194,7 @@
         for (name, change) in CHANGES {
             for path in ["/once/x", "/again/x"] {
                 let pause = Act::Pause(String::new(), whole());
-                let servers = [
-                    Server::start(vec![pause.clone()]),
-                    Server::start(vec![pause]),
-                ];
-                let front = Front::start(&[&servers[0], &servers[1]]);
+                let (servers, front) = start_pair(pause);
                 let mut stream = send(&front, &(request_head(path, 4, "") + "body")).await;
                 wait_until(|| servers.iter().any(|s| !s.received().is_empty())).await;
                 front.configure(change);
@@ -217,11 +216,7 @@
         for (name, change) in CHANGES {
             for path in ["/stream/x", "/resume/x"] {
                 let pause = Act::Pause(String::new(), whole_stream(&[1, 2]));
-                let servers = [
-                    Server::start(vec![pause.clone()]),
-                    Server::start(vec![pause]),
-                ];
-                let front = Front::start(&[&servers[0], &servers[1]]);
+                let (servers, front) = start_pair(pause);
                 let mut stream = send(&front, &(request_head(path, 4, "") + "body")).await;
                 wait_until(|| servers.iter().any(|s| !s.received().is_empty())).await;
                 front.configure(change);
@@ -243,11 +238,7 @@
             for path in ["/stream/x", "/resume/x"] {
                 let first = STREAM_HEAD.to_owned() + &chunk(&event(1));
                 let pause = Act::Pause(first, chunk(&event(2)) + STREAM_END);
-                let servers = [
-                    Server::start(vec![pause.clone()]),
-                    Server::start(vec![pause]),
-                ];
-                let front = Front::start(&[&servers[0], &servers[1]]);
+                let (_servers, front) = start_pair(pause);
                 let mut stream = send(&front, &(request_head(path, 4, "") + "body")).await;
                 let begun = read_until(&mut stream, &(event(1) + "\r\n")).await;
                 assert_eq!(status(&begun), 200, "{name}, {path}: {begun:?}");
@@ -308,11 +299,7 @@
             ),
         ];
         for (path, pause, end) in cases {
-            let servers = [
-                Server::start(vec![pause.clone()]),
-                Server::start(vec![pause]),
-            ];
-            let front = Front::start(&[&servers[0], &servers[1]]);
+            let (servers, front) = start_pair(pause);
             let mut stream = send(&front, &(request_head(path, 4, "") + "body")).await;
             wait_until(|| servers.iter().any(|s| !s.received().is_empty())).await;
             front.evacuate();
--- a/crates/front/tests/all/replacements.rs
+++ b/crates/front/tests/all/replacements.rs
@@ -6,13 +6,9 @@
 use hibiscusrail_front::stop;
 
 use super::support::{
-    Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, full_response, run, status,
+    Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, event, full_response, run, status,
 };
 
-fn event(id: u32) -> String {
-    format!("id: {id}\ndata: {id}\n\n")
-}
-
 /// Returns the response of a server that is full and did not run the request.
 fn rejection() -> Act {
     let response = full_response("503 Service Unavailable", "full");
--- a/crates/front/tests/all/streams.rs
+++ b/crates/front/tests/all/streams.rs
@@ -1,13 +1,9 @@
 //! Streams that break, and are resumed at another server if their route allows it.
 
 use super::support::{
-    Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, header, run, status, wait_until,
+    Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, event, header, run, status, wait_until,
 };
 
-fn event(id: u32) -> String {
-    format!("id: {id}\ndata: {id}\n\n")
-}
-
 #[test]
 fn stream_relays_events() {
     run(async {
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -179,6 +179,11 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
+/// Returns an event of a stream.
+pub fn event(id: u32) -> String {
+    format!("id: {id}\ndata: {id}\n\n")
+}
+
 /// Last chunk of a complete stream.
 pub const STREAM_END: &str = "0\r\n\r\n";
 
