--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -107,7 +107,9 @@
         submission.resumable || (!self.started && submission.repeat == Repeat::Idempotent)
     }
 
-    /// Returns whether a server may have run the request, so that a refusal can't say that none has. It was admitted before and is not subject to the limits on new requests any more.
+    /// Returns whether a server may have run the request, so that a refusal can't say that none has.
+    ///
+    /// It was admitted before then, and the limits on new requests do not apply to it any more.
     fn may_have_run(&self) -> bool {
         let is_silent = self.attempt.as_ref().is_some_and(|a| a.silent);
         self.started || is_silent || self.execution == Execution::Unknown
