front: strip the port of a request's host once

A request whose host is an IPv6 address with a port was answered 404: since the fingerprint of requests the port was taken off in two places, and the second one took a part of the address. Both use one function now, each once.

request_to_ipv6_host_with_port_finds_route fails on the code before (404).

--- a/crates/fleet/src/objects.rs
+++ b/crates/fleet/src/objects.rs
@@ -224,11 +224,17 @@
     }
 }
 
+/// Returns a host without its port.
+#[must_use]
+pub fn without_port(host: &str) -> &str {
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
 impl Deployment {
     /// Returns the route of a request: the one with the longest matching prefix for its host.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let host = without_port(host);
         self.routes
             .iter()
             .filter(|r| r.host.eq_ignore_ascii_case(host) && path.starts_with(&r.prefix))
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use hibiscusrail_fleet::objects::{Deployment, EngineFacts, Repeat, Route};
+use hibiscusrail_fleet::objects::{Deployment, EngineFacts, Repeat, Route, without_port};
 use hibiscusrail_fleet::placement::name_hash;
 use hibiscusrail_fleet::{Event, Fleet, Submission, event};
 use hibiscusrail_net::server::Handler;
@@ -287,13 +287,12 @@
     })
 }
 
-/// Returns the host that a request names, without port.
+/// Returns the host that a request names, with its port if it names one.
 fn host(parts: &Parts) -> &str {
-    let host = parts.uri.authority().map_or_else(
+    parts.uri.authority().map_or_else(
         || header_text(&parts.headers, &header::HOST),
         |a| a.as_str(),
-    );
-    host.rsplit_once(':').map_or(host, |(name, _)| name)
+    )
 }
 
 /// Returns the API key of a bearer authorization.
@@ -362,7 +361,7 @@
         workspace: workspace.as_deref().map(workspace_hash),
         fingerprint: fingerprint(Identity {
             method: &parts.method,
-            host: host(parts),
+            host: without_port(host(parts)),
             target: parts.uri.path_and_query().map_or("", |p| p.as_str()),
             workspace: workspace.as_deref(),
             body: &body,
--- a/crates/front/tests/all/requests.rs
+++ b/crates/front/tests/all/requests.rs
@@ -145,3 +145,20 @@
         }
     });
 }
+
+/// Guards against an IPv6 host that loses more than its port, so that its route is not found.
+#[test]
+fn request_to_ipv6_host_with_port_finds_route() {
+    run(async {
+        let server = Server::start(vec![Act::Write(full_response("200 OK", "body"))]);
+        let front = Front::start(&[&server]);
+        front.configure(|deployment| {
+            for route in &mut deployment.routes {
+                route.host = "[::1]".to_owned();
+            }
+        });
+        let text = "POST /once/x HTTP/1.1\r\nhost: [::1]:80\r\nauthorization: Bearer key\r\n\
+                    x-id: r\r\nconnection: close\r\n\r\n";
+        assert_eq!(status(&front.raw(text).await), 200);
+    });
+}
