fleet, front: join two twins and correct a comment

The handler closes refused connections by close_after, and a replaced attempt is released in one place, like the current one. A comment said that a silent attempt is cancelled before the request is sent elsewhere; it may have been sent by then. No change of behaviour.

--- a/crates/fleet/src/fleet/stalls.rs
+++ b/crates/fleet/src/fleet/stalls.rs
@@ -74,21 +74,19 @@
 
     /// Ends the attempt at a silent server, as another one has the request.
     pub(super) fn attempt_replaced(&mut self, now: Instant, key: RequestKey) {
-        let request = self.requests.get_mut(&key);
-        let replaced = request.and_then(|r| Some((r.submission.fingerprint, r.replaced.take()?)));
-        if let Some((fingerprint, attempt)) = replaced {
-            self.subtract_load(&attempt);
+        let request = self.requests.get(&key);
+        let fingerprint = request.map(|r| r.submission.fingerprint);
+        if let Some((fingerprint, attempt)) = fingerprint.zip(self.release_replaced(key)) {
             self.judge_silence(now, fingerprint, &attempt);
         }
         self.set_execution(key, Execution::Unknown);
     }
 
-    /// Subtracts the load of an attempt that is being replaced from its server.
-    pub(super) fn release_replaced(&mut self, key: RequestKey) {
-        let request = self.requests.get_mut(&key);
-        if let Some(attempt) = request.and_then(|r| r.replaced.take()) {
-            self.subtract_load(&attempt);
-        }
+    /// Ends the attempt that is being replaced and subtracts its load from the server.
+    pub(super) fn release_replaced(&mut self, key: RequestKey) -> Option<Attempt> {
+        let attempt = self.requests.get_mut(&key)?.replaced.take()?;
+        self.subtract_load(&attempt);
+        Some(attempt)
     }
 
     /// Takes back the choice of another server, as the silent one went on.
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -263,7 +263,7 @@
                     return None;
                 }
                 Err(interruption) => {
-                    // Dropping the stream cancels the attempt before the request is sent elsewhere.
+                    // Dropping the stream cancels the attempt; another server may have the request.
                     let last_id = self.stream.take().and_then(|s| s.last_id);
                     if !self.resume(interruption, last_id).await {
                         return Some(Err(aborted()));
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -55,8 +55,7 @@
             let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
             let full = shell.connections_half_full() || shell.with_fleet(Fleet::sheds);
             if shell.is_stopping() || (refused && full) {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
+                response = close_after(response);
             }
             response
         }
