--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -26,7 +26,8 @@
     let world = World::new(&PathBuf::from(folder), trouble);
     let broken = match case.as_str() {
         "endless-stream" => endless::stream(&world),
-        "poison" => poison::poison(&world),
+        "poison-same-ids" => poison::same_ids(&world),
+        "poison-lasting" => poison::lasting(&world),
         "replaced" => replaced::replaced(&world),
         _ => {
             eprintln!("unknown case {case}");
--- a/review/harness/src/poison.rs
+++ b/review/harness/src/poison.rs
@@ -18,9 +18,14 @@
 const DOWN: Duration = Duration::from_secs(2);
 /// `contact-ms` of the site.
 const CONTACT: Duration = Duration::from_millis(3_000);
-/// Time between two requests with the part.
-const INTERVAL: Duration = Duration::from_millis(6_500);
-const REQUESTS: u64 = 12;
+/// How requests with the part come, and how the servers come back.
+struct Plan {
+    /// Time between two requests with the part.
+    interval: Duration,
+    requests: u64,
+    /// Whether a server starts again under another id.
+    new_ids: bool,
+}
 
 /// Arrivals of requests with the part, each of which is a crash.
 type Arrivals = Arc<Mutex<Vec<(Instant, String)>>>;
@@ -33,8 +38,9 @@
     parts.iter().any(|p| p.split(':').next() == Some(BAD_PART))
 }
 
-fn engine(world: &World, arrivals: &Arrivals) -> world::Behaviour {
+fn engine(world: &World, arrivals: &Arrivals, new_ids: bool) -> world::Behaviour {
     let (record, arrivals) = (Arc::clone(&world.record), Arc::clone(arrivals));
+    let store = Arc::clone(&world.store);
     Arc::new(move |server, request, stream| {
         if !is_bad(request) {
             let gap = Duration::from_millis(40);
@@ -48,6 +54,9 @@
             .push((Instant::now(), server.id()));
         thread::sleep(Duration::from_millis(60));
         server.crash();
+        if new_ids {
+            server.rename(&store, &format!("i-{}", request_id()));
+        }
         thread::sleep(DOWN);
         server.restart();
         record.line(&format!("server {} is back", server.id()));
@@ -92,7 +101,27 @@
     text
 }
 
-pub fn poison(world: &World) -> bool {
+/// Requests with the part come seldom, and the servers come back under their ids.
+pub fn same_ids(world: &World) -> bool {
+    let plan = Plan {
+        interval: Duration::from_millis(6_500),
+        requests: 12,
+        new_ids: false,
+    };
+    poison(world, &plan)
+}
+
+/// Requests with the part come all the time, and the servers come back under new ids.
+pub fn lasting(world: &World) -> bool {
+    let plan = Plan {
+        interval: Duration::from_secs(1),
+        requests: 104,
+        new_ids: true,
+    };
+    poison(world, &plan)
+}
+
+fn poison(world: &World, plan: &Plan) -> bool {
     let config = Config {
         attempts: 1,
         ..Config::default()
@@ -102,7 +131,7 @@
     let arrivals = Arrivals::default();
     for number in 1..=9 {
         let zone = format!("zona{}", (number - 1) % 3 + 1);
-        let behaviour = engine(world, &arrivals);
+        let behaviour = engine(world, &arrivals, plan.new_ids);
         Server::start(
             world,
             &format!("i-engine{number}"),
@@ -140,7 +169,7 @@
                 }
             });
         }
-        for number in 0..REQUESTS {
+        for number in 0..plan.requests {
             let router = &routers[usize::try_from(number).expect("small") % 3];
             let shared = if world.trouble {
                 format!("{:x}:500,{BAD_PART}:500", 0x1000 + number % 12)
@@ -148,7 +177,7 @@
                 format!("{:x}:500,900d900d:500", 0x1000 + number % 12)
             };
             scope.spawn(move || draft(world, router, &shared, "special"));
-            thread::sleep(INTERVAL);
+            thread::sleep(plan.interval);
         }
         stop.store(true, Ordering::SeqCst);
     });
@@ -165,8 +194,10 @@
         .filter(|(at, _)| fifth.is_some_and(|f| *at > f + CONTACT));
     let servers: BTreeSet<&str> = arrivals.iter().map(|(_, id)| id.as_str()).collect();
     world.record.tell(&format!(
-        "{} of {REQUESTS} requests with the part reached servers {servers:?} and crashed them, {} of them later than {} ms after the fifth crash",
+        "{} of {} requests with the part reached servers and crashed them, {} ids in all, {} of them later than {} ms after the fifth crash",
         arrivals.len(),
+        plan.requests,
+        servers.len(),
         late.len(),
         CONTACT.as_millis(),
     ));
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -251,7 +251,7 @@
 
 /// Stand-in server that writes its entry to the store.
 pub struct Server {
-    id: String,
+    id: Mutex<String>,
     pub service: String,
     pub zone: String,
     pub address: SocketAddr,
@@ -277,7 +277,7 @@
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let server = Arc::new(Self {
-            id: id.to_owned(),
+            id: Mutex::new(id.to_owned()),
             service: service.to_owned(),
             zone: zone.to_owned(),
             address: listener.local_addr().expect("an address"),
@@ -357,7 +357,17 @@
     }
 
     pub fn id(&self) -> String {
-        self.id.clone()
+        self.id.lock().expect("no panic").clone()
+    }
+
+    /// Takes another id for the next life; the old entry is removed after three missed beats.
+    pub fn rename(&self, store: &Arc<Store>, id: &str) {
+        let old = std::mem::replace(&mut *self.id.lock().expect("no panic"), id.to_owned());
+        let store = Arc::clone(store);
+        thread::spawn(move || {
+            thread::sleep(BEAT * 3);
+            store.write(&[("servers", &old, None)]);
+        });
     }
 
     /// Crashes: all channels are reset or closed, and new ones too until [`Self::restart`].
