Add a review case: a part that crashes servers without closing their channels

Servers that fall silent on a part of a prompt are never held against the part, so each further request with it goes to the next server.

--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -27,6 +27,7 @@
     let broken = match case.as_str() {
         "endless-stream" => endless::stream(&world),
         "poison-same-ids" => poison::same_ids(&world),
+        "poison-dark" => poison::dark(&world),
         "poison-lasting" => poison::lasting(&world),
         "replaced" => replaced::replaced(&world),
         _ => {
--- a/review/harness/src/poison.rs
+++ b/review/harness/src/poison.rs
@@ -2,7 +2,8 @@
 //! back under the ids that they had.
 
 use std::collections::BTreeSet;
-use std::net::Ipv4Addr;
+use std::io::Write;
+use std::net::{Ipv4Addr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -25,6 +26,8 @@
     requests: u64,
     /// Whether a server starts again under another id.
     new_ids: bool,
+    /// Whether a server crashes without closing its channels.
+    dark: bool,
 }
 
 /// Arrivals of requests with the part, each of which is a crash.
@@ -38,13 +41,13 @@
     parts.iter().any(|p| p.split(':').next() == Some(BAD_PART))
 }
 
-fn engine(world: &World, arrivals: &Arrivals, new_ids: bool) -> world::Behaviour {
+fn engine(world: &World, arrivals: &Arrivals, plan: &Plan) -> world::Behaviour {
+    let (new_ids, dark) = (plan.new_ids, plan.dark);
     let (record, arrivals) = (Arc::clone(&world.record), Arc::clone(arrivals));
     let store = Arc::clone(&world.store);
     Arc::new(move |server, request, stream| {
         if !is_bad(request) {
-            let gap = Duration::from_millis(40);
-            return world::answer_stream(request, stream, Duration::from_millis(60), 40, gap);
+            return answer_sound(server, request, stream);
         }
         let id = request.header("request-id").unwrap_or_default();
         record.line(&format!("server {} crashes on {id}", server.id()));
@@ -53,17 +56,47 @@
             .expect("no panic")
             .push((Instant::now(), server.id()));
         thread::sleep(Duration::from_millis(60));
-        server.crash();
+        if dark {
+            server.go_dark();
+        } else {
+            server.crash();
+        }
         if new_ids {
             server.rename(&store, &format!("i-{}", request_id()));
         }
         thread::sleep(DOWN);
         server.restart();
         record.line(&format!("server {} is back", server.id()));
+        if dark {
+            world::hold(stream);
+        }
         Ok(false)
     })
 }
 
+/// Answers a sound stream of 40 events, unless the server's life ends before.
+fn answer_sound(
+    server: &Server,
+    request: &Message,
+    stream: &mut TcpStream,
+) -> std::io::Result<bool> {
+    let life = server.life();
+    thread::sleep(Duration::from_millis(60));
+    for id in 0..=40_u64 {
+        if server.life() != life {
+            world::hold(stream);
+        }
+        if id == 0 {
+            world::begin_stream(request, stream)?;
+        } else {
+            world::write_chunk(stream, format!("id: {id}\ndata: tokens\n\n").as_bytes())?;
+        }
+        thread::sleep(Duration::from_millis(40));
+    }
+    stream.write_all(b"0\r\n\r\n")?;
+    Ok(true)
+}
+
 /// Sends a draft whose prompt begins with the parts `shared`; returns how it ended.
 fn draft(world: &World, router: &Router, shared: &str, kind: &str) -> String {
     static OWN: AtomicU64 = AtomicU64::new(1);
@@ -81,7 +114,8 @@
         ("Token-Usage", "1400,300"),
         ("Prompt-Prefix", prefix.as_str()),
     ];
-    let limit = Duration::from_millis(12_500);
+    // A client abandons a stream after a gap of four seconds, four times the objective.
+    let limit = Duration::from_secs(4);
     let ending = http::call(
         router.front,
         "POST",
@@ -107,6 +141,7 @@
         interval: Duration::from_millis(6_500),
         requests: 12,
         new_ids: false,
+        dark: false,
     };
     poison(world, &plan)
 }
@@ -117,6 +152,18 @@
         interval: Duration::from_secs(1),
         requests: 104,
         new_ids: true,
+        dark: false,
+    };
+    poison(world, &plan)
+}
+
+/// Servers crash without closing their channels and come back under new ids.
+pub fn dark(world: &World) -> bool {
+    let plan = Plan {
+        interval: Duration::from_secs(3),
+        requests: 20,
+        new_ids: true,
+        dark: true,
     };
     poison(world, &plan)
 }
@@ -131,7 +178,7 @@
     let arrivals = Arrivals::default();
     for number in 1..=9 {
         let zone = format!("zona{}", (number - 1) % 3 + 1);
-        let behaviour = engine(world, &arrivals, plan.new_ids);
+        let behaviour = engine(world, &arrivals, plan);
         Server::start(
             world,
             &format!("i-engine{number}"),
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -259,7 +259,11 @@
     born: AtomicU64,
     /// Until when the server is cold, in Unix milliseconds.
     cold_until: AtomicU64,
-    pub down: AtomicBool,
+    down: AtomicBool,
+    /// Whether the last crash closed no channel.
+    dark: AtomicBool,
+    /// Number of the present life.
+    life: AtomicU64,
     /// Sockets that a crash closes.
     channels: Mutex<Vec<TcpStream>>,
     pub arrivals: AtomicU64,
@@ -285,6 +289,8 @@
             born: AtomicU64::new(unix_ms()),
             cold_until: AtomicU64::new(0),
             down: AtomicBool::new(false),
+            dark: AtomicBool::new(false),
+            life: AtomicU64::new(0),
             channels: Mutex::default(),
             arrivals: AtomicU64::new(0),
         });
@@ -292,6 +298,9 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if serving.down.load(Ordering::SeqCst) {
+                    if serving.dark.load(Ordering::SeqCst) {
+                        thread::spawn(move || hold(&stream));
+                    }
                     continue;
                 }
                 if let Ok(clone) = stream.try_clone() {
@@ -310,8 +319,12 @@
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = std::io::BufReader::new(stream);
+        let life = self.life();
         while let Some(mut request) = http::read_head(&mut reader)? {
             request.body = http::read_body(&mut reader, &request, false)?;
+            if self.life() != life {
+                hold(&writer);
+            }
             let expected = request.header("expect-instance");
             let own = self.id();
             let keep = if expected.is_some_and(|id| id != own) {
@@ -378,6 +391,20 @@
         }
     }
 
+    /// Crashes without closing its channels, like a host without power; what waits there gets no
+    /// answer.
+    pub fn go_dark(&self) {
+        self.dark.store(true, Ordering::SeqCst);
+        self.down.store(true, Ordering::SeqCst);
+        self.life.fetch_add(1, Ordering::SeqCst);
+        self.channels.lock().expect("no panic").clear();
+    }
+
+    /// Returns the number of the present life.
+    pub fn life(&self) -> u64 {
+        self.life.load(Ordering::SeqCst)
+    }
+
     /// Starts again under the same id, as a new life that knows nothing of before.
     pub fn restart(&self) {
         let cold_until = unix_ms() + COLD_MS;
@@ -387,6 +414,11 @@
     }
 }
 
+/// Keeps a channel open without an answer, as one to a host that is gone.
+pub fn hold(_channel: &TcpStream) {
+    thread::sleep(LIMIT);
+}
+
 pub fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     u64::try_from(now.expect("after 1970").as_millis()).expect("in range")
