--- a/review/harness/src/endless.rs
+++ b/review/harness/src/endless.rs
@@ -1,9 +1,9 @@
 //! A server sends bytes without end that are no answer, until the caller closes.
 
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
-use std::sync::Arc;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -22,9 +22,11 @@
 const PERIOD: Duration = Duration::from_secs(10);
 /// Time between two drafts.
 const DRAFT_PERIOD: Duration = Duration::from_millis(100);
-/// Number of drafts, and which of them gets bytes without end.
+/// Number of drafts, and the one from which on a server is faulty.
 const DRAFTS: u64 = 240;
 const FAULTY_DRAFT: u64 = 120;
+/// Number of answers that are bytes without end, all of one server.
+const FAULTY_ANSWERS: u32 = 3;
 
 /// Size of the chunks of the bytes without end: about a token.
 const CHUNK_BYTES: usize = 4;
@@ -176,14 +178,34 @@
     Arc::new(move |_, request, stream| world::answer_plain(request, stream, work))
 }
 
-/// Model server whose answer to one request is bytes without end.
-fn engine(world: &World, armed: &Arc<AtomicBool>) -> Behaviour {
-    let (armed, record) = (Arc::clone(armed), Arc::clone(&world.record));
+/// The answers that are still to be bytes without end, and the server that gives them.
+#[derive(Default)]
+struct Faults {
+    left: u32,
+    server: Option<String>,
+}
+
+impl Faults {
+    /// Returns whether the next answer of a server is bytes without end.
+    fn take(&mut self, server: &str) -> bool {
+        if self.left == 0 || self.server.as_deref().is_some_and(|s| s != server) {
+            return false;
+        }
+        self.left -= 1;
+        self.server = Some(server.to_owned());
+        true
+    }
+}
+
+/// Model server of whose answers some are bytes without end.
+fn engine(world: &World, faults: &Arc<Mutex<Faults>>) -> Behaviour {
+    let (faults, record) = (Arc::clone(faults), Arc::clone(&world.record));
     Arc::new(move |server, request: &Message, stream| {
-        if armed.swap(false, Ordering::SeqCst) {
-            record.line(&format!("server {} sends bytes without end", server.id()));
+        let id = server.id();
+        if faults.lock().expect("no panic").take(&id) {
+            record.line(&format!("server {id} sends bytes without end"));
             world::begin_stream(request, stream)?;
-            return flood(&record, &server.id(), stream);
+            return flood(&record, &id, stream);
         }
         let gap = Duration::from_millis(40);
         world::answer_stream(request, stream, Duration::from_millis(100), 40, gap)
@@ -210,14 +232,14 @@
     at_timeout > 0 && 2 * later > at_timeout
 }
 
-/// One answer of a model server is bytes without end, in small chunks.
+/// A few answers of a model server are bytes without end, in small chunks.
 pub fn stream(world: &World) -> bool {
     let config = Config::default().json();
     world.store.write(&[("op", "config", Some(&config))]);
-    let armed = Arc::new(AtomicBool::new(false));
+    let faults = Arc::new(Mutex::new(Faults::default()));
     for number in 1..=3 {
         let zone = format!("zona{number}");
-        let engine = engine(world, &armed);
+        let engine = engine(world, &faults);
         Server::start(
             world,
             &format!("i-engine{number}"),
@@ -237,13 +259,7 @@
         );
     }
     let routers: Vec<Router> = (1..=3)
-        .map(|n| {
-            world.router(
-                &format!("front-{n}"),
-                &format!("zona{n}"),
-                Ipv4Addr::new(127, 0, 1, n),
-            )
-        })
+        .map(|n| world.router(&format!("front-{n}"), &format!("zona{n}"), world.ip(n)))
         .collect();
     routers.iter().for_each(|r| world.await_ready(r));
     thread::sleep(Duration::from_secs(2));
@@ -251,11 +267,15 @@
     let clients: Vec<Clients> = (0..3).map(|z| Clients::start(world, &entry, z)).collect();
     thread::scope(|scope| {
         for number in 1..=DRAFTS {
-            if number == FAULTY_DRAFT {
-                armed.store(world.trouble, Ordering::SeqCst);
+            if number == FAULTY_DRAFT && world.trouble {
+                faults.lock().expect("no panic").left = FAULTY_ANSWERS;
+            }
+            // Some callers come together.
+            let callers = if number == FAULTY_DRAFT { 8 } else { 1 };
+            for caller in 0..callers {
+                let (router, prompt) = (&routers[0], 1_000 * caller + number);
+                scope.spawn(move || draft(world, router, prompt));
             }
-            let router = &routers[0];
-            scope.spawn(move || draft(world, router, number));
             thread::sleep(DRAFT_PERIOD);
         }
         thread::sleep(Duration::from_secs(8));
--- a/review/harness/src/poison.rs
+++ b/review/harness/src/poison.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::io::Write;
-use std::net::{Ipv4Addr, TcpStream};
+use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -189,13 +189,7 @@
         );
     }
     let routers: Vec<Router> = (1..=3)
-        .map(|n| {
-            world.router(
-                &format!("front-{n}"),
-                &format!("zona{n}"),
-                Ipv4Addr::new(127, 0, 1, n),
-            )
-        })
+        .map(|n| world.router(&format!("front-{n}"), &format!("zona{n}"), world.ip(n)))
         .collect();
     routers.iter().for_each(|r| world.await_ready(r));
     thread::sleep(Duration::from_secs(2));
--- a/review/harness/src/replaced.rs
+++ b/review/harness/src/replaced.rs
@@ -1,6 +1,6 @@
 //! Two machines of a zone are replaced by new ones at new addresses, then the configuration changes.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -110,7 +110,7 @@
     }
     let start = |zone: &str, number: u8, ip: u8| {
         let name = format!("front-{zone}-{number}");
-        world.router(&name, zone, Ipv4Addr::new(127, 0, 1, ip))
+        world.router(&name, zone, world.ip(ip))
     };
     let mut routers: Vec<Router> = (1..=3).map(|n| start(ZONE, n, n)).collect();
     let others: Vec<Router> = (1..=2).map(|n| start("centro-zona2", n, 10 + n)).collect();
--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -156,6 +156,12 @@
         }
     }
 
+    /// Returns a loopback address that no other run uses.
+    pub fn ip(&self, number: u8) -> Ipv4Addr {
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        Ipv4Addr::new(127, 64 | (high & 63), low, number)
+    }
+
     /// Starts a router on `ip` with the settings template of the deploy file filled in.
     pub fn router(&self, name: &str, zone: &str, ip: Ipv4Addr) -> Router {
         let template = fs::read_to_string("platform/settings.ini").expect("the settings template");
