--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -32,11 +32,17 @@
     eprintln!("{reason}");
     let processes = PROCESSES.lock().map(|p| p.clone()).unwrap_or_default();
     for pid in processes {
-        let _ = Command::new("kill").args(["-9", &pid.to_string()]).status();
+        send_signal("-KILL", pid);
     }
     std::process::exit(2)
 }
 
+/// Sends a signal with the shell's own `kill`, which every machine has.
+fn send_signal(signal: &str, pid: u32) {
+    let command = format!("kill {signal} {pid}");
+    let _ = Command::new("sh").args(["-c", &command]).status();
+}
+
 /// Ends the case if it takes too long.
 pub fn watch_time() {
     thread::spawn(|| {
@@ -101,8 +107,7 @@
 
 impl Router {
     pub fn signal(&self, signal: &str) {
-        let pid = self.child.id().to_string();
-        let _ = Command::new("kill").args([signal, &pid]).status();
+        send_signal(signal, self.child.id());
     }
 
     pub fn has_ended(&mut self) -> bool {
