--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the router's decisions, without I/O and on a simulated clock.
 
 mod admission;
+mod cold_members;
 mod cold_return;
 mod connections;
 mod crowded_router;
--- a/crates/fleet/tests/all/store_restored.rs
+++ b/crates/fleet/tests/all/store_restored.rs
@@ -140,3 +140,61 @@
     fleet.handle(now, Event::Servers(Revision::new(1, 90), newer));
     assert_eq!(destination(&mut fleet, 1, now), None);
 }
+
+/// Returns the registration of one cold or warm engine that started at `born`.
+fn one_engine(born: u64, sequence: u64, cold: Duration) -> Servers {
+    let mut engine = backend(support::ENGINES, 1);
+    engine.born = born;
+    engine.sequence = sequence;
+    engine.cold = cold;
+    Servers::from([("e".to_owned(), engine)])
+}
+
+/// Returns whether the only server counts as cold.
+fn is_cold(fleet: &Fleet, now: Instant) -> bool {
+    fleet.registry().all().any(|s| s.is_cold(now))
+}
+
+// Guards against FAILBACK at a restarted server that the copy still lists as it was before.
+#[test]
+fn servers_restarted_before_restore_stay_cold() {
+    let now = Instant::now();
+    let cold = Duration::from_secs(3);
+    let mut fleet = router(&[], one_engine(2, 1, cold), now);
+    let older = one_engine(1, 90, Duration::ZERO);
+    fleet.handle(now, Event::Servers(Revision::new(1, 90), older));
+    assert!(is_cold(&fleet, now));
+    // Another server registers again before this one does.
+    let mut older = one_engine(1, 90, Duration::ZERO);
+    older.extend(one_server("p", 5, false));
+    fleet.handle(now, Event::Servers(Revision::new(1, 91), older));
+    assert!(is_cold(&fleet, now));
+    let newer = one_engine(2, 2, Duration::ZERO);
+    fleet.handle(now, Event::Servers(Revision::new(1, 92), newer));
+    assert!(!is_cold(&fleet, now));
+}
+
+// Guards against FAILBACK at a server whose clock was set back before it restarted.
+#[test]
+fn servers_restarted_with_earlier_clock_are_cold() {
+    let now = Instant::now();
+    let mut fleet = router(&[], one_engine(2, 90, Duration::ZERO), now);
+    let restarted = one_engine(1, 1, Duration::from_secs(3));
+    fleet.handle(now, Event::Servers(Revision::new(0, 101), restarted));
+    assert!(is_cold(&fleet, now));
+}
+
+// Guards against requests to a server that ended, whose life before the last one the copy lists.
+#[test]
+fn servers_restarted_and_removed_before_restore_stay_removed() {
+    let now = Instant::now();
+    let mut fleet = router(&[], one_engine(2, 1, Duration::ZERO), now);
+    fleet.handle(
+        now,
+        Event::Servers(Revision::new(0, 101), one_server("p", 5, false)),
+    );
+    let older = one_engine(1, 90, Duration::ZERO);
+    fleet.handle(now, Event::Servers(Revision::new(1, 90), older));
+    let known = fleet.registry().of_service(support::ENGINES).count();
+    assert_eq!(known, 0);
+}
