fleet, front: use a cold server only as a router that all others count

Callers' requests flooded a cold server (FAILBACK). Cause: the limit on a cold server is divided by the members that a router knows, and a router that has restarted knew itself alone until its own row was written and the table was read.

A router takes up its part only once the table lists it and the others have had the time to learn of it; it counts the routers that report as well as those in the table, so one that serves on without a row, or whose row is not read yet, keeps its part. The table is read first and without waiting for the own row to be written. Rows expire by how long they were watched unchanged, not by the reader's time of day.

cold_server_used logs the rate and the number of routers by which a request went to a cold server. The tests' router is in the table for two seconds before they begin, as a router without a table uses no cold server; the checks are the same.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -104,6 +104,15 @@
     Quarantined,
 }
 
+/// Limit on this router's requests to a server that is cold or being probed, for the log.
+#[value]
+pub struct ColdShare {
+    /// Requests per second that this router may send.
+    pub rate: f64,
+    /// Number of routers that share the server's limit.
+    pub routers: u32,
+}
+
 /// State of a server and a request on which a choice was based, for the log.
 #[value]
 pub struct Inputs {
@@ -131,6 +140,8 @@
     pub first_byte: Duration,
     /// Whether the workspace is within its fair share.
     pub share: ShareStatus,
+    /// The limit on requests to the server if it is cold or being probed.
+    pub cold: Option<ColdShare>,
     /// Revision of the server list.
     pub revision: Revision,
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -20,6 +20,7 @@
     Decision, Event, Execution, Outcome, Reason, RefusalInputs, RequestKey, Submission,
 };
 use crate::freshness::{Confirmation, Freshness, Source};
+use crate::members::{Members, REPORTED_TTL};
 use crate::notice::Rate;
 use crate::objects::{OperatorConfig, Repeat, Revision, Servers, Service};
 use crate::params::Params;
@@ -139,7 +140,7 @@
     own_hash: RouterHash,
     incarnation: u64,
     sequence: u64,
-    members: Vec<u32>,
+    members: Members,
     config: OperatorConfig,
     config_revision: Revision,
     /// Services that the configuration no longer has and that requests in progress use.
@@ -199,7 +200,7 @@
             own_hash: RouterHash(name_hash(name)),
             incarnation,
             sequence: 0,
-            members: vec![name_hash(name)],
+            members: Members::new(name_hash(name)),
             config: OperatorConfig::default(),
             config_revision: Revision::default(),
             retired_services: BTreeMap::new(),
@@ -379,7 +380,7 @@
             }
             Event::ServersUnchanged => self.store_returned_at = None,
             Event::Report(report) => self.apply_report(now, &report),
-            Event::Members(names) => self.apply_members(&names),
+            Event::Members(names) => self.apply_members(now, &names),
             Event::LoopLag(lag) => self.observe_lag(now, lag),
             Event::Tick => self.tick(now),
         }
@@ -397,7 +398,7 @@
     /// Mostly routers of its own zone use an engine; they must learn of each other's requests soon.
     #[must_use]
     pub fn cross_zone_periods(&self) -> u32 {
-        match u32::try_from(self.members.len() / FULL_MESH_ROUTERS).unwrap_or(u32::MAX) {
+        match u32::try_from(self.members.all().len() / FULL_MESH_ROUTERS).unwrap_or(u32::MAX) {
             0 => 1,
             times => CROSS_ZONE_PERIODS * (times + 1),
         }
@@ -524,10 +525,11 @@
 
     /// Returns the number of routers that share each limit.
     fn router_count(&self) -> usize {
-        if self.members.len() > 1 {
-            self.members.len()
+        let members = self.members.all().len();
+        if members > 1 && self.members.is_read() {
+            members
         } else {
-            self.params.routers
+            members.max(self.params.routers)
         }
     }
 
@@ -1014,6 +1016,10 @@
         let Some(change) = self.peers.apply(now, report) else {
             return;
         };
+        let before = self.members.all().len();
+        if self.members.add_reporting(report.sender) {
+            self.log_members(before);
+        }
         self.subtract_peer_loads(&change.old_loads);
         for (hash, load) in &change.new_loads {
             if let Some(server) = self.registry.by_hash_mut(*hash) {
@@ -1103,18 +1109,22 @@
         }
     }
 
-    fn apply_members(&mut self, names: &[String]) {
-        let mut members: Vec<u32> = names.iter().map(|n| name_hash(n)).collect();
-        members.push(self.own_hash.0);
-        members.sort_unstable();
-        members.dedup();
-        if members != self.members {
-            let detail = format!("routers={} were={}", members.len(), self.members.len());
-            self.members = members;
-            self.log("members_changed", "routers", detail);
+    fn apply_members(&mut self, now: Instant, names: &[String]) {
+        let before = self.members.all().len();
+        let listed = names.iter().map(|n| name_hash(n)).collect();
+        let reporting = self.peers.heard_since(now.checked_sub(REPORTED_TTL));
+        // Any datagram may be lost.
+        let report_time = self.report_period() * self.cross_zone_periods() * PLACEMENT_REPORTS;
+        if self.members.apply(now, listed, reporting, report_time) {
+            self.log_members(before);
         }
     }
 
+    fn log_members(&mut self, before: usize) {
+        let detail = format!("routers={} were={before}", self.members.all().len());
+        self.log("members_changed", "routers", detail);
+    }
+
     fn observe_lag(&mut self, now: Instant, lag: Duration) {
         if !self.pressure.observe(now, lag) {
             return;
@@ -1143,7 +1153,12 @@
                 self.quota.add_pending(workspace, -(pending as f64));
             }
         }
-        let is_member = |router: u32| self.members.binary_search(&router).is_ok();
+        let before = self.members.all().len();
+        let heard = self.peers.heard_since(now.checked_sub(REPORTED_TTL));
+        if self.members.expire(heard) {
+            self.log_members(before);
+        }
+        let is_member = |router: u32| self.members.contains(router);
         self.reporting = self.peers.reporting(now, ttl, is_member);
         for id in self.registry.remove_expired(now, self.params.lapse_grace) {
             self.departures.record(now, name_hash(&id));
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::engine::{Load, Prompt, Server};
-use crate::event::{Decision, Exclusions, Inputs, Reason, RefusalInputs, RequestKey};
+use crate::event::{ColdShare, Decision, Exclusions, Inputs, Reason, RefusalInputs, RequestKey};
 use crate::objects::{Service, TransferFacts};
 use crate::peers::Placement;
 use crate::placement;
@@ -447,7 +447,7 @@
         if !server.is_limited(ctx.now) {
             return true;
         }
-        let rate = self.cold_rate(service, server);
+        let rate = self.cold_rate(ctx.now, service, server);
         server.bucket.clone().has_token(ctx.now, rate)
     }
 
@@ -472,11 +472,14 @@
     ///
     /// A cold server is assigned to only so many routers that each gets a useful rate; all routers
     /// derive the same assignment from a hash. One is subtracted from the rate because each router
-    /// may also send one request at once.
-    fn cold_rate(&self, service: &Service, server: &Server) -> f64 {
+    /// may also send one request at once. The rate is zero until the other routers count this one.
+    fn cold_rate(&self, now: Instant, service: &Service, server: &Server) -> f64 {
         if service.cold_rate <= 0.0 {
             return f64::INFINITY;
         }
+        if !self.members.may_share(now) {
+            return 0.0;
+        }
         let bound = self.params.cold_bound(service.cold_rate) * COLD_LIMIT_FRACTION;
         #[allow(
             clippy::cast_precision_loss,
@@ -489,7 +492,8 @@
             .max(1);
         let weight = |router: u32| placement::weight(u64::from(server.hash), router);
         let own = weight(self.own_hash.0);
-        let higher = self.members.iter().filter(|m| weight(**m) > own).count();
+        let others = self.members.all().iter();
+        let higher = others.filter(|m| weight(**m) > own).count();
         if higher >= assigned {
             return 0.0;
         }
@@ -529,6 +533,10 @@
                 .min(nominal_interval * MAX_INTERVAL_FACTOR),
             first_byte: Duration::ZERO,
             share: ctx.share,
+            cold: server.is_limited(ctx.now).then(|| ColdShare {
+                rate: self.cold_rate(ctx.now, ctx.service, server),
+                routers: ctx.routers,
+            }),
             revision: self.registry.revision(),
         }
     }
@@ -599,7 +607,7 @@
             return;
         };
         let service = self.service(&server.backend.service);
-        let rate = service.map_or(0.0, |s| self.cold_rate(s, server));
+        let rate = service.map_or(0.0, |s| self.cold_rate(now, s, server));
         if let Some(server) = self.registry.get_mut(key) {
             server.bucket.has_token(now, rate);
             server.bucket.take();
--- a/crates/fleet/src/fleet/quarantine.rs
+++ b/crates/fleet/src/fleet/quarantine.rs
@@ -50,7 +50,8 @@
     fn tries_first(&self, fingerprint: u64) -> bool {
         let weight = |router: u32| placement::weight(fingerprint, router);
         let own = weight(self.own_hash.0);
-        self.members.iter().all(|router| weight(*router) <= own)
+        let mut members = self.members.all().iter();
+        members.all(|router| weight(*router) <= own)
     }
 
     /// Returns whether another request that is the same is at a server.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,7 +19,8 @@
 //! * [`health`]: circuit breaker and error rate of a server;
 //! * [`notice`]: what a server announced in its responses;
 //! * [`pressure`]: overload of this router's event loop;
-//! * [`peers`]: reports from the other routers.
+//! * [`peers`]: reports from the other routers;
+//! * [`members`]: the routers that share each limit.
 
 pub mod arrivals;
 pub mod cold;
@@ -29,6 +30,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod health;
+pub mod members;
 pub mod notice;
 pub mod objects;
 pub mod params;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -361,6 +361,14 @@
             .collect()
     }
 
+    /// Returns the routers whose last report was received since `since`; all without it.
+    pub fn heard_since(&self, since: Option<Instant>) -> impl Iterator<Item = u32> + '_ {
+        let states = self.states.iter();
+        states
+            .filter(move |(_, state)| since.is_none_or(|at| state.received_at >= at))
+            .map(|(router, _)| router.0)
+    }
+
     /// Counts the routers accepted by `is_member` whose last report is within their zone's TTL.
     #[must_use]
     pub fn reporting(
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -144,9 +144,12 @@
     servers
 }
 
-/// Returns a router that knows the deployment.
+/// Returns a router that knows the deployment and, for some time, that the table of routers lists it
+/// alone.
 pub fn router(name: &str, engines: u16, now: Instant) -> Fleet {
     let mut fleet = Fleet::new(name, 1, params(), now);
+    let earlier = now - Duration::from_secs(2);
+    fleet.handle(earlier, Event::Members(vec![name.to_owned()]));
     fleet.handle(now, Event::Config(Revision(1), config(&[])));
     fleet.handle(now, Event::Servers(Revision(1), servers(engines)));
     fleet
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -365,6 +365,15 @@
         source = list.map(|(list, _)| list.source.to_string());
         "request_placed"
     );
+    if let Some(cold) = &inputs.cold {
+        log::info!(
+            call = request.0,
+            server = server,
+            rate = cold.rate,
+            routers = cold.routers;
+            "cold_server_used"
+        );
+    }
 }
 
 fn log_refused(request: RequestKey, reason: Reason, inputs: &RefusalInputs) {
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -31,8 +31,13 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// Interval of renewing this router's row.
 const REGISTER_INTERVAL: Duration = Duration::from_secs(30);
-/// Age above which a row that was not renewed is ignored, because its router is gone.
+/// Time without a renewal after which a row is ignored, because its router is gone.
 const ROW_TTL: Duration = Duration::from_secs(80);
+/// Age of a row, by the time of day, from which it is ignored at once: far above the difference
+/// between the clocks of two hosts.
+const MAX_ROW_AGE: Duration = Duration::from_secs(600);
+/// Time without a read of the rows after which it is unknown which of them were renewed in it.
+const MAX_READ_GAP: Duration = Duration::from_secs(30);
 /// Interval of reading the routers' rows, for a router that follows the store.
 const WATCHING_ROUTERS_INTERVAL: Duration = Duration::from_secs(4);
 /// Interval of reading the routers' rows, for a router that does not follow the store.
@@ -216,31 +221,31 @@
     }
 }
 
-/// Renews this router's row and reads those of all routers until the task is dropped.
+/// Reads the rows of all routers and renews this router's row until the task is dropped.
+///
+/// The rows are read first, and without waiting for the own one to be written: a slow store writes
+/// the rows of many restarted routers one after the other, and until a router knows the others it
+/// may not use its parts of their limits.
 pub async fn follow_routers(shell: Rc<Shell>, store: Rc<impl Store>, peers: Rc<Peers>) {
     let mut link = StoreLink::new("routers");
     let mut renewed = None;
+    let mut next_read = None;
     let started = shell.now();
     let mut table = RouterTable::default();
     loop {
+        let read_due = next_read.is_none_or(|at| shell.now() >= at);
+        let read = match read_due {
+            true => link.call(&shell, RESPONSE_TIMEOUT, store.routers()).await,
+            false => None,
+        };
         let now = shell.now();
-        let due = renewed.is_none_or(|at| now.saturating_duration_since(at) >= REGISTER_INTERVAL);
-        if due && !shell.is_stopping() {
-            let row = registration(&shell);
-            let call = store.register(&row);
-            if link.call(&shell, RESPONSE_TIMEOUT, call).await.is_none() {
-                continue;
-            }
-            renewed = Some(now);
-        }
-        if let Some(read) = link.call(&shell, RESPONSE_TIMEOUT, store.routers()).await {
-            let now = shell.now();
+        if let Some(read) = read {
             if table.update(now, read) {
                 log::warn!(step = "routers", era = table.era; "store_restored");
                 // This router's row may be missing from the copy.
                 renewed = None;
             }
-            apply_routers(&shell, &peers, &table.rows);
+            apply_routers(&shell, &peers, &table);
             let pause = if now.saturating_duration_since(started) < STARTUP_TIME {
                 STARTUP_ROUTERS_INTERVAL
             } else if shell.with_fleet(|f| f.reads_store(now)) {
@@ -248,6 +253,19 @@
             } else {
                 ROUTERS_INTERVAL
             };
+            next_read = Some(now + pause);
+        }
+        let due = renewed.is_none_or(|at| now.saturating_duration_since(at) >= REGISTER_INTERVAL);
+        if due && !shell.is_stopping() {
+            let row = registration(&shell);
+            let call = store.register(&row);
+            if link.call(&shell, RESPONSE_TIMEOUT, call).await.is_none() {
+                continue;
+            }
+            renewed = Some(now);
+        }
+        if let Some(at) = next_read {
+            let pause = at.saturating_duration_since(shell.now());
             compio::time::sleep(pause).await;
         }
     }
@@ -263,6 +281,13 @@
     }
 }
 
+/// Renewal of a row, as its router wrote it, and when this router first read it.
+#[derive(Debug, Clone, Copy)]
+struct Watched {
+    renewed: u64,
+    since: Instant,
+}
+
 /// The routers' rows, with those that a restored store lacks until their routers write them again.
 #[derive(Debug, Default)]
 pub struct RouterTable {
@@ -272,6 +297,10 @@
     pub era: u64,
     /// Until when missing rows are kept.
     kept_until: Option<Instant>,
+    /// What was seen of each row, by the name of the router.
+    watched: BTreeMap<String, Watched>,
+    /// When the rows were last read.
+    read_at: Option<Instant>,
 }
 
 impl RouterTable {
@@ -292,16 +321,41 @@
         let rows = read.value.unwrap_or_default();
         self.rows
             .extend(rows.into_iter().map(|r| (r.name.clone(), r)));
+        let is_gap = |at: Instant| now.saturating_duration_since(at) > MAX_READ_GAP;
+        if self.read_at.replace(now).is_some_and(is_gap) {
+            self.watched.clear();
+        }
+        let rows = &self.rows;
+        self.watched.retain(|name, _| rows.contains_key(name));
+        for row in rows.values() {
+            let newest = Watched {
+                renewed: row.renewed,
+                since: now,
+            };
+            let watched = self.watched.entry(row.name.clone()).or_insert(newest);
+            if watched.renewed != row.renewed {
+                *watched = newest;
+            }
+        }
         restored
     }
+
+    /// Returns the rows of routers that are not known to be gone, given the time of day.
+    ///
+    /// A row is dropped once it was not renewed for as long as this router watched, so that neither
+    /// a wrong clock nor an outage of the store makes routers disappear that still serve.
+    pub fn live(&self, now: Instant, epoch_ms: u64) -> impl Iterator<Item = &Registration> {
+        let is_silent = move |w: &Watched| now.saturating_duration_since(w.since) > ROW_TTL;
+        self.rows.values().filter(move |row| {
+            let age = epoch_ms.saturating_sub(row.renewed);
+            age <= millis(MAX_ROW_AGE) && !self.watched.get(&row.name).is_some_and(is_silent)
+        })
+    }
 }
 
-fn apply_routers(shell: &Shell, peers: &Peers, rows: &BTreeMap<String, Registration>) {
-    let now = shell.epoch_ms();
-    let ttl = millis(ROW_TTL);
-    let live: BTreeMap<String, PeerLocation> = rows
-        .values()
-        .filter(|r| now.saturating_sub(r.renewed) <= ttl)
+fn apply_routers(shell: &Shell, peers: &Peers, table: &RouterTable) {
+    let live: BTreeMap<String, PeerLocation> = table
+        .live(shell.now(), shell.epoch_ms())
         .map(|r| {
             let location = PeerLocation {
                 address: r.address,
--- a/crates/front/tests/all/notices.rs
+++ b/crates/front/tests/all/notices.rs
@@ -154,3 +154,60 @@
     let (names, _) = read(&mut table, now + Duration::from_secs(31), 5, &["r2", "r4"]);
     assert_eq!(names, ["r2", "r4"]);
 }
+
+/// Reads one row renewed at this time of day and returns whether its router counts at `epoch_ms`.
+fn is_live(table: &mut RouterTable, now: Instant, renewed: u64, epoch_ms: u64) -> bool {
+    let mut row = registration("r1");
+    row.renewed = renewed;
+    table.update(
+        now,
+        TableRead {
+            revision: Revision::new(1, 1),
+            value: Some(vec![row]),
+        },
+    );
+    table.live(now, epoch_ms).next().is_some()
+}
+
+// Guards against FAILBACK when the clock of the reader or of the writer is wrong by minutes.
+#[test]
+fn routers_with_other_clocks_count() {
+    let now = Instant::now();
+    let minutes = 200_000;
+    assert!(is_live(&mut RouterTable::default(), now, 0, minutes));
+    assert!(is_live(&mut RouterTable::default(), now, minutes, 0));
+}
+
+#[test]
+fn routers_that_renew_no_longer_are_dropped() {
+    let start = Instant::now();
+    let mut table = RouterTable::default();
+    for second in (0..=80).step_by(10) {
+        let now = start + Duration::from_secs(second);
+        assert!(is_live(&mut table, now, 7, 7), "after {second} s");
+    }
+    let now = start + Duration::from_secs(90);
+    assert!(!is_live(&mut table, now, 7, 7));
+    assert!(is_live(&mut table, now, 8, 8), "it renewed its row");
+}
+
+// Guards against FAILBACK after the store was away for longer than rows are kept.
+#[test]
+fn routers_that_could_not_renew_in_an_outage_count() {
+    let start = Instant::now();
+    let mut table = RouterTable::default();
+    assert!(is_live(&mut table, start, 7, 7));
+    let now = start + Duration::from_secs(100);
+    assert!(is_live(&mut table, now, 7, 100_007));
+}
+
+#[test]
+fn routers_with_rows_of_long_ago_do_not_count() {
+    let day = 86_400_000;
+    assert!(!is_live(
+        &mut RouterTable::default(),
+        Instant::now(),
+        0,
+        day
+    ));
+}
