fleet: keep a server's newer life when a restored store lists an earlier one

A registration of an earlier life is now left out for 5 s after the restore, also of a server that ended meanwhile; servers register again within about two. At other times an earlier start time still is a restart, of a server whose clock was set back (servers_restarted_with_earlier_clock_are_cold).

Shown by tests alone, which failed before: servers_restarted_before_restore_stay_cold and servers_restarted_and_removed_before_restore_stay_removed.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -32,6 +32,10 @@
 /// is restored, and above the time in which a leaving server ends.
 const DEPARTED_TTL: Duration = Duration::from_secs(120);
 
+/// Time after the restore of the store from an older copy in which a registration of an earlier life
+/// is taken from the copy: servers register again within it.
+const RESTORE_GRACE: Duration = Duration::from_secs(5);
+
 /// Server that was removed, in case its registration comes back from an older copy of the store.
 #[derive(Debug)]
 struct Departed {
@@ -50,6 +54,8 @@
     by_hash: BTreeMap<u32, ServerKey>,
     by_service: BTreeMap<String, BTreeSet<ServerKey>>,
     revision: Revision,
+    /// When the store was last restored from an older copy.
+    restored_at: Option<Instant>,
 }
 
 impl Registry {
@@ -119,6 +125,9 @@
         kept_since: Option<Instant>,
     ) -> Changes {
         let mut changes = Changes::default();
+        if revision.era() > self.revision.era() {
+            self.restored_at = Some(now);
+        }
         self.revision = revision;
         self.departed
             .retain(|_, d| now.saturating_duration_since(d.removed_at) < DEPARTED_TTL);
@@ -131,7 +140,7 @@
         for (id, backend) in servers {
             match self.by_id.get(id).copied() {
                 Some(key) => self.update(now, key, backend, &mut changes),
-                None if self.is_outdated(id, backend) => {}
+                None if self.is_outdated(now, id, backend) => {}
                 None => {
                     self.insert(now, id, backend.clone());
                     changes.started.push(id.clone());
@@ -200,10 +209,20 @@
     }
 
     /// Returns whether a registration is older than the last one of a removed server.
-    fn is_outdated(&self, id: &str, backend: &Backend) -> bool {
-        self.departed
-            .get(id)
-            .is_some_and(|d| backend.is_same_life(d.born) && backend.sequence <= d.sequence)
+    fn is_outdated(&self, now: Instant, id: &str, backend: &Backend) -> bool {
+        self.departed.get(id).is_some_and(|d| {
+            (backend.is_same_life(d.born) && backend.sequence <= d.sequence)
+                || self.is_earlier_life(now, d.born, backend)
+        })
+    }
+
+    /// Returns whether a registration comes from the copy of a restored store and is of a life before
+    /// the one that started at `born`.
+    ///
+    /// At other times a lower start time is that of a restart after the server's clock was set back.
+    fn is_earlier_life(&self, now: Instant, born: u64, backend: &Backend) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < RESTORE_GRACE;
+        backend.born != 0 && backend.born < born && self.restored_at.is_some_and(is_recent)
     }
 
     /// Removes a server that is no longer registered.
@@ -249,6 +268,12 @@
     }
 
     fn update(&mut self, now: Instant, key: ServerKey, newest: &Backend, changes: &mut Changes) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        if self.is_earlier_life(now, server.backend.born, newest) {
+            return;
+        }
         let Some(server) = self.servers.get_mut(key) else {
             return;
         };
