fleet, front: add failing tests of streams of several software versions; read their facts

The adapter decodes a server's version and the header that names the attempt which began a stream; nothing acts on them yet.

--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -86,6 +86,7 @@
         service: SERVICE.to_owned(),
         address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number)),
         zone: "a".to_owned(),
+        version: "v1".to_owned(),
         leaving: false,
         lapsed: false,
         slots: 16,
--- a/crates/fleet/src/objects.rs
+++ b/crates/fleet/src/objects.rs
@@ -199,6 +199,9 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: String,
+    /// Version of the server's software; empty if unknown.
+    #[serde(default)]
+    pub version: String,
     /// Whether the server is draining.
     pub leaving: bool,
     /// Whether the registration expired during a store outage.
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -123,6 +123,7 @@
         service: service.to_owned(),
         address: SocketAddr::from(([10, 0, 0, 1], 8_000 + number)),
         zone: "a".to_owned(),
+        version: "v1".to_owned(),
         leaving: false,
         lapsed: false,
         slots: if service == ENGINES { 64 } else { 6 },
--- a/crates/front/src/protocol.rs
+++ b/crates/front/src/protocol.rs
@@ -12,6 +12,8 @@
     pub deadline: HeaderName,
     /// Id of the last stream event that the receiver already has.
     pub last_event_id: HeaderName,
+    /// Id of the request that brought the caller the first event of the stream which it resumes.
+    pub resumes: HeaderName,
     /// Present in every successful response of a server, as proof that the server sent it.
     pub seal: HeaderName,
     /// The workspace of the request, for servers.
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -12,3 +12,4 @@
 mod requests;
 mod streams;
 mod support;
+mod versions;
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -192,6 +192,7 @@
         request_id: HeaderName::from_static("x-id"),
         deadline: HeaderName::from_static("x-wait-ms"),
         last_event_id: HeaderName::from_static("last-event-id"),
+        resumes: HeaderName::from_static("x-resumes"),
         seal: HeaderName::from_static("x-seal"),
         workspace: HeaderName::from_static("x-workspace"),
         expect_server: HeaderName::from_static("x-server"),
@@ -304,6 +305,7 @@
                     service: service.to_owned(),
                     address: server.address,
                     zone: "a".to_owned(),
+                    version: "v1".to_owned(),
                     leaving: false,
                     lapsed: false,
                     slots: 8,
@@ -326,6 +328,22 @@
         Self { shell, address }
     }
 
+    /// Registers the engines with these versions, in the order of the servers at the start.
+    pub fn set_versions(&self, versions: &[&str]) {
+        let (mut servers, revision) = self.shell.with_fleet(|f| {
+            let registry = f.registry();
+            (registry.entries(self.shell.now()), registry.revision())
+        });
+        for (number, version) in versions.iter().enumerate() {
+            let server = servers.get_mut(&format!("engines{number}"));
+            let server = server.expect("there is such a server");
+            (*version).clone_into(&mut server.version);
+            server.sequence += 1;
+        }
+        let revision = Revision(revision.0 + 1);
+        self.shell.handle(Event::Servers(revision, servers));
+    }
+
     /// Changes the router's deployment configuration.
     pub fn configure(&self, change: impl FnOnce(&mut Deployment)) {
         self.change_config(|config| {
