fleet, front: let a stream go on only at the software version that began it

Callers got streams joined from two versions (ORDER). Cause: no choice of a server knew its version, neither when a stream breaks within an answer nor when a caller takes one up.

Within an answer the version of the server that wrote the first event holds. Across tries each router remembers the streams that it began; while streams of several versions of a service may run it also records them in the store, in batches beside the events, and reads the record of a stream that another router began. What only one version can have begun needs no record: a row of the store tells since when, also after all routers were killed. Without certainty a take-up is refused at once with a Retry-After; with none once the version is gone. A new version receives new streams 3 s after it was first seen, so that no router takes them for the old one's. KV cache is not transferred between versions.

Ruled out: that the kill of the routers is needed (the rule broke at crashes during a release).

--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -127,6 +127,7 @@
         repeat: Repeat::Once,
         resumable: true,
         max_attempts: 2,
+        version: None,
     }
 }
 
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -11,6 +11,7 @@
 use crate::peers::Report;
 use crate::quota::{ShareStatus, WorkspaceHash};
 use crate::registry::ServerKey;
+use crate::versions::VersionSet;
 
 /// Id that the daemon gives to a caller's request.
 #[id]
@@ -39,6 +40,8 @@
     pub resumable: bool,
     /// Maximum number of servers to which the request may be sent.
     pub max_attempts: u32,
+    /// Software version that began the stream which the request takes up; none for a new one.
+    pub version: Option<String>,
 }
 
 /// Result of an attempt at a server.
@@ -102,6 +105,10 @@
     Throttled,
     /// The request or a shared part of its prompt crashed several servers.
     Quarantined,
+    /// The version that began the stream which the request takes up is not known.
+    VersionUnknown,
+    /// No server of the version that began the stream is registered any more.
+    VersionGone,
 }
 
 /// Limit on this router's requests to a server that is cold or being probed, for the log.
@@ -215,6 +222,8 @@
         server: ServerKey,
         /// Id of the server, which it has to confirm.
         id: String,
+        /// Software version of the server.
+        version: String,
         /// Address of the server.
         address: SocketAddr,
         /// Address of the engine whose KV cache of the shared prefix the server transfers, if any.
@@ -313,6 +322,11 @@
     Report(Report),
     /// The list of registered routers, including this one.
     Members(Vec<String>),
+    /// The rows of services with several versions were read, at this time of day in milliseconds
+    /// since the Unix epoch.
+    Versions(u64, Vec<VersionSet>),
+    /// A row of a service with several versions was written.
+    VersionsSaved(VersionSet),
     /// The event loop ran later than scheduled, by this lag.
     LoopLag(Duration),
     /// Periodic timer.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -31,6 +31,7 @@
 use crate::registry::{Registry, ServerKey};
 use crate::retry::RetryWindow;
 use crate::suspects::{News, SuspectKey, Suspects};
+use crate::versions::{VersionSet, Versions};
 
 use overload::Shortfalls;
 
@@ -69,6 +70,8 @@
     server: ServerKey,
     /// Hash of the server's id; the server may have gone when the attempt ends.
     server_hash: u32,
+    /// Software version of the server.
+    version: String,
     sent_at: Instant,
     load: Load,
     /// Tokens prefilled until the first output token, including those of earlier requests.
@@ -99,6 +102,8 @@
     /// Tokens that count as pending for the workspace.
     pending: f64,
     execution: Execution,
+    /// Software version that wrote the first events of the stream; none before them.
+    version: Option<String>,
 }
 
 impl Request {
@@ -149,6 +154,7 @@
     /// are kept, as the operator writes them again.
     kept_evacuations: BTreeMap<String, Instant>,
     registry: Registry,
+    versions: Versions,
     freshness: Freshness,
     requests: BTreeMap<RequestKey, Request>,
     quota: Quota,
@@ -206,6 +212,7 @@
             retired_services: BTreeMap::new(),
             kept_evacuations: BTreeMap::new(),
             registry: Registry::default(),
+            versions: Versions::new(now),
             freshness: Freshness::default(),
             requests: BTreeMap::new(),
             quota: Quota::new(params.quota_window),
@@ -300,6 +307,58 @@
         server.is_open(now) && (!late || server.is_proven(now, self.params.max_list_age()))
     }
 
+    /// Returns the longest time for which a stream may run and be taken up again.
+    fn stream_lifetime(&self) -> Duration {
+        /// Callers keep to a route's timeout over all their tries, and the operator may change it.
+        const TIMEOUT_FACTOR: u32 = 2;
+        let deployment = self.config.deployment.as_ref();
+        let routes = deployment.map_or(&[][..], |d| &d.routes);
+        let longest = routes.iter().filter(|r| r.resumable).map(|r| r.timeout);
+        longest.max().unwrap_or_default() * TIMEOUT_FACTOR
+    }
+
+    /// Returns the only software version of a service that can have begun a stream which may still be
+    /// taken up; none if there may be several.
+    #[must_use]
+    pub fn only_version(&self, now: Instant, service: &str) -> Option<&str> {
+        if self.list_is_late(now) {
+            return None;
+        }
+        self.versions.only(now, service, self.stream_lifetime())
+    }
+
+    /// Returns whether streams of several software versions of a service may be taken up.
+    #[must_use]
+    pub fn has_several_versions(&self, now: Instant, service: &str) -> bool {
+        self.versions
+            .has_several(now, service, self.stream_lifetime())
+    }
+
+    /// Returns the time for which streams have to be remembered.
+    #[must_use]
+    pub fn origin_ttl(&self) -> Duration {
+        self.stream_lifetime()
+    }
+
+    /// Returns the known software versions of services.
+    #[must_use]
+    pub fn versions(&self) -> &Versions {
+        &self.versions
+    }
+
+    /// Returns the number of routers that this one knows, with itself.
+    #[must_use]
+    pub fn known_routers(&self) -> usize {
+        self.members.all().len()
+    }
+
+    fn versions_saved(&mut self, row: &VersionSet) {
+        self.versions.saved(row);
+        let versions: Vec<&str> = row.versions.iter().map(String::as_str).collect();
+        let detail = format!("versions={}", versions.join(","));
+        self.log("versions_saved", &row.service, detail);
+    }
+
     /// Replaces the parameters.
     pub fn set_params(&mut self, params: Params) {
         self.params = params;
@@ -381,6 +440,17 @@
             Event::ServersUnchanged => self.store_returned_at = None,
             Event::Report(report) => self.apply_report(now, &report),
             Event::Members(names) => self.apply_members(now, &names),
+            Event::Versions(epoch_ms, rows) => {
+                let lifetime = self.stream_lifetime();
+                self.versions.load(now, epoch_ms, &rows, lifetime);
+                let services = rows.len();
+                self.log(
+                    "versions_loaded",
+                    "versions",
+                    format!("services={services}"),
+                );
+            }
+            Event::VersionsSaved(row) => self.versions_saved(&row),
             Event::LoopLag(lag) => self.observe_lag(now, lag),
             Event::Tick => self.tick(now),
         }
@@ -536,6 +606,7 @@
     fn submit(&mut self, now: Instant, submission: Submission, admitted: bool) {
         self.retry_window(&submission.service).record_request(now);
         let key = submission.key;
+        let version = submission.version.clone();
         self.requests.insert(
             key,
             Request {
@@ -548,6 +619,7 @@
                 admitted,
                 pending: 0.0,
                 execution: Execution::NotRun,
+                version,
             },
         );
         self.place(now, key);
@@ -625,6 +697,11 @@
         let Some(attempt) = &mut request.attempt else {
             return;
         };
+        if request.submission.resumable {
+            request
+                .version
+                .get_or_insert_with(|| attempt.version.clone());
+        }
         let pending = attempt.load.pending_prefill;
         let took = now.saturating_duration_since(attempt.sent_at);
         let prefill_tokens = std::mem::take(&mut attempt.prefill_tokens);
@@ -953,6 +1030,11 @@
         let restored = revision.era() > self.registry.revision().era();
         let kept_since = if restored { Some(now) } else { returned };
         let changes = self.registry.apply(now, revision, servers, kept_since);
+        if restored {
+            self.versions.store_restored();
+        }
+        let backends = self.registry.all().map(|s| &s.backend);
+        self.versions.observe(now, backends);
         self.freshness.list_applied(revision);
         let detail = format!("revision={}{}", revision.0, self.age_detail(now));
         for id in changes.draining.iter().chain(&changes.removed) {
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -5,6 +5,7 @@
 //! share use only spare capacity. A request that no server can start in time is refused at once,
 //! with a retry delay.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -130,6 +131,8 @@
     share: ShareStatus,
     /// Whether the server list is too old to decide alone.
     late: bool,
+    /// Software versions that receive no new streams yet.
+    new_versions: Vec<&'a str>,
     /// Number of routers that share each limit, with this one.
     routers: u32,
     /// Number of those whose load is unknown, since they don't report.
@@ -205,6 +208,9 @@
         if let Some(left) = self.quarantine(now, request) {
             return self.fail_request(now, key, Reason::Quarantined, left);
         }
+        if self.version_is_gone(request) {
+            return self.fail_request(now, key, Reason::VersionGone, Duration::ZERO);
+        }
         let share = self.share_status(now, key);
         let request = self.requests.get(&key);
         let charge = initial_charge(request.filter(|r| !r.admitted));
@@ -229,6 +235,15 @@
         }
     }
 
+    /// Returns whether no server is registered of the version at which a stream has to go on.
+    fn version_is_gone(&self, request: &Request) -> bool {
+        let Some(version) = &request.version else {
+            return false;
+        };
+        let mut servers = self.registry.of_service(&request.submission.service);
+        !servers.any(|(_, s)| s.backend.version == *version)
+    }
+
     pub(super) fn share_status(&mut self, now: Instant, key: RequestKey) -> ShareStatus {
         let request = self.requests.get(&key);
         let engine = request.filter(|r| r.submission.prompt.is_some());
@@ -268,6 +283,7 @@
                 .map_or(0, Prompt::shared_tokens),
             share,
             late: self.list_is_late(now),
+            new_versions: self.versions.too_new(now, &request.submission.service),
             routers,
             demand: self.quota.requested_rate(now) / self.pressure.mean_charge().max(1.0),
             silent: routers.saturating_sub(u32::try_from(self.reporting + 1).unwrap_or(u32::MAX)),
@@ -393,7 +409,11 @@
             };
         }
         if ctx.transfers().is_some() {
-            assign_sources(&mut eligible);
+            let servers = eligible.iter().map(|e| e.server);
+            let versions: BTreeSet<&str> = servers.map(|s| s.backend.version.as_str()).collect();
+            for version in versions {
+                assign_sources(&mut eligible, version);
+            }
         }
         if !has_preferred {
             let warm = eligible.iter_mut().filter(|e| e.rank.warm);
@@ -423,7 +443,12 @@
         key: ServerKey,
         server: &Server,
     ) -> bool {
-        self.is_open(ctx.now, server, ctx.late)
+        let version = server.backend.version.as_str();
+        let fits = match &request.version {
+            Some(began) => began == version,
+            None => !ctx.new_versions.contains(&version),
+        };
+        fits && self.is_open(ctx.now, server, ctx.late)
             && !self.config.evacuated.contains(&server.backend.zone)
             && !request.tried.contains(&key)
             && server.health.is_available(ctx.now)
@@ -644,6 +669,7 @@
         request.attempt = Some(Attempt {
             server: candidate.key,
             server_hash: server.hash,
+            version: server.backend.version.clone(),
             sent_at: now,
             load,
             prefill_tokens: candidate.inputs.pending_prefill + load.pending_prefill,
@@ -659,6 +685,7 @@
             request: key,
             server: candidate.key,
             id: server.id.clone(),
+            version: server.backend.version.clone(),
             address: server.backend.address,
             source: candidate.source,
             expected: candidate.inputs.first_byte,
@@ -679,17 +706,20 @@
     }
 }
 
-/// Assigns to servers that lack part of the prefix a source with more, if possible in their zone.
+/// Assigns to servers of a software version that lack part of the prefix a source with more, if
+/// possible in their zone. What engines of two versions keep of a prompt does not fit together.
 ///
 /// A transfer takes milliseconds where prefill takes a hundred, which also delay all other requests
 /// at the engine.
-fn assign_sources(eligible: &mut [Eligible<'_>]) {
-    let max_cached = eligible.iter().map(|e| e.cached).max().unwrap_or(0);
+fn assign_sources(eligible: &mut [Eligible<'_>], version: &str) {
+    let fits = |e: &Eligible<'_>| e.server.backend.version == version;
+    let holders = || eligible.iter().filter(|e| fits(e));
+    let max_cached = holders().map(|e| e.cached).max().unwrap_or(0);
     if max_cached < MIN_TRANSFER_TOKENS {
         return;
     }
     let mut sources: Vec<TransferSource<'_>> = Vec::new();
-    for holder in eligible.iter().filter(|e| e.cached == max_cached) {
+    for holder in holders().filter(|e| e.cached == max_cached) {
         let zone = &holder.server.backend.zone;
         if sources.iter().all(|s| s.server.backend.zone != *zone) {
             sources.push(TransferSource {
@@ -700,7 +730,7 @@
     }
     for server in eligible
         .iter_mut()
-        .filter(|e| e.cached + MIN_TRANSFER_TOKENS <= max_cached)
+        .filter(|e| fits(e) && e.cached + MIN_TRANSFER_TOKENS <= max_cached)
     {
         let zone = &server.server.backend.zone;
         let near = sources.iter().find(|s| s.server.backend.zone == *zone);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,7 +20,8 @@
 //! * [`notice`]: what a server announced in its responses;
 //! * [`pressure`]: overload of this router's event loop;
 //! * [`peers`]: reports from the other routers;
-//! * [`members`]: the routers that share each limit.
+//! * [`members`]: the routers that share each limit;
+//! * [`versions`]: software versions of the servers, and which can have begun a stream.
 
 pub mod arrivals;
 pub mod cold;
@@ -41,6 +42,7 @@
 pub mod registry;
 pub mod retry;
 pub mod suspects;
+pub mod versions;
 pub mod window;
 
 pub use event::{Decision, Event, Outcome, RequestKey, Submission};
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -29,3 +29,4 @@
 mod store_restored;
 mod support;
 mod suspects;
+mod versions;
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -187,6 +187,7 @@
         repeat: Repeat::Once,
         resumable: true,
         max_attempts: 2,
+        version: None,
     }
 }
 
@@ -203,6 +204,7 @@
         repeat,
         resumable: false,
         max_attempts: 2,
+        version: None,
     }
 }
 
--- /dev/null
+++ b/crates/fleet/tests/all/versions.rs
@@ -0,0 +1,256 @@
+//! Streams of a service whose servers run several software versions.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::event::{Execution, Reason};
+use hibiscusrail_fleet::objects::{Revision, Servers};
+use hibiscusrail_fleet::versions::{VersionSet, Versions};
+use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey, Submission};
+
+use super::support::{self, ENGINES, backend, failure_reason, prompt, sent_to, submission};
+
+/// Longest time for which streams run and are taken up in these tests.
+const LIFETIME: Duration = Duration::from_secs(24);
+
+/// Returns engines of these versions; the id of each is its version and number.
+fn engines(versions: &[&str]) -> Servers {
+    let numbered = versions.iter().zip(0..);
+    numbered
+        .map(|(version, number)| {
+            let mut engine = backend(ENGINES, number);
+            (*version).clone_into(&mut engine.version);
+            (format!("{version}-{number}"), engine)
+        })
+        .collect()
+}
+
+/// Returns a router that knows these engines since its start.
+fn router(versions: &[&str], now: Instant) -> Fleet {
+    let mut fleet = support::router("r", 0, now);
+    fleet.handle(now, Event::Servers(Revision(2), engines(versions)));
+    fleet.handle(now, Event::Versions(0, Vec::new()));
+    fleet
+}
+
+/// Returns a request that takes up a stream which a version began.
+fn take_up(key: u64, version: &str, now: Instant) -> Submission {
+    Submission {
+        version: Some(version.to_owned()),
+        ..submission(key, 1, prompt(1, 10), now)
+    }
+}
+
+fn version_sent_to(decisions: &[Decision]) -> Option<&str> {
+    sent_to(decisions).and_then(|id| id.split('-').next())
+}
+
+// Guards against ORDER: a stream that broke went on at the best server of any version.
+#[test]
+fn ended_stream_goes_on_at_its_version() {
+    let now = Instant::now();
+    for key in 0..20 {
+        let mut fleet = router(&["v1", "v1", "v2", "v2", "v3", "v3"], now);
+        let sent = fleet.handle(now, Event::Submit(submission(key, 1, prompt(key, 10), now)));
+        let began = version_sent_to(&sent).expect("it is sent").to_owned();
+        fleet.handle(now, Event::FirstByte(RequestKey(key)));
+        let broken = fleet.handle(now, Event::Ended(RequestKey(key), Outcome::Broken));
+        assert_eq!(version_sent_to(&broken), Some(began.as_str()));
+    }
+}
+
+#[test]
+fn ended_stream_without_event_goes_on_at_any_version() {
+    let now = Instant::now();
+    let mut fleet = router(&["v1", "v2"], now);
+    let sent = fleet.handle(now, Event::Submit(submission(1, 1, prompt(1, 10), now)));
+    assert!(sent_to(&sent).is_some());
+    let broken = fleet.handle(now, Event::Ended(RequestKey(1), Outcome::Broken));
+    assert!(sent_to(&broken).is_some());
+}
+
+// Guards against ORDER: a stalled stream was handed to a server of another version.
+#[test]
+fn stalled_stream_stays_at_its_version() {
+    let now = Instant::now();
+    let mut fleet = router(&["v1", "v2"], now);
+    fleet.handle(now, Event::Submit(submission(1, 1, prompt(1, 10), now)));
+    fleet.handle(now, Event::FirstByte(RequestKey(1)));
+    let stalled = fleet.handle(now, Event::Stalled(RequestKey(1)));
+    assert_eq!(sent_to(&stalled), None);
+}
+
+#[test]
+fn take_up_goes_on_at_its_version() {
+    let now = Instant::now();
+    for version in ["v1", "v2", "v3"] {
+        let mut fleet = router(&["v1", "v2", "v3"], now);
+        let sent = fleet.handle(now, Event::Submit(take_up(1, version, now)));
+        assert_eq!(version_sent_to(&sent), Some(version));
+    }
+}
+
+#[test]
+fn take_up_of_version_that_is_gone_is_refused_at_once() {
+    let now = Instant::now();
+    let mut fleet = router(&["v2"], now);
+    let refused = fleet.handle(now, Event::Submit(take_up(1, "v1", now)));
+    assert_eq!(failure_reason(&refused), Some(Reason::VersionGone));
+    let not_run = |d: &Decision| {
+        matches!(
+            d,
+            Decision::Fail {
+                execution: Execution::NotRun,
+                ..
+            }
+        )
+    };
+    assert!(refused.iter().any(not_run));
+}
+
+// Guards against ORDER: routers whose list is older take a new version's streams for the old one's.
+#[test]
+fn submit_new_version_receives_no_stream_at_first() {
+    let start = Instant::now();
+    let mut fleet = router(&["v1"], start);
+    let now = start + Duration::from_secs(10);
+    fleet.handle(now, Event::Servers(Revision(3), engines(&["v1", "v2"])));
+    for key in 0..5 {
+        let sent = fleet.handle(now, Event::Submit(submission(key, 1, prompt(key, 10), now)));
+        assert_eq!(version_sent_to(&sent), Some("v1"));
+    }
+    let now = now + Duration::from_secs(4);
+    fleet.handle(now, Event::Servers(Revision(4), engines(&["v1", "v2"])));
+    let versions: BTreeSet<String> = (10..60)
+        .filter_map(|key| {
+            let request = submission(key, 1, prompt(key, 10), now);
+            let sent = fleet.handle(now, Event::Submit(request));
+            version_sent_to(&sent).map(str::to_owned)
+        })
+        .collect();
+    assert_eq!(versions.len(), 2);
+}
+
+#[test]
+fn submit_only_version_is_used_at_once() {
+    let start = Instant::now();
+    let mut fleet = router(&["v1"], start);
+    let now = start + Duration::from_secs(10);
+    fleet.handle(now, Event::Servers(Revision(3), engines(&["v2"])));
+    let sent = fleet.handle(now, Event::Submit(submission(1, 1, prompt(1, 10), now)));
+    assert_eq!(version_sent_to(&sent), Some("v2"));
+}
+
+// What an engine keeps of a prompt does not fit one of another version.
+#[test]
+fn submit_transfers_within_a_version() {
+    let now = Instant::now();
+    let mut fleet = router(&["v1", "v2", "v2"], now);
+    let first = fleet.handle(now, Event::Submit(submission(1, 1, prompt(1, 10), now)));
+    let holder = version_sent_to(&first).expect("it is sent").to_owned();
+    for key in 2..40 {
+        let sent = fleet.handle(now, Event::Submit(submission(key, 1, prompt(1, 10), now)));
+        let source = sent.iter().find_map(|d| match d {
+            Decision::Send { source, .. } => *source,
+            _ => None,
+        });
+        let version = version_sent_to(&sent).map(str::to_owned);
+        if version.is_some_and(|v| v != holder) {
+            assert_eq!(source, None);
+            return;
+        }
+    }
+}
+
+/// Shows a history a list with engines of these versions.
+fn observe(versions: &mut Versions, now: Instant, listed: &[&str]) {
+    versions.observe(now, engines(listed).values());
+}
+
+#[test]
+fn only_version_is_known_on_a_calm_day() {
+    let now = Instant::now();
+    let mut versions = Versions::new(now);
+    observe(&mut versions, now, &["v1", "v1"]);
+    assert_eq!(versions.only(now, ENGINES, LIFETIME), None, "rows unread");
+    versions.load(now, 0, &[], LIFETIME);
+    assert_eq!(versions.only(now, ENGINES, LIFETIME), Some("v1"));
+    assert!(!versions.has_several(now, ENGINES, LIFETIME));
+    assert!(versions.unsaved(0).is_empty());
+    assert_eq!(versions.only(now, "other", LIFETIME), None);
+}
+
+// Guards against ORDER just after the servers of the old version have left.
+#[test]
+fn only_version_is_unknown_until_streams_of_the_old_one_ended() {
+    let start = Instant::now();
+    let mut versions = Versions::new(start);
+    versions.load(start, 0, &[], LIFETIME);
+    observe(&mut versions, start, &["v1"]);
+    observe(&mut versions, start, &["v1", "v2"]);
+    let left = start + Duration::from_secs(20);
+    observe(&mut versions, left, &["v2"]);
+    let before = left + LIFETIME - Duration::from_millis(1);
+    assert_eq!(versions.only(before, ENGINES, LIFETIME), None);
+    let after = left + LIFETIME;
+    assert_eq!(versions.only(after, ENGINES, LIFETIME), Some("v2"));
+    // The same version comes back.
+    observe(&mut versions, after, &["v1", "v2"]);
+    assert_eq!(versions.only(after, ENGINES, LIFETIME), None);
+    let later = after + LIFETIME * 2;
+    observe(&mut versions, later, &["v1"]);
+    assert_eq!(versions.only(later, ENGINES, LIFETIME), None);
+}
+
+fn row(versions: &[&str], changed: u64) -> VersionSet {
+    VersionSet {
+        service: ENGINES.to_owned(),
+        versions: versions.iter().map(|v| (*v).to_owned()).collect(),
+        changed,
+    }
+}
+
+// Guards against ORDER after all routers were killed while the old version left.
+#[test]
+fn only_version_is_unknown_after_restart_beside_a_release() {
+    let start = Instant::now();
+    let day = 86_400_000;
+    let cases = [
+        (row(&["v1", "v2"], 0), "the old version left unseen"),
+        (row(&["v2"], day - 5_000), "it left just before"),
+    ];
+    for (row, case) in cases {
+        let mut versions = Versions::new(start);
+        versions.load(start, day, std::slice::from_ref(&row), LIFETIME);
+        observe(&mut versions, start, &["v2"]);
+        assert_eq!(versions.only(start, ENGINES, LIFETIME), None, "{case}");
+        assert!(versions.has_several(start, ENGINES, LIFETIME), "{case}");
+        let later = start + LIFETIME + Duration::from_secs(10);
+        assert_eq!(
+            versions.only(later, ENGINES, LIFETIME),
+            Some("v2"),
+            "{case}"
+        );
+    }
+    let mut versions = Versions::new(start);
+    versions.load(start, day, &[row(&["v2"], 0)], LIFETIME);
+    observe(&mut versions, start, &["v2"]);
+    assert_eq!(versions.only(start, ENGINES, LIFETIME), Some("v2"));
+}
+
+#[test]
+fn unsaved_rows_follow_the_versions() {
+    let now = Instant::now();
+    let mut versions = Versions::new(now);
+    versions.load(now, 0, &[], LIFETIME);
+    observe(&mut versions, now, &["v1", "v2"]);
+    let unsaved = versions.unsaved(7);
+    assert_eq!(unsaved, [row(&["v1", "v2"], 7)]);
+    versions.saved(&unsaved[0]);
+    assert!(versions.unsaved(8).is_empty());
+    versions.store_restored();
+    assert_eq!(versions.unsaved(8).len(), 1, "the copy may lack the row");
+    versions.saved(&unsaved[0]);
+    observe(&mut versions, now, &["v2"]);
+    assert_eq!(versions.unsaved(9), [row(&["v2"], 9)]);
+}
--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -187,6 +187,7 @@
         repeat: Repeat::Once,
         resumable: true,
         max_attempts: 2,
+        version: None,
     }
 }
 
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -73,6 +73,12 @@
         &self.request
     }
 
+    /// Returns the name of the request's service.
+    #[must_use]
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
     /// Records an attempt at `server`.
     pub fn start_attempt(&mut self, server: &str) {
         self.attempts += 1;
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -19,6 +19,7 @@
 
 use crate::answer::{self, RequestTracker};
 use crate::fingerprint::{Identity, fingerprint};
+use crate::origins::{self, Origin};
 use crate::outgoing::Outgoing;
 use crate::overload::{StreamDemand, workspace_hash};
 use crate::refusal;
@@ -271,7 +272,14 @@
         })?;
         Some(found.name.as_str())
     };
-    let id = header_text(&parts.headers, &shell.protocol().request_id);
+    let protocol = shell.protocol();
+    let began = header_text(&parts.headers, &protocol.resumes);
+    // A stream goes on at the service that began it.
+    let id = if began.is_empty() {
+        header_text(&parts.headers, &protocol.request_id)
+    } else {
+        began
+    };
     let service = pick_service(route, id);
     let engine = deployment
         .services
@@ -351,8 +359,18 @@
         .is_some()
         .then(|| (shell.protocol().prompt)(&parts.headers))
         .flatten();
-    let key = shell.new_request_key();
     let request = header_text(&parts.headers, &shell.protocol().request_id);
+    let takes_up = route.resumable && parts.headers.contains_key(&shell.protocol().last_event_id);
+    let version = if takes_up {
+        let began = header_text(&parts.headers, &shell.protocol().resumes);
+        match origins::resolve(shell, &service, began).await {
+            Ok(version) => Some(version),
+            Err(reason) => return refuse_resume(shell, parts, deadline, reason),
+        }
+    } else {
+        None
+    };
+    let key = shell.new_request_key();
     let name = workspace.as_deref().unwrap_or_default();
     let mut tracker = RequestTracker::new(shell, key, request, name, &service, started);
     let submission = Submission {
@@ -372,6 +390,7 @@
         repeat: route.repeat,
         resumable: route.resumable,
         max_attempts: route.attempts,
+        version,
     };
     let step = shell.handle(if admitted {
         Event::SubmitAdmitted(submission)
@@ -402,11 +421,37 @@
         stream: route.stream,
         event_tokens: engine.map_or(0, |e| e.event_tokens),
         retryable,
+        begins: route.stream && route.resumable && !takes_up,
         read_timeout: retryable.then_some(read_timeout),
     };
     run_attempts(shell, plan, tracker, target).await
 }
 
+/// Refuses a request that takes up a stream, as it is not known where that can go on.
+fn refuse_resume(
+    shell: &Shell,
+    parts: &Parts,
+    deadline: Instant,
+    reason: event::Reason,
+) -> Response<Body> {
+    let request = header_text(&parts.headers, &shell.protocol().request_id);
+    log::info!(
+        request = request,
+        resumes = header_text(&parts.headers, &shell.protocol().resumes),
+        reason:? = reason;
+        "resume_refused"
+    );
+    shell
+        .metrics()
+        .request_ended("", "NotRun", &format!("{reason:?}"), Duration::ZERO);
+    let error = RequestError {
+        reason,
+        execution: event::Execution::NotRun,
+        retry_after: origins::RECORD_DELAY,
+    };
+    failure_response(shell, request, deadline, &error, None)
+}
+
 /// Sends attempts until a server has responded or the request fails.
 async fn run_attempts(
     shell: &Rc<Shell>,
@@ -418,6 +463,7 @@
     let mut hop = Hop::from(target);
     loop {
         tracker.start_attempt(&hop.target.id);
+        let version = hop.target.version.clone();
         let mut interruption = match upstream::attempt(shell, &plan, hop, None).await {
             Ok(Reply::Full(response)) => {
                 tracker.record_first_byte();
@@ -427,6 +473,9 @@
             Ok(Reply::Stream(open)) => {
                 tracker.record_first_byte();
                 shell.handle(Event::FirstByte(tracker.key()));
+                if plan.begins {
+                    remember_origin(shell, &tracker, version);
+                }
                 let mut response = Response::new(full(Bytes::new()));
                 *response.status_mut() = open.status;
                 response.headers_mut().clone_from(&open.headers);
@@ -447,6 +496,18 @@
     }
 }
 
+/// Remembers the version that began a stream.
+fn remember_origin(shell: &Shell, tracker: &RequestTracker, version: String) {
+    let origin = Origin {
+        service: tracker.service().to_owned(),
+        version,
+    };
+    let ttl = shell.with_fleet(Fleet::origin_ttl);
+    shell
+        .origins()
+        .begin(shell.now(), ttl, tracker.request(), origin);
+}
+
 fn into_response(received: FullResponse) -> Response<Body> {
     let mut response = Response::new(full(received.body));
     *response.status_mut() = received.status;
--- a/crates/front/src/refusal.rs
+++ b/crates/front/src/refusal.rs
@@ -36,7 +36,10 @@
             Reason::Quarantined => Duration::MAX,
             _ => remaining / MAX_WAIT_DIVISOR,
         };
-        set_retry_after(&mut response, retry_after.min(max_wait));
+        // No delay helps once the servers of a version are gone.
+        if reason != Reason::VersionGone {
+            set_retry_after(&mut response, retry_after.min(max_wait));
+        }
     }
     response
 }
@@ -65,12 +68,14 @@
         | Reason::NotReady
         | Reason::Exhausted
         | Reason::Stopping
-        | Reason::RetryBudget => spread(wait, id),
+        | Reason::RetryBudget
+        | Reason::VersionUnknown => spread(wait, id),
         Reason::Busy
         | Reason::OverShare
         | Reason::Expired
         | Reason::Throttled
-        | Reason::Quarantined => wait,
+        | Reason::Quarantined
+        | Reason::VersionGone => wait,
     }
 }
 
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -20,6 +20,7 @@
 use http::HeaderMap;
 
 use crate::metrics::Metrics;
+use crate::origins::Origins;
 use crate::protocol::Protocol;
 use crate::refusal;
 use crate::work::{Kind, Work};
@@ -34,6 +35,8 @@
     pub server: ServerKey,
     /// Id of the server.
     pub id: String,
+    /// Software version of the server.
+    pub version: String,
     /// Address where the server receives requests.
     pub address: SocketAddr,
     /// Server that transfers the missing KV cache of the prompt's shared prefix to this one.
@@ -72,6 +75,7 @@
     metrics: Metrics,
     connections: Rc<Connections>,
     work: Work,
+    origins: Origins,
     next_key: Cell<u64>,
     /// Signals that an incremental report is due.
     report_tx: RefCell<mpsc::Sender<()>>,
@@ -114,6 +118,7 @@
             metrics,
             connections: Rc::new(connections),
             work,
+            origins: Origins::default(),
             next_key: Cell::new(0),
             report_tx: RefCell::new(report_tx),
             report_rx: Cell::new(Some(report_rx)),
@@ -171,6 +176,12 @@
         &self.connections
     }
 
+    /// Returns the streams that this router began.
+    #[must_use]
+    pub fn origins(&self) -> &Origins {
+        &self.origins
+    }
+
     /// Returns the counts of the event loop's work.
     #[must_use]
     pub fn work(&self) -> &Work {
@@ -286,6 +297,7 @@
                     request,
                     server,
                     id,
+                    version,
                     address,
                     source,
                     expected,
@@ -293,7 +305,7 @@
                 } => {
                     let list = self.fleet.borrow().freshness().own();
                     let age = list.map(|l| self.now().saturating_duration_since(l.at));
-                    log_send(request, &id, expected, &inputs, list.zip(age));
+                    log_send(request, (&id, &version), expected, &inputs, list.zip(age));
                     self.metrics.attempt_sent();
                     if let Some(age) = age {
                         self.metrics.observe_list_age(age);
@@ -301,6 +313,7 @@
                     step = Some(NextStep::Send(Target {
                         server,
                         id,
+                        version,
                         address,
                         source,
                         expected,
@@ -341,7 +354,7 @@
 
 fn log_send(
     request: RequestKey,
-    server: &str,
+    (server, version): (&str, &str),
     expected: Duration,
     inputs: &Inputs,
     list: Option<(Confirmation, Duration)>,
@@ -349,6 +362,7 @@
     log::info!(
         call = request.0,
         server = server,
+        version = version,
         expected_ms = millis(expected),
         unread = inputs.pending_prefill,
         running = inputs.running,
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -18,6 +18,7 @@
 use http::{Response, StatusCode};
 use snafu::{ResultExt, Snafu};
 
+use crate::origins;
 use crate::peers::{self, Peers};
 use crate::protocol::Protocol;
 use crate::shell::Shell;
@@ -163,8 +164,11 @@
     spawn_urgent(orders);
     let servers = watch::follow_servers(Rc::clone(&shell), Rc::clone(&store), Rc::clone(&peers));
     spawn_urgent(servers);
-    let routers = watch::follow_routers(Rc::clone(&shell), store, Rc::clone(&peers));
+    let routers = watch::follow_routers(Rc::clone(&shell), Rc::clone(&store), Rc::clone(&peers));
     spawn_urgent(routers);
+    let lookups = origins::follow_lookups(Rc::clone(&shell), Rc::clone(&store));
+    event_loop::spawn(lookups);
+    event_loop::spawn(origins::follow_versions(Rc::clone(&shell), store));
     event_loop::spawn(measure_loop_lag(Rc::clone(&shell)));
     let incremental = peers::send_incremental_reports(Rc::clone(&shell), Rc::clone(&peers));
     spawn_urgent(incremental);
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -51,6 +51,8 @@
     pub event_tokens: u32,
     /// Whether the request may run twice, so that it may use a pooled connection.
     pub retryable: bool,
+    /// Whether a caller may take up the stream which the request begins.
+    pub begins: bool,
     /// Time without receiving a byte after which another server is looked for; none for requests that
     /// can't be retried.
     pub read_timeout: Option<Duration>,
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -12,9 +12,11 @@
 
 use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
+use hibiscusrail_fleet::versions::VersionSet;
 use hibiscusrail_fleet::{Event, Fleet};
 use serde::{Deserialize, Serialize};
 
+use crate::origins::Origin;
 use crate::peers::{PeerLocation, Peers};
 use crate::shell::{Shell, millis};
 
@@ -22,7 +24,7 @@
 /// routers to take over, it stays below two seconds, the shortest bound on applying changes.
 const LONG_POLL: Duration = Duration::from_millis(800);
 /// Timeout of a call to the store, in addition to the wait of a long poll.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause between two polls of the servers, whose entries change all the time.
 const SERVERS_POLL_PAUSE: Duration = Duration::from_millis(300);
 /// First pause after a failed call; it doubles up to [`MAX_BACKOFF`].
@@ -93,11 +95,27 @@
 
     /// Removes a router's row.
     async fn unregister(&self, name: &str) -> Result<(), StoreError>;
+
+    /// Returns the rows of services that have had several software versions.
+    async fn versions(&self) -> Result<Vec<VersionSet>, StoreError>;
+
+    /// Writes the row of a service that has had several software versions.
+    async fn save_versions(&self, row: &VersionSet) -> Result<(), StoreError>;
+
+    /// Returns the record of the stream that a request began, by the request's id.
+    async fn origin(&self, request: &str) -> Result<Option<Origin>, StoreError>;
+
+    /// Writes the records of streams that requests began, and removes those of expired ones.
+    async fn record_origins(
+        &self,
+        begun: &[(String, Origin)],
+        expired: &[String],
+    ) -> Result<(), StoreError>;
 }
 
 /// Backoff and availability of one kind of call to the store.
 #[derive(Debug)]
-struct StoreLink {
+pub(crate) struct StoreLink {
     step: &'static str,
     backoff: Duration,
     /// Whether the last call failed.
@@ -105,7 +123,8 @@
 }
 
 impl StoreLink {
-    fn new(step: &'static str) -> Self {
+    /// Creates the link for calls of one kind, which `step` names in the log.
+    pub(crate) fn new(step: &'static str) -> Self {
         Self {
             step,
             backoff: MIN_BACKOFF,
@@ -114,7 +133,7 @@
     }
 
     /// Waits for a call and returns its result; none after a failure and its backoff.
-    async fn call<T>(
+    pub(crate) async fn call<T>(
         &mut self,
         shell: &Shell,
         timeout: Duration,
@@ -242,6 +261,7 @@
         if let Some(read) = read {
             if table.update(now, read) {
                 log::warn!(step = "routers", era = table.era; "store_restored");
+                shell.origins().store_restored();
                 // This router's row may be missing from the copy.
                 renewed = None;
             }
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -78,7 +78,9 @@
             | Event::StoreFailed
             | Event::ServersUnchanged
             | Event::ServersConfirmed(_)
-            | Event::Members(_) => Self::Store,
+            | Event::Members(_)
+            | Event::Versions(..)
+            | Event::VersionsSaved(_) => Self::Store,
             Event::LoopLag(_) | Event::Tick => Self::Other,
         }
     }
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -298,6 +298,8 @@
         let name = shell.settings().name;
         shell.handle(Event::Members(vec![name]));
         shell.handle(Event::Config(Revision(1), config));
+        // The store has no rows of services with several versions.
+        shell.handle(Event::Versions(0, Vec::new()));
         let mut entries = BTreeMap::new();
         for service in ["plain", "engines"] {
             for (number, server) in servers.iter().enumerate() {
--- a/crates/front/tests/all/versions.rs
+++ b/crates/front/tests/all/versions.rs
@@ -1,6 +1,18 @@
 //! Streams of a service whose servers run several software versions.
 
-use super::support::{Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, event, run, status};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hibiscusrail_fleet::objects::{OperatorConfig, Servers};
+use hibiscusrail_fleet::versions::VersionSet;
+use hibiscusrail_front::origins::{self, Origin};
+use hibiscusrail_front::watch::{Registration, Store, StoreError, TableRead};
+
+use super::support::{
+    Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, event, header, run, status, wait_until,
+};
 
 /// Returns a stream that ends in the middle of its third event.
 fn broken() -> Act {
@@ -42,3 +54,174 @@
         assert_eq!(server.received().len(), 0);
     });
 }
+
+/// In-memory tables of versions and records, shared by the routers of a test.
+#[derive(Default)]
+struct Tables {
+    versions: RefCell<BTreeMap<String, VersionSet>>,
+    streams: RefCell<BTreeMap<String, Origin>>,
+    /// Whether calls fail.
+    away: Cell<bool>,
+}
+
+impl Tables {
+    fn check(&self) -> Result<(), StoreError> {
+        if self.away.get() {
+            return Err("the store is away".into());
+        }
+        Ok(())
+    }
+}
+
+impl Store for Tables {
+    async fn orders(&self, _: Duration) -> Result<TableRead<OperatorConfig>, StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn servers(&self, _: Duration) -> Result<TableRead<Servers>, StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn routers(&self) -> Result<TableRead<Vec<Registration>>, StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn register(&self, _: &Registration) -> Result<(), StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn unregister(&self, _: &str) -> Result<(), StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn versions(&self) -> Result<Vec<VersionSet>, StoreError> {
+        self.check()?;
+        Ok(self.versions.borrow().values().cloned().collect())
+    }
+
+    async fn save_versions(&self, row: &VersionSet) -> Result<(), StoreError> {
+        self.check()?;
+        let mut versions = self.versions.borrow_mut();
+        versions.insert(row.service.clone(), row.clone());
+        Ok(())
+    }
+
+    async fn origin(&self, request: &str) -> Result<Option<Origin>, StoreError> {
+        self.check()?;
+        Ok(self.streams.borrow().get(request).cloned())
+    }
+
+    async fn record_origins(
+        &self,
+        begun: &[(String, Origin)],
+        expired: &[String],
+    ) -> Result<(), StoreError> {
+        self.check()?;
+        let mut streams = self.streams.borrow_mut();
+        streams.extend(begun.iter().cloned());
+        for request in expired {
+            streams.remove(request);
+        }
+        Ok(())
+    }
+}
+
+/// Starts a router of engines with these versions that follows the tables.
+fn start(server: &Server, versions: &[&str], tables: &Rc<Tables>) -> Front {
+    let servers = vec![server; versions.len()];
+    let front = Front::start(&servers);
+    front.set_versions(versions);
+    let (shell, store) = (&front.shell, tables);
+    let lookups = origins::follow_lookups(Rc::clone(shell), Rc::clone(store));
+    compio::runtime::spawn(lookups).detach();
+    let following = origins::follow_versions(Rc::clone(shell), Rc::clone(store));
+    compio::runtime::spawn(following).detach();
+    front
+}
+
+/// Returns the headers of a request that takes up the stream which `began` began.
+fn resumes(began: &str) -> String {
+    format!("last-event-id: 2\r\nx-resumes: {began}\r\n")
+}
+
+// Guards against ORDER and LOST after all routers were killed: another router finds the version.
+#[test]
+fn stream_taken_up_at_another_router_goes_on_at_its_version() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let server = Server::start(vec![broken(), rest()]);
+        let front = start(&server, &["v1", "v2"], &tables);
+        // It has no second server of its version, so it ends.
+        front.call("/resume/x", "").await;
+        wait_until(|| tables.streams.borrow().contains_key("r1")).await;
+        let began = tables.streams.borrow()["r1"].version.clone();
+        let other = start(&server, &["v1", "v2"], &tables);
+        for _ in 0..2 {
+            let response = other.call("/resume/x", &resumes("r1")).await;
+            assert!(response.contains(&event(4)), "{response}");
+        }
+        let named = |head: &String| header(head, "x-server");
+        let servers: Vec<_> = server.received().iter().map(named).collect();
+        assert_eq!(servers[0], servers[1], "{began}");
+        assert_eq!(servers[0], servers[2], "{began}");
+        // The servers of its version are gone.
+        let gone = if began == "v1" { "v2" } else { "v1" };
+        let last = start(&server, &[gone, gone], &tables);
+        let response = last.call("/resume/x", &resumes("r1")).await;
+        assert_eq!(status(&response), 503, "{response}");
+        assert_eq!(header(&response, "retry-after"), None);
+        assert_eq!(server.received().len(), 3);
+    });
+}
+
+#[test]
+fn stream_without_usable_record_is_refused() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let origin = |service: &str| Origin {
+            service: service.to_owned(),
+            version: "v1".to_owned(),
+        };
+        let mut streams = tables.streams.borrow_mut();
+        streams.insert("other".to_owned(), origin("plain"));
+        streams.insert("mine".to_owned(), origin("engines"));
+        drop(streams);
+        let server = Server::start(vec![rest()]);
+        let front = start(&server, &["v1", "v2"], &tables);
+        for began in ["unknown", "other", "", "%00/../x", &"x".repeat(300)] {
+            let response = front.call("/resume/x", &resumes(began)).await;
+            assert_eq!(status(&response), 503, "{began}: {response}");
+        }
+        let response = front.call("/resume/x", "last-event-id: 2\r\n").await;
+        assert_eq!(status(&response), 503, "no id: {response}");
+        tables.away.set(true);
+        let response = front.call("/resume/x", &resumes("mine")).await;
+        assert_eq!(status(&response), 503, "{response}");
+        assert!(header(&response, "retry-after").is_some());
+        assert_eq!(server.received().len(), 0);
+        tables.away.set(false);
+        let response = front.call("/resume/x", &resumes("mine")).await;
+        assert_eq!(status(&response), 200, "{response}");
+    });
+}
+
+// A service of one version writes nothing.
+#[test]
+fn stream_of_only_version_needs_no_record() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let server = Server::start(vec![broken(), rest()]);
+        let front = start(&server, &["v1", "v1"], &tables);
+        front.call("/resume/x", "").await;
+        compio::time::sleep(Duration::from_millis(700)).await;
+        assert!(tables.streams.borrow().is_empty());
+        assert!(tables.versions.borrow().is_empty());
+        let response = front.call("/resume/x", &resumes("unknown")).await;
+        assert_eq!(status(&response), 200, "{response}");
+        // Streams of before are recorded once another version comes.
+        front.set_versions(&["v1", "v2"]);
+        wait_until(|| tables.streams.borrow().contains_key("r1")).await;
+        let saved = || tables.versions.borrow().contains_key("engines");
+        wait_until(saved).await;
+    });
+}
