--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -5,7 +5,6 @@
 //! share use only spare capacity. A request that no server can start in time is refused at once,
 //! with a retry delay.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -409,9 +408,7 @@
             };
         }
         if ctx.transfers().is_some() {
-            let servers = eligible.iter().map(|e| e.server);
-            let versions: BTreeSet<&str> = servers.map(|s| s.backend.version.as_str()).collect();
-            for version in versions {
+            for version in distinct_versions(&eligible) {
                 assign_sources(&mut eligible, version);
             }
         }
@@ -706,6 +703,18 @@
     }
 }
 
+/// Returns the software versions of servers, of which there are few.
+fn distinct_versions<'a>(eligible: &[Eligible<'a>]) -> Vec<&'a str> {
+    let mut versions: Vec<&str> = Vec::new();
+    for server in eligible {
+        let version = server.server.backend.version.as_str();
+        if !versions.contains(&version) {
+            versions.push(version);
+        }
+    }
+    versions
+}
+
 /// Assigns to servers of a software version that lack part of the prefix a source with more, if
 /// possible in their zone. What engines of two versions keep of a prompt does not fit together.
 ///
--- a/crates/front/tests/all/versions.rs
+++ b/crates/front/tests/all/versions.rs
@@ -182,10 +182,10 @@
             service: service.to_owned(),
             version: "v1".to_owned(),
         };
-        let mut streams = tables.streams.borrow_mut();
-        streams.insert("other".to_owned(), origin("plain"));
-        streams.insert("mine".to_owned(), origin("engines"));
-        drop(streams);
+        tables.streams.borrow_mut().extend([
+            ("other".to_owned(), origin("plain")),
+            ("mine".to_owned(), origin("engines")),
+        ]);
         let server = Server::start(vec![rest()]);
         let front = start(&server, &["v1", "v2"], &tables);
         for began in ["unknown", "other", "", "%00/../x", &"x".repeat(300)] {
