--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -308,7 +308,8 @@
     }
 
     /// Returns the longest time for which a stream may run and be taken up again.
-    fn stream_lifetime(&self) -> Duration {
+    #[must_use]
+    pub fn stream_lifetime(&self) -> Duration {
         /// Callers keep to a route's timeout over all their tries, and the operator may change it.
         const TIMEOUT_FACTOR: u32 = 2;
         let deployment = self.config.deployment.as_ref();
@@ -334,12 +335,6 @@
             .has_several(now, service, self.stream_lifetime())
     }
 
-    /// Returns the time for which streams have to be remembered.
-    #[must_use]
-    pub fn origin_ttl(&self) -> Duration {
-        self.stream_lifetime()
-    }
-
     /// Returns the known software versions of services.
     #[must_use]
     pub fn versions(&self) -> &Versions {
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -20,8 +20,7 @@
     listed: Vec<u32>,
     /// Routers in the table, those that report, and this one; sorted.
     all: Vec<u32>,
-    /// Whether the table was read before it listed this router, so that the others may not have
-    /// read its row yet.
+    /// Whether the first table that was read did not list this router: the others may not know it.
     is_new: bool,
     /// When this router may take up its part; none until the table lists it.
     counted_at: Option<Instant>,
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -502,7 +502,7 @@
         service: tracker.service().to_owned(),
         version,
     };
-    let ttl = shell.with_fleet(Fleet::origin_ttl);
+    let ttl = shell.with_fleet(Fleet::stream_lifetime);
     shell
         .origins()
         .begin(shell.now(), ttl, tracker.request(), origin);
--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -263,7 +263,7 @@
 async fn record_batch(shell: &Rc<Shell>, store: &Rc<impl Store>, link: &mut StoreLink) -> bool {
     let origins = shell.origins();
     let now = shell.now();
-    let (ttl, services) = shell.with_fleet(|f| (f.origin_ttl(), uncertain_services(f, now)));
+    let (ttl, services) = shell.with_fleet(|f| (f.stream_lifetime(), uncertain_services(f, now)));
     let begun = if services.is_empty() {
         Vec::new()
     } else {
