net: give other tasks a turn while a peer always has bytes

The quadratic search made each read slow; what let one connection keep the event loop was that nothing ended its turn.

Cause: a parser reads for as long as its socket has bytes, and EventStream::next goes on as long as there are parts and nothing to pass on. Neither other tasks nor the timers of the same task (the deadline) have a turn before the socket is empty, which depends on how fast the peer is.

A socket now leaves a turn after 32 KiB read without a wait, whatever reads from it: heads, informational heads, sizes of chunks, trailers, bodies of callers, peers, the store and servers. An owned connection leaves one after 64 parts, as the parser's time is by the part. The head of a response may have 64 KiB, as a parser reads an incomplete one again for each piece.

--- a/crates/front/tests/all/streams.rs
+++ b/crates/front/tests/all/streams.rs
@@ -1,9 +1,15 @@
 //! Streams that break, and are resumed at another server if their route allows it.
 
 use super::support::{
-    Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, event, header, run, status, wait_until,
+    Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, count_turns, event, full_response, header,
+    run, status, wait_until,
 };
 
+/// Bytes after which a server counts as one that sends bytes without end.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Parts of a response that a router may read before other tasks have a turn.
+const MAX_TURN_PARTS: usize = 64;
+
 #[test]
 fn stream_relays_events() {
     run(async {
@@ -28,6 +34,77 @@
     });
 }
 
+/// Guards against a server that sends bytes without end in small pieces (CONFIG, review case 1): the
+/// router that read them answered nobody else for seconds.
+#[test]
+fn stream_without_end_in_small_chunks_leaves_turns() {
+    run(async {
+        let chunks = MAX_EVENT_BYTES / 4 + 1;
+        let text = STREAM_HEAD.to_owned() + &chunk("????").repeat(chunks);
+        let server = Server::start(vec![Act::Hang(text)]);
+        let front = Front::start(&[&server]);
+        let turns = count_turns();
+        let response = front.call("/stream/x", "").await;
+        assert_eq!(status(&response), 502);
+        assert!(turns.get() >= chunks / MAX_TURN_PARTS, "{}", turns.get());
+    });
+}
+
+/// A caller whose request may be sent again gets the answer of another server.
+#[test]
+fn stream_without_end_goes_on_at_other_server() {
+    run(async {
+        let first = STREAM_HEAD.to_owned() + &chunk(&event(1));
+        let endless = Act::Hang(first + &chunk(&"x".repeat(1_000)).repeat(2_000));
+        let whole = Act::Write(STREAM_HEAD.to_owned() + &chunk(&event(2)) + STREAM_END);
+        let server = Server::start(vec![endless, whole]);
+        let response = Front::start(&[&server, &server])
+            .call("/resume/x", "")
+            .await;
+        assert!(response.contains(&event(1)), "{response}");
+        assert!(response.ends_with(STREAM_END), "{response}");
+        assert_eq!(server.received().len(), 2);
+    });
+}
+
+/// Guards against an answer that is not a stream and comes in small pieces without end.
+#[test]
+fn response_without_end_in_small_chunks_leaves_turns() {
+    run(async {
+        let chunks = 20_000;
+        let head = STREAM_HEAD.replace("200 OK", "404 Not Found");
+        let text = head + &chunk("?").repeat(chunks);
+        let server = Server::start(vec![
+            Act::Close(text),
+            Act::Write(full_response("200 OK", "whole")),
+        ]);
+        let front = Front::start(&[&server, &server]);
+        let turns = count_turns();
+        let response = front.call("/again/x", "").await;
+        assert!(response.ends_with("whole"), "{response}");
+        assert!(turns.get() >= chunks / MAX_TURN_PARTS, "{}", turns.get());
+    });
+}
+
+/// Guards against a head without end, and informational heads without end.
+#[test]
+fn head_without_end_is_broken() {
+    run(async {
+        let heads = [
+            "HTTP/1.1 200 OK\r\nx-fill: ".to_owned() + &"?".repeat(1 << 20),
+            "HTTP/1.1 102 Processing\r\n\r\n".repeat(100_000) + "?",
+        ];
+        for head in heads {
+            let server = Server::start(vec![
+                Act::Close(head),
+                Act::Write(full_response("200 OK", "whole")),
+            ]);
+            let response = Front::start(&[&server, &server]).call("/again/x", "").await;
+            assert!(response.ends_with("whole"), "{response}");
+        }
+    });
+}
+
 #[test]
 fn stream_broken_in_event_resumes_after_last_id() {
     run(async {
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -2,8 +2,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use compio::BufResult;
@@ -423,6 +425,28 @@
     }
 }
 
+/// Counts the turns of the event loop that a task has which is always ready.
+pub fn count_turns() -> Rc<Cell<usize>> {
+    let turns = Rc::new(Cell::new(0));
+    let counted = Rc::clone(&turns);
+    compio::runtime::spawn(async move {
+        loop {
+            counted.set(counted.get() + 1);
+            let mut yielded = false;
+            poll_fn(|cx| {
+                if std::mem::replace(&mut yielded, true) {
+                    return Poll::Ready(());
+                }
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            })
+            .await;
+        }
+    })
+    .detach();
+    turns
+}
+
 /// Runs a test on its own event loop.
 pub fn run(test: impl Future<Output = ()>) {
     let runtime = compio::runtime::Runtime::new().expect("the event loop is created");
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -19,6 +19,13 @@
 use crate::socket::SocketStream;
 use crate::time::timeout;
 
+/// Maximum size of a response's head in bytes. A parser reads all of an incomplete head again for
+/// each piece of it.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Parts of responses that the owner of a connection gets at once; then other tasks have a turn. Each
+/// costs a step of the parser, however few bytes it holds.
+const TURN_PARTS: u32 = 64;
+
 /// An open connection that sends requests one after the other.
 pub type Connection = http1::SendRequest<Body>;
 
@@ -76,6 +83,8 @@
     driver: Option<Pin<Box<Driver>>>,
     /// Makes the next read ask the system.
     look: Arc<AtomicBool>,
+    /// Waits that ended since one had to wait.
+    turn_parts: u32,
 }
 
 impl std::fmt::Debug for OwnedConnection {
@@ -111,14 +120,28 @@
     }
 
     /// Waits for `work`, which needs bytes of this connection.
+    ///
+    /// A peer that always has bytes doesn't keep the event loop from other tasks, or from timers of
+    /// the same task.
     pub async fn wait<T>(&mut self, work: impl Future<Output = T>) -> T {
         let mut work = pin!(work);
         poll_fn(|cx| {
-            if let Poll::Ready(output) = work.as_mut().poll(cx) {
-                return Poll::Ready(output);
+            if self.turn_parts >= TURN_PARTS {
+                self.turn_parts = 0;
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
+            }
+            let mut polled = work.as_mut().poll(cx);
+            if polled.is_pending() {
+                self.poll_driver(cx);
+                polled = work.as_mut().poll(cx);
             }
-            self.poll_driver(cx);
-            work.as_mut().poll(cx)
+            self.turn_parts = if polled.is_ready() {
+                self.turn_parts + 1
+            } else {
+                0
+            };
+            polled
         })
         .await
     }
@@ -163,6 +186,7 @@
         sender,
         driver: Some(Box::pin(driver)),
         look,
+        turn_parts: 0,
     })
 }
 
@@ -178,7 +202,9 @@
     };
     let stream = stream.context(RefusedSnafu { peer })?;
     let stream = stream.with_short_reads().with_look_flag(look);
-    http1::handshake(stream)
+    http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(stream)
         .await
         .context(HandshakeSnafu { peer })
 }
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -24,6 +24,9 @@
 
 /// Maximum bytes read from a socket at once.
 const READ_BYTES: usize = 16 * 1024;
+/// Bytes read from a socket after which its task leaves a turn to the others. A parser reads for as
+/// long as there are bytes, and a peer may send them without end.
+const TURN_BYTES: usize = 2 * READ_BYTES;
 
 thread_local! {
     /// Buffer that all reads on the event loop's thread share.
@@ -44,6 +47,8 @@
     ended: Option<Rc<Cell<bool>>>,
     /// Set when the next read must not rely on what the event loop has reported.
     look: Option<Arc<AtomicBool>>,
+    /// Bytes read since a read last had to wait.
+    turn_bytes: usize,
 }
 
 impl SocketStream {
@@ -62,6 +67,7 @@
             prefix: Vec::new(),
             ended: None,
             look: None,
+            turn_bytes: 0,
         })
     }
 
@@ -93,6 +99,7 @@
             prefix: Vec::new(),
             ended: None,
             look: None,
+            turn_bytes: 0,
         })
     }
 
@@ -207,9 +214,17 @@
         {
             self.readable = true;
         }
+        if self.turn_bytes >= TURN_BYTES {
+            self.turn_bytes = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         loop {
             if !self.readable {
-                std::task::ready!(self.socket.poll_read_ready(cx))?;
+                if self.socket.poll_read_ready(cx)?.is_pending() {
+                    self.turn_bytes = 0;
+                    return Poll::Pending;
+                }
                 self.readable = true;
             }
             match read_available(&self.socket, &mut buf) {
@@ -218,6 +233,7 @@
                 Err(error) => return Poll::Ready(Err(error)),
                 Ok((count, full)) => {
                     self.readable = full || !self.short_reads;
+                    self.turn_bytes += count;
                     if count == 0
                         && let Some(ended) = &self.ended
                     {
