net: collect bodies into memory that depends on their bytes alone

A peer that sends each byte in a chunk of its own makes each cost a handle of 32 bytes besides its share of a read buffer, so 8 MiB allowed took over 256 MiB, more than the smallest hosts have.

body::collect joins the pieces, and keeps a body of one piece without a copy. A response over the limit has a log line now, as an event over the limit has.

No test fails for the memory itself; collect_joins_tiny_chunks shows the limit on pieces of one byte.

--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -8,13 +8,14 @@
 use hibiscusrail_fleet::objects::{Deployment, EngineFacts, Repeat, Route, without_port};
 use hibiscusrail_fleet::placement::name_hash;
 use hibiscusrail_fleet::{Event, Fleet, Submission, event};
+use hibiscusrail_net::body::{CollectError, collect};
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::triage::Admitted;
 use hibiscusrail_net::{Body, full};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body::Body as _;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::answer::{self, RequestTracker};
@@ -142,12 +143,9 @@
         }
         admitted = true;
     }
-    let body = match Limited::new(body, routed.max_body).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            let refusal = body_error(error.as_ref());
-            return close_after(refuse(shell, &parts, &refusal));
-        }
+    let body = match collect(body, routed.max_body).await {
+        Ok(body) => body,
+        Err(error) => return close_after(refuse(shell, &parts, &body_error(&error))),
     };
     submit(shell, started, &parts, body, (routed, admitted)).await
 }
@@ -196,17 +194,16 @@
     response
 }
 
-fn body_error(error: &(dyn std::error::Error + 'static)) -> Refusal {
-    if error.is::<LengthLimitError>() {
-        Refusal {
+fn body_error(error: &CollectError) -> Refusal {
+    match error {
+        CollectError::TooLarge { .. } => Refusal {
             status: StatusCode::PAYLOAD_TOO_LARGE,
             reason: "the body is too large",
-        }
-    } else {
-        Refusal {
+        },
+        CollectError::Broken { .. } => Refusal {
             status: StatusCode::BAD_REQUEST,
             reason: "the body broke off",
-        }
+        },
     }
 }
 
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -9,10 +9,10 @@
 use hibiscusrail_fleet::Event;
 use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
+use hibiscusrail_net::body::{CollectError, collect};
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::{connect_owned, empty, json};
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
@@ -62,7 +62,7 @@
         /// Address of the router.
         peer: SocketAddr,
         /// Error of reading the body.
-        source: Box<dyn std::error::Error + Send + Sync>,
+        source: CollectError,
     },
     /// The response is not a valid state.
     #[snafu(display("invalid state of {peer}: {source}"))]
@@ -161,8 +161,7 @@
     request.headers_mut().insert(header::HOST, host);
     let response = connection.send(request).await;
     let body = response.context(CallSnafu { peer })?.into_body();
-    let reading = Limited::new(body, MAX_STATE_BYTES).collect();
-    let body = connection.wait(reading).await;
-    let bytes = body.context(BodySnafu { peer })?.to_bytes();
+    let reading = collect(body, MAX_STATE_BYTES);
+    let bytes = connection.wait(reading).await.context(BodySnafu { peer })?;
     serde_json::from_slice(&bytes).context(DecodeSnafu { peer })
 }
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -12,10 +12,11 @@
 use futures_util::FutureExt;
 use futures_util::future::{Either, LocalBoxFuture, select};
 use hibiscusrail_fleet::{Event, Fleet, Outcome, RequestKey};
+use hibiscusrail_net::body::{CollectError, collect};
 use hibiscusrail_net::sse::Splitter;
 use hibiscusrail_net::{Body, OwnedConnection, connect_owned, headers};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::outgoing::Outgoing;
@@ -557,12 +558,15 @@
     response: Response<Incoming>,
 ) -> Result<Reply, Interruption> {
     let (parts, body) = response.into_parts();
-    let collecting = connection.wait(Limited::new(body, MAX_FULL_BYTES).collect());
+    let collecting = connection.wait(collect(body, MAX_FULL_BYTES));
     let patience = Patience::new(plan, resume);
     let collected = match patience.wait(shell, Duration::ZERO, collecting).await? {
-        Ok(collected) => collected.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => return Err(Outcome::Invalid.into()),
-        Err(_) => return Err(Outcome::Broken.into()),
+        Ok(collected) => collected,
+        Err(CollectError::TooLarge { limit }) => {
+            log::warn!(step = "body", peer:% = target.address, limit = limit; "body_too_large");
+            return Err(Outcome::Invalid.into());
+        }
+        Err(CollectError::Broken { .. }) => return Err(Outcome::Broken.into()),
     };
     return_to_pool(shell, target.address, connection);
     let response = FullResponse {
--- a/crates/net/tests/turns.rs
+++ b/crates/net/tests/turns.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::poll;
+use hibiscusrail_net::body::{self, CollectError};
 use hibiscusrail_net::event_loop::spawn;
 use hibiscusrail_net::socket::SocketStream;
 use hibiscusrail_net::{EventLoop, OwnedConnection, connect_owned, empty};
@@ -248,3 +249,19 @@
         });
     }
 }
+
+/// Guards against memory that grows by far more than a body's bytes, which may come one by one.
+#[test]
+fn collect_joins_tiny_chunks() {
+    run(async {
+        let peer = Peer::start(HEAD, b"1\r\nx\r\n");
+        let mut connection = peer.connect().await;
+        let response = peer.call(&mut connection, std::future::ready).await;
+        let incoming = response.expect("the head is complete").into_body();
+        let collected = connection.wait(body::collect(incoming, 50_000)).await;
+        assert!(matches!(
+            collected,
+            Err(CollectError::TooLarge { limit: 50_000 })
+        ));
+    });
+}
