--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -294,8 +294,9 @@
             interruption = match reply {
                 Ok(Reply::Stream(open)) => {
                     self.shell.handle(Event::FirstByte(self.tracker.key()));
-                    self.stream = Some(open.stream);
-                    self.first = Some(open.first);
+                    let OpenStream { first, stream, .. } = *open;
+                    self.stream = Some(stream);
+                    self.first = Some(first);
                     return true;
                 }
                 Ok(Reply::Full(_)) => Outcome::Failed.into(),
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -476,7 +476,7 @@
                 let mut response = Response::new(full(Bytes::new()));
                 *response.status_mut() = open.status;
                 response.headers_mut().clone_from(&open.headers);
-                *response.body_mut() = answer::relay_body(shell, plan, tracker, open);
+                *response.body_mut() = answer::relay_body(shell, plan, tracker, *open);
                 return response;
             }
             Err(interruption) => interruption,
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -113,7 +113,7 @@
     /// A complete non-streaming response.
     Full(FullResponse),
     /// A stream that has begun.
-    Stream(OpenStream),
+    Stream(Box<OpenStream>),
 }
 
 /// Why an attempt has no response for the caller.
@@ -627,12 +627,12 @@
         // A stream without any event counts as broken.
         StreamItem::End => return Err(Outcome::Broken.into()),
     };
-    Ok(Reply::Stream(OpenStream {
+    Ok(Reply::Stream(Box::new(OpenStream {
         status: parts.status,
         headers: caller_headers(&parts.headers),
         first,
         stream,
-    }))
+    })))
 }
 
 impl EventStream {
