fleet, front: leave reading to others only while their state arrives

Cause: a router counted as readers of the store every router of its zone whose reports told that the store had answered it, and fetched newer state only from addresses in its own copy of the routers' table, which it reads every 15 s. It counted on two routers from which it would not fetch. Nothing told it that its configuration had grown old: the report had one time for both tables, and only the server list had an age.

Ruled out: late reports and a slow store. In the record the new routers act by the change at once, and the third one's reads of the routers' table fit the end.

Now - one condition (Fleet::is_source: listed by the routers' table, of this zone) decides both who counts as a reader and from whom state is fetched; - a reader counts by its own reads of both tables (read_age in reports), so one whose calls for the configuration hang does not count; - the configuration has an age, confirmed by the store, by fetched state or by reports. A router asks the store itself once its configuration may be too old, or once it has lacked for 400 ms what others report, whatever keeps the state from it: an unlisted sender, a port that is cut one way, an answer without news, readers that have fallen silent.

config_read tells why a router reads, orders_in_force tells the age of a new configuration and who gave it, hibiscusrail_config_age_seconds its age.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -314,6 +314,8 @@
     StoreAnswered,
     /// A call to the store failed.
     StoreFailed,
+    /// The store confirmed an operator configuration, which is still to be applied if it is new.
+    ConfigConfirmed(Confirmation),
     /// The store confirmed a server list, which is still to be applied if it is new.
     ServersConfirmed(Confirmation),
     /// The server registrations have not changed since they were last read.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -51,6 +51,8 @@
 const ASK_TIME: Duration = Duration::from_millis(150);
 /// Range of the further time by which routers ask earlier than others.
 const ASK_JITTER: Duration = Duration::from_millis(200);
+/// Time in which a router gets what another one reports that it has, before it asks the store itself.
+const CATCH_UP_TIME: Duration = Duration::from_millis(400);
 /// Number of steps in that range.
 const ASK_STEPS: u32 = 16;
 /// Number of reports that repeat a placement; it is unlikely that all of them are lost.
@@ -155,7 +157,9 @@
     kept_evacuations: BTreeMap<String, Instant>,
     registry: Registry,
     versions: Versions,
+    /// Freshness of the server list.
     freshness: Freshness,
+    config_freshness: Freshness,
     requests: BTreeMap<RequestKey, Request>,
     quota: Quota,
     retry_windows: BTreeMap<String, RetryWindow>,
@@ -214,6 +218,7 @@
             registry: Registry::default(),
             versions: Versions::new(now),
             freshness: Freshness::default(),
+            config_freshness: Freshness::default(),
             requests: BTreeMap::new(),
             quota: Quota::new(params.quota_window),
             retry_windows: BTreeMap::new(),
@@ -258,15 +263,37 @@
         &self.freshness
     }
 
+    /// Returns when the store last confirmed the operator configuration, as far as this router knows.
+    #[must_use]
+    pub fn config_freshness(&self) -> &Freshness {
+        &self.config_freshness
+    }
+
     /// Returns whether this router should ask the store for the servers itself, whoever reads for
     /// its zone, since its list is old.
     #[must_use]
     pub fn list_is_due(&self, now: Instant) -> bool {
+        let due = self.ask_age(self.params.max_list_age());
+        self.freshness.age(now).is_none_or(|age| age >= due)
+    }
+
+    /// Returns whether this router should ask the store for the operator configuration itself,
+    /// whoever reads for its zone: its own is old, or it has not got in time what others have.
+    ///
+    /// This holds for whatever keeps a reader's state from this router.
+    #[must_use]
+    pub fn config_is_due(&self, now: Instant) -> bool {
+        let due = self.ask_age(self.params.max_config_age());
+        let fresh = &self.config_freshness;
+        fresh.age(now).is_none_or(|age| age >= due) || fresh.behind_for(now) >= CATCH_UP_TIME
+    }
+
+    /// Returns the age at which this router asks the store for a table that may be `max_age` old.
+    fn ask_age(&self, max_age: Duration) -> Duration {
         // Routers of a zone reach the age together; the answer to the first of them, which its next
         // report tells, serves the others.
         let jitter = ASK_JITTER * (self.own_hash.0 % ASK_STEPS) / ASK_STEPS;
-        let due = self.params.max_list_age().saturating_sub(ASK_TIME + jitter);
-        self.freshness.age(now).is_none_or(|age| age >= due)
+        max_age.saturating_sub(ASK_TIME + jitter)
     }
 
     /// Returns the time until the server list reaches its greatest age, unless it is confirmed.
@@ -366,17 +393,39 @@
     /// a router that the store no longer answers.
     #[must_use]
     pub fn reads_store(&self, now: Instant) -> bool {
-        if self.config.deployment.is_none() {
-            return true;
-        }
+        self.config.deployment.is_none() || self.readers(now) < ZONE_WATCHERS
+    }
+
+    /// Returns the number of routers that read from the store for this one: they rank higher, and it
+    /// fetches from them.
+    #[must_use]
+    pub fn readers(&self, now: Instant) -> usize {
         let zone = name_hash(&self.params.zone);
         let weight = |router: u32| placement::weight(u64::from(zone), router);
         let own = weight(self.own_hash.0);
         let Some(since) = now.checked_sub(self.params.store_ttl) else {
-            return true;
+            return 0;
         };
-        let ranks_higher = |router: u32| weight(router) > own;
-        self.peers.watchers(zone, since, ranks_higher) < ZONE_WATCHERS
+        let is_reader = |router: u32| self.is_source(router) && weight(router) > own;
+        self.peers.watchers(zone, since, is_reader)
+    }
+
+    /// Returns whether this router fetches newer state from another one: a router of its zone that
+    /// the store's table lists.
+    #[must_use]
+    pub fn is_source(&self, router: u32) -> bool {
+        let zone = name_hash(&self.params.zone);
+        self.members.is_listed(router) && self.peers.zone(router) == Some(zone)
+    }
+
+    /// Returns since when the store has answered this router's reads of both the operator
+    /// configuration and the servers; none before that.
+    fn read_at(&self) -> Option<Instant> {
+        let read = [&self.config_freshness, &self.freshness].map(Freshness::read_at);
+        let [Some(config), Some(servers)] = read else {
+            return None;
+        };
+        Some(config.min(servers))
     }
 
     /// Returns whether the last call to the store failed.
@@ -427,7 +476,8 @@
             Event::ServerThrottled(server, pause) => self.server_throttled(now, server, pause),
             Event::Config(revision, config) => self.apply_config(now, revision, config),
             Event::Servers(revision, servers) => self.apply_servers(now, revision, &servers),
-            Event::ServersConfirmed(confirmation) => self.confirm_servers(confirmation),
+            Event::ConfigConfirmed(confirmation) => self.confirm_config(now, confirmation),
+            Event::ServersConfirmed(confirmation) => self.confirm_servers(now, confirmation),
             Event::StoreAnswered => self.store_answered(now),
             Event::StoreFailed => {
                 self.store_failed_at.get_or_insert(now);
@@ -531,6 +581,10 @@
             cleared_requests: hashes(cleared_requests),
             store_age: to_millis(store_age),
             list_age: self.freshness.age(now).map(to_millis),
+            config_age: self.config_freshness.age(now).map(to_millis),
+            read_age: self
+                .read_at()
+                .map(|at| to_millis(now.saturating_duration_since(at))),
             placed,
             ..self.new_report()
         }
@@ -974,12 +1028,18 @@
         config
             .evacuated
             .extend(self.kept_evacuations.keys().cloned());
+        self.config_freshness.applied(now, revision);
+        let confirmed = self.config_freshness.own();
         let detail = format!(
-            "revision={} version={} was={} evacuated={}",
+            "revision={} version={} was={} evacuated={}{}",
             revision.0,
             version(&config),
             version(&self.config),
             config.evacuated.len(),
+            confirmed.map_or_else(String::new, |c| {
+                let age = now.saturating_duration_since(c.at);
+                format!(" age_ms={} source={}", age.as_millis(), c.source)
+            }),
         );
         self.config_revision = revision;
         // An unreadable configuration does not replace the one in force.
@@ -1030,7 +1090,7 @@
         }
         let backends = self.registry.all().map(|s| &s.backend);
         self.versions.observe(now, backends);
-        self.freshness.list_applied(revision);
+        self.freshness.applied(now, revision);
         let detail = format!("revision={}{}", revision.0, self.age_detail(now));
         for id in changes.draining.iter().chain(&changes.removed) {
             self.departures.record(now, name_hash(id));
@@ -1057,9 +1117,14 @@
         age.map_or_else(String::new, |age| format!(" age_ms={}", age.as_millis()))
     }
 
-    fn confirm_servers(&mut self, confirmation: Confirmation) {
+    fn confirm_config(&mut self, now: Instant, confirmation: Confirmation) {
+        let own = self.config_revision;
+        self.config_freshness.confirm(now, own, confirmation);
+    }
+
+    fn confirm_servers(&mut self, now: Instant, confirmation: Confirmation) {
         let own = self.registry.revision();
-        self.freshness.confirm(own, confirmation);
+        self.freshness.confirm(now, own, confirmation);
     }
 
     /// Records that the store answered this router.
@@ -1148,17 +1213,20 @@
         }
     }
 
-    /// Records how old the sender's server list is, according to a report.
+    /// Records how old the sender's tables are, according to a report.
     fn confirm_by_report(&mut self, now: Instant, report: &Report) {
-        let at = report
-            .list_age
-            .and_then(|age| now.checked_sub(Duration::from_millis(age)));
-        if let Some(at) = at {
-            self.confirm_servers(Confirmation {
-                revision: Revision(report.servers),
-                at,
+        let confirmation = |revision, age: Option<u64>| {
+            Some(Confirmation {
+                revision: Revision(revision),
+                at: now.checked_sub(Duration::from_millis(age?))?,
                 source: Source::Router(report.sender),
-            });
+            })
+        };
+        if let Some(confirmation) = confirmation(report.orders, report.config_age) {
+            self.confirm_config(now, confirmation);
+        }
+        if let Some(confirmation) = confirmation(report.servers, report.list_age) {
+            self.confirm_servers(now, confirmation);
         }
     }
 
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -1,7 +1,8 @@
-//! When the store last confirmed the server list, as far as this router knows.
+//! When the store last confirmed a table (the operator configuration, or the server list), as far
+//! as this router knows.
 //!
-//! A revision says which list a router has, not how old the knowledge is that no newer one exists.
-//! All times are conservative: what arrives late makes the list older, never younger.
+//! A revision says which content a router has, not how old the knowledge is that no newer one exists.
+//! All times are conservative: what arrives late makes the table older, never younger.
 
 use std::fmt;
 use std::time::{Duration, Instant};
@@ -10,7 +11,7 @@
 
 use crate::objects::Revision;
 
-/// Who told this router that the store confirmed a server list.
+/// Who told this router that the store confirmed a table.
 #[id]
 pub enum Source {
     /// The store, in an answer to this router.
@@ -28,34 +29,53 @@
     }
 }
 
-/// Answer of the store that a server list was its newest.
+/// Answer of the store that a revision of a table was its newest.
 #[value]
 pub struct Confirmation {
-    /// Revision of the list.
+    /// Revision of the table.
     pub revision: Revision,
-    /// Time at which the list was the newest, or earlier.
+    /// Time at which the revision was the newest, or earlier.
     pub at: Instant,
     /// Who told this router.
     pub source: Source,
 }
 
-/// Freshness of this router's server list.
+/// A newer revision, and when this router first heard of it.
+#[value]
+struct Missing {
+    revision: Revision,
+    since: Instant,
+}
+
+/// Freshness of this router's copy of a table.
 #[derive(Debug, Default)]
 pub struct Freshness {
-    /// Newest confirmation that holds for the list, of its revision or an older one.
+    /// Newest confirmation that holds for the copy, of its revision or an older one.
     own: Option<Confirmation>,
-    /// Newest confirmation of a list that this router does not have yet.
+    /// Newest confirmation of a revision that this router does not have yet.
     newer: Option<Confirmation>,
+    /// Oldest revision that this router has heard of and does not have yet.
+    missing: Option<Missing>,
+    /// When the store itself last confirmed the table to this router.
+    read_at: Option<Instant>,
 }
 
 impl Freshness {
-    /// Records a confirmation, while this router has the list of revision `own`.
+    /// Records a confirmation that arrived at `now`, while this router has the revision `own`.
     ///
-    /// One of an older list holds for a newer list too, which was made after it.
-    pub fn confirm(&mut self, own: Revision, confirmation: Confirmation) {
+    /// One of an older revision holds for a newer one too, which was made after it.
+    pub fn confirm(&mut self, now: Instant, own: Revision, confirmation: Confirmation) {
+        if confirmation.source == Source::Store {
+            self.read_at = Some(now);
+            // A newer revision would be in the answer.
+            self.missing = None;
+        }
         let known = if confirmation.revision <= own {
             &mut self.own
         } else {
+            let revision = confirmation.revision;
+            let since = now;
+            self.missing.get_or_insert(Missing { revision, since });
             &mut self.newer
         };
         if known.is_none_or(|k| confirmation.at > k.at) {
@@ -63,26 +83,50 @@
         }
     }
 
-    /// Records that this router now has the list of revision `own`.
-    pub fn list_applied(&mut self, own: Revision) {
-        if let Some(newer) = self.newer.take_if(|n| n.revision <= own) {
-            self.confirm(own, newer);
+    /// Records that this router has the revision `own` from `now` on.
+    pub fn applied(&mut self, now: Instant, own: Revision) {
+        if let Some(newer) = self.newer.take_if(|n| n.revision <= own)
+            && self.own.is_none_or(|k| newer.at > k.at)
+        {
+            self.own = Some(newer);
+        }
+        if self.missing.is_some_and(|m| m.revision <= own) {
+            let since = now;
+            self.missing = self.newer.map(|n| Missing {
+                revision: n.revision,
+                since,
+            });
         }
     }
 
-    /// Returns the newest confirmation that holds for this router's list; none before the first.
+    /// Returns for how long this router has known of a revision that it does not have; zero if it has
+    /// all that it knows of.
+    #[must_use]
+    pub fn behind_for(&self, now: Instant) -> Duration {
+        let missing = self.missing;
+        missing.map_or(Duration::ZERO, |m| now.saturating_duration_since(m.since))
+    }
+
+    /// Returns when the store itself last confirmed the table to this router; none before the first
+    /// time.
+    #[must_use]
+    pub fn read_at(&self) -> Option<Instant> {
+        self.read_at
+    }
+
+    /// Returns the newest confirmation that holds for this router's copy; none before the first.
     #[must_use]
     pub fn own(&self) -> Option<Confirmation> {
         self.own
     }
 
-    /// Returns the newest confirmation of a list that this router does not have yet.
+    /// Returns the newest confirmation of a revision that this router does not have yet.
     #[must_use]
     pub fn newer(&self) -> Option<Confirmation> {
         self.newer
     }
 
-    /// Returns the time since the list was last confirmed; none before the first time.
+    /// Returns the time since the copy was last confirmed; none before the first time.
     #[must_use]
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.own.map(|c| now.saturating_duration_since(c.at))
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -51,6 +51,12 @@
         self.all.binary_search(&router).is_ok()
     }
 
+    /// Returns whether the table of routers lists a router, as last read.
+    #[must_use]
+    pub fn is_listed(&self, router: u32) -> bool {
+        self.listed.binary_search(&router).is_ok()
+    }
+
     /// Returns whether the table of routers has been read.
     #[must_use]
     pub fn is_read(&self) -> bool {
--- a/crates/fleet/src/params.rs
+++ b/crates/fleet/src/params.rs
@@ -4,6 +4,10 @@
 
 use crate::retry::RetryBound;
 
+/// Time from the last look at a table to the request's bytes at the server: a turn of the event loop
+/// of a flooded router.
+const SEND_TIME: Duration = Duration::from_millis(500);
+
 /// Limits, rates and timeouts used by the router's decisions.
 #[hibiscusrail_macros::record]
 pub struct Params {
@@ -16,6 +20,9 @@
     /// Time after a server's departure from which no request may reach it; from the deployment's
     /// bounds.
     pub drain_bound: Duration,
+    /// Time after a change of the configuration from which all requests are handled by it; from the
+    /// deployment's bounds.
+    pub config_bound: Duration,
     /// Window over which shares of throughput are computed; from the deployment's bounds.
     pub quota_window: Duration,
     /// Limit on retries; from the deployment's bounds.
@@ -50,12 +57,15 @@
     /// Returns the age from which a server list doesn't decide alone where requests may go.
     #[must_use]
     pub fn max_list_age(&self) -> Duration {
-        /// Time from the last look at the list to the request's bytes at the server: a turn of the
-        /// event loop of a flooded router.
-        const SEND_TIME: Duration = Duration::from_millis(500);
         self.drain_bound.saturating_sub(SEND_TIME)
     }
 
+    /// Returns the age from which a configuration may be too old to handle requests by it.
+    #[must_use]
+    pub fn max_config_age(&self) -> Duration {
+        self.config_bound.saturating_sub(SEND_TIME)
+    }
+
     /// Returns the data sheet's time per output token with `running` requests, given the fraction
     /// of time spent on prefill.
     #[must_use]
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -146,6 +146,14 @@
     /// Fingerprints of requests that were suspected and that the sender saw answered.
     #[prost(fixed64, repeated, tag = "17")]
     pub cleared_requests: Vec<u64>,
+    /// Milliseconds since the store confirmed the sender's operator configuration, as far as it knows;
+    /// none if it does not.
+    #[prost(uint64, optional, tag = "18")]
+    pub config_age: Option<u64>,
+    /// Milliseconds since the store had answered the sender's own reads of both the operator
+    /// configuration and the servers; none unless it goes on to read them for its zone.
+    #[prost(uint64, optional, tag = "19")]
+    pub read_age: Option<u64>,
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
@@ -161,6 +169,9 @@
     zone: u32,
     /// When the store last answered the router.
     store_answered_at: Option<Instant>,
+    /// When the store had answered the router's reads of both the configuration and the servers; none
+    /// if the router does not read them.
+    read_at: Option<Instant>,
     /// Load at servers by the hash of their id.
     pub loads: BTreeMap<u32, Load>,
     totals: BTreeMap<u64, Total>,
@@ -283,13 +294,14 @@
             .as_ref()
             .is_some_and(|s| s.incarnation == report.incarnation);
         // An incremental report does not say when the store last answered.
-        let store_answered_at = if report.incremental {
+        let (store_answered_at, read_at) = if report.incremental {
             previous_state
                 .as_ref()
                 .filter(|_| same_incarnation)
-                .and_then(|s| s.store_answered_at)
+                .map_or((None, None), |s| (s.store_answered_at, s.read_at))
         } else {
-            now.checked_sub(Duration::from_millis(report.store_age))
+            let before = |age| now.checked_sub(Duration::from_millis(age));
+            (before(report.store_age), report.read_age.and_then(before))
         };
         let (mut old_loads, mut totals, mut counts) = previous_state
             .map(|s| (s.loads, s.totals, s.sent))
@@ -335,6 +347,7 @@
                 incarnation: report.incarnation,
                 zone: report.zone,
                 store_answered_at,
+                read_at,
                 sequence: report.sequence,
                 loads: all_loads,
                 totals,
@@ -398,15 +411,22 @@
             && current.all(|s| s.store_answered_at.is_none_or(|at| at < answered))
     }
 
-    /// Counts the routers of a zone accepted by `is_ahead` that the store answered since `since`.
+    /// Counts the routers of a zone accepted by `is_ahead` that have read the store's tables since
+    /// `since`.
     pub fn watchers(&self, zone: u32, since: Instant, is_ahead: impl Fn(u32) -> bool) -> usize {
         let states = self.states.iter();
         states
             .filter(|(router, state)| {
                 state.zone == zone
                     && is_ahead(router.0)
-                    && state.store_answered_at.is_some_and(|at| at >= since)
+                    && state.read_at.is_some_and(|at| at >= since)
             })
             .count()
     }
+
+    /// Returns the hash of the zone that a router reports; none before its first report.
+    #[must_use]
+    pub fn zone(&self, router: u32) -> Option<u32> {
+        self.states.get(&RouterHash(router)).map(|s| s.zone)
+    }
 }
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod engines;
 mod flooded_router;
 mod flooded_zone;
+mod followers;
 mod freshness;
 mod incremental_reports;
 mod kv_transfers;
--- a/crates/fleet/tests/all/reports.rs
+++ b/crates/fleet/tests/all/reports.rs
@@ -78,7 +78,7 @@
     }
 }
 
-/// Returns routers of one zone that have received each other's reports at `now`, given the
+/// Returns routers of one zone that know and have received each other's reports at `now`, given the
 /// milliseconds since the store last answered each.
 fn zone(ages: &[u64], now: Instant) -> Vec<Fleet> {
     let mut routers: Vec<Fleet> = (0..ages.len())
@@ -90,10 +90,13 @@
         .map(|(fleet, age)| {
             let mut report = fleet.report(now, Scope::All);
             report.store_age = *age;
+            report.read_age = Some(*age);
             report
         })
         .collect();
+    let names: Vec<String> = (0..ages.len()).map(|n| format!("r{n}")).collect();
     for fleet in &mut routers {
+        fleet.handle(now, Event::Members(names.clone()));
         for report in &reports {
             fleet.handle(now, Event::Report(report.clone()));
         }
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -64,6 +64,7 @@
     revision: IntGauge,
     loop_lag: Gauge,
     list_age: Histogram,
+    config_age: Gauge,
     work: WorkMetrics,
 }
 
@@ -158,6 +159,15 @@
     collector
 }
 
+fn list_age_histogram(r: &Registry) -> Histogram {
+    let options = HistogramOpts::new(
+        "hibiscusrail_server_list_age_seconds",
+        "Age of the server list by which a request was placed.",
+    );
+    let histogram = Histogram::with_opts(options.buckets(LATENCY_BUCKETS.to_vec()));
+    register(r, histogram.expect("the name is valid"))
+}
+
 impl Metrics {
     /// Creates all metrics at zero.
     ///
@@ -251,17 +261,12 @@
             ),
             work: WorkMetrics::new(&r),
             refusals: RefCell::default(),
-            list_age: register(
+            config_age: seconds_gauge(
                 &r,
-                Histogram::with_opts(
-                    HistogramOpts::new(
-                        "hibiscusrail_server_list_age_seconds",
-                        "Age of the server list by which a request was placed.",
-                    )
-                    .buckets(LATENCY_BUCKETS.to_vec()),
-                )
-                .expect("the name is valid"),
+                "hibiscusrail_config_age_seconds",
+                "Time since the store confirmed the operator configuration in force.",
             ),
+            list_age: list_age_histogram(&r),
             registry: r,
         }
     }
@@ -366,6 +371,11 @@
         self.loop_lag.set(lag.as_secs_f64());
     }
 
+    /// Sets the age of the operator configuration.
+    pub fn set_config_age(&self, age: Duration) {
+        self.config_age.set(age.as_secs_f64());
+    }
+
     /// Sets the counters of the event loop's work.
     pub fn set_work(&self, work: &Work) {
         self.work.set(work);
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -28,7 +28,6 @@
 const MAX_BATCH: usize = 64;
 /// Report periods between two reports of an idle router.
 const IDLE_REPORT_PERIODS: u32 = 4;
-
 /// Minimum interval of incremental reports, which bounds their number: a fraction of a prompt's
 /// prefill time.
 const INCREMENTAL_INTERVAL: Duration = Duration::from_millis(20);
@@ -93,14 +92,6 @@
         }
     }
 
-    /// Returns whether `address` belongs to a router of this zone.
-    fn is_in_zone(&self, address: SocketAddr) -> bool {
-        let locations = self.locations.borrow();
-        locations
-            .values()
-            .any(|p| p.address == address && p.zone == self.zone)
-    }
-
     /// Sends a report to the routers of this zone at once, because the store has newer revisions.
     pub fn send_zone_report(&self, shell: &Shell) {
         let now = shell.now();
@@ -198,21 +189,22 @@
     // It may have arrived at any time since the socket was last empty.
     let emptied_at = peers.emptied_at.get();
     let waited = emptied_at.map(|at| millis(now.saturating_duration_since(at)));
-    report.list_age = report
-        .list_age
-        .zip(waited)
-        .map(|(age, waited)| age.saturating_add(waited));
+    for age in [&mut report.list_age, &mut report.config_age] {
+        *age = age
+            .zip(waited)
+            .map(|(age, waited)| age.saturating_add(waited));
+    }
     let (config, servers) = (report.orders, report.servers);
-    let source = Source::Router(report.sender);
+    let sender = report.sender;
     shell.handle(Event::Report(report));
     let behind = shell.with_fleet(|f| {
-        let needs_peer = f.store_is_lost() || (!f.reads_store(now) && peers.is_in_zone(address));
+        let needs_peer = f.store_is_lost() || (!f.reads_store(now) && f.is_source(sender));
         needs_peer && (f.config_revision().0 < config || f.registry().revision().0 < servers)
     });
     if behind && !peers.fetching.replace(true) {
         let (shell, peers) = (Rc::clone(shell), Rc::clone(peers));
         event_loop::spawn(async move {
-            state::catch_up(&shell, address, source).await;
+            state::catch_up(&shell, address, Source::Router(sender)).await;
             peers.fetching.set(false);
         });
     }
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -204,6 +204,10 @@
         let running = shell.with_fleet(Fleet::requests);
         let revision = shell.with_fleet(|f| f.config_revision().0);
         shell.metrics().set_lag(shell.with_fleet(Fleet::loop_lag));
+        let config_age = shell.with_fleet(|f| f.config_freshness().age(shell.now()));
+        shell
+            .metrics()
+            .set_config_age(config_age.unwrap_or_default());
         shell
             .metrics()
             .set_connections(shell.connections().open_count());
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -37,6 +37,10 @@
     /// router of an older version.
     #[serde(default)]
     pub age: Option<u64>,
+    /// Milliseconds since the store confirmed the operator configuration, as far as the sender knows;
+    /// none from a router of an older version.
+    #[serde(default)]
+    pub config_age: Option<u64>,
 }
 
 /// Why the state of a router could not be fetched.
@@ -113,6 +117,7 @@
         State {
             orders: (newest.0 > config).then(|| (newest.0, f.config().clone())),
             age: f.freshness().age(shell.now()).map(millis),
+            config_age: f.config_freshness().age(shell.now()).map(millis),
             servers: (newest.1 > servers).then(|| (newest.1, f.registry().entries(shell.now()))),
         }
     })
@@ -123,19 +128,26 @@
     let asked = shell.now();
     match hibiscusrail_net::timeout(REQUEST_TIMEOUT, fetch(shell, peer)).await {
         Ok(Ok(state)) => {
+            let confirmation = |revision, age: Option<u64>| {
+                Some(Confirmation {
+                    revision,
+                    at: asked.checked_sub(Duration::from_millis(age?))?,
+                    source,
+                })
+            };
             if let Some((revision, config)) = state.orders {
-                log::info!(peer:% = peer, orders = revision.0; "state_taken_over");
+                let age = state.config_age;
+                log::info!(peer:% = peer, orders = revision.0, age_ms = age; "state_taken_over");
+                if let Some(confirmation) = confirmation(revision, age) {
+                    shell.handle(Event::ConfigConfirmed(confirmation));
+                }
                 shell.handle(Event::Config(revision, config));
             }
             if let Some((revision, servers)) = state.servers {
-                log::info!(peer:% = peer, servers = revision.0; "state_taken_over");
-                let age = state.age.map(Duration::from_millis);
-                if let Some(at) = age.and_then(|age| asked.checked_sub(age)) {
-                    shell.handle(Event::ServersConfirmed(Confirmation {
-                        revision,
-                        at,
-                        source,
-                    }));
+                let age = state.age;
+                log::info!(peer:% = peer, servers = revision.0, age_ms = age; "state_taken_over");
+                if let Some(confirmation) = confirmation(revision, age) {
+                    shell.handle(Event::ServersConfirmed(confirmation));
                 }
                 shell.handle(Event::Servers(revision, servers));
             }
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -167,25 +167,79 @@
     }
 }
 
-/// Waits until this router should follow the store itself.
-async fn wait_until_watching(shell: &Shell) {
-    while !shell.with_fleet(|f| f.reads_store(shell.now())) {
+impl<T> TableRead<T> {
+    /// Returns the store's confirmation of the table, given when the call was sent and for how long
+    /// the store was to hold it.
+    fn confirmation(&self, sent: Instant, wait: Duration, now: Instant) -> Confirmation {
+        // The store answers a change at once, and without one after the wait.
+        let held = if self.value.is_some() {
+            Duration::ZERO
+        } else {
+            wait
+        };
+        Confirmation {
+            revision: self.revision,
+            at: (sent + held).min(now),
+            source: Source::Store,
+        }
+    }
+}
+
+/// Waits until this router should read the operator configuration itself; returns how long the store
+/// may hold the call.
+///
+/// A router that does not read for its zone has no time to wait: it lacks what others have, or does
+/// not know whether there is anything newer.
+async fn wait_until_config_due(shell: &Shell, reads: &mut bool) -> Duration {
+    loop {
+        let now = shell.now();
+        let (is_reader, is_due) = shell.with_fleet(|f| (f.reads_store(now), f.config_is_due(now)));
+        if std::mem::replace(reads, is_reader) != is_reader || (is_due && !is_reader) {
+            log_reading(shell, is_reader, is_due);
+        }
+        if is_reader {
+            return LONG_POLL;
+        }
+        if is_due {
+            return Duration::ZERO;
+        }
         compio::time::sleep(WATCH_CHECK_INTERVAL).await;
     }
 }
 
+/// Logs whether this router reads the operator configuration for its zone, or once for itself.
+fn log_reading(shell: &Shell, is_reader: bool, is_due: bool) {
+    let now = shell.now();
+    shell.with_fleet(|f| {
+        let fresh = f.config_freshness();
+        log::info!(
+            reader = is_reader,
+            due = is_due,
+            readers = f.readers(now),
+            revision = f.config_revision().0,
+            age_ms = fresh.age(now).map(millis),
+            behind_ms = millis(fresh.behind_for(now)),
+            source = fresh.own().map(|c| c.source.to_string());
+            "config_read"
+        );
+    });
+}
+
 /// Follows the operator configuration until the task is dropped.
 pub async fn follow_orders(shell: Rc<Shell>, store: Rc<impl Store>, peers: Rc<Peers>) {
     let mut link = StoreLink::new("orders");
+    let mut reads = false;
     loop {
-        wait_until_watching(&shell).await;
-        let call = store.orders(LONG_POLL);
-        let timeout = LONG_POLL + RESPONSE_TIMEOUT;
-        if let Some(table) = link.call(&shell, timeout, call).await
-            && let Some(config) = table.value
-        {
-            shell.handle(Event::Config(table.revision, config));
-            peers.send_zone_report(&shell);
+        let wait = wait_until_config_due(&shell, &mut reads).await;
+        let sent = shell.now();
+        let call = store.orders(wait);
+        if let Some(table) = link.call(&shell, wait + RESPONSE_TIMEOUT, call).await {
+            let confirmation = table.confirmation(sent, wait, shell.now());
+            shell.handle(Event::ConfigConfirmed(confirmation));
+            if let Some(config) = table.value {
+                shell.handle(Event::Config(table.revision, config));
+                peers.send_zone_report(&shell);
+            }
         }
     }
 }
@@ -218,17 +272,8 @@
         let sent = shell.now();
         let call = store.servers(wait);
         if let Some(table) = link.call(&shell, wait + RESPONSE_TIMEOUT, call).await {
-            // The store answers a change at once, and without one after the wait.
-            let held = if table.value.is_some() {
-                Duration::ZERO
-            } else {
-                wait
-            };
-            shell.handle(Event::ServersConfirmed(Confirmation {
-                revision: table.revision,
-                at: (sent + held).min(shell.now()),
-                source: Source::Store,
-            }));
+            let confirmation = table.confirmation(sent, wait, shell.now());
+            shell.handle(Event::ServersConfirmed(confirmation));
             if let Some(servers) = table.value {
                 shell.handle(Event::Servers(table.revision, servers));
                 peers.send_zone_report(&shell);
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -77,6 +77,7 @@
             | Event::StoreAnswered
             | Event::StoreFailed
             | Event::ServersUnchanged
+            | Event::ConfigConfirmed(_)
             | Event::ServersConfirmed(_)
             | Event::Members(_)
             | Event::Versions(..)
--- /dev/null
+++ b/crates/front/tests/all/followers.rs
@@ -0,0 +1,156 @@
+//! Routers that leave reading the configuration to others, and get nothing from them.
+
+use std::cell::Cell;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::Event;
+use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
+use hibiscusrail_fleet::peers::Report;
+use hibiscusrail_fleet::placement::{name_hash, weight};
+use hibiscusrail_fleet::versions::VersionSet;
+use hibiscusrail_front::origins::Origin;
+use hibiscusrail_front::peers::{self, Peers};
+use hibiscusrail_front::watch::{self, Registration, Store, StoreError, TableRead};
+use prost::Message;
+
+use super::support::{Front, run, wait_until};
+
+/// Interval of the readers' reports.
+const REPORT_PERIOD: Duration = Duration::from_millis(50);
+
+/// A store whose configuration is changed by the test.
+struct Tables {
+    config: OperatorConfig,
+    revision: Cell<u64>,
+    /// Revision that the router has read.
+    read: Cell<u64>,
+}
+
+impl Store for Tables {
+    async fn orders(&self, wait: Duration) -> Result<TableRead<OperatorConfig>, StoreError> {
+        let until = Instant::now() + wait;
+        while self.read.get() == self.revision.get() && Instant::now() < until {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let revision = self.revision.get();
+        let is_new = self.read.replace(revision) != revision;
+        Ok(TableRead {
+            revision: Revision(revision),
+            value: is_new.then(|| self.config.clone()),
+        })
+    }
+
+    async fn servers(&self, _: Duration) -> Result<TableRead<Servers>, StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn routers(&self) -> Result<TableRead<Vec<Registration>>, StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn register(&self, _: &Registration) -> Result<(), StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn unregister(&self, _: &str) -> Result<(), StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn versions(&self) -> Result<Vec<VersionSet>, StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn save_versions(&self, _: &VersionSet) -> Result<(), StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn origin(&self, _: &str) -> Result<Option<Origin>, StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn record_origins(&self, _: &[(String, Origin)], _: &[String]) -> Result<(), StoreError> {
+        Err("not in this test".into())
+    }
+}
+
+/// Returns the names of two routers that read for router `r`, whose zone is `a`.
+fn reader_names() -> Vec<String> {
+    let rank = |name: &str| weight(u64::from(name_hash("a")), name_hash(name));
+    let names = (0..100).map(|n| format!("reader{n}"));
+    let names = names.filter(|name| rank(name) > rank("r"));
+    names.take(2).collect()
+}
+
+/// Sends the reports of a router that has read the store, and from which nothing can be fetched.
+fn spawn_reader(name: &str, to: SocketAddr, tables: &Rc<Tables>) {
+    let socket = UdpSocket::bind(("127.0.0.1", 0)).expect("loopback is up");
+    let (sender, tables) = (name_hash(name), Rc::clone(tables));
+    compio::runtime::spawn(async move {
+        for sequence in 1.. {
+            let report = Report {
+                sender,
+                incarnation: 1,
+                sequence,
+                orders: tables.revision.get(),
+                zone: name_hash("a"),
+                config_age: Some(0),
+                read_age: Some(0),
+                ..Report::default()
+            };
+            // The router's socket may be closed at the end of the test.
+            let _ = socket.send_to(&report.encode_to_vec(), to);
+            compio::time::sleep(REPORT_PERIOD).await;
+        }
+    })
+    .detach();
+}
+
+fn free_address() -> SocketAddr {
+    let socket = UdpSocket::bind(("127.0.0.1", 0)).expect("loopback is up");
+    socket.local_addr().expect("the socket is bound")
+}
+
+/// Guards against a configuration that a router acts by long after its change (CONFIG, review case
+/// 2), as it counted on readers that its table does not list or that can't be asked.
+#[test]
+fn follow_orders_without_state_of_readers() {
+    for listed in [false, true] {
+        run(async move {
+            let front = Front::start(&[]);
+            let config = front.shell.with_fleet(|f| f.config().clone());
+            let tables = Rc::new(Tables {
+                config,
+                revision: Cell::new(1),
+                read: Cell::new(1),
+            });
+            let names = reader_names();
+            if listed {
+                let all = names.iter().cloned().chain(["r".to_owned()]);
+                front.shell.handle(Event::Members(all.collect()));
+            }
+            let address = free_address();
+            let peers = Peers::new("r", "a", address).expect("the address is free");
+            let peers = Rc::new(peers);
+            let shell = Rc::clone(&front.shell);
+            let receiving = peers::receive_reports(Rc::clone(&shell), Rc::clone(&peers));
+            compio::runtime::spawn(async move {
+                receiving.await.expect("the socket works");
+            })
+            .detach();
+            for name in &names {
+                spawn_reader(name, address, &tables);
+            }
+            let count = if listed { 2 } else { 0 };
+            let known = || shell.with_fleet(|f| f.known_routers() == 3);
+            wait_until(known).await;
+            wait_until(|| shell.with_fleet(|f| f.readers(Instant::now())) == count).await;
+            let following = watch::follow_orders(Rc::clone(&shell), Rc::clone(&tables), peers);
+            compio::runtime::spawn(following).detach();
+            compio::time::sleep(REPORT_PERIOD * 4).await;
+            tables.revision.set(2);
+            wait_until(|| shell.with_fleet(|f| f.config_revision() == Revision(2))).await;
+        });
+    }
+}
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod config_changes;
 mod fingerprint;
+mod followers;
 mod metrics;
 mod notices;
 mod overload;
