fleet, front: take over from readers that are about to stop

A stopping router reports that it no longer reads for its zone. Others take its place at once, while it still reads.

Before: readers_about_to_stop_are_replaced_before_their_end fails, nobody reads in their place after two reports. After: it passes.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -316,6 +316,8 @@
     StoreFailed,
     /// The store confirmed an operator configuration, which is still to be applied if it is new.
     ConfigConfirmed(Confirmation),
+    /// This router stops soon, and no longer reads the store for its zone.
+    Stopping,
     /// The store confirmed a server list, which is still to be applied if it is new.
     ServersConfirmed(Confirmation),
     /// The server registrations have not changed since they were last read.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -160,6 +160,8 @@
     /// Freshness of the server list.
     freshness: Freshness,
     config_freshness: Freshness,
+    /// Whether this router stops soon.
+    stopping: bool,
     requests: BTreeMap<RequestKey, Request>,
     quota: Quota,
     retry_windows: BTreeMap<String, RetryWindow>,
@@ -219,6 +221,7 @@
             versions: Versions::new(now),
             freshness: Freshness::default(),
             config_freshness: Freshness::default(),
+            stopping: false,
             requests: BTreeMap::new(),
             quota: Quota::new(params.quota_window),
             retry_windows: BTreeMap::new(),
@@ -419,13 +422,13 @@
     }
 
     /// Returns since when the store has answered this router's reads of both the operator
-    /// configuration and the servers; none before that.
+    /// configuration and the servers; none unless it goes on to read them for its zone.
     fn read_at(&self) -> Option<Instant> {
         let read = [&self.config_freshness, &self.freshness].map(Freshness::read_at);
         let [Some(config), Some(servers)] = read else {
             return None;
         };
-        Some(config.min(servers))
+        (!self.stopping).then_some(config.min(servers))
     }
 
     /// Returns whether the last call to the store failed.
@@ -478,6 +481,7 @@
             Event::Servers(revision, servers) => self.apply_servers(now, revision, &servers),
             Event::ConfigConfirmed(confirmation) => self.confirm_config(now, confirmation),
             Event::ServersConfirmed(confirmation) => self.confirm_servers(now, confirmation),
+            Event::Stopping => self.stopping = true,
             Event::StoreAnswered => self.store_answered(now),
             Event::StoreFailed => {
                 self.store_failed_at.get_or_insert(now);
--- a/crates/fleet/tests/all/followers.rs
+++ b/crates/fleet/tests/all/followers.rs
@@ -263,6 +263,18 @@
     }
 }
 
+/// Guards against readers that are about to stop, and whose place nobody takes before their end.
+#[test]
+fn readers_about_to_stop_are_replaced_before_their_end() {
+    let mut zone = Zone::start(4);
+    let now = zone.now;
+    for node in &mut zone.nodes[..2] {
+        node.fleet.handle(now, Event::Stopping);
+    }
+    zone.run(2);
+    assert_eq!(zone.readers()[2..], [true; 2]);
+}
+
 /// Guards each kind of change that the table of the configuration holds.
 #[test]
 fn changes_of_all_kinds_are_applied_without_readers() {
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -210,6 +210,7 @@
     /// Begins the stop: the router is not ready any more.
     pub fn stop(&self) {
         self.stopping.set(Some(self.now()));
+        self.handle(Event::Stopping);
     }
 
     /// Marks the process as about to exit: every new request is refused, and those without an answer
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -82,7 +82,7 @@
             | Event::Members(_)
             | Event::Versions(..)
             | Event::VersionsSaved(_) => Self::Store,
-            Event::LoopLag(_) | Event::Tick => Self::Other,
+            Event::LoopLag(_) | Event::Tick | Event::Stopping => Self::Other,
         }
     }
 
