front: fetch newer state from a second router while the first is slow

A second router is asked after 150 ms without an answer; not earlier, as each answer may hold both tables.

Before: there was no such decision to test, and begin_fetch_from_second_router_while_first_is_slow does not compile. After: it passes.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -28,6 +28,11 @@
 const MAX_BATCH: usize = 64;
 /// Report periods between two reports of an idle router.
 const IDLE_REPORT_PERIODS: u32 = 4;
+/// Maximum routers from which newer state is fetched at the same time.
+const MAX_FETCHES: usize = 2;
+/// Time after which newer state is fetched from a second router while the first has not answered.
+const FETCH_PATIENCE: Duration = Duration::from_millis(150);
+
 /// Minimum interval of incremental reports, which bounds their number: a fraction of a prompt's
 /// prefill time.
 const INCREMENTAL_INTERVAL: Duration = Duration::from_millis(20);
@@ -48,8 +53,8 @@
     zone: String,
     socket: UdpSocket,
     locations: RefCell<BTreeMap<String, PeerLocation>>,
-    /// Whether newer state is being fetched from a router.
-    fetching: Cell<bool>,
+    /// Routers from which newer state is being fetched, and since when.
+    fetching: RefCell<BTreeMap<SocketAddr, Instant>>,
     /// When the socket last held no datagram; none before the first was received.
     emptied_at: Cell<Option<Instant>>,
 }
@@ -68,7 +73,7 @@
             zone: zone.to_owned(),
             socket,
             locations: RefCell::default(),
-            fetching: Cell::new(false),
+            fetching: RefCell::default(),
             emptied_at: Cell::new(None),
         })
     }
@@ -92,6 +97,26 @@
         }
     }
 
+    /// Returns whether newer state may be fetched from the router at `address`, and records it.
+    ///
+    /// A router that does not answer must not keep this one from asking another.
+    pub fn begin_fetch(&self, address: SocketAddr, now: Instant) -> bool {
+        let mut fetching = self.fetching.borrow_mut();
+        let is_slow = |since: &Instant| now.saturating_duration_since(*since) >= FETCH_PATIENCE;
+        let may_fetch = fetching.len() < MAX_FETCHES
+            && !fetching.contains_key(&address)
+            && fetching.values().all(is_slow);
+        if may_fetch {
+            fetching.insert(address, now);
+        }
+        may_fetch
+    }
+
+    /// Records that a fetch from the router at `address` has ended.
+    pub fn end_fetch(&self, address: SocketAddr) {
+        self.fetching.borrow_mut().remove(&address);
+    }
+
     /// Sends a report to the routers of this zone at once, because the store has newer revisions.
     pub fn send_zone_report(&self, shell: &Shell) {
         let now = shell.now();
@@ -201,11 +226,11 @@
         let needs_peer = f.store_is_lost() || (!f.reads_store(now) && f.is_source(sender));
         needs_peer && (f.config_revision().0 < config || f.registry().revision().0 < servers)
     });
-    if behind && !peers.fetching.replace(true) {
+    if behind && peers.begin_fetch(address, now) {
         let (shell, peers) = (Rc::clone(shell), Rc::clone(peers));
         event_loop::spawn(async move {
             state::catch_up(&shell, address, Source::Router(sender)).await;
-            peers.fetching.set(false);
+            peers.end_fetch(address);
         });
     }
 }
--- a/crates/front/tests/all/followers.rs
+++ b/crates/front/tests/all/followers.rs
@@ -154,3 +154,20 @@
         });
     }
 }
+
+/// Guards against a reader that does not answer, for which the state of another was not fetched.
+#[test]
+fn begin_fetch_from_second_router_while_first_is_slow() {
+    let peers = Peers::new("r", "a", free_address()).expect("the address is free");
+    let [first, second, third] = [1, 2, 3].map(|n| SocketAddr::from(([127, 0, 0, n], 1)));
+    let now = Instant::now();
+    assert!(peers.begin_fetch(first, now));
+    assert!(!peers.begin_fetch(second, now), "the first one may answer");
+    let later = now + Duration::from_millis(200);
+    assert!(!peers.begin_fetch(first, later), "it was asked already");
+    assert!(peers.begin_fetch(second, later));
+    let latest = later + Duration::from_millis(200);
+    assert!(!peers.begin_fetch(third, latest), "two are enough");
+    peers.end_fetch(first);
+    assert!(peers.begin_fetch(first, latest));
+}
