fleet, front: pause a server that sends bytes without end

Each costs a caller its time and a router as many bytes as an answer may have.

It has an outcome of its own now and counts like a server that can't be reached: after two in a row the server gets nothing for 400 ms, then for longer, and one request shows whether it is back. Each router learns it by its own requests.

Before: ended_oversized_pauses_server does not compile without the outcome; with it handled as Invalid the third request is sent. After: it passes.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -61,8 +61,10 @@
     Withdrawn,
     /// The connection was lost, or the stream ended before it was complete.
     Broken,
-    /// The answer is too large or not that server's to this request.
+    /// The answer is not that server's to this request.
     Invalid,
+    /// The answer has more bytes than one may have, and perhaps no end.
+    Oversized,
     /// The server had not answered completely at the deadline.
     Expired,
     /// The caller disconnected.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -828,7 +828,7 @@
             Outcome::NotRun | Outcome::Misdirected => {}
             Outcome::Unreachable | Outcome::Withdrawn => self.uncount_attempt(key),
             Outcome::Failed => self.set_execution(key, Execution::Failed),
-            Outcome::Broken | Outcome::Invalid | Outcome::Expired => {
+            Outcome::Broken | Outcome::Invalid | Outcome::Oversized | Outcome::Expired => {
                 self.set_execution(key, Execution::Unknown);
             }
         }
@@ -955,7 +955,7 @@
                 server.health.record_error();
                 None
             }
-            Outcome::Misdirected | Outcome::Unreachable | Outcome::Expired => {
+            Outcome::Misdirected | Outcome::Unreachable | Outcome::Oversized | Outcome::Expired => {
                 server.health.record_unreachable(now)
             }
         };
--- a/crates/fleet/tests/all/outcomes.rs
+++ b/crates/fleet/tests/all/outcomes.rs
@@ -143,3 +143,26 @@
     let second = sent_to(&retried).expect("the other engine has free slots");
     assert_ne!(first, second);
 }
+
+/// Guards against a server that is used on and on while it sends bytes without end: each of its answers
+/// costs a caller its time, and the router as many bytes as an answer may have.
+#[test]
+fn ended_oversized_pauses_server() {
+    for (outcome, is_paused) in [(Outcome::Invalid, false), (Outcome::Oversized, true)] {
+        let now = Instant::now();
+        let mut fleet = support::router("r", 1, now);
+        let mut send = |key| {
+            let request = submission(key, 1, prompt(key, 10), now);
+            let decisions = fleet.handle(now, Event::Submit(request));
+            let is_sent = sent_to(&decisions).is_some();
+            fleet.handle(now, Event::Ended(RequestKey(key), outcome));
+            is_sent
+        };
+        assert!(send(1) && send(2));
+        assert_eq!(send(3), !is_paused, "{outcome:?}");
+        let later = now + Duration::from_secs(1);
+        let request = submission(4, 1, prompt(4, 10), later);
+        let decisions = fleet.handle(later, Event::Submit(request));
+        assert!(sent_to(&decisions).is_some(), "{outcome:?}");
+    }
+}
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -562,7 +562,7 @@
         Ok(collected) => collected,
         Err(CollectError::TooLarge { limit }) => {
             log::warn!(step = "body", peer:% = target.address, limit = limit; "body_too_large");
-            return Err(Outcome::Invalid.into());
+            return Err(Outcome::Oversized.into());
         }
         Err(CollectError::Broken { .. }) => return Err(Outcome::Broken.into()),
     };
@@ -666,7 +666,7 @@
             if self.unreturned > MAX_EVENT_BYTES {
                 let limit = MAX_EVENT_BYTES;
                 log::warn!(step = "event", peer:% = self.address, limit = limit; "event_too_large");
-                return Err(Outcome::Invalid.into());
+                return Err(Outcome::Oversized.into());
             }
             if !bytes.is_empty() {
                 let now = shell.now();
--- a/crates/front/tests/all/streams.rs
+++ b/crates/front/tests/all/streams.rs
@@ -68,7 +68,7 @@
         assert_eq!(server.received().len(), 2);
         let metrics = String::from_utf8(front.shell.metrics().render(0, true, 1));
         let metrics = metrics.expect("metrics are text");
-        assert!(metrics.contains("outcome=\"Invalid\""), "{metrics}");
+        assert!(metrics.contains("outcome=\"Oversized\""), "{metrics}");
     });
 }
 
