fleet, front: know up to which revision the store has told all changes

Cause: a read of a whole table takes the revision of the store, not of the table's last change. Routers with the same content have different revisions, and the feed has nothing to raise the lower one to. Those of other zones also count as newer, though no state is fetched from them.

A confirmation by the store tells up to which revision the table is complete, and a revision up to there is not missing. Only routers of the own zone tell what a router may lack.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1222,6 +1222,7 @@
         let confirmation = |revision, age: Option<u64>| {
             Some(Confirmation {
                 revision: Revision(revision),
+                complete: Revision(revision),
                 at: now.checked_sub(Duration::from_millis(age?))?,
                 source: Source::Router(report.sender),
             })
@@ -1232,6 +1233,11 @@
         if let Some(confirmation) = confirmation(report.servers, report.list_age) {
             self.confirm_servers(now, confirmation);
         }
+        // The readers of another zone tell theirs, from which this router does not fetch.
+        if report.zone == name_hash(&self.params.zone) {
+            let (own, revision) = (self.config_revision, Revision(report.orders));
+            self.config_freshness.heard_of(now, own, revision);
+        }
     }
 
     /// Withdraws the servers that left according to a report.
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -34,6 +34,9 @@
 pub struct Confirmation {
     /// Revision of the table.
     pub revision: Revision,
+    /// Revision up to which the table has no further changes: a read of the whole table takes that of
+    /// the store, so routers with the same content may have different revisions.
+    pub complete: Revision,
     /// Time at which the revision was the newest, or earlier.
     pub at: Instant,
     /// Who told this router.
@@ -56,6 +59,8 @@
     newer: Option<Confirmation>,
     /// Oldest revision that this router has heard of and does not have yet.
     missing: Option<Missing>,
+    /// Revision up to which the store has told this router all changes.
+    complete: Revision,
     /// When the store itself last confirmed the table to this router.
     read_at: Option<Instant>,
 }
@@ -67,15 +72,13 @@
     pub fn confirm(&mut self, now: Instant, own: Revision, confirmation: Confirmation) {
         if confirmation.source == Source::Store {
             self.read_at = Some(now);
+            self.complete = self.complete.max(confirmation.complete);
             // A newer revision would be in the answer.
             self.missing = None;
         }
-        let known = if confirmation.revision <= own {
+        let known = if self.has(own, confirmation.revision) {
             &mut self.own
         } else {
-            let revision = confirmation.revision;
-            let since = now;
-            self.missing.get_or_insert(Missing { revision, since });
             &mut self.newer
         };
         if known.is_none_or(|k| confirmation.at > k.at) {
@@ -83,6 +86,19 @@
         }
     }
 
+    /// Records that another router has a revision, while this one has `own`.
+    pub fn heard_of(&mut self, now: Instant, own: Revision, revision: Revision) {
+        if !self.has(own, revision) {
+            let since = now;
+            self.missing.get_or_insert(Missing { revision, since });
+        }
+    }
+
+    /// Returns whether this router, whose revision is `own`, has all changes up to another one.
+    fn has(&self, own: Revision, revision: Revision) -> bool {
+        revision <= own || revision <= self.complete
+    }
+
     /// Records that this router has the revision `own` from `now` on.
     pub fn applied(&mut self, now: Instant, own: Revision) {
         if let Some(newer) = self.newer.take_if(|n| n.revision <= own)
--- a/crates/fleet/tests/all/followers.rs
+++ b/crates/fleet/tests/all/followers.rs
@@ -43,6 +43,8 @@
     now: Instant,
     nodes: Vec<Node>,
     revision: u64,
+    /// Revision of the store, which changes of other tables raise too.
+    complete: u64,
     config: OperatorConfig,
     /// Reads of the configuration by routers that do not read for their zone.
     asked: u32,
@@ -67,6 +69,7 @@
             now,
             nodes: nodes.collect(),
             revision: 1,
+            complete: 1,
             config: support::config(&[]),
             asked: 0,
         };
@@ -97,14 +100,15 @@
         let (now, revision) = (self.now, Revision(self.revision));
         let node = &mut self.nodes[at];
         let is_reader = node.fleet.reads_store(now);
-        let confirmation = |revision| Confirmation {
+        let confirmation = |revision, complete| Confirmation {
             revision,
+            complete,
             at: now,
             source: Source::Store,
         };
         if is_reader {
             node.fleet.handle(now, Event::StoreAnswered);
-            let event = Event::ServersConfirmed(confirmation(Revision(1)));
+            let event = Event::ServersConfirmed(confirmation(Revision(1), Revision(1)));
             node.fleet.handle(now, event);
         }
         if node.faults.config || !(is_reader || node.fleet.config_is_due(now)) {
@@ -120,10 +124,10 @@
         if !is_reader {
             self.asked += 1;
         }
-        let event = Event::ConfigConfirmed(confirmation(revision));
+        let event = Event::ConfigConfirmed(confirmation(revision, Revision(self.complete)));
+        node.fleet.handle(now, event);
+        let event = Event::Config(revision, self.config.clone());
         node.fleet.handle(now, event);
-        node.fleet
-            .handle(now, Event::Config(revision, self.config.clone()));
     }
 
     /// Delivers a report to the other routers, which fetch what is newer from its sender.
@@ -146,6 +150,7 @@
             if fetches && !fails && fleet.config_revision() < revision {
                 let confirmed = age.map(|age| Confirmation {
                     revision,
+                    complete: revision,
                     at: now - age,
                     source: Source::Router(report.sender),
                 });
@@ -163,7 +168,8 @@
         if let Some(deployment) = &mut self.config.deployment {
             deployment.version += 1;
         }
-        self.revision += 1;
+        self.complete += 1;
+        self.revision = self.complete;
     }
 
     /// Checks that all routers apply a change within the bound, whatever part of it was used up.
@@ -303,6 +309,30 @@
     }
 }
 
+/// Guards against routers that ask the store on and on, as one that has started took the store's
+/// revision for that of the table, with the same content.
+#[test]
+fn revision_of_same_content_is_asked_for_once() {
+    for zone_name in ["a", "b"] {
+        let mut zone = Zone::start(9);
+        (zone.asked, zone.complete) = (0, 50);
+        for _ in 0..100 {
+            zone.run(1);
+            let mut report = zone.nodes[0].fleet.report(zone.now, Scope::Zone);
+            report.sender = name_hash("started");
+            report.zone = name_hash(zone_name);
+            report.orders = 40;
+            let now = zone.now;
+            for node in &mut zone.nodes {
+                node.fleet.handle(now, Event::Report(report.clone()));
+            }
+        }
+        // Those that do not read for their zone ask once, and only for a router of their own.
+        let most = if zone_name == "a" { 7 } else { 0 };
+        assert_eq!(zone.asked, most, "zone {zone_name}");
+    }
+}
+
 /// A router that has no configuration from the store asks at a bounded rate, whatever others claim.
 #[test]
 fn revision_that_store_does_not_have_is_asked_for_seldom() {
--- a/crates/fleet/tests/all/freshness.rs
+++ b/crates/fleet/tests/all/freshness.rs
@@ -13,6 +13,7 @@
 fn confirm(fleet: &mut Fleet, revision: u64, at: Instant) {
     let confirmation = Confirmation {
         revision: Revision(revision),
+        complete: Revision(revision),
         at,
         source: Source::Store,
     };
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -131,6 +131,7 @@
             let confirmation = |revision, age: Option<u64>| {
                 Some(Confirmation {
                     revision,
+                    complete: revision,
                     at: asked.checked_sub(Duration::from_millis(age?))?,
                     source,
                 })
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -58,6 +58,8 @@
 pub struct TableRead<T> {
     /// Revision of the table.
     pub revision: Revision,
+    /// Revision of the store up to which the content is complete.
+    pub complete: Revision,
     /// Complete content of the table; none if it has not changed.
     pub value: Option<T>,
 }
@@ -179,6 +181,7 @@
         };
         Confirmation {
             revision: self.revision,
+            complete: self.complete,
             at: (sent + held).min(now),
             source: Source::Store,
         }
--- a/crates/front/tests/all/followers.rs
+++ b/crates/front/tests/all/followers.rs
@@ -38,6 +38,7 @@
         let is_new = self.read.replace(revision) != revision;
         Ok(TableRead {
             revision: Revision(revision),
+            complete: Revision(revision),
             value: is_new.then(|| self.config.clone()),
         })
     }
--- a/crates/front/tests/all/notices.rs
+++ b/crates/front/tests/all/notices.rs
@@ -133,6 +133,7 @@
         now,
         TableRead {
             revision: Revision::new(era, 1),
+            complete: Revision::new(era, 1),
             value: Some(rows),
         },
     );
@@ -163,6 +164,7 @@
         now,
         TableRead {
             revision: Revision::new(1, 1),
+            complete: Revision::new(1, 1),
             value: Some(vec![row]),
         },
     );
