--- a/crates/fleet/tests/all/followers.rs
+++ b/crates/fleet/tests/all/followers.rs
@@ -24,6 +24,8 @@
 struct Faults {
     /// The store does not answer its reads of the configuration.
     config: bool,
+    /// The store does not answer its reads of the servers.
+    servers: bool,
     /// Its reports are lost.
     reports: bool,
     /// Nobody gets newer state from it.
@@ -108,8 +110,10 @@
         };
         if is_reader {
             node.fleet.handle(now, Event::StoreAnswered);
-            let event = Event::ServersConfirmed(confirmation(Revision(1), Revision(1)));
-            node.fleet.handle(now, event);
+            if !node.faults.servers {
+                let event = Event::ServersConfirmed(confirmation(Revision(1), Revision(1)));
+                node.fleet.handle(now, event);
+            }
         }
         if node.faults.config || !(is_reader || node.fleet.config_is_due(now)) {
             node.polls_since = None;
@@ -269,6 +273,17 @@
     }
 }
 
+/// Guards against readers that read the configuration and get no answer for the servers (DRAIN).
+#[test]
+fn readers_of_configuration_alone_are_replaced() {
+    let mut zone = Zone::start(4);
+    for node in &mut zone.nodes[..2] {
+        node.faults.servers = true;
+    }
+    zone.run(20);
+    assert_eq!(zone.readers()[2..], [true; 2]);
+}
+
 /// Guards against readers that are about to stop, and whose place nobody takes before their end.
 #[test]
 fn readers_about_to_stop_are_replaced_before_their_end() {
--- a/crates/front/tests/all/followers.rs
+++ b/crates/front/tests/all/followers.rs
@@ -6,13 +6,17 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::Event;
+use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
 use hibiscusrail_fleet::peers::Report;
 use hibiscusrail_fleet::placement::{name_hash, weight};
 use hibiscusrail_fleet::versions::VersionSet;
 use hibiscusrail_front::origins::Origin;
 use hibiscusrail_front::peers::{self, Peers};
+use hibiscusrail_front::shell::Shell;
+use hibiscusrail_front::state;
 use hibiscusrail_front::watch::{self, Registration, Store, StoreError, TableRead};
+use hibiscusrail_net::{Limits, bind, serve};
 use prost::Message;
 
 use super::support::{Front, run, wait_until};
@@ -84,17 +88,23 @@
     names.take(2).collect()
 }
 
-/// Sends the reports of a router that has read the store, and from which nothing can be fetched.
-fn spawn_reader(name: &str, to: SocketAddr, tables: &Rc<Tables>) {
-    let socket = UdpSocket::bind(("127.0.0.1", 0)).expect("loopback is up");
-    let (sender, tables) = (name_hash(name), Rc::clone(tables));
+/// Sends the reports of a router that has read the store from `address`, where nobody listens for
+/// requests unless the test serves them.
+fn spawn_reader(
+    name: &str,
+    address: SocketAddr,
+    to: SocketAddr,
+    revision: impl Fn() -> u64 + 'static,
+) {
+    let socket = UdpSocket::bind(address).expect("the address is free");
+    let sender = name_hash(name);
     compio::runtime::spawn(async move {
         for sequence in 1.. {
             let report = Report {
                 sender,
                 incarnation: 1,
                 sequence,
-                orders: tables.revision.get(),
+                orders: revision(),
                 zone: name_hash("a"),
                 config_age: Some(0),
                 read_age: Some(0),
@@ -113,6 +123,18 @@
     socket.local_addr().expect("the socket is bound")
 }
 
+/// Makes a router receive reports at `address`.
+fn receive_reports(shell: &Rc<Shell>, address: SocketAddr) -> Rc<Peers> {
+    let peers = Peers::new("r", "a", address).expect("the address is free");
+    let peers = Rc::new(peers);
+    let receiving = peers::receive_reports(Rc::clone(shell), Rc::clone(&peers));
+    compio::runtime::spawn(async move {
+        receiving.await.expect("the socket works");
+    })
+    .detach();
+    peers
+}
+
 /// Guards against a configuration that a router acts by long after its change (CONFIG, review case
 /// 2), as it counted on readers that its table does not list or that can't be asked.
 #[test]
@@ -132,16 +154,11 @@
                 front.shell.handle(Event::Members(all.collect()));
             }
             let address = free_address();
-            let peers = Peers::new("r", "a", address).expect("the address is free");
-            let peers = Rc::new(peers);
             let shell = Rc::clone(&front.shell);
-            let receiving = peers::receive_reports(Rc::clone(&shell), Rc::clone(&peers));
-            compio::runtime::spawn(async move {
-                receiving.await.expect("the socket works");
-            })
-            .detach();
+            let peers = receive_reports(&shell, address);
             for name in &names {
-                spawn_reader(name, address, &tables);
+                let tables = Rc::clone(&tables);
+                spawn_reader(name, free_address(), address, move || tables.revision.get());
             }
             let count = if listed { 2 } else { 0 };
             let known = || shell.with_fleet(|f| f.known_routers() == 3);
@@ -156,6 +173,39 @@
     }
 }
 
+/// A reader may have started at another address than its row in the store tells: state is fetched from
+/// where its reports come from, and is as old as the reader says.
+#[test]
+fn receive_reports_fetches_state_from_their_sender() {
+    run(async {
+        let (front, reader) = (Front::start(&[]), Front::start(&[]));
+        reader.configure(|_| {});
+        let confirmation = Confirmation {
+            revision: Revision(2),
+            complete: Revision(2),
+            at: Instant::now(),
+            source: Source::Store,
+        };
+        reader.shell.handle(Event::ConfigConfirmed(confirmation));
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback is up");
+        let address = listener.local_addr().expect("the listener is bound");
+        let serving = serve(listener, Limits::new(), state::handler(&reader.shell));
+        compio::runtime::spawn(serving).detach();
+        let names = reader_names();
+        let all = names.iter().cloned().chain(["r".to_owned()]);
+        front.shell.handle(Event::Members(all.collect()));
+        let own = free_address();
+        receive_reports(&front.shell, own);
+        spawn_reader(&names[0], address, own, || 2);
+        spawn_reader(&names[1], free_address(), own, || 1);
+        let shell = &front.shell;
+        wait_until(|| shell.with_fleet(|f| f.config_revision() == Revision(2))).await;
+        let own = shell.with_fleet(|f| f.config_freshness().own());
+        let own = own.expect("the reader tells when the store confirmed it");
+        assert_eq!(own.source, Source::Router(name_hash(&names[0])));
+    });
+}
+
 /// Guards against a reader that does not answer, for which the state of another was not fetched.
 #[test]
 fn begin_fetch_from_second_router_while_first_is_slow() {
