fleet: tell reads of readers alone, and count only applied changes

- A router that had asked the store once for itself told its reads like a reader, and counted as one for 1.5 s.
It tells them only while it goes on to read.
- counted a revision as complete before it was applied, and age_of_newer_list_counts_once_it_is_applied failed on it (age 0 ns instead of 300 ms).
A confirmation of a newer revision now counts once that is applied.
- A revision that another zone reports does not follow a missing one that was applied.

Before: the test above fails, and report_of_follower_that_asked_tells_no_reads ([true; 4] instead of the two readers). After: both pass.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -51,10 +51,10 @@
 const ASK_TIME: Duration = Duration::from_millis(150);
 /// Range of the further time by which routers ask earlier than others.
 const ASK_JITTER: Duration = Duration::from_millis(200);
-/// Time in which a router gets what another one reports that it has, before it asks the store itself.
-const CATCH_UP_TIME: Duration = Duration::from_millis(400);
 /// Number of steps in that range.
 const ASK_STEPS: u32 = 16;
+/// Time in which a router gets what another one reports that it has, before it asks the store itself.
+const CATCH_UP_TIME: Duration = Duration::from_millis(400);
 /// Number of reports that repeat a placement; it is unlikely that all of them are lost.
 const PLACEMENT_REPORTS: u32 = 3;
 
@@ -423,12 +423,13 @@
 
     /// Returns since when the store has answered this router's reads of both the operator
     /// configuration and the servers; none unless it goes on to read them for its zone.
-    fn read_at(&self) -> Option<Instant> {
+    fn read_at(&self, now: Instant) -> Option<Instant> {
         let read = [&self.config_freshness, &self.freshness].map(Freshness::read_at);
         let [Some(config), Some(servers)] = read else {
             return None;
         };
-        (!self.stopping).then_some(config.min(servers))
+        let goes_on = !self.stopping && self.reads_store(now);
+        goes_on.then_some(config.min(servers))
     }
 
     /// Returns whether the last call to the store failed.
@@ -587,7 +588,7 @@
             list_age: self.freshness.age(now).map(to_millis),
             config_age: self.config_freshness.age(now).map(to_millis),
             read_age: self
-                .read_at()
+                .read_at(now)
                 .map(|at| to_millis(now.saturating_duration_since(at))),
             placed,
             ..self.new_report()
@@ -1032,7 +1033,7 @@
         config
             .evacuated
             .extend(self.kept_evacuations.keys().cloned());
-        self.config_freshness.applied(now, revision);
+        self.config_freshness.applied(revision);
         let confirmed = self.config_freshness.own();
         let detail = format!(
             "revision={} version={} was={} evacuated={}{}",
@@ -1094,7 +1095,7 @@
         }
         let backends = self.registry.all().map(|s| &s.backend);
         self.versions.observe(now, backends);
-        self.freshness.applied(now, revision);
+        self.freshness.applied(revision);
         let detail = format!("revision={}{}", revision.0, self.age_detail(now));
         for id in changes.draining.iter().chain(&changes.removed) {
             self.departures.record(now, name_hash(id));
--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -59,7 +59,7 @@
     newer: Option<Confirmation>,
     /// Oldest revision that this router has heard of and does not have yet.
     missing: Option<Missing>,
-    /// Revision up to which the store has told this router all changes.
+    /// Revision up to which this router's copy is known to have all changes.
     complete: Revision,
     /// When the store itself last confirmed the table to this router.
     read_at: Option<Instant>,
@@ -72,10 +72,12 @@
     pub fn confirm(&mut self, now: Instant, own: Revision, confirmation: Confirmation) {
         if confirmation.source == Source::Store {
             self.read_at = Some(now);
-            self.complete = self.complete.max(confirmation.complete);
             // A newer revision would be in the answer.
             self.missing = None;
         }
+        if confirmation.revision <= own {
+            self.complete = self.complete.max(confirmation.complete);
+        }
         let known = if self.has(own, confirmation.revision) {
             &mut self.own
         } else {
@@ -99,20 +101,15 @@
         revision <= own || revision <= self.complete
     }
 
-    /// Records that this router has the revision `own` from `now` on.
-    pub fn applied(&mut self, now: Instant, own: Revision) {
-        if let Some(newer) = self.newer.take_if(|n| n.revision <= own)
-            && self.own.is_none_or(|k| newer.at > k.at)
-        {
-            self.own = Some(newer);
-        }
-        if self.missing.is_some_and(|m| m.revision <= own) {
-            let since = now;
-            self.missing = self.newer.map(|n| Missing {
-                revision: n.revision,
-                since,
-            });
+    /// Records that this router now has the revision `own`.
+    pub fn applied(&mut self, own: Revision) {
+        if let Some(newer) = self.newer.take_if(|n| n.revision <= own) {
+            self.complete = self.complete.max(newer.complete);
+            if self.own.is_none_or(|k| newer.at > k.at) {
+                self.own = Some(newer);
+            }
         }
+        self.missing.take_if(|m| m.revision <= own);
     }
 
     /// Returns for how long this router has known of a revision that it does not have; zero if it has
--- a/crates/fleet/tests/all/followers.rs
+++ b/crates/fleet/tests/all/followers.rs
@@ -273,6 +273,27 @@
     }
 }
 
+/// Guards against a router that counts as a reader since it asked once for itself.
+#[test]
+fn report_of_follower_that_asked_tells_no_reads() {
+    let mut zone = Zone::start(4);
+    let now = zone.now;
+    let confirmation = Confirmation {
+        revision: Revision(1),
+        complete: Revision(1),
+        at: now,
+        source: Source::Store,
+    };
+    for node in &mut zone.nodes {
+        let fleet = &mut node.fleet;
+        fleet.handle(now, Event::ConfigConfirmed(confirmation));
+        fleet.handle(now, Event::ServersConfirmed(confirmation));
+    }
+    let reads = |n: &mut Node| n.fleet.report(now, Scope::Zone).read_age.is_some();
+    let tell: Vec<bool> = zone.nodes.iter_mut().map(reads).collect();
+    assert_eq!(tell, [true, true, false, false]);
+}
+
 /// Guards against readers that read the configuration and get no answer for the servers (DRAIN).
 #[test]
 fn readers_of_configuration_alone_are_replaced() {
