--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use hibiscusrail_admin::RPC_PATH;
+use hibiscusrail_net::body::collect;
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::{Body, full, json};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::Serialize;
 
@@ -89,7 +89,7 @@
     }
 
     async fn call(&self, body: Incoming) -> Response<Body> {
-        let reading = Limited::new(body, MAX_CALL_BYTES).collect();
+        let reading = collect(body, MAX_CALL_BYTES);
         let timeout = self.shell.settings().body_timeout;
         let Ok(Ok(body)) = hibiscusrail_net::timeout(timeout, reading).await else {
             return refusal(
@@ -97,7 +97,7 @@
                 "the call is too long or did not arrive in time",
             );
         };
-        match self.methods.call(&body.to_bytes()).await {
+        match self.methods.call(&body).await {
             Some(response) => with_content_type(
                 Response::new(full(Bytes::from(response))),
                 "application/json",
--- a/crates/router/src/load.rs
+++ b/crates/router/src/load.rs
@@ -10,9 +10,9 @@
 use bytes::Bytes;
 use hibiscusrail_core::event::LoadReport;
 use hibiscusrail_core::{Event, ServerId};
+use hibiscusrail_net::body::collect;
 use hibiscusrail_net::{connect, empty};
 use http::{Request, header};
-use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
 
 use crate::shell::Shell;
@@ -81,6 +81,5 @@
     if !response.status().is_success() {
         return None;
     }
-    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
-    Some(body.collect().await.ok()?.to_bytes())
+    collect(response.into_body(), MAX_REPORT_BYTES).await.ok()
 }
