--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -75,6 +75,11 @@
             // A newer revision would be in the answer.
             self.missing = None;
         }
+        self.hold(own, confirmation);
+    }
+
+    /// Keeps a confirmation if it is newer than the one known of the same kind.
+    fn hold(&mut self, own: Revision, confirmation: Confirmation) {
         if confirmation.revision <= own {
             self.complete = self.complete.max(confirmation.complete);
         }
@@ -104,10 +109,7 @@
     /// Records that this router now has the revision `own`.
     pub fn applied(&mut self, own: Revision) {
         if let Some(newer) = self.newer.take_if(|n| n.revision <= own) {
-            self.complete = self.complete.max(newer.complete);
-            if self.own.is_none_or(|k| newer.at > k.at) {
-                self.own = Some(newer);
-            }
+            self.hold(own, newer);
         }
         self.missing.take_if(|m| m.revision <= own);
     }
