net: yield a turn with one function

OwnedConnection::wait checked its limit on each poll, though it changes only at the end of a wait, and three test files had a yield of their own. yield_now serves all of them.

--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -2,10 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::Duration;
 
 use compio::BufResult;
@@ -21,6 +19,7 @@
 use hibiscusrail_front::protocol::Protocol;
 use hibiscusrail_front::shell::Shell;
 use hibiscusrail_front::{caller, overload};
+use hibiscusrail_net::event_loop::yield_now;
 use hibiscusrail_net::{bind, serve_counted};
 use hibiscusrail_settings::FrontSettings;
 use http::HeaderName;
@@ -432,15 +431,7 @@
     compio::runtime::spawn(async move {
         loop {
             counted.set(counted.get() + 1);
-            let mut yielded = false;
-            poll_fn(|cx| {
-                if std::mem::replace(&mut yielded, true) {
-                    return Poll::Ready(());
-                }
-                cx.waker().wake_by_ref();
-                Poll::Pending
-            })
-            .await;
+            yield_now().await;
         }
     })
     .detach();
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -6,7 +6,7 @@
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Waker};
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -124,13 +124,12 @@
     /// A peer that always has bytes doesn't keep the event loop from other tasks, or from timers of
     /// the same task.
     pub async fn wait<T>(&mut self, work: impl Future<Output = T>) -> T {
+        if self.turn_parts >= TURN_PARTS {
+            self.turn_parts = 0;
+            event_loop::yield_now().await;
+        }
         let mut work = pin!(work);
         poll_fn(|cx| {
-            if self.turn_parts >= TURN_PARTS {
-                self.turn_parts = 0;
-                cx.waker().wake_by_ref();
-                return Poll::Pending;
-            }
             let mut polled = work.as_mut().poll(cx);
             if polled.is_pending() {
                 self.poll_driver(cx);
--- a/crates/net/src/event_loop.rs
+++ b/crates/net/src/event_loop.rs
@@ -6,6 +6,7 @@
 //! the task that spawns it, so the connections of an urgent task are urgent too.
 
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::panic::AssertUnwindSafe;
 use std::pin::pin;
@@ -77,6 +78,19 @@
     }
 }
 
+/// Lets all other ready tasks run once.
+pub async fn yield_now() {
+    let mut yielded = false;
+    poll_fn(|cx| {
+        if std::mem::replace(&mut yielded, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 /// Runs a task and logs its panic, which must not end the other tasks.
 async fn contain(task: impl Future<Output = ()>) {
     if AssertUnwindSafe(task).catch_unwind().await.is_err() {
--- a/crates/net/tests/event_loop.rs
+++ b/crates/net/tests/event_loop.rs
@@ -1,32 +1,17 @@
 //! Order of urgent and other tasks, and the measured usage of the loop.
 
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use hibiscusrail_net::EventLoop;
-use hibiscusrail_net::event_loop::{spawn, spawn_urgent};
+use hibiscusrail_net::event_loop::{spawn, spawn_urgent, yield_now};
 
 /// Normal tasks that are always ready, as in a flood of connections.
 const FLOOD_TASKS: usize = 2_000;
 /// Normal tasks that may run between two steps of an urgent task.
 const MAX_STEPS_BETWEEN: usize = 32;
 
-/// Lets all other ready tasks run once.
-async fn yield_now() {
-    let mut yielded = false;
-    poll_fn(|cx| {
-        if std::mem::replace(&mut yielded, true) {
-            return Poll::Ready(());
-        }
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await;
-}
-
 fn run(main: impl Future<Output = ()>) {
     let event_loop = EventLoop::new(Instant::now).expect("the event loop is created");
     event_loop.run(main);
--- a/crates/net/tests/turns.rs
+++ b/crates/net/tests/turns.rs
@@ -16,7 +16,7 @@
 
 use futures_util::poll;
 use hibiscusrail_net::body::{self, CollectError};
-use hibiscusrail_net::event_loop::spawn;
+use hibiscusrail_net::event_loop::{spawn, yield_now};
 use hibiscusrail_net::socket::SocketStream;
 use hibiscusrail_net::{EventLoop, OwnedConnection, connect_owned, empty};
 use http::{Request, Response};
@@ -35,19 +35,6 @@
 
 const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
-/// Lets all other ready tasks run once.
-async fn yield_now() {
-    let mut yielded = false;
-    poll_fn(|cx| {
-        if std::mem::replace(&mut yielded, true) {
-            return Poll::Ready(());
-        }
-        cx.waker().wake_by_ref();
-        Poll::Pending
-    })
-    .await;
-}
-
 /// Turns of the event loop that another task was given.
 #[derive(Clone, Default)]
 struct Turns(Rc<Cell<u64>>);
