--- a/crates/front/tests/all/followers.rs
+++ b/crates/front/tests/all/followers.rs
@@ -7,79 +7,22 @@
 
 use hibiscusrail_fleet::Event;
 use hibiscusrail_fleet::freshness::{Confirmation, Source};
-use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
+use hibiscusrail_fleet::objects::Revision;
 use hibiscusrail_fleet::peers::Report;
 use hibiscusrail_fleet::placement::{name_hash, weight};
-use hibiscusrail_fleet::versions::VersionSet;
-use hibiscusrail_front::origins::Origin;
 use hibiscusrail_front::peers::{self, Peers};
 use hibiscusrail_front::shell::Shell;
 use hibiscusrail_front::state;
-use hibiscusrail_front::watch::{self, Registration, Store, StoreError, TableRead};
+use hibiscusrail_front::watch;
 use hibiscusrail_net::{Limits, bind, serve};
 use prost::Message;
 
 use super::support::{Front, run, wait_until};
+use super::tables::Tables;
 
 /// Interval of the readers' reports.
 const REPORT_PERIOD: Duration = Duration::from_millis(50);
 
-/// A store whose configuration is changed by the test.
-struct Tables {
-    config: OperatorConfig,
-    revision: Cell<u64>,
-    /// Revision that the router has read.
-    read: Cell<u64>,
-}
-
-impl Store for Tables {
-    async fn orders(&self, wait: Duration) -> Result<TableRead<OperatorConfig>, StoreError> {
-        let until = Instant::now() + wait;
-        while self.read.get() == self.revision.get() && Instant::now() < until {
-            compio::time::sleep(Duration::from_millis(5)).await;
-        }
-        let revision = self.revision.get();
-        let is_new = self.read.replace(revision) != revision;
-        Ok(TableRead {
-            revision: Revision(revision),
-            complete: Revision(revision),
-            value: is_new.then(|| self.config.clone()),
-        })
-    }
-
-    async fn servers(&self, _: Duration) -> Result<TableRead<Servers>, StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn routers(&self) -> Result<TableRead<Vec<Registration>>, StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn register(&self, _: &Registration) -> Result<(), StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn unregister(&self, _: &str) -> Result<(), StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn versions(&self) -> Result<Vec<VersionSet>, StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn save_versions(&self, _: &VersionSet) -> Result<(), StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn origin(&self, _: &str) -> Result<Option<Origin>, StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn record_origins(&self, _: &[(String, Origin)], _: &[String]) -> Result<(), StoreError> {
-        Err("not in this test".into())
-    }
-}
-
 /// Returns the names of two routers that read for router `r`, whose zone is `a`.
 fn reader_names() -> Vec<String> {
     let rank = |name: &str| weight(u64::from(name_hash("a")), name_hash(name));
@@ -150,9 +93,10 @@
             let front = Front::start(&[]);
             let config = front.shell.with_fleet(|f| f.config().clone());
             let tables = Rc::new(Tables {
-                config,
+                config: Some(config),
                 revision: Cell::new(1),
                 read: Cell::new(1),
+                ..Tables::default()
             });
             let names = reader_names();
             if listed {
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -13,4 +13,5 @@
 mod requests;
 mod streams;
 mod support;
+mod tables;
 mod versions;
--- /dev/null
+++ b/crates/front/tests/all/tables.rs
@@ -0,0 +1,100 @@
+//! A stand-in store with in-memory tables.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
+use hibiscusrail_fleet::versions::VersionSet;
+use hibiscusrail_front::origins::Origin;
+use hibiscusrail_front::watch::{Registration, Store, StoreError, TableRead};
+
+/// In-memory tables, shared by the routers of a test.
+#[derive(Default)]
+pub struct Tables {
+    /// Operator configuration; none if calls for it fail.
+    pub config: Option<OperatorConfig>,
+    /// Revision of the configuration, which the test raises to change it.
+    pub revision: Cell<u64>,
+    /// Revision of the configuration that a router has read.
+    pub read: Cell<u64>,
+    /// Versions by the name of the service.
+    pub versions: RefCell<BTreeMap<String, VersionSet>>,
+    /// Records of streams by the id of the request that began them.
+    pub streams: RefCell<BTreeMap<String, Origin>>,
+    /// Whether calls for versions and records fail.
+    pub away: Cell<bool>,
+}
+
+impl Tables {
+    fn check(&self) -> Result<(), StoreError> {
+        if self.away.get() {
+            return Err("the store is away".into());
+        }
+        Ok(())
+    }
+}
+
+impl Store for Tables {
+    async fn orders(&self, wait: Duration) -> Result<TableRead<OperatorConfig>, StoreError> {
+        let config = self.config.as_ref().ok_or("not in this test")?;
+        let until = Instant::now() + wait;
+        while self.read.get() == self.revision.get() && Instant::now() < until {
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let revision = self.revision.get();
+        let is_new = self.read.replace(revision) != revision;
+        Ok(TableRead {
+            revision: Revision(revision),
+            complete: Revision(revision),
+            value: is_new.then(|| config.clone()),
+        })
+    }
+
+    async fn servers(&self, _: Duration) -> Result<TableRead<Servers>, StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn routers(&self) -> Result<TableRead<Vec<Registration>>, StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn register(&self, _: &Registration) -> Result<(), StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn unregister(&self, _: &str) -> Result<(), StoreError> {
+        Err("not in this test".into())
+    }
+
+    async fn versions(&self) -> Result<Vec<VersionSet>, StoreError> {
+        self.check()?;
+        Ok(self.versions.borrow().values().cloned().collect())
+    }
+
+    async fn save_versions(&self, row: &VersionSet) -> Result<(), StoreError> {
+        self.check()?;
+        let mut versions = self.versions.borrow_mut();
+        versions.insert(row.service.clone(), row.clone());
+        Ok(())
+    }
+
+    async fn origin(&self, request: &str) -> Result<Option<Origin>, StoreError> {
+        self.check()?;
+        Ok(self.streams.borrow().get(request).cloned())
+    }
+
+    async fn record_origins(
+        &self,
+        begun: &[(String, Origin)],
+        expired: &[String],
+    ) -> Result<(), StoreError> {
+        self.check()?;
+        let mut streams = self.streams.borrow_mut();
+        streams.extend(begun.iter().cloned());
+        for request in expired {
+            streams.remove(request);
+        }
+        Ok(())
+    }
+}
--- a/crates/front/tests/all/versions.rs
+++ b/crates/front/tests/all/versions.rs
@@ -1,18 +1,14 @@
 //! Streams of a service whose servers run several software versions.
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hibiscusrail_fleet::objects::{OperatorConfig, Servers};
-use hibiscusrail_fleet::versions::VersionSet;
 use hibiscusrail_front::origins::{self, Origin};
-use hibiscusrail_front::watch::{Registration, Store, StoreError, TableRead};
 
 use super::support::{
     Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, event, header, run, status, wait_until,
 };
+use super::tables::Tables;
 
 /// Returns a stream that ends in the middle of its third event.
 fn broken() -> Act {
@@ -55,77 +51,6 @@
     });
 }
 
-/// In-memory tables of versions and records, shared by the routers of a test.
-#[derive(Default)]
-struct Tables {
-    versions: RefCell<BTreeMap<String, VersionSet>>,
-    streams: RefCell<BTreeMap<String, Origin>>,
-    /// Whether calls fail.
-    away: Cell<bool>,
-}
-
-impl Tables {
-    fn check(&self) -> Result<(), StoreError> {
-        if self.away.get() {
-            return Err("the store is away".into());
-        }
-        Ok(())
-    }
-}
-
-impl Store for Tables {
-    async fn orders(&self, _: Duration) -> Result<TableRead<OperatorConfig>, StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn servers(&self, _: Duration) -> Result<TableRead<Servers>, StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn routers(&self) -> Result<TableRead<Vec<Registration>>, StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn register(&self, _: &Registration) -> Result<(), StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn unregister(&self, _: &str) -> Result<(), StoreError> {
-        Err("not in this test".into())
-    }
-
-    async fn versions(&self) -> Result<Vec<VersionSet>, StoreError> {
-        self.check()?;
-        Ok(self.versions.borrow().values().cloned().collect())
-    }
-
-    async fn save_versions(&self, row: &VersionSet) -> Result<(), StoreError> {
-        self.check()?;
-        let mut versions = self.versions.borrow_mut();
-        versions.insert(row.service.clone(), row.clone());
-        Ok(())
-    }
-
-    async fn origin(&self, request: &str) -> Result<Option<Origin>, StoreError> {
-        self.check()?;
-        Ok(self.streams.borrow().get(request).cloned())
-    }
-
-    async fn record_origins(
-        &self,
-        begun: &[(String, Origin)],
-        expired: &[String],
-    ) -> Result<(), StoreError> {
-        self.check()?;
-        let mut streams = self.streams.borrow_mut();
-        streams.extend(begun.iter().cloned());
-        for request in expired {
-            streams.remove(request);
-        }
-        Ok(())
-    }
-}
-
 /// Starts a router of engines with these versions that follows the tables.
 fn start(server: &Server, versions: &[&str], tables: &Rc<Tables>) -> Front {
     let servers = vec![server; versions.len()];
