net, front: answer the last connections of a planned stop

A connection accepted after the close of kept ones was closed before its request had arrived, and connections in the system's queue were reset as the process ended. New connections now have a second for their first request; at the end the queue is emptied and the listener closed.

--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -23,6 +23,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for completed responses to reach their callers.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
+/// Longest time for the answers to the last connections; within [`EXIT_RESERVE`], with the flush.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
 
 /// Returns whether a request that arrives now can be expected to finish within the stop timeout.
 #[must_use]
@@ -64,13 +66,20 @@
 
 /// Waits until no request or connection remains or until `end`; returns the requests aborted.
 ///
-/// Requests are then refused: one accepted while the last responses flush would be aborted.
+/// Requests are then refused: one accepted while the last responses flush would be aborted. The
+/// listener is closed once its queue is empty, so that no connection is accepted and not answered.
 pub async fn drain(shell: &Shell, end: Instant) -> usize {
     while shell.now() < end && !is_idle(shell) {
         compio::time::sleep(CHECK_INTERVAL).await;
     }
     shell.begin_exit();
     compio::time::sleep(FLUSH_TIME).await;
+    shell.connections().stop_accepting();
+    let last = shell.now() + LAST_ANSWERS_TIME;
+    compio::time::sleep(CHECK_INTERVAL).await;
+    while shell.now() < last && !is_idle(shell) {
+        compio::time::sleep(CHECK_INTERVAL).await;
+    }
     shell.with_fleet(Fleet::requests)
 }
 
--- a/crates/front/tests/all/requests.rs
+++ b/crates/front/tests/all/requests.rs
@@ -4,7 +4,7 @@
 
 use hibiscusrail_front::stop;
 
-use super::support::{Act, Front, Server, full_response, header, run, status};
+use super::support::{Act, Front, Server, full_response, header, run, status, wait_until};
 
 async fn received_request(path: &str, extra: &str) -> String {
     let server = Server::start(vec![Act::Write(full_response("200 OK", "body"))]);
@@ -146,6 +146,38 @@
     });
 }
 
+/// Guards against a connection that is accepted, or waits to be, as the process ends, and is then
+/// closed without an answer.
+#[test]
+fn request_until_exit_is_answered_or_its_connection_refused() {
+    use std::io::{Read, Write};
+    run(async {
+        let front = Front::start(&[]);
+        let address = front.address;
+        let calling = std::thread::spawn(move || {
+            let mut unanswered = 0;
+            let mut answered = 0;
+            while let Ok(mut stream) = std::net::TcpStream::connect(address) {
+                let sent = stream.write_all(b"POST /once/x HTTP/1.1\r\nhost: host\r\n\r\n");
+                let read = sent.and_then(|()| stream.read(&mut [0; 1_024]));
+                match read {
+                    Ok(count) if count > 0 => answered += 1,
+                    _ => unanswered += 1,
+                }
+            }
+            (answered, unanswered)
+        });
+        front.shell.stop();
+        front.shell.connections().close();
+        compio::time::sleep(Duration::from_millis(300)).await;
+        stop::drain(&front.shell, front.shell.now()).await;
+        wait_until(|| calling.is_finished()).await;
+        let (answered, unanswered) = calling.join().expect("it does not panic");
+        assert!(answered > 0);
+        assert_eq!(unanswered, 0, "{answered} answered");
+    });
+}
+
 /// Guards against an IPv6 host that loses more than its port, so that its route is not found.
 #[test]
 fn request_to_ipv6_host_with_port_finds_route() {
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -16,7 +16,7 @@
 use compio::runtime::fd::PollFd;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
-use futures_util::future::{LocalBoxFuture, Shared};
+use futures_util::future::{Either, LocalBoxFuture, Shared, select};
 use hibiscusrail_macros::value;
 use http::{HeaderMap, HeaderName, Request, Response};
 use hyper::body::Incoming;
@@ -32,6 +32,7 @@
 use crate::linger::LingerQueue;
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
+use crate::time::timeout;
 use crate::trace::{Trace, Traced};
 use crate::triage::{self, Admitted, Next, Opened, OverLimit, Triage, WaitingRoom};
 
@@ -75,6 +76,9 @@
 const MAX_REFUSALS: usize = 64;
 /// Timeout for the request head on a connection over the limit.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for the first request of a new connection once all connections are being closed: its peer
+/// may have opened it before it knew, and the request is on its way.
+const CLOSING_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Opens a listening socket.
 ///
@@ -132,6 +136,8 @@
     head_timeout: Arc<SharedTimeout>,
     close: Cell<Option<oneshot::Sender<()>>>,
     closing: Shared<oneshot::Receiver<()>>,
+    stop: Cell<Option<oneshot::Sender<()>>>,
+    stopped: Shared<oneshot::Receiver<()>>,
     refuse: Option<RefusalHandler>,
     /// Header with a request's id, for the log.
     id_header: Option<HeaderName>,
@@ -159,12 +165,15 @@
     #[must_use]
     pub fn new() -> Self {
         let (close, closing) = oneshot::channel();
+        let (stop, stopped) = oneshot::channel();
         Self {
             open: Cell::new(0),
             refused: Cell::new(0),
             head_timeout: Arc::default(),
             close: Cell::new(Some(close)),
             closing: closing.shared(),
+            stop: Cell::new(Some(stop)),
+            stopped: stopped.shared(),
             refuse: None,
             id_header: None,
             triage: RefCell::default(),
@@ -204,6 +213,13 @@
         self.close.take();
     }
 
+    /// Accepts the connections that wait in the system's queue, then closes the listener.
+    ///
+    /// The system refuses later ones, so their peers know that no request was read.
+    pub fn stop_accepting(&self) {
+        self.stop.take();
+    }
+
     /// Sets the timeout for the next request head.
     ///
     /// A longer one holds for all connections at once, a shorter one on each from its next response.
@@ -294,19 +310,21 @@
         waiting: RefCell::default(),
         lingering: Rc::default(),
     });
+    let mut stopped = server.connections.stopped.clone();
     loop {
         // Accepting itself completes at once while a connection is pending. Waiting for the event
         // loop's poll leaves other tasks their turn after each batch.
-        let accepted = match ready.accept_ready().await {
-            Ok(()) => server.accept_batch(&listener),
-            Err(error) => Err(error),
+        let accepted = match select(pin!(ready.accept_ready()), &mut stopped).await {
+            Either::Left((Ok(()), _)) => server.accept_batch(&listener).map(drop),
+            Either::Left((Err(error), _)) => Err(error),
+            Either::Right(_) => break,
         };
         if let Err(error) = accepted {
-            server.connections.notify(AcceptEvent::Failed);
-            log::warn!(step = "accept", error:% = error; "accept_failed");
+            server.accept_failed(&error);
             compio::time::sleep(Duration::from_millis(50)).await;
         }
     }
+    server.empty_queue(&listener);
 }
 
 /// A listener's limits and handlers, and the connections that are not decided on.
@@ -319,13 +337,31 @@
 }
 
 impl Server {
+    fn accept_failed(&self, error: &io::Error) {
+        self.connections.notify(AcceptEvent::Failed);
+        log::warn!(step = "accept", error:% = error; "accept_failed");
+    }
+
+    /// Accepts all pending connections.
+    fn empty_queue(self: &Rc<Self>, listener: &TcpListener) {
+        loop {
+            match self.accept_batch(listener) {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(error) => return self.accept_failed(&error),
+            }
+        }
+    }
+
     /// Accepts the pending connections, up to a batch; the rest stays in the system's queue.
-    fn accept_batch(self: &Rc<Self>, listener: &TcpListener) -> io::Result<()> {
+    ///
+    /// Returns whether more may be pending.
+    fn accept_batch(self: &Rc<Self>, listener: &TcpListener) -> io::Result<bool> {
         for _ in 0..MAX_ACCEPT_BATCH {
             let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
             let stream = match rustix::net::accept_with(listener.as_fd(), flags) {
                 Ok(stream) => stream,
-                Err(Errno::AGAIN) => return Ok(()),
+                Err(Errno::AGAIN) => return Ok(false),
                 // The caller has gone.
                 Err(Errno::CONNABORTED | Errno::INTR) => continue,
                 Err(error) => return Err(error.into()),
@@ -336,7 +372,7 @@
             }
         }
         self.connections.notify(AcceptEvent::BatchFull);
-        Ok(())
+        Ok(true)
     }
 
     /// Returns what decides on new connections at present; none if all of them are served.
@@ -503,9 +539,18 @@
             match (&mut serving).now_or_never() {
                 Some(result) => (result, false),
                 None => {
+                    let first = match trace.is_new() {
+                        true => timeout(CLOSING_HEAD_TIMEOUT, &mut serving).await.ok(),
+                        false => None,
+                    };
                     let was_idle = trace.is_idle();
-                    Pin::new(&mut serving).graceful_shutdown();
-                    ((&mut serving).await, was_idle)
+                    match first {
+                        Some(result) => (result, false),
+                        None => {
+                            Pin::new(&mut serving).graceful_shutdown();
+                            ((&mut serving).await, was_idle)
+                        }
+                    }
                 }
             }
         }
--- a/crates/net/src/trace.rs
+++ b/crates/net/src/trace.rs
@@ -141,6 +141,11 @@
         self.state.borrow().stage == Stage::Idle
     }
 
+    /// Returns whether no request has arrived yet.
+    pub(crate) fn is_new(&self) -> bool {
+        self.state.borrow().requests == 0
+    }
+
     /// Returns whether this end closed the connection after a response to a peer that may still send.
     pub(crate) fn may_receive(&self, result: &hyper::Result<()>) -> bool {
         match Cause::new(result, self.peer_closed.get()) {
--- a/crates/net/tests/closing.rs
+++ b/crates/net/tests/closing.rs
@@ -1,6 +1,6 @@
 //! Requests that arrive as the server closes their connection.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -89,3 +89,51 @@
         }
     });
 }
+
+/// Guards against a new connection that is closed without an answer since its request is still on
+/// the way while all connections are being closed.
+#[test]
+fn close_answers_first_request_of_new_connection() {
+    run(async {
+        let (connections, address) = start(Limits::new());
+        connections.close();
+        let mut stream = TcpStream::connect(address).expect("it listens");
+        compio::time::sleep(SETTLE).await;
+        stream.write_all(REQUEST).expect("it is open");
+        compio::time::sleep(SETTLE).await;
+        assert!(is_answered(&mut stream));
+    });
+}
+
+/// Guards against connections that wait in the system's queue and are reset as the process ends.
+#[test]
+fn stop_accepting_answers_queued_connections() {
+    run(async {
+        let (connections, address) = start(Limits::new());
+        // More than one batch.
+        let mut streams: Vec<TcpStream> = (0..150)
+            .map(|_| TcpStream::connect(address).expect("it listens"))
+            .collect();
+        for stream in &mut streams {
+            stream.write_all(REQUEST).expect("it is open");
+        }
+        connections.stop_accepting();
+        let mut answered = 0;
+        for stream in &mut streams {
+            stream.set_nonblocking(true).expect("it is a socket");
+            for _ in 0..100 {
+                match stream.read(&mut [0; 1_024]) {
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                        compio::time::sleep(SETTLE).await;
+                    }
+                    read => {
+                        answered += usize::from(read.is_ok_and(|count| count > 0));
+                        break;
+                    }
+                }
+            }
+        }
+        assert_eq!(answered, 150);
+        TcpStream::connect(address).expect_err("the listener is closed");
+    });
+}
