net, front: skip late copies of earlier responses

A second copy of a response was taken for the next one on the connection; its id was rejected, the connection dropped with the right response on it and a retry spent. A filter below hyper now drops whole responses with another request's id until the awaited one begins.

--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -438,6 +438,7 @@
     if plan.retryable
         && let Some(mut connection) = shell.pool().take(target.address, shell.now())
     {
+        connection.expect_response(&protocol.request_id, &plan.outgoing.id);
         match connection.try_send(build()).await {
             Ok(response) => return Ok((connection, response)),
             Err(mut error) => {
--- a/crates/front/tests/all/answers.rs
+++ b/crates/front/tests/all/answers.rs
@@ -1,6 +1,8 @@
 //! Non-streaming responses of servers: those relayed to the caller, and those rejected.
 
-use super::support::{Act, Front, Server, full_response, header, run, status};
+use super::support::{
+    Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, event, full_response, header, run, status,
+};
 
 /// Sends one request to a server that acts as given and returns the caller's response.
 async fn response_to(path: &str, act: Act) -> String {
@@ -162,3 +164,88 @@
         assert_eq!(server.received().len(), 2);
     });
 }
+
+/// Response to another request than the one under way, as a second, late copy of it.
+const LATE_COPY: &str =
+    "HTTP/1.1 200 OK\r\nx-id: other\r\nx-seal: s\r\ncontent-length: 4\r\n\r\nlate";
+
+/// Returns the answers to two requests, the second of which is sent on the connection of the first.
+async fn answers_on_one_connection(path: &str, first: String, second: Act) -> [String; 2] {
+    let server = Server::start(vec![Act::Write(first), second]);
+    let front = Front::start(&[&server]);
+    let first = front.call(path, "").await;
+    let second = front.call(path, "").await;
+    assert_eq!(server.received().len(), 2);
+    [first, second]
+}
+
+/// Guards against a late second copy of a response that is taken for the next one, so that the
+/// request is sent again or its caller gets a foreign answer.
+#[test]
+fn answer_after_late_copy_is_delivered() {
+    run(async {
+        let answer = full_response("200 OK", "right");
+        let chunked = format!(
+            "{}{}{STREAM_END}",
+            STREAM_HEAD.replace("{id}", "other"),
+            chunk("late")
+        );
+        for copies in [LATE_COPY.to_owned(), LATE_COPY.repeat(3), chunked] {
+            let second = Act::Write(format!("{copies}{answer}"));
+            let answers = answers_on_one_connection("/again/x", answer.clone(), second).await;
+            assert!(answers[0].ends_with("right"), "{}", answers[0]);
+            assert!(answers[1].ends_with("right"), "{}", answers[1]);
+        }
+    });
+}
+
+/// Guards against a late copy that arrives in two pieces.
+#[test]
+fn answer_after_late_copy_in_pieces_is_delivered() {
+    run(async {
+        let answer = full_response("200 OK", "right");
+        for at in [20, LATE_COPY.len() - 2] {
+            let (begin, end) = LATE_COPY.split_at(at);
+            let second = Act::Pause(begin.to_owned(), format!("{end}{answer}"));
+            let answers = answers_on_one_connection("/again/x", answer.clone(), second).await;
+            assert!(answers[1].ends_with("right"), "{}", answers[1]);
+        }
+    });
+}
+
+/// Guards against a stream that fails since a late copy of the stream before it comes first.
+#[test]
+fn stream_after_late_copy_is_delivered() {
+    run(async {
+        let stream = format!("{STREAM_HEAD}{}{STREAM_END}", chunk(&event(1)));
+        let copy = stream.replace("{id}", "other");
+        let second = Act::Write(format!("{copy}{stream}"));
+        let answers = answers_on_one_connection("/resume/x", stream, second).await;
+        assert_eq!(status(&answers[1]), 200);
+        assert!(answers[1].contains("data: 1"), "{}", answers[1]);
+    });
+}
+
+/// Guards against a copy without a certain end whose bytes are taken for an answer.
+#[test]
+fn late_copy_without_certain_end_is_not_delivered() {
+    run(async {
+        let answer = full_response("200 OK", "right");
+        let copy = LATE_COPY.replace("content-length: 4\r\n", "");
+        let second = Act::Close(format!("{copy}{answer}"));
+        let answers = answers_on_one_connection("/again/x", answer, second).await;
+        assert_ne!(status(&answers[1]), 200, "{}", answers[1]);
+    });
+}
+
+/// Guards against a late copy for a request that may run once: it is sent on a connection of its own.
+#[test]
+fn once_request_uses_new_connection() {
+    run(async {
+        let answer = full_response("200 OK", "right");
+        let first = format!("{answer}{LATE_COPY}");
+        let second = Act::Write(answer);
+        let answers = answers_on_one_connection("/once/x", first, second).await;
+        assert!(answers[1].ends_with("right"), "{}", answers[1]);
+    });
+}
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,18 +4,20 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Waker};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{HeaderName, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::{TrySendError, http1};
 use snafu::{ResultExt, Snafu};
 
 use crate::body::Body;
 use crate::event_loop;
+use crate::response_filter::{Expected, ResponseFilter, SharedExpected};
 use crate::socket::SocketStream;
 use crate::time::timeout;
 
@@ -64,7 +66,7 @@
 ///
 /// Fails if the peer can't be reached within `limit`.
 pub async fn connect(peer: SocketAddr, limit: Duration) -> Result<Connection, ConnectError> {
-    let (sender, connection) = handshake(peer, limit, Arc::default()).await?;
+    let (sender, connection) = handshake(peer, limit, Arc::default(), Rc::default()).await?;
     event_loop::spawn(async move {
         // The error also reaches the task that awaits the response.
         let _ = connection.await;
@@ -83,6 +85,8 @@
     driver: Option<Pin<Box<Driver>>>,
     /// Makes the next read ask the system.
     look: Arc<AtomicBool>,
+    /// Makes reads skip responses to other requests.
+    expected: SharedExpected,
     /// Waits that ended since one had to wait.
     turn_parts: u32,
 }
@@ -119,6 +123,13 @@
         self.wait(sending).await
     }
 
+    /// Skips responses to earlier requests, which a faulty server may send late, until the response
+    /// to the next request begins. Servers repeat the request's `id` in the header `name`.
+    pub fn expect_response(&mut self, name: &HeaderName, id: &HeaderValue) {
+        let (name, id) = (name.clone(), id.clone());
+        self.expected.replace(Some(Expected { name, id }));
+    }
+
     /// Waits for `work`, which needs bytes of this connection.
     ///
     /// A peer that always has bytes doesn't keep the event loop from other tasks, or from timers of
@@ -180,27 +191,32 @@
     limit: Duration,
 ) -> Result<OwnedConnection, ConnectError> {
     let look = Arc::default();
-    let (sender, driver) = handshake(peer, limit, Arc::clone(&look)).await?;
+    let expected = SharedExpected::default();
+    let made = handshake(peer, limit, Arc::clone(&look), Rc::clone(&expected)).await;
+    let (sender, driver) = made?;
     Ok(OwnedConnection {
         sender,
         driver: Some(Box::pin(driver)),
         look,
+        expected,
         turn_parts: 0,
     })
 }
 
-type Driver = http1::Connection<SocketStream, Body>;
+type Driver = http1::Connection<ResponseFilter<SocketStream>, Body>;
 
 async fn handshake(
     peer: SocketAddr,
     limit: Duration,
     look: Arc<AtomicBool>,
+    expected: SharedExpected,
 ) -> Result<(Connection, Driver), ConnectError> {
     let Ok(stream) = timeout(limit, SocketStream::connect(peer)).await else {
         return TimeoutSnafu { peer, limit }.fail();
     };
     let stream = stream.context(RefusedSnafu { peer })?;
     let stream = stream.with_short_reads().with_look_flag(look);
+    let stream = ResponseFilter::new(stream, peer, expected);
     http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(stream)
