front: measure the processor time of a stream's request and of its events

A new bench serves streams of two lengths on the router's own event loop, over loopback, and reads the processor time of its thread. The set-up of the two benches is shared.

--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -5,7 +5,6 @@
 //! in each turn, as that of an overloaded router, so that connections and their bytes wait. Log lines go to standard output with the rate limit of a router,
 //! and results to standard error. `cargo test` runs a few requests of each kind.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::hint::black_box;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -20,151 +19,29 @@
 use compio::runtime::fd::PollFd;
 use futures_util::FutureExt;
 use hibiscusrail_core::SystemClock;
-use hibiscusrail_fleet::engine::{Part, Prompt};
-use hibiscusrail_fleet::objects::{
-    Backend, Deployment, EngineFacts, Limits, OperatorConfig, Repeat, Revision, Route, Service,
-    Target, Workspace,
-};
+use hibiscusrail_fleet::objects::Repeat;
 use hibiscusrail_fleet::placement::name_hash;
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::{Event, RequestKey, Submission};
-use hibiscusrail_front::protocol::Protocol;
 use hibiscusrail_front::shell::Shell;
 use hibiscusrail_front::{caller, overload, refusal};
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::{bind, logs, serve_counted};
-use hibiscusrail_settings::FrontSettings;
+use http::StatusCode;
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, StatusCode};
 use http_body_util::BodyExt;
 use rustix::net::{RecvFlags, SendFlags, SocketFlags, accept_with, recv, send};
-use rustix::time::{ClockId, clock_gettime};
+use support::{
+    BODY_BYTES, WORKSPACES, empty_shell, prompt, protocol, report, request, shell, thread_time,
+    time,
+};
+
+mod support;
 
-const WORKSPACES: usize = 30;
-const ENGINES: u16 = 90;
 /// Threads of callers, so that several connections wait at a time.
 const CALLERS: usize = 40;
 /// Pause in each turn of the loop; it takes no processor time.
 const PAUSE: Duration = Duration::from_millis(2);
-/// Size of a request's body in bytes.
-const BODY_BYTES: usize = 2_000;
-
-const SETTINGS: &str = "[front]
-name = r
-zone = a
-listen = 127.0.0.1:1
-ready_listen = 127.0.0.1:2
-peer_listen = 127.0.0.1:3
-metrics_listen = 127.0.0.1:4
-[store]
-address = 127.0.0.1:5
-";
-
-fn prompt() -> Prompt {
-    let part = |id, tokens| Part { id, tokens };
-    Prompt {
-        input: 1_460,
-        output: 80,
-        parts: vec![part(1, 800), part(2, 410), part(3, 250)],
-    }
-}
-
-fn protocol() -> Protocol {
-    Protocol {
-        request_id: HeaderName::from_static("x-id"),
-        deadline: HeaderName::from_static("x-wait-ms"),
-        last_event_id: HeaderName::from_static("last-event-id"),
-        resumes: HeaderName::from_static("x-resumes"),
-        seal: HeaderName::from_static("x-seal"),
-        workspace: HeaderName::from_static("x-workspace"),
-        expect_server: HeaderName::from_static("x-server"),
-        kv_source: HeaderName::from_static("x-copy-from"),
-        not_run: HeaderName::from_static("x-not-run"),
-        leaving: HeaderName::from_static("x-leaving"),
-        rate: HeaderName::from_static("x-rate"),
-        reserved: Vec::new(),
-        ready_path: "/ready",
-        prompt: |_: &HeaderMap| Some(prompt()),
-    }
-}
-
-fn deployment() -> Deployment {
-    let routes = (0..8).map(|n| Route {
-        name: format!("route{n}"),
-        host: "host.example".to_owned(),
-        prefix: format!("/route{n}/"),
-        targets: vec![Target {
-            service: "engines".to_owned(),
-            weight: 1,
-        }],
-        repeat: Repeat::Once,
-        stream: true,
-        resumable: true,
-        public: false,
-        timeout: Duration::from_secs(12),
-        target: Duration::from_millis(800),
-        attempts: 2,
-    });
-    let service = Service {
-        health: "/health".to_owned(),
-        connections: 590,
-        cold_time: Duration::ZERO,
-        cold_rate: 0.0,
-        engine: Some(EngineFacts {
-            slots: 16,
-            memory: 427_249,
-            event_tokens: 10,
-            copies: None,
-        }),
-    };
-    let workspaces = (0..WORKSPACES).map(|n| Workspace {
-        name: format!("workspace{n}"),
-        keys: vec![format!("key{n}")],
-    });
-    Deployment {
-        version: 1,
-        routes: routes.collect(),
-        services: BTreeMap::from([("engines".to_owned(), service)]),
-        workspaces: workspaces.collect(),
-        limits: Limits {
-            head_bytes: 16 << 10,
-            body_bytes: 4 << 20,
-            idle: Duration::from_secs(15),
-            throughput: 3_000_000.0,
-        },
-    }
-}
-
-/// Returns a router without servers.
-fn empty_shell() -> Rc<Shell> {
-    let settings = FrontSettings::parse("bench", SETTINGS).expect("the settings are valid");
-    let shell = Rc::new(Shell::new(settings, protocol(), Box::new(SystemClock)));
-    let config = OperatorConfig {
-        deployment: Some(deployment()),
-        evacuated: BTreeSet::new(),
-    };
-    shell.handle(Event::Config(Revision(1), config));
-    shell
-}
-
-fn shell() -> Rc<Shell> {
-    let shell = empty_shell();
-    let engine = |number: u16| Backend {
-        service: "engines".to_owned(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        zone: "a".to_owned(),
-        version: "v1".to_owned(),
-        leaving: false,
-        lapsed: false,
-        slots: 16,
-        cold: Duration::ZERO,
-        sequence: u64::from(number),
-        born: 1,
-    };
-    let servers = (0..ENGINES).map(|n| (format!("e{n}"), engine(n)));
-    shell.handle(Event::Servers(Revision(1), servers.collect()));
-    shell
-}
 
 /// Makes the router refuse every stream.
 fn overload(shell: &Shell) {
@@ -191,29 +68,6 @@
     }
 }
 
-/// Returns the processor time that this thread has used.
-fn thread_time() -> Duration {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
-    let seconds = u64::try_from(time.tv_sec).expect("the time is positive");
-    let nanoseconds = u32::try_from(time.tv_nsec).expect("below a second");
-    Duration::new(seconds, nanoseconds)
-}
-
-fn request(number: usize) -> Vec<u8> {
-    let body = "x".repeat(BODY_BYTES);
-    format!(
-        "POST /route{}/2f HTTP/1.1\r\nhost: host.example\r\nx-id: 9c41d07be2a3{number:04x}\r\n\
-         x-model: m\r\nx-usage: 1460,80\r\n\
-         x-prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nx-wait-ms: 12000\r\n\
-         authorization: Bearer key{}\r\ncontent-type: application/json\r\n\
-         user-agent: caller/1.0\r\naccept: text/event-stream\r\n\
-         content-length: {BODY_BYTES}\r\n\r\n{body}",
-        number % 8,
-        number % WORKSPACES,
-    )
-    .into_bytes()
-}
-
 /// Returns the head of a request as hyper parses it.
 fn head() -> Parts {
     let request = http::Request::post("/route1/2f")
@@ -330,20 +184,6 @@
     }
 }
 
-fn report(name: &str, used: Duration, count: usize) {
-    let each = used.as_secs_f64() * 1e6 / count as f64;
-    eprintln!("{name:<50} {each:8.2} us");
-}
-
-/// Prints the processor time of one call of `work`.
-fn time(name: &str, count: usize, mut work: impl FnMut(u64)) {
-    let start = thread_time();
-    for number in 0..count {
-        work(number as u64);
-    }
-    report(name, thread_time() - start, count);
-}
-
 fn refusing(reads_body: bool) -> Handler {
     Rc::new(move |request| {
         async move {
@@ -366,7 +206,7 @@
     let count = if is_bench { 40_000 } else { 40 };
     logs::init_rate_limited("info", 200).expect("the level is known");
     let started = Instant::now();
-    let shell = shell();
+    let shell = shell(SocketAddr::from(([127, 0, 0, 1], 1)));
     overload(&shell);
     measure("accept, receive, send, close", count, &shell, None);
     let plain = Rc::new(Shell::new(
