net: register sockets once instead of for each wait

compio's polling driver registers a socket anew for each wait (two system calls) and takes five for each poll, of which there were two for a single event. The event loop now has an edge-triggered poller of its own for connections, listeners and the reports' socket: a wait is one system call. compio's driver is one of its sources and is polled when it has events or a timer is due.

Tests: an end that came with the last bytes is seen, a batch that leaves some is followed by another, and another thread wakes the loop.

--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -10,12 +10,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use compio::runtime::fd::PollFd;
 use futures_util::StreamExt;
 use hibiscusrail_fleet::freshness::Source;
 use hibiscusrail_fleet::peers::{Report, Scope};
 use hibiscusrail_fleet::{Event, Fleet};
 use hibiscusrail_net::event_loop;
+use hibiscusrail_net::poller::Watched;
 use prost::Message;
 
 use crate::shell::{Shell, millis};
@@ -173,33 +173,37 @@
 ///
 /// Fails if the socket can't be used for receiving.
 pub async fn receive_reports(shell: Rc<Shell>, peers: Rc<Peers>) -> io::Result<()> {
-    let socket = PollFd::new(peers.socket.try_clone()?)?;
+    let socket = Watched::new(peers.socket.try_clone()?)?;
     let mut buffer = vec![0; RECEIVE_BUFFER_BYTES];
     loop {
         // Waits for a turn of the event loop, also if more datagrams are there.
-        socket.read_ready().await?;
-        receive_pending(&shell, &peers, &mut buffer);
+        socket.readable().await?;
+        if !receive_pending(&shell, &peers, &mut buffer) {
+            socket.keep_readable();
+            event_loop::yield_now().await;
+        }
     }
 }
 
-/// Receives the datagrams that have already arrived, up to a batch.
+/// Receives the datagrams that have already arrived, up to a batch; returns whether these are all.
 ///
 /// A busy event loop polls the socket seldom; with one datagram per turn, queued reports would be
 /// out of date when they are read.
-fn receive_pending(shell: &Rc<Shell>, peers: &Rc<Peers>, buffer: &mut [u8]) {
+fn receive_pending(shell: &Rc<Shell>, peers: &Rc<Peers>, buffer: &mut [u8]) -> bool {
     for _ in 0..MAX_BATCH {
         match peers.socket.recv_from(buffer) {
             Ok((length, address)) => handle_datagram(shell, peers, &buffer[..length], address),
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                 peers.emptied_at.set(Some(shell.now()));
-                return;
+                return true;
             }
             Err(error) => {
                 log::debug!(step = "receive", error:% = error; "datagram_lost");
-                return;
+                return false;
             }
         }
     }
+    false
 }
 
 fn handle_datagram(shell: &Rc<Shell>, peers: &Rc<Peers>, datagram: &[u8], address: SocketAddr) {
--- a/crates/net/src/event_loop.rs
+++ b/crates/net/src/event_loop.rs
@@ -8,10 +8,13 @@
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
 use std::io;
+use std::os::fd::{AsRawFd, BorrowedFd};
 use std::panic::AssertUnwindSafe;
 use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, Wake, Waker};
 use std::time::{Duration, Instant};
 
 use compio::runtime::Runtime;
@@ -19,8 +22,13 @@
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, StreamExt};
 
+use crate::poller::Poller;
+
 /// Maximum tasks that run between two looks at the urgent ones.
 const BATCH_TASKS: usize = 16;
+/// Longest wait during which a wake-up from another thread goes unnoticed. To be told of those at once,
+/// compio's driver needs some system calls for each wait, which only an idle loop can afford.
+const MAX_DEAF_WAIT: Duration = Duration::from_millis(50);
 
 thread_local! {
     /// Urgent tasks of the event loop that runs on this thread.
@@ -115,9 +123,28 @@
     }
 }
 
+/// Waker of the urgent tasks and the main one: records that one of them can make progress.
+struct Woken {
+    is_set: AtomicBool,
+    /// Ends a wait of the event loop, also from another thread.
+    driver: Waker,
+}
+
+impl Wake for Woken {
+    fn wake(self: Arc<Self>) {
+        self.wake_by_ref();
+    }
+
+    fn wake_by_ref(self: &Arc<Self>) {
+        self.is_set.store(true, Ordering::Release);
+        self.driver.wake_by_ref();
+    }
+}
+
 /// An event loop with a queue for urgent tasks.
 pub struct EventLoop {
     runtime: Runtime,
+    poller: Rc<Poller>,
     now: fn() -> Instant,
     usage: Rc<Usage>,
 }
@@ -136,8 +163,17 @@
     /// Fails if the system's event queue can't be created.
     pub fn new(now: fn() -> Instant) -> io::Result<Self> {
         let runtime = Runtime::builder().event_interval(BATCH_TASKS).build()?;
+        #[expect(
+            unsafe_code,
+            reason = "compio offers no borrowed descriptor of its driver"
+        )]
+        // SAFETY: the descriptor is that of the runtime's driver, which lives at least as long as
+        // `runtime`, and it is used only while this function runs.
+        let driver = unsafe { BorrowedFd::borrow_raw(runtime.as_raw_fd()) };
+        let poller = Rc::new(Poller::new(driver)?);
         Ok(Self {
             runtime,
+            poller,
             now,
             usage: Rc::default(),
         })
@@ -153,30 +189,52 @@
     pub fn run<F: Future>(&self, main: F) -> F::Output {
         let urgent = Rc::new(UrgentTasks::default());
         URGENT.set(Some(Rc::clone(&urgent)));
+        Poller::install(Some(Rc::clone(&self.poller)));
         let output = self.runtime.enter(|| {
-            let waker = self.runtime.waker();
+            let woken = Arc::new(Woken {
+                is_set: AtomicBool::new(true),
+                driver: self.runtime.waker(),
+            });
+            let waker = Waker::from(Arc::clone(&woken));
             let mut cx = Context::from_waker(&waker);
             let mut main = pin!(main);
             let mut running = FuturesUnordered::new();
             loop {
                 let began = (self.now)();
+                woken.is_set.store(false, Ordering::Release);
                 urgent.run(&mut running, &mut cx);
                 if let Poll::Ready(output) = main.as_mut().poll(&mut cx) {
                     self.runtime.run();
                     return output;
                 }
-                let has_work = self.runtime.run() || !urgent.is_empty();
+                let has_tasks = self.runtime.run();
+                let has_work =
+                    has_tasks || !urgent.is_empty() || woken.is_set.load(Ordering::Acquire);
                 if has_work {
-                    self.runtime.poll_with(Some(Duration::ZERO));
+                    self.wait(Some(Duration::ZERO));
                 }
                 self.usage
                     .add((self.now)().saturating_duration_since(began));
                 if !has_work {
-                    self.runtime.poll();
+                    self.wait(self.runtime.current_timeout());
                 }
             }
         });
+        Poller::install(None);
         URGENT.set(None);
         output
     }
+
+    /// Waits for events or the next timer, and wakes the tasks that wait for them.
+    fn wait(&self, timeout: Option<Duration>) {
+        let mut timeout = timeout;
+        if timeout.is_none_or(|t| t > MAX_DEAF_WAIT) && self.runtime.flush() {
+            timeout = Some(Duration::ZERO);
+        }
+        let driver_ready = self.poller.wait(timeout).expect("the poller is open");
+        // Without events of its own, the driver still has timers.
+        if driver_ready || self.runtime.current_timeout() == Some(Duration::ZERO) {
+            self.runtime.poll_with(Some(Duration::ZERO));
+        }
+    }
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -11,9 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use compio::driver::ToSharedFd;
-use compio::net::{TcpListener, TcpStream};
-use compio::runtime::fd::PollFd;
+use compio::net::TcpListener;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
 use futures_util::future::{LocalBoxFuture, Shared};
@@ -30,6 +28,7 @@
 use crate::event_loop;
 use crate::head_timer::{HeadTimer, SharedTimeout};
 use crate::linger::LingerQueue;
+use crate::poller::Watched;
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
 use crate::trace::{Trace, Traced};
@@ -280,8 +279,8 @@
     handler: Handler,
     connections: Rc<Connections>,
 ) {
-    let ready = match PollFd::from_shared_fd(listener.to_shared_fd()) {
-        Ok(ready) => ready,
+    let listener = match Watched::new(listener) {
+        Ok(listener) => listener,
         Err(error) => {
             log::error!(step = "accept", error:% = error; "accept_failed");
             return;
@@ -295,16 +294,24 @@
         lingering: Rc::default(),
     });
     loop {
-        // Accepting itself completes at once while a connection is pending. Waiting for the event
-        // loop's poll leaves other tasks their turn after each batch.
-        let accepted = match ready.accept_ready().await {
+        // Accepting itself completes at once while a connection is pending; other tasks get their turn
+        // after each batch.
+        let accepted = match listener.readable().await {
             Ok(()) => server.accept_batch(&listener),
             Err(error) => Err(error),
         };
-        if let Err(error) = accepted {
-            server.connections.notify(AcceptEvent::Failed);
-            log::warn!(step = "accept", error:% = error; "accept_failed");
-            compio::time::sleep(Duration::from_millis(50)).await;
+        match accepted {
+            Ok(true) => {}
+            Ok(false) => {
+                listener.keep_readable();
+                event_loop::yield_now().await;
+            }
+            Err(error) => {
+                server.connections.notify(AcceptEvent::Failed);
+                log::warn!(step = "accept", error:% = error; "accept_failed");
+                listener.keep_readable();
+                compio::time::sleep(Duration::from_millis(50)).await;
+            }
         }
     }
 }
@@ -319,13 +326,14 @@
 }
 
 impl Server {
-    /// Accepts the pending connections, up to a batch; the rest stays in the system's queue.
-    fn accept_batch(self: &Rc<Self>, listener: &TcpListener) -> io::Result<()> {
+    /// Accepts the pending connections, up to a batch; the rest stays in the system's queue. Returns
+    /// whether that is empty.
+    fn accept_batch(self: &Rc<Self>, listener: &TcpListener) -> io::Result<bool> {
         for _ in 0..MAX_ACCEPT_BATCH {
             let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
             let stream = match rustix::net::accept_with(listener.as_fd(), flags) {
                 Ok(stream) => stream,
-                Err(Errno::AGAIN) => return Ok(()),
+                Err(Errno::AGAIN) => return Ok(true),
                 // The caller has gone.
                 Err(Errno::CONNABORTED | Errno::INTR) => continue,
                 Err(error) => return Err(error.into()),
@@ -336,7 +344,7 @@
             }
         }
         self.connections.notify(AcceptEvent::BatchFull);
-        Ok(())
+        Ok(false)
     }
 
     /// Returns what decides on new connections at present; none if all of them are served.
@@ -443,12 +451,6 @@
     })
 }
 
-fn to_stream(stream: OwnedFd) -> io::Result<SocketStream> {
-    let stream = TcpStream::from_std(stream.into())?;
-    stream.set_nodelay(true)?;
-    SocketStream::new(stream)
-}
-
 /// Serves a connection to its end; returns its socket if the peer may still be sending.
 async fn serve_connection(
     opened: Opened,
@@ -459,7 +461,7 @@
     trace: Rc<Trace>,
 ) -> Option<OwnedFd> {
     let look = timer.look_flag();
-    let stream = match to_stream(opened.stream) {
+    let stream = match SocketStream::new(opened.stream) {
         Ok(stream) => stream
             .with_prefix(opened.bytes)
             .with_end_flag(Rc::clone(&trace.peer_closed))
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -15,13 +15,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
-use compio::net::TcpStream;
-use compio::runtime::fd::PollFd;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use rustix::io::Errno;
 use rustix::net::RecvFlags;
 use socket2::{Domain, Protocol, Socket, Type};
 
+use crate::poller::Watched;
+
 /// Maximum bytes read from a socket at once.
 const READ_BYTES: usize = 16 * 1024;
 /// Bytes read from a socket after which its task leaves a turn to the others. A parser reads for as
@@ -36,7 +36,7 @@
 /// A connected TCP socket that implements hyper's I/O traits.
 #[derive(Debug)]
 pub struct SocketStream {
-    socket: PollFd<Socket>,
+    socket: Watched<Socket>,
     /// Whether the socket may hold bytes that were not read yet.
     readable: bool,
     /// Whether a read of fewer bytes than asked shows that the socket is empty.
@@ -52,16 +52,17 @@
 }
 
 impl SocketStream {
-    /// Takes over a connected stream.
+    /// Takes over a connected socket that does not block.
     ///
     /// # Errors
     ///
-    /// Fails if the socket can't be made non-blocking or registered with the event loop.
-    pub fn new(stream: TcpStream) -> io::Result<Self> {
-        let socket = stream.into_poll_fd()?;
-        socket.set_nonblocking(true)?;
+    /// Fails if the socket can't be registered with the event loop.
+    pub fn new(socket: OwnedFd) -> io::Result<Self> {
+        let socket = Socket::from(socket);
+        // Otherwise events of a stream wait for the peer's delayed acknowledgement.
+        socket.set_tcp_nodelay(true)?;
         Ok(Self {
-            socket,
+            socket: Watched::new(socket)?,
             readable: true,
             short_reads: false,
             prefix: Vec::new(),
@@ -87,8 +88,8 @@
             }
             _ => {}
         }
-        let socket = PollFd::new(socket)?;
-        socket.connect_ready().await?;
+        let socket = Watched::new(socket)?;
+        socket.writable().await?;
         if let Some(error) = socket.take_error()? {
             return Err(error);
         }
@@ -166,7 +167,7 @@
             match send(&self.socket) {
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    std::task::ready!(self.socket.poll_write_ready(cx))?;
+                    std::task::ready!(self.socket.poll_writable(cx))?;
                 }
                 result => return Poll::Ready(result),
             }
@@ -221,7 +222,7 @@
         }
         loop {
             if !self.readable {
-                if self.socket.poll_read_ready(cx)?.is_pending() {
+                if self.socket.poll_readable(cx)?.is_pending() {
                     self.turn_bytes = 0;
                     return Poll::Pending;
                 }
