--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -11,9 +11,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use compio::driver::ToSharedFd;
-use compio::net::{TcpListener, TcpStream};
-use compio::runtime::fd::PollFd;
+use compio::net::TcpListener;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
 use futures_util::future::{Either, LocalBoxFuture, Shared, select};
@@ -30,6 +28,7 @@
 use crate::event_loop;
 use crate::head_timer::{HeadTimer, SharedTimeout};
 use crate::linger::LingerQueue;
+use crate::poller::Watched;
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
 use crate::time::timeout;
@@ -296,8 +295,8 @@
     handler: Handler,
     connections: Rc<Connections>,
 ) {
-    let ready = match PollFd::from_shared_fd(listener.to_shared_fd()) {
-        Ok(ready) => ready,
+    let listener = match Watched::new(listener) {
+        Ok(listener) => listener,
         Err(error) => {
             log::error!(step = "accept", error:% = error; "accept_failed");
             return;
@@ -312,16 +311,24 @@
     });
     let mut stopped = server.connections.stopped.clone();
     loop {
-        // Accepting itself completes at once while a connection is pending. Waiting for the event
-        // loop's poll leaves other tasks their turn after each batch.
-        let accepted = match select(pin!(ready.accept_ready()), &mut stopped).await {
-            Either::Left((Ok(()), _)) => server.accept_batch(&listener).map(drop),
+        // Accepting itself completes at once while a connection is pending; other tasks get their turn
+        // after each batch.
+        let accepted = match select(pin!(listener.readable()), &mut stopped).await {
+            Either::Left((Ok(()), _)) => server.accept_batch(&listener),
             Either::Left((Err(error), _)) => Err(error),
             Either::Right(_) => break,
         };
-        if let Err(error) = accepted {
-            server.accept_failed(&error);
-            compio::time::sleep(Duration::from_millis(50)).await;
+        match accepted {
+            Ok(true) => {}
+            Ok(false) => {
+                listener.keep_readable();
+                event_loop::yield_now().await;
+            }
+            Err(error) => {
+                server.accept_failed(&error);
+                listener.keep_readable();
+                compio::time::sleep(Duration::from_millis(50)).await;
+            }
         }
     }
     server.empty_queue(&listener);
@@ -343,25 +350,24 @@
     }
 
     /// Accepts all pending connections.
-    fn empty_queue(self: &Rc<Self>, listener: &TcpListener) {
+    fn empty_queue(self: &Rc<Self>, listener: &Watched<TcpListener>) {
         loop {
             match self.accept_batch(listener) {
-                Ok(true) => {}
-                Ok(false) => return,
+                Ok(false) => {}
+                Ok(true) => return,
                 Err(error) => return self.accept_failed(&error),
             }
         }
     }
 
-    /// Accepts the pending connections, up to a batch; the rest stays in the system's queue.
-    ///
-    /// Returns whether more may be pending.
+    /// Accepts the pending connections, up to a batch; the rest stays in the system's queue. Returns
+    /// whether that is empty.
     fn accept_batch(self: &Rc<Self>, listener: &TcpListener) -> io::Result<bool> {
         for _ in 0..MAX_ACCEPT_BATCH {
             let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
             let stream = match rustix::net::accept_with(listener.as_fd(), flags) {
                 Ok(stream) => stream,
-                Err(Errno::AGAIN) => return Ok(false),
+                Err(Errno::AGAIN) => return Ok(true),
                 // The caller has gone.
                 Err(Errno::CONNABORTED | Errno::INTR) => continue,
                 Err(error) => return Err(error.into()),
@@ -372,7 +378,7 @@
             }
         }
         self.connections.notify(AcceptEvent::BatchFull);
-        Ok(true)
+        Ok(false)
     }
 
     /// Returns what decides on new connections at present; none if all of them are served.
@@ -479,12 +485,6 @@
     })
 }
 
-fn to_stream(stream: OwnedFd) -> io::Result<SocketStream> {
-    let stream = TcpStream::from_std(stream.into())?;
-    stream.set_nodelay(true)?;
-    SocketStream::new(stream)
-}
-
 /// Serves a connection to its end; returns its socket if the peer may still be sending.
 async fn serve_connection(
     opened: Opened,
@@ -495,7 +495,7 @@
     trace: Rc<Trace>,
 ) -> Option<OwnedFd> {
     let look = timer.look_flag();
-    let stream = match to_stream(opened.stream) {
+    let stream = match SocketStream::new(opened.stream) {
         Ok(stream) => stream
             .with_prefix(opened.bytes)
             .with_end_flag(Rc::clone(&trace.peer_closed))
