--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -129,6 +129,8 @@
         resumable: true,
         max_attempts: 2,
         version: None,
+        rank: 0,
+        max_pause: None,
     }
 }
 
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -42,6 +42,10 @@
     pub max_attempts: u32,
     /// Software version that began the stream which the request takes up; none for a new one.
     pub version: Option<String>,
+    /// Rank among the requests of its workspace; 0 is the highest.
+    pub rank: u32,
+    /// Longest pause between two events of an answer that is on time; none if the route names none.
+    pub max_pause: Option<Duration>,
 }
 
 /// Result of an attempt at a server.
--- a/crates/fleet/src/objects.rs
+++ b/crates/fleet/src/objects.rs
@@ -81,6 +81,12 @@
     pub target: Duration,
     /// Maximum number of servers to which one request may be sent.
     pub attempts: u32,
+    /// Longest pause between two events of an answer that is on time; none if the route names none.
+    #[serde(default)]
+    pub max_pause: Option<Duration>,
+    /// Rank of the route's requests within their workspace; 0 is the highest.
+    #[serde(default)]
+    pub rank: Option<u32>,
 }
 
 /// Properties of KV cache transfers between a service's engines.
@@ -147,6 +153,9 @@
     pub name: String,
     /// API keys of the workspace.
     pub keys: Vec<String>,
+    /// Rank of all of the workspace's requests, in place of their routes'; 0 is the highest.
+    #[serde(default)]
+    pub rank: Option<u32>,
 }
 
 /// Limits on callers, and the throughput shared by workspaces.
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -74,6 +74,8 @@
         timeout: Duration::from_secs(12),
         target: Duration::from_secs(1),
         attempts: 2,
+        max_pause: None,
+        rank: None,
     }
 }
 
@@ -101,6 +103,7 @@
         workspaces: vec![Workspace {
             name: "w".to_owned(),
             keys: vec!["key".to_owned()],
+            rank: None,
         }],
         limits: Limits {
             head_bytes: 16 << 10,
@@ -189,6 +192,8 @@
         resumable: true,
         max_attempts: 2,
         version: None,
+        rank: 0,
+        max_pause: None,
     }
 }
 
@@ -206,6 +211,8 @@
         resumable: false,
         max_attempts: 2,
         version: None,
+        rank: 0,
+        max_pause: None,
     }
 }
 
--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -104,6 +104,8 @@
         timeout: Duration::from_secs(12),
         target: Duration::from_millis(800),
         attempts: 2,
+        max_pause: None,
+        rank: None,
     });
     let service = Service {
         health: "/health".to_owned(),
@@ -120,6 +122,7 @@
     let workspaces = (0..WORKSPACES).map(|n| Workspace {
         name: format!("workspace{n}"),
         keys: vec![format!("key{n}")],
+        rank: None,
     });
     Deployment {
         version: 1,
@@ -188,6 +191,8 @@
         resumable: true,
         max_attempts: 2,
         version: None,
+        rank: 0,
+        max_pause: None,
     }
 }
 
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -73,6 +73,8 @@
     pub service: &'a str,
     /// Workspace of the caller; none on public routes.
     pub workspace: Option<&'a str>,
+    /// Rank of the request within its workspace; 0 is the highest.
+    pub rank: u32,
     /// Maximum size of the request's body in bytes.
     pub max_body: usize,
     /// Facts of the service's engines; none for plain services.
@@ -84,6 +86,7 @@
     route: Route,
     service: String,
     workspace: Option<String>,
+    rank: u32,
     max_body: usize,
     engine: Option<EngineFacts>,
     demand: Option<StreamDemand>,
@@ -95,6 +98,7 @@
             route: found.route.clone(),
             service: found.service.to_owned(),
             workspace: found.workspace.map(str::to_owned),
+            rank: found.rank,
             max_body: found.max_body,
             engine: found.engine.cloned(),
             demand,
@@ -267,7 +271,7 @@
             status: StatusCode::UNAUTHORIZED,
             reason: "unknown API key",
         })?;
-        Some(found.name.as_str())
+        Some(found)
     };
     let protocol = shell.protocol();
     let began = header_text(&parts.headers, &protocol.resumes);
@@ -285,7 +289,8 @@
     Ok(Found {
         route,
         service,
-        workspace,
+        workspace: workspace.map(|w| w.name.as_str()),
+        rank: workspace.and_then(|w| w.rank).or(route.rank).unwrap_or(0),
         max_body: deployment.limits.body_bytes,
         engine,
     })
@@ -348,6 +353,7 @@
         route,
         service,
         workspace,
+        rank,
         engine,
         ..
     } = routed;
@@ -388,6 +394,8 @@
         resumable: route.resumable,
         max_attempts: route.attempts,
         version,
+        rank,
+        max_pause: route.max_pause,
     };
     let step = shell.handle(if admitted {
         Event::SubmitAdmitted(submission)
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -234,6 +234,8 @@
         timeout: Duration::from_secs(5),
         target: Duration::from_millis(300),
         attempts: 2,
+        max_pause: None,
+        rank: None,
     }
 }
 
@@ -267,6 +269,7 @@
         workspaces: vec![Workspace {
             name: "w".to_owned(),
             keys: vec!["key".to_owned()],
+            rank: None,
         }],
         limits: Limits {
             head_bytes: 16 << 10,
