fleet: share the slots of plain servers among workspaces

Any workspace could fill all plain servers. While all slots of one are in use, a workspace beyond its max-min share now uses no place in a queue, and a request that would be answered after its deadline is refused. Ranks share within a workspace. Reports carry the requests in progress and the refused demand (tag 60).

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -11,6 +11,7 @@
 use crate::peers::Report;
 use crate::quota::{ShareStatus, WorkspaceHash};
 use crate::registry::ServerKey;
+use crate::room::Standing;
 use crate::versions::VersionSet;
 
 /// Id that the daemon gives to a caller's request.
@@ -99,6 +100,8 @@
     RouterBusy,
     /// The workspace is over its fair share, and no server has spare capacity.
     OverShare,
+    /// No plain server has room that the request may use, or answers it before its deadline.
+    NoRoom,
     /// The request may not be sent to another server.
     Exhausted,
     /// The retry budget is used up.
@@ -208,6 +211,13 @@
         /// Why the servers were left out.
         exclusions: Exclusions,
     },
+    /// No plain server had room.
+    Room {
+        /// Standing of the request.
+        standing: Standing,
+        /// Why the servers were left out.
+        exclusions: Exclusions,
+    },
     /// The router itself is overloaded.
     Router {
         /// Mean event loop lag.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -30,6 +30,7 @@
 use crate::quota::{Quota, WorkspaceHash};
 use crate::registry::{Registry, ServerKey};
 use crate::retry::RetryWindow;
+use crate::room::Room;
 use crate::suspects::{News, SuspectKey, Suspects};
 use crate::versions::{VersionSet, Versions};
 
@@ -84,6 +85,8 @@
     silent: bool,
     /// Why the request was last kept at its silent server.
     kept_for: Option<Reason>,
+    /// Whether all slots of the server were in use when the request was sent.
+    queued: bool,
     /// Whether the request was the first after a pause, so that the server may have restarted before.
     probe: bool,
 }
@@ -164,6 +167,8 @@
     stopping: bool,
     requests: BTreeMap<RequestKey, Request>,
     quota: Quota,
+    /// Use of the plain services.
+    room: Room,
     retry_windows: BTreeMap<String, RetryWindow>,
     totals: BTreeMap<WorkspaceHash, WorkspaceTotal>,
     peers: Peers,
@@ -224,6 +229,7 @@
             stopping: false,
             requests: BTreeMap::new(),
             quota: Quota::new(params.quota_window),
+            room: Room::default(),
             retry_windows: BTreeMap::new(),
             totals: BTreeMap::new(),
             peers: Peers::default(),
@@ -579,6 +585,7 @@
         Report {
             loads,
             totals,
+            plain_uses: self.room.report(now),
             departed: self.departures.recent(now),
             rates: self.rate_notices(now, max_age),
             suspects,
@@ -707,6 +714,13 @@
 
     fn refuse(&mut self, now: Instant, key: RequestKey, refusal: Refusal) {
         self.settle_charge(now, key);
+        self.room.ended(key);
+        if let Some(class) = self
+            .plain_class(key)
+            .filter(|_| refusal.reason == Reason::NoRoom)
+        {
+            self.room.refused(now, class);
+        }
         let Some(request) = self.requests.remove(&key) else {
             return;
         };
@@ -805,6 +819,7 @@
     fn attempt_ended(&mut self, now: Instant, key: RequestKey, outcome: Outcome) {
         let Some(attempt) = self.release_attempt(key) else {
             self.settle_charge(now, key);
+            self.room.ended(key);
             self.requests.remove(&key);
             return;
         };
@@ -820,9 +835,11 @@
             Outcome::Answered | Outcome::Left => {
                 if outcome == Outcome::Answered {
                     self.count_begun(now, key);
+                    self.observe_service_time(now, key, &attempt);
                 }
                 self.release_replaced(key);
                 self.settle_charge(now, key);
+                self.room.ended(key);
                 self.requests.remove(&key);
                 return;
             }
@@ -1172,6 +1189,13 @@
         if self.members.add_reporting(report.sender) {
             self.log_members(before);
         }
+        if report.incremental {
+            self.room.restarted(report.sender, report.incarnation);
+        } else {
+            let sender = (report.sender, report.incarnation);
+            self.room
+                .apply_report(now, sender, report.zone, &report.plain_uses);
+        }
         self.subtract_peer_loads(&change.old_loads);
         for (hash, load) in &change.new_loads {
             if let Some(server) = self.registry.by_hash_mut(*hash) {
@@ -1306,6 +1330,7 @@
         let cross_zone_ttl =
             own_ttl.max(self.report_period() * self.cross_zone_periods() * EXPIRY_PERIODS);
         let ttl = |of: u32| if of == zone { own_ttl } else { cross_zone_ttl };
+        self.room.expire(now, ttl);
         for expired in self.peers.expire(now, ttl) {
             self.subtract_peer_loads(&expired.loads);
             #[allow(clippy::cast_precision_loss)]
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -15,10 +15,13 @@
 use crate::placement;
 use crate::quota::ShareStatus;
 use crate::registry::ServerKey;
+use crate::room::Standing;
 
 use super::homes::Homes;
 use super::{Attempt, Fleet, Refusal, Request, limits};
 
+mod room;
+
 /// Retry delay where another router or a short wait may help.
 pub(super) const SHORT_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Minimum retry delay of a request that no server can start in time.
@@ -138,6 +141,8 @@
     silent: u32,
     /// Streams per second that are requested from all routers.
     demand: f64,
+    /// Standing of a new request while a plain server has all its slots in use.
+    standing: Option<Standing>,
 }
 
 /// Best results among the servers considered so far.
@@ -270,7 +275,7 @@
             return Err(plain(Reason::NotReady));
         };
         let routers = u32::try_from(self.router_count()).unwrap_or(u32::MAX);
-        let ctx = Context {
+        let mut ctx = Context {
             now,
             request: key,
             service,
@@ -286,10 +291,13 @@
             routers,
             demand: self.quota.requested_rate(now) / self.pressure.mean_charge().max(1.0),
             silent: routers.saturating_sub(u32::try_from(self.reporting + 1).unwrap_or(u32::MAX)),
+            standing: None,
         };
         let allowed =
             limits::start_allowance(now, &request.submission, request.may_have_run(), share);
-        let mut homes = Homes::new(self.eligible_servers(&ctx, request), ctx.shared);
+        let eligible = self.eligible_servers(&ctx, request);
+        ctx.standing = self.plain_standing(&ctx, request, &eligible);
+        let mut homes = Homes::new(eligible, ctx.shared);
         let mut candidates = Candidates::default();
         let mut spills = false;
         while let Some(group) = homes.next_group() {
@@ -301,9 +309,15 @@
             }
             spills = true;
         }
+        let pause = || self.shortest_pause(now, &request.submission.service);
+        if let Some(standing) = ctx.standing
+            && pause().is_none()
+        {
+            return room::place_late(&candidates, standing);
+        }
         let Some(inputs) = candidates.inputs() else {
             let mut refusal = plain(Reason::NoServer);
-            if let Some(pause) = self.shortest_pause(now, &request.submission.service) {
+            if let Some(pause) = pause() {
                 refusal.reason = Reason::Throttled;
                 refusal.retry_after = pause;
             }
@@ -359,6 +373,9 @@
             exclusions.slots += 1;
             return;
         }
+        if !room::has_room(ctx, eligible.server, exclusions) {
+            return;
+        }
         let inputs = self.inputs(ctx, eligible);
         let cached = eligible.preferred || eligible.source.is_some() || ctx.prompt.is_none();
         let may_use = !spills || limits::may_spill(&inputs, ctx.share);
@@ -638,6 +655,7 @@
 
     pub(super) fn send(&mut self, now: Instant, key: RequestKey, candidate: Candidate) {
         self.take_cold_token(now, candidate.key);
+        let class = self.plain_class(key);
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
@@ -650,6 +668,7 @@
             pending_prefill: u64::from(candidate.inputs.prefill_tokens),
             running: 1,
         };
+        let queued = server.load().running >= server.backend.slots;
         server.own_load.add(load);
         server.record_request(now, candidate.inputs.prefill_tokens);
         if let Some(prompt) = &request.submission.prompt {
@@ -663,6 +682,9 @@
             }
             self.unreported.push((candidate.key, placement));
         }
+        if let Some(class) = class {
+            self.room.sent(key, class);
+        }
         request.attempt = Some(Attempt {
             server: candidate.key,
             server_hash: server.hash,
@@ -673,6 +695,7 @@
             progress: 0,
             silent: false,
             kept_for: None,
+            queued,
             probe,
         });
         request.tried.push(candidate.key);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`engine`]: load, prefix cache and speed of one server;
 //! * [`placement`]: preferred server for a prompt's shared prefix;
 //! * [`quota`]: max-min fair shares of the engines' throughput among workspaces;
+//! * [`room`]: shares of the plain servers' slots among workspaces;
 //! * [`cold`]: rate limit on requests to a cold server;
 //! * [`retry`]: retry budget of a service;
 //! * [`freshness`]: age of the server list;
@@ -41,6 +42,7 @@
 pub mod quota;
 pub mod registry;
 pub mod retry;
+pub mod room;
 pub mod suspects;
 pub mod versions;
 pub mod window;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -12,6 +12,7 @@
 use prost::Message;
 
 use crate::engine::Load;
+use crate::room::PlainUse;
 use crate::suspects::Suspect;
 
 /// Hash of a router's name.
@@ -157,6 +158,9 @@
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
+    /// Use of the plain services by the sender's requests; none in incremental reports.
+    #[prost(message, repeated, tag = "60")]
+    pub plain_uses: Vec<PlainUse>,
 }
 
 /// State from the reports of one router.
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -148,7 +148,7 @@
 /// Returns the max-min fair share: the level at which `capacity` is used up if each workspace gets
 /// the lesser of its demand and the level; infinite if the demand is less than the capacity.
 /// `requested` is in ascending order.
-fn fair_share(requested: &[f64], capacity: f64) -> f64 {
+pub(crate) fn fair_share(requested: &[f64], capacity: f64) -> f64 {
     let mut remaining = capacity;
     let mut count = requested.len();
     for demand in requested {
--- a/crates/front/src/refusal.rs
+++ b/crates/front/src/refusal.rs
@@ -59,7 +59,7 @@
 }
 
 /// Returns the retry delay of a refused request; one that no server's state was the base of is
-/// spread.
+/// spread, and one without room comes back after one to two times the time until it is expected.
 #[must_use]
 pub fn retry_delay(reason: Reason, wait: Duration, id: &str) -> Duration {
     match reason {
@@ -70,6 +70,8 @@
         | Reason::Stopping
         | Reason::RetryBudget
         | Reason::VersionUnknown => spread(wait, id),
+        // No room is expected before this time.
+        Reason::NoRoom => wait.mul_f64(0.5) + spread(wait, id),
         Reason::Busy
         | Reason::OverShare
         | Reason::Expired
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -328,7 +328,9 @@
                     inputs,
                 } => {
                     if let Some(inputs) = inputs {
-                        if let RefusalInputs::Server { exclusions, .. } = &inputs {
+                        if let RefusalInputs::Server { exclusions, .. }
+                        | RefusalInputs::Room { exclusions, .. } = &inputs
+                        {
                             self.metrics.servers_excluded(exclusions);
                         }
                         log_refused(request, reason, &inputs);
@@ -394,6 +396,29 @@
 fn log_refused(request: RequestKey, reason: Reason, inputs: &RefusalInputs) {
     let (inputs, exclusions) = match inputs {
         RefusalInputs::Server { best, exclusions } => (best, exclusions),
+        RefusalInputs::Room {
+            standing,
+            exclusions,
+        } => {
+            log::info!(
+                call = request.0,
+                reason:? = reason,
+                running = standing.running,
+                of_rank = standing.of_rank,
+                reserved = standing.reserved,
+                unmet = standing.unmet,
+                share = standing.share,
+                service_ms = millis(standing.service_time),
+                left_ms = millis(standing.left),
+                servers = exclusions.servers,
+                over_connections = exclusions.connections,
+                over_slots = exclusions.slots,
+                over_occupancy = exclusions.occupancy,
+                late = exclusions.late;
+                "request_not_placed"
+            );
+            return;
+        }
         RefusalInputs::Router { lag, share } => {
             log::info!(
                 call = request.0,
--- a/crates/front/tests/all/refusal.rs
+++ b/crates/front/tests/all/refusal.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hibiscusrail_fleet::event::{Execution, Reason};
-use hibiscusrail_front::refusal::failure;
+use hibiscusrail_front::refusal::{failure, retry_delay};
 use http::{StatusCode, header};
 
 /// Returns the `Retry-After` of a request that has not run and has 3 s left.
@@ -31,3 +31,17 @@
     assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
     assert!(!response.headers().contains_key(header::RETRY_AFTER));
 }
+
+/// Guards against callers that return before room is expected, or all at once.
+#[test]
+fn retry_delay_without_room_is_spread_after_expected_time() {
+    let wait = Duration::from_millis(400);
+    let delays: Vec<Duration> = (0..100)
+        .map(|n| retry_delay(Reason::NoRoom, wait, &format!("request{n}")))
+        .collect();
+    let (least, most) = (delays.iter().min(), delays.iter().max());
+    assert!(least.is_some_and(|d| *d >= wait), "{least:?}");
+    assert!(most.is_some_and(|d| *d <= wait * 2), "{most:?}");
+    let later = delays.iter().filter(|d| **d > wait.mul_f64(1.5)).count();
+    assert!((30..=70).contains(&later), "{later}");
+}
