--- a/crates/fleet/tests/all/room.rs
+++ b/crates/fleet/tests/all/room.rs
@@ -296,13 +296,16 @@
     panic!("nothing was refused");
 }
 
+/// Sequence number, incarnation and requests in progress of a report.
+type Reported = (u64, u64, u32);
+
 /// Guards against use that counts twice after a repeated report, or for ever after one that was lost
 /// or of a router that is gone.
 #[test]
 fn reported_use_is_replaced_and_expires() {
     let now = Instant::now();
     let own = known_running(&mut support::router("r", 0, now), now);
-    let cases: [(&[(u64, u64, u32)], f64); 5] = [
+    let cases: [(&[Reported], f64); 5] = [
         (&[(1, 1, 5)], 5.0),
         (&[(1, 1, 5), (1, 1, 5)], 5.0),
         (&[(2, 1, 5), (1, 1, 9)], 5.0),
