--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -11,6 +11,7 @@
 use crate::peers::Report;
 use crate::quota::{ShareStatus, WorkspaceHash};
 use crate::registry::ServerKey;
+use crate::room::Standing;
 use crate::versions::VersionSet;
 
 /// Id that the daemon gives to a caller's request.
@@ -42,6 +43,10 @@
     pub max_attempts: u32,
     /// Software version that began the stream which the request takes up; none for a new one.
     pub version: Option<String>,
+    /// Rank among the requests of its workspace; 0 is the highest.
+    pub rank: u32,
+    /// Longest pause between two events of an answer that is on time; none if the route names none.
+    pub max_pause: Option<Duration>,
 }
 
 /// Result of an attempt at a server.
@@ -95,6 +100,8 @@
     RouterBusy,
     /// The workspace is over its fair share, and no server has spare capacity.
     OverShare,
+    /// No plain server has room that the request may use, or answers it before its deadline.
+    NoRoom,
     /// The request may not be sent to another server.
     Exhausted,
     /// The retry budget is used up.
@@ -204,6 +211,13 @@
         /// Why the servers were left out.
         exclusions: Exclusions,
     },
+    /// No plain server had room.
+    Room {
+        /// Standing of the request.
+        standing: Standing,
+        /// Why the servers were left out.
+        exclusions: Exclusions,
+    },
     /// The router itself is overloaded.
     Router {
         /// Mean event loop lag.
--- a/crates/front/benches/support/mod.rs
+++ b/crates/front/benches/support/mod.rs
@@ -82,6 +82,8 @@
         timeout: Duration::from_secs(12),
         target: Duration::from_millis(800),
         attempts: 2,
+        max_pause: None,
+        rank: None,
     });
     let service = Service {
         health: "/health".to_owned(),
