fleet: learn the speed of servers and pace those that start or recover

Servers report their load and momentary slowdown in responses; the adapter decodes both. Under [engines] learn, placement uses a model of each server's speed in place of the configured one, and a server that starts or recovers is paced from the cold limit upwards. Learned figures travel in reports. A router that was itself late judges no server as silent.

--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -42,6 +42,7 @@
         read_rate: 55.0,
         step_time: Duration::from_micros(2_900),
         step_each: Duration::from_micros(100),
+        learn: Learn::Auto,
         routers: ROUTERS,
         lapse_grace: Duration::from_millis(2_500),
         store_ttl: Duration::from_millis(1_500),
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -12,8 +12,10 @@
 use crate::arrivals::Arrivals;
 use crate::cold::ColdBucket;
 use crate::health::Health;
+use crate::model::Model;
 use crate::notice::Notice;
 use crate::objects::{Backend, Revision};
+use crate::pace::Pace;
 use crate::window::Window;
 
 /// Divisor of an engine's KV cache capacity for its prefix cache; running requests use the rest.
@@ -161,6 +163,10 @@
     pub health: Health,
     /// What the server announced in its responses.
     pub notice: Notice,
+    /// Speed learned from its responses.
+    pub model: Model,
+    /// Pace after its start or recovery; none if it is not limited.
+    pub pace: Option<Pace>,
     /// Load of this router's own requests.
     pub own_load: Load,
     /// Load that the other routers reported.
@@ -207,6 +213,8 @@
             bucket: ColdBucket::new(now),
             health: Health::default(),
             notice: Notice::default(),
+            model: Model::default(),
+            pace: (!cold.is_zero()).then(|| Pace::new(now)),
             own_load: Load::default(),
             peer_load: Load::default(),
             expired_at: None,
@@ -231,6 +239,37 @@
         self.cold_until.is_some_and(|until| now < until)
     }
 
+    /// Returns the model of the server's speed.
+    #[must_use]
+    pub fn model(&self) -> &Model {
+        &self.model
+    }
+
+    /// Sets the end of the cold period.
+    pub fn set_cold(&mut self, now: Instant, until: Option<Instant>) {
+        let before = self.cold_until;
+        match &mut self.pace {
+            Some(pace) => pace.settle(now, before),
+            None if until.is_some() => self.pace = Some(Pace::new(now)),
+            None => {}
+        }
+        self.cold_until = until;
+    }
+
+    /// Records that the server answers again after a failure, and the end of its cold period.
+    pub fn recover(&mut self, now: Instant, cold_until: Option<Instant>) {
+        self.pace = Some(Pace::new(now));
+        self.cold_until = cold_until;
+    }
+
+    /// Returns the pace as a multiple of the cold limit; none if it does not limit the server.
+    #[must_use]
+    pub fn pace_level(&self, now: Instant) -> Option<f64> {
+        let pace = self.pace.as_ref()?;
+        let is_full = pace.is_full(now, self.cold_until);
+        (!is_full).then(|| pace.level(now, self.cold_until))
+    }
+
     /// Returns whether the server is limited to the request rate of a cold server.
     #[must_use]
     pub fn is_limited(&self, now: Instant) -> bool {
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -7,6 +7,7 @@
 
 use crate::engine::Prompt;
 use crate::freshness::Confirmation;
+use crate::model::LoadStatus;
 use crate::objects::{OperatorConfig, Repeat, Revision, Servers};
 use crate::peers::Report;
 use crate::quota::{ShareStatus, WorkspaceHash};
@@ -271,6 +272,8 @@
 pub enum Event {
     /// A caller's request was received completely.
     Submit(Submission),
+    /// A complete successful response to a plain request arrived; [`Event::Ended`] follows.
+    Served(RequestKey),
     /// A caller's request that [`Fleet::overloaded`](crate::Fleet::overloaded) counted and did not
     /// refuse was received completely.
     SubmitAdmitted(Submission),
@@ -308,6 +311,10 @@
     ServerRate(ServerKey, Option<f64>),
     /// A server that turned a request away asked for a pause of this length.
     ServerThrottled(ServerKey, Duration),
+    /// A server's response reports its load.
+    ServerStatus(ServerKey, LoadStatus),
+    /// A server's response reports a load that can't be read; the header's value.
+    ServerStatusRejected(ServerKey, String),
     /// The operator configuration was read.
     Config(Revision, OperatorConfig),
     /// The server registrations were read.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,6 +4,7 @@
 
 mod choice;
 mod homes;
+mod learning;
 mod limits;
 mod overload;
 mod quarantine;
@@ -33,6 +34,7 @@
 use crate::suspects::{News, SuspectKey, Suspects};
 use crate::versions::{VersionSet, Versions};
 
+use learning::{FirstByte, LearnedNotices, Learning};
 use overload::Shortfalls;
 
 /// Number of routers from which only those of the same zone report to each other in every period.
@@ -75,6 +77,8 @@
     /// Software version of the server.
     version: String,
     sent_at: Instant,
+    /// Expected time to the first byte.
+    expected: Duration,
     load: Load,
     /// Tokens prefilled until the first output token, including those of earlier requests.
     prefill_tokens: u64,
@@ -170,6 +174,7 @@
     /// Number of other routers whose reports are current, as of the last tick.
     reporting: usize,
     pressure: Pressure,
+    learning: Learning,
     shortfalls: Shortfalls,
     placements: VecDeque<(Instant, Placement)>,
     departures: Departures,
@@ -229,6 +234,7 @@
             peers: Peers::default(),
             reporting: 0,
             pressure: Pressure::default(),
+            learning: Learning::default(),
             shortfalls: Shortfalls::default(),
             placements: VecDeque::new(),
             departures: Departures::default(),
@@ -468,6 +474,7 @@
             }
             Event::SubmitAdmitted(submission) => self.submit(now, submission, true),
             Event::FirstByte(key) => self.first_byte(now, key),
+            Event::Served(key) => self.served(now, key),
             Event::StreamProgress { key, gap, tokens } => {
                 self.stream_progressed(now, key, gap, tokens);
             }
@@ -478,6 +485,10 @@
             Event::ServerLeaving(server) => self.server_leaving(server),
             Event::ServerRate(server, rate) => self.server_rate(now, server, rate),
             Event::ServerThrottled(server, pause) => self.server_throttled(now, server, pause),
+            Event::ServerStatus(server, status) => self.server_status(now, server, status),
+            Event::ServerStatusRejected(server, value) => {
+                self.server_status_rejected(server, &value);
+            }
             Event::Config(revision, config) => self.apply_config(now, revision, config),
             Event::Servers(revision, servers) => self.apply_servers(now, revision, &servers),
             Event::ConfigConfirmed(confirmation) => self.confirm_config(now, confirmation),
@@ -576,9 +587,17 @@
         let placed = self.placements.iter().rev();
         let placed = placed.take_while(|(at, _)| is_recent(*at));
         let placed = placed.map(|(_, placement)| *placement).collect();
+        let LearnedNotices {
+            models,
+            slowdowns,
+            paces,
+        } = self.learned_notices(now);
         Report {
             loads,
             totals,
+            models,
+            slowdowns,
+            paces,
             departed: self.departures.recent(now),
             rates: self.rate_notices(now, max_age),
             suspects,
@@ -760,6 +779,7 @@
         let took = now.saturating_duration_since(attempt.sent_at);
         let prefill_tokens = std::mem::take(&mut attempt.prefill_tokens);
         attempt.load.pending_prefill = 0;
+        let first_byte = FirstByte::from(&*attempt);
         let rate = self.params.read_rate;
         let Some(server) = self.registry.get_mut(attempt.server) else {
             return;
@@ -778,7 +798,7 @@
             // The server may have restarted while it was unreachable, so it counts as cold until
             // its next registration says whether it is; not one that only was silent.
             if !was_silent || attempt.probe {
-                server.cold_until = (!cold.is_zero()).then(|| now + cold);
+                server.recover(now, (!cold.is_zero()).then(|| now + cold));
             }
             let id = server.id.clone();
             self.log(
@@ -787,6 +807,9 @@
                 format!("first_byte_ms={}", took.as_millis()),
             );
         }
+        if !was_silent {
+            self.learn_first_byte(now, &first_byte, prefill_tokens, pending);
+        }
     }
 
     fn stream_progressed(&mut self, now: Instant, key: RequestKey, gap: Duration, tokens: u32) {
@@ -797,8 +820,10 @@
         };
         attempt.progress += 1;
         let server = self.registry.get_mut(attempt.server);
+        let key = attempt.server;
         if let Some(server) = server.filter(|_| !was_silent) {
             server.observe_interval(now, gap, tokens);
+            self.learn_tokens(now, key, gap, tokens);
         }
     }
 
@@ -940,6 +965,7 @@
     }
 
     fn record_outcome(&mut self, now: Instant, key: ServerKey, outcome: Outcome) {
+        self.pace_outcome(now, key, outcome);
         let Some(server) = self.registry.get_mut(key) else {
             return;
         };
@@ -1172,6 +1198,7 @@
         if self.members.add_reporting(report.sender) {
             self.log_members(before);
         }
+        self.apply_learned(now, report, change.joined);
         self.subtract_peer_loads(&change.old_loads);
         for (hash, load) in &change.new_loads {
             if let Some(server) = self.registry.by_hash_mut(*hash) {
@@ -1287,6 +1314,7 @@
     }
 
     fn observe_lag(&mut self, now: Instant, lag: Duration) {
+        self.learning.lateness.observe(now, lag);
         if !self.pressure.observe(now, lag) {
             return;
         }
@@ -1327,6 +1355,7 @@
             self.log("server_gone", &id, "lapsed=true".to_owned());
         }
         self.drop_retired_services();
+        self.drop_full_paces(now);
         let expired = self
             .kept_evacuations
             .extract_if(.., |_, until| now >= *until);
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -55,6 +55,8 @@
 const ZONE_PENALTY: Duration = Duration::from_millis(4);
 /// Fraction of the fleet-wide limit on a cold server that is used.
 const COLD_LIMIT_FRACTION: f64 = 0.85;
+/// Fraction of its capacity from which the pace of a server without a cold limit starts.
+const START_FRACTION: f64 = 0.25;
 /// Lowest rate, in requests per second, for each router that uses a cold server.
 const MIN_COLD_RATE: f64 = 3.0;
 /// Fraction of an engine's slots in use from which the score is penalized.
@@ -130,6 +132,8 @@
     share: ShareStatus,
     /// Whether the server list is too old to decide alone.
     late: bool,
+    /// Whether the learned models of the servers are used.
+    learns: bool,
     /// Software versions that receive no new streams yet.
     new_versions: Vec<&'a str>,
     /// Number of routers that share each limit, with this one.
@@ -282,6 +286,7 @@
                 .map_or(0, Prompt::shared_tokens),
             share,
             late: self.list_is_late(now),
+            learns: self.learns(&request.submission.service),
             new_versions: self.versions.too_new(now, &request.submission.service),
             routers,
             demand: self.quota.requested_rate(now) / self.pressure.mean_charge().max(1.0),
@@ -466,7 +471,7 @@
         if !self.accepts_rate(ctx, server) {
             return false;
         }
-        if !server.is_limited(ctx.now) {
+        if !self.is_rate_limited(ctx.now, server) {
             return true;
         }
         let rate = self.cold_rate(ctx.now, service, server);
@@ -490,19 +495,41 @@
         used < LATE_RATE_FRACTION && is_drawn
     }
 
-    /// Returns the rate, in requests per second, at which this router may use a cold server.
+    /// Returns whether the rate of requests to a server is limited, as it is cold, being probed or
+    /// has just started or recovered.
+    fn is_rate_limited(&self, now: Instant, server: &Server) -> bool {
+        server.is_limited(now) || self.pace_of(now, server).is_some()
+    }
+
+    /// Returns the fleet's limit on the requests per second to a server that has just started or
+    /// recovered; none if there is no limit.
+    fn start_bound(&self, now: Instant, service: &Service, server: &Server) -> Option<f64> {
+        let pace = self.pace_of(now, server);
+        if service.cold_rate > 0.0 {
+            let bound = self.params.cold_bound(service.cold_rate) * COLD_LIMIT_FRACTION;
+            return Some(bound * pace.unwrap_or(1.0));
+        }
+        let slots = f64::from(server.backend.slots.max(1));
+        let capacity = match service.engine {
+            Some(_) => slots,
+            None => slots / server.model().plain_time(now).as_secs_f64(),
+        };
+        pace.map(|pace| capacity * START_FRACTION * pace)
+    }
+
+    /// Returns the rate, in requests per second, at which this router may use a server that is cold
+    /// or has just started or recovered.
     ///
     /// A cold server is assigned to only so many routers that each gets a useful rate; all routers
     /// derive the same assignment from a hash. One is subtracted from the rate because each router
     /// may also send one request at once. The rate is zero until the other routers count this one.
     fn cold_rate(&self, now: Instant, service: &Service, server: &Server) -> f64 {
-        if service.cold_rate <= 0.0 {
+        let Some(bound) = self.start_bound(now, service, server) else {
             return f64::INFINITY;
-        }
+        };
         if !self.members.may_share(now) {
             return 0.0;
         }
-        let bound = self.params.cold_bound(service.cold_rate) * COLD_LIMIT_FRACTION;
         #[allow(
             clippy::cast_precision_loss,
             clippy::cast_possible_truncation,
@@ -534,12 +561,12 @@
             let cached = eligible.source.map_or(eligible.cached, |s| s.cached);
             transferred = cached - eligible.cached;
             prefill_tokens = prompt.input.saturating_sub(cached);
-            prefill_fraction = server.prefill_fraction(ctx.now, self.params.read_rate);
+            prefill_fraction = server.prefill_fraction(ctx.now, self.read_rate(ctx, server));
             let rate_used = server.rate_used(ctx.now, ctx.silent, ctx.routers);
             slots_used = f64::from(load.running) / f64::from(server.backend.slots.max(1));
             slots_used = slots_used.max(rate_used);
         }
-        let nominal_interval = self.params.nominal_interval(load.running, prefill_fraction);
+        let token_interval = self.token_interval(ctx, server, load.running, prefill_fraction);
         Inputs {
             pending_prefill: load.pending_prefill,
             running: load.running,
@@ -550,12 +577,10 @@
             transferred,
             slots_used,
             prefill_fraction,
-            token_interval: server
-                .token_interval(ctx.now)
-                .min(nominal_interval * MAX_INTERVAL_FACTOR),
+            token_interval,
             first_byte: Duration::ZERO,
             share: ctx.share,
-            cold: server.is_limited(ctx.now).then(|| ColdShare {
+            cold: self.is_rate_limited(ctx.now, server).then(|| ColdShare {
                 rate: self.cold_rate(ctx.now, ctx.service, server),
                 routers: ctx.routers,
             }),
@@ -563,15 +588,60 @@
         }
     }
 
+    /// Returns the present prefill rate of a server with all its time, in tokens per millisecond.
+    fn read_rate(&self, ctx: &Context<'_>, server: &Server) -> f64 {
+        if !ctx.learns {
+            return self.params.read_rate;
+        }
+        let model = server.model();
+        model.prefill_rate(ctx.now, &self.params.nominal()).value / model.slowdown(ctx.now)
+    }
+
+    /// Returns the time per output token of a stream at a server.
+    ///
+    /// The observed one is not above twice that of the model. In a slow period, it is not below the
+    /// model's either: what was observed before does not show the period.
+    fn token_interval(
+        &self,
+        ctx: &Context<'_>,
+        server: &Server,
+        running: u32,
+        prefill_fraction: f64,
+    ) -> Duration {
+        let observed = server.token_interval(ctx.now);
+        if !ctx.learns {
+            let nominal = self.params.nominal_interval(running, prefill_fraction);
+            return observed.min(nominal * MAX_INTERVAL_FACTOR);
+        }
+        let (model, nominal) = (server.model(), self.params.nominal());
+        let expected = model.token_interval(ctx.now, running, prefill_fraction, &nominal);
+        let observed = observed.min(expected * MAX_INTERVAL_FACTOR);
+        if model.slowdown(ctx.now) > 1.0 {
+            observed.max(expected)
+        } else {
+            observed
+        }
+    }
+
+    /// Returns the present prefill time of `tokens` at a server.
+    fn prefill_time(&self, ctx: &Context<'_>, server: &Server, tokens: u64) -> Duration {
+        if ctx.learns {
+            let nominal = self.params.nominal();
+            return server.model().prefill_time(ctx.now, tokens, &nominal);
+        }
+        server.prefill_time(tokens, self.params.read_rate)
+    }
+
     /// Returns the candidate for a server with capacity.
     fn score(&self, ctx: &Context<'_>, eligible: &Eligible<'_>, mut inputs: Inputs) -> Candidate {
         let server = eligible.server;
-        let nominal_rate = self.params.read_rate;
-        let wait = match ctx.prompt {
-            Some(_) => server.prefill_time(inputs.pending_prefill, nominal_rate),
-            None => plain_wait(server, inputs.running),
+        let (wait, prefill) = match ctx.prompt {
+            Some(_) => (
+                self.prefill_time(ctx, server, inputs.pending_prefill),
+                self.prefill_time(ctx, server, u64::from(inputs.prefill_tokens)),
+            ),
+            None => plain_times(ctx, server, inputs.running),
         };
-        let prefill = server.prefill_time(u64::from(inputs.prefill_tokens), nominal_rate);
         inputs.first_byte = wait + prefill;
         let mut score = inputs.first_byte + prefill.mul_f64(PREFILL_WEIGHT);
         if let (Some(source), Some(transfers)) = (&eligible.source, ctx.transfers()) {
@@ -625,7 +695,11 @@
 
     /// Counts a request against the rate limit of its server, if that is cold or being probed.
     fn take_cold_token(&mut self, now: Instant, key: ServerKey) {
-        let Some(server) = self.registry.get(key).filter(|s| s.is_limited(now)) else {
+        let Some(server) = self
+            .registry
+            .get(key)
+            .filter(|s| self.is_rate_limited(now, s))
+        else {
             return;
         };
         let service = self.service(&server.backend.service);
@@ -668,6 +742,7 @@
             server_hash: server.hash,
             version: server.backend.version.clone(),
             sent_at: now,
+            expected: candidate.inputs.first_byte,
             load,
             prefill_tokens: candidate.inputs.pending_prefill + load.pending_prefill,
             progress: 0,
@@ -773,10 +848,15 @@
     engine.map_or(0, |e| e.memory)
 }
 
-/// Estimates the wait at a plain server from the requests in progress.
-fn plain_wait(server: &Server, running: u32) -> Duration {
+/// Estimates the wait at a plain server from the requests in progress, and the time of the request
+/// itself if it is known.
+fn plain_times(ctx: &Context<'_>, server: &Server, running: u32) -> (Duration, Duration) {
     /// Assumed time of a request, for comparing servers.
     const REQUEST_TIME: Duration = Duration::from_millis(20);
-    let slots = server.backend.slots.max(1);
-    REQUEST_TIME.mul_f64(f64::from(running) / f64::from(slots))
+    let rounds = f64::from(running) / f64::from(server.backend.slots.max(1));
+    if !ctx.learns {
+        return (REQUEST_TIME.mul_f64(rounds), Duration::ZERO);
+    }
+    let time = server.model().plain_time(ctx.now);
+    (time.mul_f64(rounds), time)
 }
--- a/crates/fleet/src/fleet/stalls.rs
+++ b/crates/fleet/src/fleet/stalls.rs
@@ -14,6 +14,10 @@
 impl Fleet {
     /// Sends a request whose server is silent to another one, if it may be repeated and there is one.
     pub(super) fn attempt_stalled(&mut self, now: Instant, key: RequestKey) {
+        if self.explains_silence(now) {
+            // What the server sent meanwhile may not be read yet.
+            return;
+        }
         let request = self.requests.get_mut(&key).filter(|r| r.replaced.is_none());
         let Some(attempt) = request.and_then(|r| r.attempt.as_mut()) else {
             return;
@@ -162,7 +166,7 @@
     pub(super) fn judge_expiry(&mut self, now: Instant, key: RequestKey, attempt: &Attempt) {
         let request = self.requests.get(&key);
         let is_silence = request.is_some_and(|r| !r.started && !r.may_repeat());
-        let outcome = if is_silence {
+        let outcome = if is_silence && !self.explains_silence(now) {
             Outcome::Expired
         } else {
             Outcome::Withdrawn
--- a/crates/fleet/src/params.rs
+++ b/crates/fleet/src/params.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::model::{Learn, Nominal};
 use crate::retry::RetryBound;
 
 /// Time from the last look at a table to the request's bytes at the server: a turn of the event loop
@@ -37,6 +38,8 @@
     pub step_time: Duration,
     /// Increase of the time per output token for each running request; from the data sheet.
     pub step_each: Duration,
+    /// Whether the speed and pace learned from servers' responses are used.
+    pub learn: Learn,
     /// Number of routers assumed until other routers are known.
     pub routers: usize,
     /// Time after a store outage for which servers are kept whose registrations expired.
@@ -54,6 +57,16 @@
         rate * self.cold_factor + self.cold_slack
     }
 
+    /// Returns the configured speed of servers.
+    #[must_use]
+    pub fn nominal(&self) -> Nominal {
+        Nominal {
+            read_rate: self.read_rate,
+            step_time: self.step_time,
+            step_each: self.step_each,
+        }
+    }
+
     /// Returns the age from which a server list doesn't decide alone where requests may go.
     #[must_use]
     pub fn max_list_age(&self) -> Duration {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -12,6 +12,8 @@
 use prost::Message;
 
 use crate::engine::Load;
+use crate::model::{LearnedSpeed, SlowdownNotice};
+use crate::pace::PaceNotice;
 use crate::suspects::Suspect;
 
 /// Hash of a router's name.
@@ -154,6 +156,15 @@
     /// configuration and the servers; none unless it goes on to read them for its zone.
     #[prost(uint64, optional, tag = "19")]
     pub read_age: Option<u64>,
+    /// Learned speeds of some servers, in turn.
+    #[prost(message, repeated, tag = "40")]
+    pub models: Vec<LearnedSpeed>,
+    /// Momentary slowdowns that servers reported to the sender.
+    #[prost(message, repeated, tag = "41")]
+    pub slowdowns: Vec<SlowdownNotice>,
+    /// Recent evidence about servers that have just started or recovered.
+    #[prost(message, repeated, tag = "42")]
+    pub paces: Vec<PaceNotice>,
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
@@ -232,6 +243,8 @@
     pub workspaces: Vec<WorkspaceChange>,
     /// Requests sent since the last report, by server.
     pub sent: Vec<(u32, Sent)>,
+    /// Whether the sender was not known before, or restarted.
+    pub joined: bool,
 }
 
 impl Total {
@@ -359,6 +372,7 @@
             new_loads,
             workspaces,
             sent,
+            joined: !same_incarnation,
         })
     }
 
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -97,6 +97,11 @@
         self.servers.values()
     }
 
+    /// Returns all servers for modification.
+    pub fn all_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.servers.values_mut()
+    }
+
     /// Returns the current registrations, with the remaining cold time of each server.
     #[must_use]
     pub fn entries(&self, now: Instant) -> Servers {
@@ -297,7 +302,7 @@
         }
         let has_new_report = newest.sequence != old.sequence;
         if has_new_report {
-            server.cold_until = (!newest.cold.is_zero()).then(|| now + newest.cold);
+            server.set_cold(now, (!newest.cold.is_zero()).then(|| now + newest.cold));
         }
         server.backend = newest.clone();
     }
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -6,6 +6,7 @@
 
 use hibiscusrail_fleet::engine::{Part, Prompt};
 use hibiscusrail_fleet::event::Reason;
+use hibiscusrail_fleet::model::Learn;
 use hibiscusrail_fleet::objects::{
     Backend, Deployment, EngineFacts, Limits, OperatorConfig, Repeat, Revision, Route, Servers,
     Service, Target, TransferFacts, Workspace,
@@ -40,6 +41,7 @@
         read_rate: 55.0,
         step_time: Duration::from_micros(2_900),
         step_each: Duration::from_micros(100),
+        learn: Learn::Auto,
         routers: 8,
         lapse_grace: Duration::from_millis(2_500),
         store_ttl: Duration::from_millis(1_500),
--- /dev/null
+++ b/crates/fleet/tests/all/uneven_servers.rs
@@ -0,0 +1,1 @@
+//! Placement on servers that differ in speed.
--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -85,6 +85,7 @@
         reserved: Vec::new(),
         ready_path: "/ready",
         prompt: |_: &HeaderMap| Some(prompt()),
+        load: |_| Ok(None),
     }
 }
 
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -464,6 +464,9 @@
         let mut interruption = match upstream::attempt(shell, &plan, hop, None).await {
             Ok(Reply::Full(response)) => {
                 tracker.record_first_byte();
+                if response.status.is_success() {
+                    shell.handle(Event::Served(tracker.key()));
+                }
                 tracker.complete();
                 return into_response(response);
             }
--- a/crates/front/src/protocol.rs
+++ b/crates/front/src/protocol.rs
@@ -1,7 +1,15 @@
 //! The HTTP interface of a deployment: its header names, readiness path and prompt headers.
 
 use hibiscusrail_fleet::engine::Prompt;
-use http::{HeaderMap, HeaderName};
+use hibiscusrail_fleet::model::LoadStatus;
+use http::{HeaderMap, HeaderName, HeaderValue};
+
+/// Load that a response reports; none without the header.
+///
+/// # Errors
+///
+/// Holds the header's value if it can't be read.
+pub type LoadHeader = Result<Option<LoadStatus>, HeaderValue>;
 
 /// Header names and other parts of HTTP messages that differ between deployments.
 #[derive(Debug, Clone)]
@@ -34,4 +42,6 @@
     pub ready_path: &'static str,
     /// Parses the prompt that a request's headers describe; none if they don't.
     pub prompt: fn(&HeaderMap) -> Option<Prompt>,
+    /// Reads the load that a server's response reports.
+    pub load: fn(&HeaderMap) -> LoadHeader,
 }
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -472,6 +472,7 @@
         shell.handle(Event::ServerLeaving(target.server));
     }
     read_rate(shell, target, headers);
+    read_load(shell, target, headers);
     let value = headers.get(header::RETRY_AFTER);
     if let Some(value) = value.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) {
         let pause = parse_pause(value).unwrap_or_else(|| {
@@ -503,6 +504,20 @@
     }
 }
 
+/// Tells the reducer which load a response reports.
+fn read_load(shell: &Shell, target: &Target, headers: &HeaderMap) {
+    match (shell.protocol().load)(headers) {
+        Ok(None) => {}
+        Ok(Some(status)) => {
+            shell.handle(Event::ServerStatus(target.server, status));
+        }
+        Err(value) => {
+            let value = format!("{value:?}");
+            shell.handle(Event::ServerStatusRejected(target.server, value));
+        }
+    }
+}
+
 fn log_rejected(target: &Target, step: &str, value: &HeaderValue) {
     log::warn!(
         step = step,
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -63,6 +63,7 @@
         match event {
             Event::Submit(_) | Event::SubmitAdmitted(_) => Self::Start,
             Event::FirstByte(_)
+            | Event::Served(_)
             | Event::StreamProgress { .. }
             | Event::Ended(..)
             | Event::Stalled(_)
@@ -70,7 +71,9 @@
             | Event::Resumed { .. }
             | Event::ServerLeaving(_)
             | Event::ServerRate(..)
-            | Event::ServerThrottled(..) => Self::Stream,
+            | Event::ServerThrottled(..)
+            | Event::ServerStatus(..)
+            | Event::ServerStatusRejected(..) => Self::Stream,
             Event::Report(_) => Self::Report,
             Event::Config(..)
             | Event::Servers(..)
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -204,6 +204,7 @@
         reserved: vec![HeaderName::from_static("x-internal")],
         ready_path: "/ready",
         prompt: |_| Some(Prompt::default()),
+        load: |_| Ok(None),
     }
 }
 
--- a/crates/settings/src/front.rs
+++ b/crates/settings/src/front.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hibiscusrail_fleet::Params;
+use hibiscusrail_fleet::model::Learn;
 use hibiscusrail_fleet::retry::RetryBound;
 use hibiscusrail_macros::record;
 
@@ -134,6 +135,7 @@
         read_rate: r.optional(ENGINES, "read_rate", 55.0),
         step_time: r.optional(ENGINES, "step_time", Duration::from_micros(2_900)),
         step_each: r.optional(ENGINES, "step_each", Duration::from_micros(100)),
+        learn: r.optional(ENGINES, "learn", Learn::Auto),
         routers: r.optional::<u32>(ENGINES, "routers", 8) as usize,
         lapse_grace: r.optional(STORE, "lapse_grace", Duration::from_millis(2_500)),
         store_ttl: r.optional(STORE, "watch_life", Duration::from_millis(1_500)),
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -4,6 +4,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use hibiscusrail_fleet::model::Learn;
+
 /// A type that a setting's value can have.
 pub trait Value: Sized {
     /// Description of the allowed values, for error messages.
@@ -64,6 +66,19 @@
     }
 }
 
+impl Value for Learn {
+    const ALLOWED: &'static str = "auto, on or off";
+
+    fn parse(text: &str) -> Option<Self> {
+        match text {
+            "auto" => Some(Self::Auto),
+            "on" => Some(Self::On),
+            "off" => Some(Self::Off),
+            _ => None,
+        }
+    }
+}
+
 /// Lowest severity of the log records that are written.
 #[hibiscusrail_macros::record]
 pub struct LogLevel(pub String);
