fleet: keep the learned figures of a report in one field

The size of a report in memory stays near what it was. Placement weighs a prompt's own prefill by the configured speed and spreads prompts without a shared prefix more widely, as routers that hear late of each other herd on fast servers otherwise.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -34,7 +34,7 @@
 use crate::suspects::{News, SuspectKey, Suspects};
 use crate::versions::{VersionSet, Versions};
 
-use learning::{FirstByte, LearnedNotices, Learning};
+use learning::{FirstByte, Learning};
 use overload::Shortfalls;
 
 /// Number of routers from which only those of the same zone report to each other in every period.
@@ -587,17 +587,11 @@
         let placed = self.placements.iter().rev();
         let placed = placed.take_while(|(at, _)| is_recent(*at));
         let placed = placed.map(|(_, placement)| *placement).collect();
-        let LearnedNotices {
-            models,
-            slowdowns,
-            paces,
-        } = self.learned_notices(now);
+        let learned = self.learned_notices(now);
         Report {
             loads,
             totals,
-            models,
-            slowdowns,
-            paces,
+            learned,
             departed: self.departures.recent(now),
             rates: self.rate_notices(now, max_age),
             suspects,
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -39,6 +39,10 @@
 /// Range of the score jitter in large deployments: routers that learn late of each other's choices
 /// must not all take the same server.
 const SCORE_JITTER: Duration = Duration::from_millis(30);
+/// That range for prompts without a shared prefix where the learned speeds are used: the fastest
+/// servers would get the requests of all routers before they hear of each other's. With 80 and 150 ms
+/// more first bytes were late in the play of `uneven_servers`.
+const LEARNED_SCORE_JITTER: Duration = Duration::from_millis(300);
 /// Score penalty of a server in another zone whose load is reported late.
 const STALE_ZONE_PENALTY: Duration = Duration::from_millis(100);
 /// Minimum tokens of a KV cache transfer: their prefill takes twice the time until it starts.
@@ -643,7 +647,15 @@
             None => plain_times(ctx, server, inputs.running),
         };
         inputs.first_byte = wait + prefill;
-        let mut score = inputs.first_byte + prefill.mul_f64(PREFILL_WEIGHT);
+        // The weight is for tokens that are not cached. By the learned speed, it would draw the
+        // requests of all routers to the fastest servers long before they hear of each other's.
+        let weighted = match ctx.prompt {
+            Some(_) if ctx.learns => Duration::from_secs_f64(
+                f64::from(inputs.prefill_tokens) / self.params.read_rate / 1e3,
+            ),
+            _ => prefill,
+        };
+        let mut score = inputs.first_byte + weighted.mul_f64(PREFILL_WEIGHT);
         if let (Some(source), Some(transfers)) = (&eligible.source, ctx.transfers()) {
             let is_near = source.server.backend.zone == server.backend.zone;
             inputs.first_byte += transfers.time(inputs.transferred, is_near);
@@ -683,7 +695,12 @@
         if !self.is_large() {
             return Duration::ZERO;
         }
-        SCORE_JITTER.mul_f64(self.draw(ctx, server))
+        let range = if ctx.learns && ctx.prompt.is_some() && ctx.shared == 0 {
+            LEARNED_SCORE_JITTER
+        } else {
+            SCORE_JITTER
+        };
+        range.mul_f64(self.draw(ctx, server))
     }
 
     /// Returns a number from 0 to 1 that depends on the router, request and server.
--- a/crates/fleet/src/fleet/learning.rs
+++ b/crates/fleet/src/fleet/learning.rs
@@ -6,9 +6,8 @@
 use crate::engine::Server;
 use crate::event::{Outcome, RequestKey};
 use crate::lateness::{Lateness, MAX_LEARNING_LAG, MAX_SILENCE_LAG};
-use crate::model::{Learn, LearnedSpeed, LoadStatus, SlowdownNotice};
-use crate::pace::PaceNotice;
-use crate::peers::Report;
+use crate::model::{Learn, LoadStatus};
+use crate::peers::{Learned, Report};
 use crate::registry::ServerKey;
 
 use super::{Attempt, Fleet};
@@ -32,14 +31,6 @@
     greetings: u32,
 }
 
-/// Learned figures for a report.
-#[derive(Default)]
-pub(super) struct LearnedNotices {
-    pub(super) models: Vec<LearnedSpeed>,
-    pub(super) slowdowns: Vec<SlowdownNotice>,
-    pub(super) paces: Vec<PaceNotice>,
-}
-
 /// Returns the low bits of a server's start time.
 #[allow(clippy::cast_possible_truncation)]
 fn life(server: &Server) -> u32 {
@@ -228,13 +219,13 @@
     }
 
     /// Returns the learned figures for a full report.
-    pub(super) fn learned_notices(&mut self, now: Instant) -> LearnedNotices {
+    pub(super) fn learned_notices(&mut self, now: Instant) -> Option<Box<Learned>> {
         let servers = self.registry.all();
         let servers: Vec<&Server> = servers
             .filter(|s| self.learns(&s.backend.service))
             .collect();
         if servers.is_empty() {
-            return LearnedNotices::default();
+            return None;
         }
         let slowdowns = servers
             .iter()
@@ -256,11 +247,12 @@
             self.learning.next = (self.learning.next + REPORTED_MODELS) % servers.len();
             self.learning.greetings = self.learning.greetings.saturating_sub(1);
         }
-        LearnedNotices {
+        let learned = Learned {
             models,
             slowdowns,
             paces,
-        }
+        };
+        (learned != Learned::default()).then(|| Box::new(learned))
     }
 
     /// Takes up the learned figures of a report; `joined` says whether its sender just started.
@@ -271,7 +263,10 @@
         if self.params.learn == Learn::Off {
             return;
         }
-        for notice in &report.slowdowns {
+        let Some(learned) = &report.learned else {
+            return;
+        };
+        for notice in &learned.slowdowns {
             let age = Duration::from_millis(u64::from(notice.age));
             let at = now.checked_sub(age);
             let server = self.registry.by_hash_mut(notice.server);
@@ -280,16 +275,16 @@
             }
         }
         let nominal = self.params.nominal();
-        for learned in &report.models {
-            let server = self.registry.by_hash_mut(learned.server);
-            let Some(server) = server.filter(|s| life(s) == learned.life) else {
+        for speed in &learned.models {
+            let server = self.registry.by_hash_mut(speed.server);
+            let Some(server) = server.filter(|s| life(s) == speed.life) else {
                 continue;
             };
-            server.model.merge(now, learned, &nominal);
+            server.model.merge(now, speed, &nominal);
             let (service, id) = (server.backend.service.clone(), server.id.clone());
             self.open_gate(service, &id);
         }
-        for notice in &report.paces {
+        for notice in &learned.paces {
             let server = self.registry.by_hash_mut(notice.server);
             let server = server.filter(|s| life(s) == notice.life);
             if let Some(server) = server {
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -96,6 +96,20 @@
     pub pending: u64,
 }
 
+/// What a router learned from servers' responses.
+#[derive(Clone, PartialEq, Message)]
+pub struct Learned {
+    /// Learned speeds of some servers, in turn.
+    #[prost(message, repeated, tag = "1")]
+    pub models: Vec<LearnedSpeed>,
+    /// Momentary slowdowns that servers reported to the sender.
+    #[prost(message, repeated, tag = "2")]
+    pub slowdowns: Vec<SlowdownNotice>,
+    /// Recent evidence about servers that have just started or recovered.
+    #[prost(message, repeated, tag = "3")]
+    pub paces: Vec<PaceNotice>,
+}
+
 /// Report of a router to the other routers.
 #[derive(Clone, PartialEq, Message)]
 pub struct Report {
@@ -156,15 +170,9 @@
     /// configuration and the servers; none unless it goes on to read them for its zone.
     #[prost(uint64, optional, tag = "19")]
     pub read_age: Option<u64>,
-    /// Learned speeds of some servers, in turn.
-    #[prost(message, repeated, tag = "40")]
-    pub models: Vec<LearnedSpeed>,
-    /// Momentary slowdowns that servers reported to the sender.
-    #[prost(message, repeated, tag = "41")]
-    pub slowdowns: Vec<SlowdownNotice>,
-    /// Recent evidence about servers that have just started or recovered.
-    #[prost(message, repeated, tag = "42")]
-    pub paces: Vec<PaceNotice>,
+    /// What the sender learned from servers' responses.
+    #[prost(message, optional, boxed, tag = "40")]
+    pub learned: Option<Box<Learned>>,
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
--- a/crates/fleet/tests/all/learning.rs
+++ b/crates/fleet/tests/all/learning.rs
@@ -89,7 +89,7 @@
         assert!(!fleet.learns(PLAIN) || learn == Learn::On);
         assert_eq!(rate(&fleet, now) > 60.0, expected, "{learn:?}");
         let report = fleet.report(now, Scope::All);
-        assert!(expected || report.slowdowns.is_empty() && report.models.is_empty());
+        assert!(expected || report.learned.is_none());
     }
 }
 
@@ -101,7 +101,7 @@
     tell(&mut fleet, start, Some(1.0));
     let now = play(&mut fleet, start, 20, 112.0);
     let mut reports: Vec<_> = (0..12).map(|_| fleet.report(now, Scope::All)).collect();
-    reports.retain(|r| !r.models.is_empty());
+    reports.retain(|r| r.learned.as_ref().is_some_and(|l| !l.models.is_empty()));
     assert!(!reports.is_empty(), "the model is reported");
     let mut servers = support::servers(1);
     servers.get_mut("e0").expect("the engine").born = 2;
@@ -158,8 +158,8 @@
         fleet.handle(later, Event::FirstByte(RequestKey(key)));
     }
     let bytes = |r: &hibiscusrail_fleet::peers::Report| {
-        let sizes = r.models.iter().map(prost::Message::encoded_len);
-        sizes.sum::<usize>()
+        let models = r.learned.iter().flat_map(|l| &l.models);
+        models.map(prost::Message::encoded_len).sum::<usize>()
     };
     let largest = (0..20)
         .map(|_| bytes(&fleet.report(later, Scope::All)))
