--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -10,6 +10,7 @@
 
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 use hibiscusrail_fleet::engine::{Part, Prompt};
+use hibiscusrail_fleet::model::Learn;
 use hibiscusrail_fleet::objects::{
     Backend, Deployment, EngineFacts, Limits, OperatorConfig, Repeat, Revision, Servers, Service,
     TransferFacts,
--- a/crates/fleet/tests/all/pace.rs
+++ b/crates/fleet/tests/all/pace.rs
@@ -48,7 +48,7 @@
         let now = start + STEP * step;
         for (index, fleet) in fleets.iter_mut().enumerate() {
             fleet.handle(now, Event::LoopLag(Duration::ZERO));
-            if (step as usize + index) % 10 != 0 {
+            if !(step as usize + index).is_multiple_of(10) {
                 continue;
             }
             let key = RequestKey(u64::from(step));
--- a/crates/fleet/tests/all/uneven_servers.rs
+++ b/crates/fleet/tests/all/uneven_servers.rs
@@ -184,7 +184,7 @@
         let herd = (0..engines.len()).map(received).max().unwrap_or(0);
         results.herd = results.herd.max(u32::try_from(herd).unwrap_or(u32::MAX));
         for (index, fleet) in fleets.iter_mut().enumerate() {
-            if (step as usize + index) % 20 == 0 {
+            if (step as usize + index).is_multiple_of(20) {
                 fleet.handle(now, Event::Tick);
                 let report = fleet.report(now, Scope::All);
                 reports.push_back((now + REPORT_DELAY, index, report));
