--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -10,6 +10,7 @@
 
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 use hibiscusrail_fleet::engine::{Part, Prompt};
+use hibiscusrail_fleet::model::Learn;
 use hibiscusrail_fleet::objects::{
     Backend, Deployment, EngineFacts, Limits, OperatorConfig, Repeat, Revision, Servers, Service,
     TransferFacts,
@@ -42,6 +43,7 @@
         read_rate: 55.0,
         step_time: Duration::from_micros(2_900),
         step_each: Duration::from_micros(100),
+        learn: Learn::Auto,
         routers: ROUTERS,
         lapse_grace: Duration::from_millis(2_500),
         store_ttl: Duration::from_millis(1_500),
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -12,6 +12,8 @@
 use prost::Message;
 
 use crate::engine::Load;
+use crate::model::{LearnedSpeed, SlowdownNotice};
+use crate::pace::PaceNotice;
 use crate::room::PlainUse;
 use crate::suspects::Suspect;
 
@@ -95,6 +97,20 @@
     pub pending: u64,
 }
 
+/// What a router learned from servers' responses.
+#[derive(Clone, PartialEq, Message)]
+pub struct Learned {
+    /// Learned speeds of some servers, in turn.
+    #[prost(message, repeated, tag = "1")]
+    pub models: Vec<LearnedSpeed>,
+    /// Momentary slowdowns that servers reported to the sender.
+    #[prost(message, repeated, tag = "2")]
+    pub slowdowns: Vec<SlowdownNotice>,
+    /// Recent evidence about servers that have just started or recovered.
+    #[prost(message, repeated, tag = "3")]
+    pub paces: Vec<PaceNotice>,
+}
+
 /// Report of a router to the other routers.
 #[derive(Clone, PartialEq, Message)]
 pub struct Report {
@@ -155,6 +171,9 @@
     /// configuration and the servers; none unless it goes on to read them for its zone.
     #[prost(uint64, optional, tag = "19")]
     pub read_age: Option<u64>,
+    /// What the sender learned from servers' responses.
+    #[prost(message, optional, boxed, tag = "40")]
+    pub learned: Option<Box<Learned>>,
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
@@ -236,6 +255,8 @@
     pub workspaces: Vec<WorkspaceChange>,
     /// Requests sent since the last report, by server.
     pub sent: Vec<(u32, Sent)>,
+    /// Whether the sender was not known before, or restarted.
+    pub joined: bool,
 }
 
 impl Total {
@@ -363,6 +384,7 @@
             new_loads,
             workspaces,
             sent,
+            joined: !same_incarnation,
         })
     }
 
--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -65,6 +65,8 @@
         resumable: true,
         max_attempts: 2,
         version: None,
+        rank: 0,
+        max_pause: None,
     }
 }
 
--- a/crates/front/benches/support/mod.rs
+++ b/crates/front/benches/support/mod.rs
@@ -62,6 +62,7 @@
         rate: HeaderName::from_static("x-rate"),
         reserved: Vec::new(),
         ready_path: "/ready",
+        load: |_| Ok(None),
         prompt: |_: &HeaderMap| Some(prompt()),
     }
 }
@@ -100,6 +101,7 @@
     let workspaces = (0..WORKSPACES).map(|n| Workspace {
         name: format!("workspace{n}"),
         keys: vec![format!("key{n}")],
+        rank: None,
     });
     Deployment {
         version: 1,
