--- /dev/null
+++ b/crates/process-tests/src/lib.rs
@@ -0,0 +1,8 @@
+//! Starts the router's own process on loopback addresses, with stand-ins for the store and the
+//! servers in the test process, and reads the process's memory and open descriptors.
+
+pub mod http;
+pub mod process;
+
+#[path = "../../../platform/process_standin.rs"]
+pub mod standin;
--- /dev/null
+++ b/crates/process-tests/src/process.rs
@@ -0,0 +1,113 @@
+//! The router's process.
+
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Serialises the tests: each needs memory and processor time for a crowd of clients.
+static LOCK: Mutex<()> = Mutex::new(());
+
+/// Waits until no other test runs.
+pub fn lock() -> MutexGuard<'static, ()> {
+    LOCK.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns a loopback address that is free at present.
+///
+/// # Panics
+///
+/// If loopback is not available.
+#[must_use]
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("loopback is available");
+    listener.local_addr().expect("the listener is bound")
+}
+
+/// A running router; it is killed when dropped.
+#[derive(Debug)]
+pub struct Router {
+    /// Address for callers.
+    pub address: SocketAddr,
+    child: Child,
+    settings: PathBuf,
+}
+
+impl Router {
+    /// Starts a router on a host with `memory_mb` megabytes whose store is at `store`.
+    ///
+    /// # Panics
+    ///
+    /// If the program is not built, which `cargo test --workspace` does, or does not start.
+    #[must_use]
+    pub fn start(store: SocketAddr, memory_mb: u32) -> Self {
+        let test = std::env::current_exe().expect("the test has a path");
+        let folder = test.ancestors().nth(2).expect("tests are in target/*/deps");
+        let program = folder.join("hibiscusrail-front");
+        let address = free_address();
+        let [ready, peer, metrics] = [(); 3].map(|()| free_address());
+        let text = format!(
+            "[front]\nname = r1\nzone = z1\nlisten = {address}\nready_listen = {ready}\n\
+             peer_listen = {peer}\nmetrics_listen = {metrics}\nlog_level = warn\n\
+             memory = {memory_mb}\n[store]\naddress = {store}\n"
+        );
+        let name = format!("hibiscusrail-{}-{}.ini", std::process::id(), address.port());
+        let settings = std::env::temp_dir().join(name);
+        fs::write(&settings, text).expect("the folder for temporary files is writable");
+        let child = Command::new(&program)
+            .arg("--config")
+            .arg(&settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap_or_else(|e| panic!("{}: {e}", program.display()));
+        Self {
+            address,
+            child,
+            settings,
+        }
+    }
+
+    /// Returns whether the process runs.
+    pub fn is_alive(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Returns a figure of the process's status in bytes, such as `VmHWM` or `VmRSS`.
+    ///
+    /// # Panics
+    ///
+    /// If the process has ended.
+    #[must_use]
+    pub fn memory(&self, name: &str) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = fs::read_to_string(path).expect("the process runs");
+        let value = text.lines().find_map(|l| {
+            let (key, value) = l.split_once(':')?;
+            (key == name).then_some(value.trim())
+        });
+        let kib = value.and_then(|v| v.split(' ').next()?.parse::<usize>().ok());
+        kib.expect("the system reports memory") * 1_024
+    }
+
+    /// Returns the number of open descriptors.
+    ///
+    /// # Panics
+    ///
+    /// If the process has ended.
+    #[must_use]
+    pub fn descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        fs::read_dir(path).expect("the process runs").count()
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        // Both fail only if the process has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
--- a/crates/settings/src/front.rs
+++ b/crates/settings/src/front.rs
@@ -41,6 +41,8 @@
     pub stop_timeout: Duration,
     /// Maximum number of open file descriptors of the process.
     pub max_open_files: u32,
+    /// Memory of the host in megabytes, against which what is held for callers and servers counts.
+    pub memory_mb: u32,
     /// Address of the store.
     pub store: SocketAddr,
     /// Parameters of the fleet's scheduling decisions.
@@ -51,6 +53,11 @@
 /// for servers, routers, the store and files.
 const CALLER_FD_FRACTION: f64 = 0.8;
 
+/// Default of the host's memory in megabytes, which no router reaches.
+const DEFAULT_MEMORY_MB: u32 = 1_000_000;
+/// Bytes in a megabyte.
+const MEGABYTE: usize = 1_000_000;
+
 impl FrontSettings {
     /// Returns the maximum number of open connections from callers.
     #[must_use]
@@ -59,6 +66,14 @@
         (f64::from(self.max_open_files) * CALLER_FD_FRACTION) as usize
     }
 
+    /// Returns the memory of the host in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        usize::try_from(self.memory_mb)
+            .unwrap_or(usize::MAX)
+            .saturating_mul(MEGABYTE)
+    }
+
     /// Loads and checks the settings file at `path`.
     ///
     /// # Errors
@@ -95,6 +110,7 @@
     let max_log_rate = r.optional(FRONT, "log_rate", 200);
     let stop_timeout = r.optional(FRONT, "grace", Duration::from_secs(8));
     let max_open_files = r.optional(FRONT, "descriptors", 2_500);
+    let memory_mb = r.optional(FRONT, "memory", DEFAULT_MEMORY_MB);
     let store = r.required(STORE, "address");
     let params = read_params(r);
     Some(FrontSettings {
@@ -107,6 +123,7 @@
         max_log_rate,
         stop_timeout,
         max_open_files,
+        memory_mb,
         store: store?,
         params: params?,
     })
--- a/crates/settings/tests/front.rs
+++ b/crates/settings/tests/front.rs
@@ -21,6 +21,7 @@
     let settings = FrontSettings::parse("s.ini", MINIMAL).expect("valid settings");
     assert_eq!(settings.stop_timeout, Duration::from_secs(8));
     assert_eq!(settings.params.zone, "a");
+    assert!(settings.memory_bytes() >= 1 << 36, "no host has as much");
     assert_eq!(settings.params.retries.window, Duration::from_secs(10));
 }
 
