--- a/crates/process-tests/tests/untrusted_clients.rs
+++ b/crates/process-tests/tests/untrusted_clients.rs
@@ -15,8 +15,10 @@
 
 /// Memory of the host in megabytes.
 const MEMORY_MB: u32 = 44;
-/// Memory of the host in the tests whose clients make the router hold less.
-const SMALL_MEMORY_MB: u32 = 20;
+/// Memory of the host in the test of unread streams, of which the router holds less.
+const STREAM_MEMORY_MB: u32 = 20;
+/// Memory of the host in the test of one-byte chunks, which take long to read.
+const CHUNK_MEMORY_MB: u32 = 14;
 /// Clients that hold their connections at the same time.
 const CROWD: usize = 16;
 /// Clients that send one-byte chunks.
@@ -159,7 +161,7 @@
 #[test]
 fn one_byte_chunks_that_stop_short_stay_within_memory() {
     check_crowd(
-        SMALL_MEMORY_MB,
+        CHUNK_MEMORY_MB,
         CHUNK_CROWD,
         &Sending {
             head: head("transfer-encoding: chunked"),
@@ -198,7 +200,7 @@
 #[test]
 fn streams_that_are_not_read_stay_within_memory() {
     check_crowd(
-        SMALL_MEMORY_MB,
+        STREAM_MEMORY_MB,
         CROWD,
         &Sending {
             head: format!(
