--- a/crates/router/src/caller/body.rs
+++ b/crates/router/src/caller/body.rs
@@ -70,6 +70,13 @@
 
 async fn collect(shell: &Rc<Shell>, mut body: Incoming) -> Result<RequestBody, EarlyRefusal> {
     let limit = shell.settings().max_body_bytes;
+    let too_large = || {
+        let message = format!("the body is longer than {limit} bytes");
+        EarlyRefusal::with_message(Code::BodyTooLarge, message)
+    };
+    if body.size_hint().lower() > limit as u64 {
+        return Err(too_large());
+    }
     let mut reservation = Reservation::new(shell);
     let mut bytes = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -78,8 +85,7 @@
             continue;
         };
         if bytes.len() + data.len() > limit {
-            let message = format!("the body is longer than {limit} bytes");
-            return Err(EarlyRefusal::with_message(Code::BodyTooLarge, message));
+            return Err(too_large());
         }
         reservation.grow(data.len())?;
         bytes.extend_from_slice(data);
