front: hold bodies and parts of streams within a budget of memory, and end streams without events

A third of [front] memory is the budget for bodies and parts of streams above 16 KiB, charged with the capacity that is allocated. When it is short, bodies without progress for a second give way, those first that hold most for longest; otherwise the request that asks gets 503. A body that announces more than the limit gets 413 before it is read, and one that is not complete at the request's deadline 408. The splitter of events releases the memory of a large event.

Comments and single bytes no longer keep a stream open: it ends after eight seconds, or four times the route's target, without an event.

--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -8,7 +8,8 @@
 use hibiscusrail_fleet::objects::{Deployment, EngineFacts, Repeat, Route, without_port};
 use hibiscusrail_fleet::placement::name_hash;
 use hibiscusrail_fleet::{Event, Fleet, Submission, event};
-use hibiscusrail_net::body::{CollectError, collect};
+use hibiscusrail_net::body::{CollectError, collect_charged};
+use hibiscusrail_net::memory::Account;
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::triage::Admitted;
 use hibiscusrail_net::{Body, full};
@@ -36,6 +37,11 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Shortest read timeout after which a retryable request is sent to another server.
 const MIN_READ_TIMEOUT: Duration = Duration::from_millis(600);
+/// Least pause between two events of a stream after which its caller has given it up: eight times a
+/// pause of a second, which sound servers make. What a route allows is not known here.
+const MIN_ABANDON_TIME: Duration = Duration::from_secs(8);
+/// Pause after which a caller has given a stream up, as a multiple of the route's latency target.
+const ABANDON_FACTOR: u32 = 4;
 /// Read timeout of a retryable request as a multiple of the route's latency target.
 const TIMEOUT_FACTOR: f64 = 1.2;
 
@@ -143,9 +149,9 @@
         }
         admitted = true;
     }
-    let body = match collect(body, routed.max_body).await {
+    let body = match read_body(shell, &parts, body, &routed).await {
         Ok(body) => body,
-        Err(error) => return close_after(refuse(shell, &parts, &body_error(&error))),
+        Err(refusal) => return close_after(refuse(shell, &parts, &refusal)),
     };
     submit(shell, started, &parts, body, (routed, admitted)).await
 }
@@ -194,6 +200,25 @@
     response
 }
 
+/// Reads a request's body until the deadline, after which no server could run the request.
+async fn read_body(
+    shell: &Shell,
+    parts: &Parts,
+    body: Incoming,
+    routed: &Routed,
+) -> Result<Bytes, Refusal> {
+    let limit = caller_timeout(shell, &parts.headers).min(routed.route.timeout);
+    let account = Account::for_request(shell.budget());
+    let reading = collect_charged(body, routed.max_body, account);
+    match hibiscusrail_net::timeout(limit, reading).await {
+        Ok(read) => read.map_err(|e| body_error(&e)),
+        Err(_) => Err(Refusal {
+            status: StatusCode::REQUEST_TIMEOUT,
+            reason: "the body did not arrive in time",
+        }),
+    }
+}
+
 fn body_error(error: &CollectError) -> Refusal {
     match error {
         CollectError::TooLarge { .. } => Refusal {
@@ -204,6 +229,10 @@
             status: StatusCode::BAD_REQUEST,
             reason: "the body broke off",
         },
+        CollectError::Memory { .. } => Refusal {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason: "memory is short",
+        },
     }
 }
 
@@ -420,6 +449,7 @@
         retryable,
         begins: route.stream && route.resumable && !takes_up,
         read_timeout: retryable.then_some(read_timeout),
+        abandon_time: MIN_ABANDON_TIME.max(route.target.saturating_mul(ABANDON_FACTOR)),
     };
     run_attempts(shell, plan, tracker, target).await
 }
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hibiscusrail_fleet::event::{Exclusions, Execution};
+use hibiscusrail_net::memory::Budget;
 use hibiscusrail_net::process::ProcessMetrics;
 use hibiscusrail_net::server::{AcceptEvent, Accepted};
 use prometheus::{
@@ -60,6 +61,8 @@
     full_batches: IntCounter,
     running: IntGauge,
     connections: IntGauge,
+    held_bytes: IntGauge,
+    evicted_bodies: IntGauge,
     ready: IntGauge,
     revision: IntGauge,
     loop_lag: Gauge,
@@ -244,6 +247,8 @@
                 "hibiscusrail_connections",
                 "Open connections of callers.",
             ),
+            held_bytes: held_gauge(&r),
+            evicted_bodies: evicted_gauge(&r),
             ready: gauge(
                 &r,
                 "hibiscusrail_ready",
@@ -294,6 +299,14 @@
         self.workspaces.with_label_values(&labels).inc();
     }
 
+    /// Sets what is charged to the budget of memory and how often a body was given up.
+    pub fn set_budget(&self, budget: &Budget) {
+        self.held_bytes
+            .set(i64::try_from(budget.held()).unwrap_or(i64::MAX));
+        self.evicted_bodies
+            .set(i64::try_from(budget.evictions()).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of callers' open connections.
     pub fn set_connections(&self, open: usize) {
         self.connections
@@ -396,6 +409,22 @@
     }
 }
 
+fn held_gauge(r: &Registry) -> IntGauge {
+    gauge(
+        r,
+        "hibiscusrail_held_bytes",
+        "Bytes held for bodies and parts of streams.",
+    )
+}
+
+fn evicted_gauge(r: &Registry) -> IntGauge {
+    gauge(
+        r,
+        "hibiscusrail_evicted_bodies",
+        "Stalled bodies given up since the start because memory was short.",
+    )
+}
+
 fn register_process(registry: &Registry) {
     registry
         .register(Box::new(ProcessMetrics::new()))
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_channel::{mpsc, oneshot};
@@ -14,6 +15,7 @@
 use hibiscusrail_fleet::freshness::Confirmation;
 use hibiscusrail_fleet::registry::ServerKey;
 use hibiscusrail_fleet::{Decision, Event, Fleet, RequestKey};
+use hibiscusrail_net::memory::Budget;
 use hibiscusrail_net::pool::Pool;
 use hibiscusrail_net::{Connections, OwnedConnection, full};
 use hibiscusrail_settings::FrontSettings;
@@ -27,6 +29,9 @@
 
 /// Maximum idle time of reused connections; servers close theirs after a whole number of seconds.
 const MAX_IDLE: Duration = Duration::from_millis(900);
+/// Part of the host's memory for bodies and parts of streams, in percent. The rest is for the
+/// process at rest, its connections with their buffers, and what the allocator keeps.
+const BUDGET_PERCENT: usize = 33;
 
 /// The server that an attempt is sent to.
 #[derive(Debug, Clone)]
@@ -74,6 +79,7 @@
     pool: Rc<Pool<OwnedConnection>>,
     metrics: Metrics,
     connections: Rc<Connections>,
+    budget: Arc<Budget>,
     work: Work,
     origins: Origins,
     next_key: Cell<u64>,
@@ -105,6 +111,7 @@
             .with_refusal(Rc::new(refuse))
             .with_id_header(protocol.request_id.clone())
             .with_on_accept(Rc::new(metrics.accept_counter()));
+        let budget = Budget::new(settings.memory_bytes() / 100 * BUDGET_PERCENT);
         let work = Work::new(clock.now());
         let (report_tx, report_rx) = mpsc::channel(0);
         let (running, exiting) = oneshot::channel();
@@ -117,6 +124,7 @@
             pool: Rc::new(Pool::new().with_max_idle(MAX_IDLE)),
             metrics,
             connections: Rc::new(connections),
+            budget: Arc::new(budget),
             work,
             origins: Origins::default(),
             next_key: Cell::new(0),
@@ -176,6 +184,12 @@
         &self.connections
     }
 
+    /// Returns the budget of memory for bodies and parts of streams.
+    #[must_use]
+    pub fn budget(&self) -> &Arc<Budget> {
+        &self.budget
+    }
+
     /// Returns the streams that this router began.
     #[must_use]
     pub fn origins(&self) -> &Origins {
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -212,6 +212,7 @@
             .metrics()
             .set_connections(shell.connections().open_count());
         shell.metrics().set_work(shell.work());
+        shell.metrics().set_budget(shell.budget());
         let page = shell.metrics().render(running, shell.is_ready(), revision);
         std::future::ready(Response::new(full(page))).boxed_local()
     })
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -12,7 +12,8 @@
 use futures_util::FutureExt;
 use futures_util::future::{Either, LocalBoxFuture, select};
 use hibiscusrail_fleet::{Event, Fleet, Outcome, RequestKey};
-use hibiscusrail_net::body::{CollectError, collect};
+use hibiscusrail_net::body::{CollectError, collect_charged};
+use hibiscusrail_net::memory::{Account, FREE_BYTES};
 use hibiscusrail_net::sse::{MAX_EVENT_BYTES, Splitter};
 use hibiscusrail_net::{Body, OwnedConnection, connect_owned, headers};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
@@ -53,6 +54,8 @@
     /// Time without receiving a byte after which another server is looked for; none for requests that
     /// can't be retried.
     pub read_timeout: Option<Duration>,
+    /// Pause between two events after which the caller has given a stream up.
+    pub abandon_time: Duration,
 }
 
 /// The head of a server's response, and the connection that delivers the rest.
@@ -174,11 +177,15 @@
     connection: OwnedConnection,
     body: Incoming,
     splitter: Splitter,
+    /// Memory of an event that has not arrived in full.
+    account: Account,
     plan: Plan,
     /// Id of the last event returned.
     pub last_id: Option<u64>,
     /// When the last events arrived; at first, when the response began.
     last_arrival: Instant,
+    /// Whether an event other than a comment has arrived.
+    has_event: bool,
     /// Bytes received since events were last returned.
     unreturned: usize,
 }
@@ -190,7 +197,7 @@
     Events {
         /// Bytes of the events.
         bytes: Bytes,
-        /// Number of events.
+        /// Number of events without the comments.
         count: u32,
         /// Time since the previous events arrived.
         gap: Duration,
@@ -253,11 +260,22 @@
     plan: &'a Plan,
     /// Id of the last event that the caller has.
     resume: Option<u64>,
+    /// When the caller gives the stream up, if that is before the deadline.
+    abandoned: Option<Instant>,
 }
 
 impl<'a> Patience<'a> {
     fn new(plan: &'a Plan, resume: Option<u64>) -> Self {
-        Self { plan, resume }
+        Self {
+            plan,
+            resume,
+            abandoned: None,
+        }
+    }
+
+    fn with_abandoned(mut self, at: Option<Instant>) -> Self {
+        self.abandoned = at;
+        self
     }
 
     /// Waits for `reading`, which is expected to take `expected`.
@@ -367,7 +385,8 @@
 
     fn remaining(&self, shell: &Shell) -> Duration {
         let deadline = self.plan.outgoing.deadline;
-        deadline.saturating_duration_since(shell.now())
+        let end = self.abandoned.map_or(deadline, |at| at.min(deadline));
+        end.saturating_duration_since(shell.now())
     }
 }
 
@@ -556,7 +575,8 @@
     response: Response<Incoming>,
 ) -> Result<Reply, Interruption> {
     let (parts, body) = response.into_parts();
-    let collecting = connection.wait(collect(body, MAX_FULL_BYTES));
+    let account = Account::for_response(shell.budget());
+    let collecting = connection.wait(collect_charged(body, MAX_FULL_BYTES, account));
     let patience = Patience::new(plan, resume);
     let collected = match patience.wait(shell, Duration::ZERO, collecting).await? {
         Ok(collected) => collected,
@@ -565,6 +585,8 @@
             return Err(Outcome::Oversized.into());
         }
         Err(CollectError::Broken { .. }) => return Err(Outcome::Broken.into()),
+        // The server has done its part.
+        Err(CollectError::Memory { .. }) => return Err(memory_short(target.address)),
     };
     return_to_pool(shell, target.address, connection);
     let response = FullResponse {
@@ -581,6 +603,13 @@
     Ok(Reply::Full(response))
 }
 
+/// Logs that a response can't be held; the server is not at fault, so the attempt ends as if the
+/// caller had left.
+fn memory_short(peer: SocketAddr) -> Interruption {
+    log::warn!(step = "response", peer:% = peer; "memory_short");
+    Outcome::Left.into()
+}
+
 /// Returns the status for the caller.
 ///
 /// Statuses that mean "not run" to callers become 502: a server that ran nothing sends a header.
@@ -617,9 +646,11 @@
         connection,
         body,
         splitter: Splitter::new(),
+        account: Account::for_response(shell.budget()),
         plan: plan.clone(),
         last_id: resume,
         last_arrival: shell.now(),
+        has_event: false,
         unreturned: 0,
     };
     let first = match stream.next(shell).await? {
@@ -643,8 +674,11 @@
     /// Returns how the stream broke, or the server that replaces a silent one.
     pub async fn next(&mut self, shell: &Rc<Shell>) -> Result<StreamItem, Interruption> {
         loop {
+            // Single bytes and comments keep a stream open without getting its caller anything.
+            let abandoned = self.last_arrival + self.plan.abandon_time;
+            let abandoned = self.has_event.then_some(abandoned);
             let reading = self.connection.wait(self.body.frame());
-            let patience = Patience::new(&self.plan, self.last_id);
+            let patience = Patience::new(&self.plan, self.last_id).with_abandoned(abandoned);
             let frame = match patience.wait(shell, Duration::ZERO, reading).await? {
                 Some(Err(_)) => return Err(Outcome::Broken.into()),
                 None if self.splitter.pending_bytes() > 0 => {
@@ -658,7 +692,7 @@
             };
             self.splitter.push(&data);
             self.unreturned += data.len();
-            let (bytes, count) = self.take_events();
+            let (bytes, count) = self.take_events(shell)?;
             if !bytes.is_empty() {
                 self.unreturned = self.splitter.pending_bytes();
             }
@@ -669,6 +703,11 @@
                 return Err(Outcome::Oversized.into());
             }
             if !bytes.is_empty() {
+                if count == 0 {
+                    let gap = Duration::ZERO;
+                    return Ok(StreamItem::Events { bytes, count, gap });
+                }
+                self.has_event = true;
                 let now = shell.now();
                 let previous = std::mem::replace(&mut self.last_arrival, now);
                 let gap = now.saturating_duration_since(previous);
@@ -678,7 +717,11 @@
     }
 
     /// Takes the complete events, without those that were returned before a resume.
-    fn take_events(&mut self) -> (Bytes, u32) {
+    ///
+    /// # Errors
+    ///
+    /// Fails if memory is short.
+    fn take_events(&mut self, shell: &Shell) -> Result<(Bytes, u32), Interruption> {
         let mut events = BytesMut::new();
         let mut count = 0;
         while let Some(event) = self.splitter.next_event() {
@@ -688,9 +731,26 @@
             }
             self.last_id = id.or(self.last_id);
             events.extend_from_slice(&event.0);
-            count += 1;
+            count += u32::from(!event.is_comment());
+        }
+        Ok((self.charge(shell, events)?, count))
+    }
+
+    /// Charges the memory of large events, both of one that is arriving and of complete ones until
+    /// the caller's connection has written them.
+    fn charge(&mut self, shell: &Shell, events: BytesMut) -> Result<Bytes, Interruption> {
+        let short = |_| memory_short(self.address);
+        let pending = self.splitter.pending_bytes();
+        let rest = if pending > FREE_BYTES { pending } else { 0 };
+        self.account.resize(shell.now(), rest).map_err(short)?;
+        if events.len() <= FREE_BYTES {
+            return Ok(events.freeze());
         }
-        (events.freeze(), count)
+        let mut account = Account::for_response(shell.budget());
+        account
+            .resize(shell.now(), events.capacity())
+            .map_err(short)?;
+        Ok(account.into_bytes(events.into()))
     }
 
     /// Returns the connection of a complete stream to the pool.
--- a/crates/front/tests/all/streams.rs
+++ b/crates/front/tests/all/streams.rs
@@ -1,5 +1,7 @@
 //! Streams that break, and are resumed at another server if their route allows it.
 
+use std::time::Duration;
+
 use hibiscusrail_net::sse::MAX_EVENT_BYTES;
 
 use super::support::{
@@ -291,3 +293,52 @@
         }
     });
 }
+
+/// Guards against a slow but sound stream being cut: an event each 450 ms, and a pause of a second.
+#[test]
+fn stream_slow_but_sound_is_complete() {
+    run(async {
+        let pauses = [450, 450, 1_000, 450];
+        let mut texts: Vec<_> = (2..)
+            .zip(pauses)
+            .map(|(id, ms)| (Duration::from_millis(ms), chunk(&event(id))))
+            .collect();
+        texts.push((Duration::ZERO, STREAM_END.to_owned()));
+        let server = Server::start(vec![Act::Paced(
+            STREAM_HEAD.to_owned() + &chunk(&event(1)),
+            texts,
+        )]);
+        let front = Front::start(&[&server]);
+        for path in ["/stream/x", "/resume/x"] {
+            let response = front.call(path, "").await;
+            for id in 1..=5 {
+                assert!(response.contains(&event(id)), "{path}: {response}");
+            }
+            assert!(response.ends_with(STREAM_END), "{path}: {response}");
+        }
+    });
+}
+
+/// Guards against a stalled stream that a byte or a comment now and then keeps open: its caller has
+/// given it up after eight seconds.
+#[test]
+fn stream_without_events_ends() {
+    for piece in [": x\n\n", "d"] {
+        run(async {
+            let pause = Duration::from_millis(300);
+            let mut texts = vec![(pause, chunk(piece)); 35];
+            texts.push((pause, chunk("\n\n") + &chunk(&event(2)) + STREAM_END));
+            let begun = STREAM_HEAD.to_owned() + &chunk(&event(1));
+            let server = Server::start(vec![Act::Paced(begun, texts)]);
+            let front = Front::start(&[&server]);
+            front.configure(|deployment| {
+                for route in &mut deployment.routes {
+                    route.timeout = Duration::from_secs(30);
+                }
+            });
+            let response = front.call("/stream/x", "").await;
+            assert!(response.contains(&event(1)), "{response}");
+            assert!(!response.contains(&event(2)), "{response}");
+        });
+    }
+}
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -43,6 +43,8 @@
     Hang(String),
     /// Like [`Act::Close`], but closes the connection after a while.
     CloseLater(String, Duration),
+    /// Like [`Act::Write`], then writes further texts, each after a pause.
+    Paced(String, Vec<(Duration, String)>),
 }
 
 /// A stand-in server that handles each request by the next act, and all later ones by the last.
@@ -102,7 +104,8 @@
             | Act::Close(text)
             | Act::CloseLater(text, _)
             | Act::Hang(text)
-            | Act::Pause(text, _)) = &act;
+            | Act::Pause(text, _)
+            | Act::Paced(text, _)) = &act;
             let bytes = text.replace("{id}", &id).into_bytes();
             let BufResult(mut written, _) = stream.write_all(bytes).await;
             if let Act::Pause(_, rest) = &act {
@@ -110,11 +113,17 @@
                 let bytes = rest.replace("{id}", &id).into_bytes();
                 written = stream.write_all(bytes).await.0;
             }
+            if let Act::Paced(_, texts) = &act {
+                for (pause, text) in texts {
+                    compio::time::sleep(*pause).await;
+                    written = stream.write_all(text.clone().into_bytes()).await.0;
+                }
+            }
             if let Act::CloseLater(_, after) = &act {
                 compio::time::sleep(*after).await;
             }
             match (written, act) {
-                (Ok(()), Act::Write(_) | Act::Pause(..)) => {}
+                (Ok(()), Act::Write(_) | Act::Pause(..) | Act::Paced(..)) => {}
                 (Ok(()), Act::Hang(_)) => {
                     let BufResult(read, _) = stream.read(vec![0; 1]).await;
                     if matches!(read, Ok(0) | Err(_)) {
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,7 +1,10 @@
 //! Bodies of requests and responses.
 
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
+use std::task::Poll;
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use futures_channel::mpsc;
@@ -11,6 +14,8 @@
 use hyper::body::Incoming;
 use snafu::{ResultExt, Snafu};
 
+use crate::memory::{Account, FREE_BYTES, MemoryShort};
+
 /// A body of any type; it is not `Send`.
 pub type Body = Pin<Box<dyn http_body::Body<Data = Bytes, Error = io::Error>>>;
 
@@ -35,6 +40,12 @@
         /// Error of the HTTP connection.
         source: hyper::Error,
     },
+    /// The process holds too much for others.
+    #[snafu(transparent)]
+    Memory {
+        /// Error of the budget.
+        source: MemoryShort,
+    },
 }
 
 /// Reads a body of up to `limit` bytes to its end.
@@ -69,6 +80,72 @@
     })
 }
 
+/// Reads a body of up to `limit` bytes to its end and charges its memory to `account`.
+///
+/// A body that announces more is refused before any of it is read.
+///
+/// # Errors
+///
+/// Fails if the body breaks off or is too large, or if memory is short.
+pub async fn collect_charged(
+    mut body: Incoming,
+    limit: usize,
+    mut account: Account,
+) -> Result<Bytes, CollectError> {
+    let announced = http_body::Body::size_hint(&body).exact().unwrap_or(0);
+    let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+    if announced > limit {
+        return TooLargeSnafu { limit }.fail();
+    }
+    charge(announced, &mut account)?;
+    let mut joined = Vec::new();
+    while let Some(frame) = next_frame(&mut body, &account).await? {
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let total = joined.len() + data.len();
+        if total > limit {
+            return TooLargeSnafu { limit }.fail();
+        }
+        if joined.is_empty() && total == announced && total <= FREE_BYTES {
+            // Most bodies have one piece, which needs no copy.
+            return Ok(data);
+        }
+        if total > joined.capacity() {
+            let doubled = total.max(2 * joined.capacity()).min(limit);
+            let capacity = doubled.max(announced);
+            charge(capacity, &mut account)?;
+            joined.reserve_exact(capacity - joined.len());
+        }
+        joined.extend_from_slice(&data);
+        account.advance(Instant::now(), data.len());
+    }
+    Ok(account.into_bytes(joined))
+}
+
+/// Charges a body's memory unless it is small.
+fn charge(capacity: usize, account: &mut Account) -> Result<(), MemoryShort> {
+    if capacity > FREE_BYTES {
+        account.resize(Instant::now(), capacity)?;
+    }
+    Ok(())
+}
+
+/// Waits for the next part of a body, as long as its account need not give way.
+async fn next_frame(
+    body: &mut Incoming,
+    account: &Account,
+) -> Result<Option<Frame<Bytes>>, CollectError> {
+    let mut next = body.frame();
+    let frame = poll_fn(|cx| match Pin::new(&mut next).poll(cx) {
+        Poll::Ready(frame) => Poll::Ready(Ok(frame)),
+        Poll::Pending if account.poll_evicted(cx) => Poll::Ready(Err(MemoryShort)),
+        Poll::Pending => Poll::Pending,
+    })
+    .await?;
+    frame.transpose().context(BrokenSnafu)
+}
+
 /// Returns an empty body.
 #[must_use]
 pub fn empty() -> Body {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod headers;
 mod linger;
 pub mod logs;
+pub mod memory;
 pub mod pool;
 pub mod process;
 pub mod server;
--- /dev/null
+++ b/crates/net/src/memory.rs
@@ -0,0 +1,297 @@
+//! A budget for the memory that a process holds for its clients and servers.
+//!
+//! Bodies and parts of streams above [`FREE_BYTES`] are charged to an [`Account`] with the capacity
+//! that is allocated for them. When the budget is short, [`decide`] says who gives way: first the
+//! bodies that no longer arrive, then the request that asks.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Waker};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use snafu::Snafu;
+
+/// Size up to which a body is not charged, so that small bodies are always accepted.
+pub const FREE_BYTES: usize = 16 << 10;
+/// Divisor of an account's bytes that gives the bytes which count as progress.
+const STEP_DIVISOR: usize = 256;
+/// Least number of bytes that count as progress.
+const MIN_STEP_BYTES: usize = 4 << 10;
+/// Time without progress after which a body gives way to another one while memory is short.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
+/// The memory is needed for others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("memory is short"))]
+pub struct MemoryShort;
+
+/// A body that is arriving, as [`decide`] sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// Identifies the account.
+    pub id: u64,
+    /// Bytes charged to it.
+    pub held: usize,
+    /// Time since it last made progress.
+    pub idle: Duration,
+}
+
+/// Who gives way while memory is short.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// These accounts, whose bytes suffice.
+    Evict(Vec<u64>),
+    /// The request that asks.
+    Refuse,
+}
+
+/// Decides who gives way so that `missing` more bytes become free.
+///
+/// Stalled bodies do, those first that hold most for the longest time. If they are not enough, none
+/// of them is given up.
+#[must_use]
+pub fn decide(mut candidates: Vec<Candidate>, missing: usize) -> Decision {
+    candidates.retain(|c| c.idle >= STALL_TIME);
+    candidates.sort_by_key(|c| std::cmp::Reverse(c.held as u128 * c.idle.as_millis()));
+    let mut freed = 0;
+    let mut evicted = Vec::new();
+    for candidate in candidates {
+        if freed >= missing {
+            break;
+        }
+        freed += candidate.held;
+        evicted.push(candidate.id);
+    }
+    if freed >= missing {
+        Decision::Evict(evicted)
+    } else {
+        Decision::Refuse
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    held: usize,
+    /// When it last made progress.
+    moved_at: Instant,
+    /// Bytes received since.
+    moved: usize,
+    /// Whether its body is arriving, so that it may be given up without effect.
+    receiving: bool,
+    evicted: bool,
+    waker: Option<Waker>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Bytes of all accounts but the evicted ones.
+    held: usize,
+    evictions: u64,
+    next_id: u64,
+    entries: BTreeMap<u64, Entry>,
+}
+
+/// Limits the bytes charged to all accounts of a process.
+#[derive(Debug)]
+pub struct Budget {
+    limit: usize,
+    state: Mutex<State>,
+}
+
+impl Budget {
+    /// Creates a budget of `limit` bytes.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Returns the bytes charged to all accounts.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.lock().held
+    }
+
+    /// Returns the number of bodies given up for others.
+    #[must_use]
+    pub fn evictions(&self) -> u64 {
+        self.lock().evictions
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The bytes held for one body or stream; they are released when it is dropped.
+#[derive(Debug)]
+pub struct Account {
+    budget: Arc<Budget>,
+    /// None until something is charged.
+    id: Option<u64>,
+    receiving: bool,
+}
+
+impl Account {
+    /// Creates the account of a body that a client sends; it may be evicted until it is complete.
+    #[must_use]
+    pub fn for_request(budget: &Arc<Budget>) -> Self {
+        Self {
+            budget: Arc::clone(budget),
+            id: None,
+            receiving: true,
+        }
+    }
+
+    /// Creates the account of a response.
+    #[must_use]
+    pub fn for_response(budget: &Arc<Budget>) -> Self {
+        Self {
+            budget: Arc::clone(budget),
+            id: None,
+            receiving: false,
+        }
+    }
+
+    /// Sets the number of bytes held.
+    ///
+    /// # Errors
+    ///
+    /// Fails if memory is short; the account then stays as it is.
+    pub fn resize(&mut self, now: Instant, bytes: usize) -> Result<(), MemoryShort> {
+        if self.id.is_none() && bytes == 0 {
+            return Ok(());
+        }
+        let state = &mut *self.budget.lock();
+        let own = self.id.and_then(|id| state.entries.get(&id));
+        if own.is_some_and(|e| e.evicted) {
+            return Err(MemoryShort);
+        }
+        let before = own.map_or(0, |e| e.held);
+        let over = (state.held - before + bytes).saturating_sub(self.budget.limit);
+        if bytes > before && over > 0 {
+            evict(state, now, over, self.id)?;
+        }
+        state.held = state.held - before + bytes;
+        let id = *self.id.get_or_insert_with(|| {
+            state.next_id += 1;
+            state.next_id
+        });
+        let receiving = self.receiving;
+        let entry = state.entries.entry(id).or_insert_with(|| Entry {
+            held: 0,
+            moved_at: now,
+            moved: 0,
+            receiving,
+            evicted: false,
+            waker: None,
+        });
+        entry.held = bytes;
+        Ok(())
+    }
+
+    /// Records that bytes of the body arrived.
+    pub fn advance(&self, now: Instant, bytes: usize) {
+        let Some(id) = self.id else { return };
+        if let Some(entry) = self.budget.lock().entries.get_mut(&id) {
+            entry.moved += bytes;
+            if entry.moved >= (entry.held / STEP_DIVISOR).max(MIN_STEP_BYTES) {
+                entry.moved = 0;
+                entry.moved_at = now;
+            }
+        }
+    }
+
+    /// Returns whether the account has to give way; otherwise the task is woken when it has to.
+    pub fn poll_evicted(&self, cx: &Context<'_>) -> bool {
+        let Some(id) = self.id else { return false };
+        let mut state = self.budget.lock();
+        let Some(entry) = state.entries.get_mut(&id) else {
+            return false;
+        };
+        if !entry
+            .waker
+            .as_ref()
+            .is_some_and(|w| w.will_wake(cx.waker()))
+        {
+            entry.waker = Some(cx.waker().clone());
+        }
+        entry.evicted
+    }
+
+    /// Returns the bytes of a complete body; the account lasts as long as they do.
+    #[must_use]
+    pub fn into_bytes(self, bytes: Vec<u8>) -> Bytes {
+        let Some(id) = self.id else {
+            return bytes.into();
+        };
+        if let Some(entry) = self.budget.lock().entries.get_mut(&id) {
+            entry.receiving = false;
+        }
+        let account = self;
+        Bytes::from_owner(Charged { bytes, account })
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        let Some(id) = self.id else { return };
+        let mut state = self.budget.lock();
+        if let Some(entry) = state.entries.remove(&id)
+            && !entry.evicted
+        {
+            state.held -= entry.held;
+        }
+    }
+}
+
+/// Frees at least `missing` bytes by evicting accounts other than `asking`.
+fn evict(
+    state: &mut State,
+    now: Instant,
+    missing: usize,
+    asking: Option<u64>,
+) -> Result<(), MemoryShort> {
+    let candidates = state
+        .entries
+        .iter()
+        .filter(|(id, e)| e.receiving && !e.evicted && Some(**id) != asking)
+        .map(|(id, e)| Candidate {
+            id: *id,
+            held: e.held,
+            idle: now.saturating_duration_since(e.moved_at),
+        })
+        .collect();
+    let Decision::Evict(ids) = decide(candidates, missing) else {
+        return Err(MemoryShort);
+    };
+    for id in ids {
+        let Some(entry) = state.entries.get_mut(&id) else {
+            continue;
+        };
+        entry.evicted = true;
+        state.held -= entry.held;
+        state.evictions += 1;
+        if let Some(waker) = entry.waker.take() {
+            waker.wake();
+        }
+    }
+    Ok(())
+}
+
+/// Bytes that are charged until they are dropped.
+struct Charged {
+    bytes: Vec<u8>,
+    /// Releases the charge.
+    #[allow(dead_code, reason = "held for its drop")]
+    account: Account,
+}
+
+impl AsRef<[u8]> for Charged {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/net/src/sse.rs
+++ b/crates/net/src/sse.rs
@@ -8,6 +8,9 @@
 /// that sends bytes without end fills the router's memory.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Size of an event from which its memory is released once it is taken.
+const KEPT_BYTES: usize = 16 << 10;
+
 /// End of an event.
 const END: &[u8] = b"\n\n";
 
@@ -47,7 +50,12 @@
         };
         let end = self.searched + at + END.len();
         self.searched = 0;
-        Some(SseEvent(self.buffer.split_to(end).freeze()))
+        let event = self.buffer.split_to(end).freeze();
+        if end > KEPT_BYTES && self.buffer.len() <= KEPT_BYTES {
+            // Otherwise the memory of a large event lasts until the next one.
+            self.buffer = BytesMut::from(&self.buffer[..]);
+        }
+        Some(SseEvent(event))
     }
 
     /// Returns the number of bytes that the next search for an event looks at.
@@ -81,6 +89,13 @@
         text.trim_ascii()
     }
 
+    /// Returns whether this holds nothing but comments, which readers skip.
+    #[must_use]
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.0.split(|b| *b == b'\n').filter(|l| !l.is_empty());
+        lines.all(|line| line.starts_with(b":"))
+    }
+
     /// Returns whether this is the last event of a complete stream.
     #[must_use]
     pub fn is_done(&self) -> bool {
