--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -39,6 +39,7 @@
         },
         report_period: Duration::from_millis(100),
         report_ttl: Duration::from_millis(1_500),
+        rollout: None,
         read_rate: 55.0,
         step_time: Duration::from_micros(2_900),
         step_each: Duration::from_micros(100),
@@ -79,6 +80,7 @@
             },
         }),
         evacuated: Default::default(),
+        rollouts: Default::default(),
     }
 }
 
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -11,6 +11,7 @@
 use crate::peers::Report;
 use crate::quota::{ShareStatus, WorkspaceHash};
 use crate::registry::ServerKey;
+use crate::rollout::order::Status;
 use crate::versions::VersionSet;
 
 /// Id that the daemon gives to a caller's request.
@@ -333,6 +334,15 @@
     Versions(u64, Vec<VersionSet>),
     /// A row of a service with several versions was written.
     VersionsSaved(VersionSet),
+    /// The status row of a service's rollout was read or written.
+    RolloutStatus {
+        /// Time of day in milliseconds since the Unix epoch.
+        epoch_ms: u64,
+        /// Name of the service.
+        service: String,
+        /// The row; none if there is none.
+        status: Option<Status>,
+    },
     /// The event loop ran later than scheduled, by this lag.
     LoopLag(Duration),
     /// Periodic timer.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod overload;
 mod quarantine;
+mod rollouts;
 mod stalls;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -30,6 +31,7 @@
 use crate::quota::{Quota, WorkspaceHash};
 use crate::registry::{Registry, ServerKey};
 use crate::retry::RetryWindow;
+use crate::rollout::Rollouts;
 use crate::suspects::{News, SuspectKey, Suspects};
 use crate::versions::{VersionSet, Versions};
 
@@ -74,6 +76,12 @@
     server_hash: u32,
     /// Software version of the server.
     version: String,
+    /// Hash of the server's availability zone.
+    zone: u32,
+    /// Whether the server was cold.
+    cold: bool,
+    /// Time to first byte that was expected.
+    expected: Duration,
     sent_at: Instant,
     load: Load,
     /// Tokens prefilled until the first output token, including those of earlier requests.
@@ -157,6 +165,7 @@
     kept_evacuations: BTreeMap<String, Instant>,
     registry: Registry,
     versions: Versions,
+    rollouts: Rollouts,
     /// Freshness of the server list.
     freshness: Freshness,
     config_freshness: Freshness,
@@ -219,6 +228,7 @@
             kept_evacuations: BTreeMap::new(),
             registry: Registry::default(),
             versions: Versions::new(now),
+            rollouts: Rollouts::new(params.rollout),
             freshness: Freshness::default(),
             config_freshness: Freshness::default(),
             stopping: false,
@@ -501,6 +511,11 @@
                 );
             }
             Event::VersionsSaved(row) => self.versions_saved(&row),
+            Event::RolloutStatus {
+                epoch_ms,
+                service,
+                status,
+            } => self.apply_rollout_status(now, epoch_ms, &service, status.as_ref()),
             Event::LoopLag(lag) => self.observe_lag(now, lag),
             Event::Tick => self.tick(now),
         }
@@ -582,6 +597,7 @@
             departed: self.departures.recent(now),
             rates: self.rate_notices(now, max_age),
             suspects,
+            rollouts: self.rollouts.reports(now),
             cleared: hashes(cleared_parts),
             cleared_requests: hashes(cleared_requests),
             store_age: to_millis(store_age),
@@ -744,6 +760,7 @@
 
     fn first_byte(&mut self, now: Instant, key: RequestKey) {
         self.count_begun(now, key);
+        self.record_rollout_time(now, key);
         let Some(request) = self.requests.get_mut(&key) else {
             return;
         };
@@ -808,6 +825,7 @@
             self.requests.remove(&key);
             return;
         };
+        self.record_rollout_outcome(key, &attempt, outcome);
         match outcome {
             Outcome::Expired => self.judge_expiry(now, key, &attempt),
             _ => self.record_outcome(now, attempt.server, outcome),
@@ -869,6 +887,9 @@
         self.registry.get(key).is_some_and(|s| {
             self.is_open(now, s, self.list_is_late(now))
                 && !self.config.evacuated.contains(&s.backend.zone)
+                && self
+                    .rollouts
+                    .may_send(&s.backend.service, &s.backend.version)
         })
     }
 
@@ -1018,6 +1039,7 @@
         }
         let version = |c: &OperatorConfig| c.deployment.as_ref().map_or(0, |d| d.version);
         let restored = revision.era() > self.config_revision.era();
+        let first = self.config_revision == Revision::default();
         if version(&config) < version(&self.config) {
             // From an older copy of the store; the operator writes the newest version again.
             config.deployment = None;
@@ -1056,6 +1078,10 @@
             (Some(_), None) => {}
         }
         self.log("orders_in_force", "orders", detail);
+        if restored {
+            self.rollouts.store_restored();
+        }
+        self.apply_rollout_orders(now, revision, first);
     }
 
     /// Keeps the services of the configuration before that requests in progress still use.
@@ -1092,9 +1118,11 @@
         let changes = self.registry.apply(now, revision, servers, kept_since);
         if restored {
             self.versions.store_restored();
+            self.rollouts.store_restored();
         }
         let backends = self.registry.all().map(|s| &s.backend);
         self.versions.observe(now, backends);
+        self.rollouts.observe_servers(now, self.registry.all());
         self.freshness.applied(revision);
         let detail = format!("revision={}{}", revision.0, self.age_detail(now));
         for id in changes.draining.iter().chain(&changes.removed) {
@@ -1125,6 +1153,12 @@
     fn confirm_config(&mut self, now: Instant, confirmation: Confirmation) {
         let own = self.config_revision;
         self.config_freshness.confirm(now, own, confirmation);
+        let is_own = own != Revision::default() && confirmation.revision <= own;
+        if is_own && confirmation.source == Source::Store {
+            self.rollouts.store_confirmed(confirmation.complete);
+        }
+        let newest = self.config_freshness.own();
+        self.rollouts.config_confirmed(newest.map(|c| c.at));
     }
 
     fn confirm_servers(&mut self, now: Instant, confirmation: Confirmation) {
@@ -1202,6 +1236,7 @@
             }
         }
         self.apply_suspects(now, report);
+        self.apply_rollout_reports(now, report);
         for (hash, sent) in change.sent {
             if let Some(server) = self.registry.by_hash_mut(hash) {
                 server.record_peer_requests(now, sent.requests, sent.tokens);
@@ -1327,6 +1362,7 @@
             self.log("server_gone", &id, "lapsed=true".to_owned());
         }
         self.drop_retired_services();
+        self.tick_rollouts(now);
         let expired = self
             .kept_evacuations
             .extract_if(.., |_, until| now >= *until);
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -15,8 +15,10 @@
 use crate::placement;
 use crate::quota::ShareStatus;
 use crate::registry::ServerKey;
+use crate::rollout::Turn;
 
 use super::homes::Homes;
+use super::rollouts::zone_hash;
 use super::{Attempt, Fleet, Refusal, Request, limits};
 
 /// Retry delay where another router or a short wait may help.
@@ -132,6 +134,8 @@
     late: bool,
     /// Software versions that receive no new streams yet.
     new_versions: Vec<&'a str>,
+    /// Which versions the request may go to; none without a rollout.
+    turn: Option<Turn>,
     /// Number of routers that share each limit, with this one.
     routers: u32,
     /// Number of those whose load is unknown, since they don't report.
@@ -250,11 +254,31 @@
         self.workspace_share(now, workspace)
     }
 
+    /// Returns the best server for a request; during a rollout one of the version whose turn it is,
+    /// and of the old one if that has none with capacity.
     pub(super) fn choose(
         &mut self,
         now: Instant,
         key: RequestKey,
         share: ShareStatus,
+    ) -> Result<Candidate, Box<Refusal>> {
+        let request = self.requests.get(&key);
+        let turn = request.and_then(|r| self.rollout_turn(now, r));
+        if turn == Some(Turn::New)
+            && let Ok(candidate) = self.choose_in_turn(now, key, share, turn)
+        {
+            return Ok(candidate);
+        }
+        let turn = turn.map(|t| if t == Turn::New { Turn::Old } else { t });
+        self.choose_in_turn(now, key, share, turn)
+    }
+
+    fn choose_in_turn(
+        &mut self,
+        now: Instant,
+        key: RequestKey,
+        share: ShareStatus,
+        turn: Option<Turn>,
     ) -> Result<Candidate, Box<Refusal>> {
         let plain = |reason| {
             Box::new(Refusal {
@@ -282,6 +306,7 @@
                 .map_or(0, Prompt::shared_tokens),
             share,
             late: self.list_is_late(now),
+            turn,
             new_versions: self.versions.too_new(now, &request.submission.service),
             routers,
             demand: self.quota.requested_rate(now) / self.pressure.mean_charge().max(1.0),
@@ -445,7 +470,8 @@
             Some(began) => began == version,
             None => !ctx.new_versions.contains(&version),
         };
-        fits && self.is_open(ctx.now, server, ctx.late)
+        fits && self.rollouts.admits(ctx.now, ctx.turn, server)
+            && self.is_open(ctx.now, server, ctx.late)
             && !self.config.evacuated.contains(&server.backend.zone)
             && !request.tried.contains(&key)
             && server.health.is_available(ctx.now)
@@ -667,6 +693,9 @@
             server: candidate.key,
             server_hash: server.hash,
             version: server.backend.version.clone(),
+            zone: zone_hash(&server.backend.zone),
+            cold: server.is_cold(now),
+            expected: candidate.inputs.first_byte,
             sent_at: now,
             load,
             prefill_tokens: candidate.inputs.pending_prefill + load.pending_prefill,
@@ -678,6 +707,8 @@
         request.tried.push(candidate.key);
         request.attempts += 1;
         let first = request.tried.len() == 1;
+        self.rollouts
+            .record_sent(&request.submission.service, &server.backend.version);
         self.decisions.push(Decision::Send {
             request: key,
             server: candidate.key,
--- /dev/null
+++ b/crates/fleet/src/fleet/rollouts.rs
@@ -0,0 +1,149 @@
+//! Passing of events to the rollouts.
+
+use std::time::{Duration, Instant};
+
+use crate::event::{Outcome, RequestKey};
+use crate::objects::Revision;
+use crate::peers::Report;
+use crate::placement::{self, name_hash};
+use crate::rollout::order::{Proposal, Status};
+use crate::rollout::{Learner, Rollouts, Turn};
+
+use super::{Attempt, Fleet, Request};
+
+/// Expected time to first byte that times are related to; shorter ones say little.
+const MIN_EXPECTED: Duration = Duration::from_millis(20);
+/// Time to first byte that a server counts with which was silent until its request was replaced.
+const SILENT_TIME: Duration = Duration::from_secs(10);
+
+impl Fleet {
+    /// Returns the rollouts.
+    #[must_use]
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
+    /// Returns the calls to the store that this router should make for rollouts now; `epoch_ms` is
+    /// the time of day.
+    pub fn rollout_proposals(&mut self, now: Instant, epoch_ms: u64) -> Vec<Proposal> {
+        let (members, own) = (self.members.all(), self.own_hash.0);
+        let rank = |seed: u64| {
+            let weight = |router: u32| placement::weight(seed, router);
+            members.iter().filter(|m| weight(**m) > weight(own)).count()
+        };
+        self.rollouts.proposals(now, epoch_ms, rank)
+    }
+
+    pub(super) fn apply_rollout_orders(&mut self, now: Instant, revision: Revision, first: bool) {
+        let learner = Learner {
+            router: self.own_hash.0,
+            routers: self.router_count(),
+            had_config: !first,
+        };
+        let orders = &self.config.rollouts;
+        self.rollouts.apply_orders(now, revision, orders, &learner);
+        let confirmed = self.config_freshness.own();
+        self.rollouts.config_confirmed(confirmed.map(|c| c.at));
+        self.rollouts.observe_servers(now, self.registry.all());
+        self.log_rollouts();
+    }
+
+    pub(super) fn apply_rollout_status(
+        &mut self,
+        now: Instant,
+        epoch_ms: u64,
+        service: &str,
+        status: Option<&Status>,
+    ) {
+        self.rollouts.apply_status(now, epoch_ms, service, status);
+        self.log_rollouts();
+    }
+
+    pub(super) fn apply_rollout_reports(&mut self, now: Instant, report: &Report) {
+        let sender = (report.sender, report.incarnation);
+        self.rollouts.apply_reports(now, sender, &report.rollouts);
+        self.log_rollouts();
+    }
+
+    pub(super) fn tick_rollouts(&mut self, now: Instant) {
+        self.rollouts.tick(now);
+        self.rollouts.observe_servers(now, self.registry.all());
+        self.log_rollouts();
+    }
+
+    fn log_rollouts(&mut self) {
+        for (event, service, detail) in self.rollouts.take_lines() {
+            self.log(event, &service, detail);
+        }
+    }
+
+    /// Returns which versions a request may go to now; none without a rollout.
+    pub(super) fn rollout_turn(&self, now: Instant, request: &Request) -> Option<Turn> {
+        let service = &request.submission.service;
+        let is_repeat = !request.tried.is_empty();
+        let version = request.version.as_deref();
+        self.rollouts.turn(now, service, version, is_repeat)
+    }
+
+    /// Counts the time to first byte of an attempt for the rollout of its service.
+    pub(super) fn record_rollout_time(&mut self, now: Instant, key: RequestKey) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let Some(attempt) = request.attempt.as_ref().filter(|a| !a.cold) else {
+            return;
+        };
+        let took = now.saturating_duration_since(attempt.sent_at);
+        let unit = attempt.expected.max(MIN_EXPECTED).as_secs_f64() / MIN_EXPECTED.as_secs_f64();
+        let time = match request.submission.prompt {
+            Some(_) => took.div_f64(unit),
+            None => took,
+        };
+        let service = &request.submission.service;
+        self.rollouts
+            .record_time(service, &attempt.version, attempt.zone, time);
+    }
+
+    /// Counts the end of an attempt for the rollout of its service.
+    pub(super) fn record_rollout_outcome(
+        &mut self,
+        key: RequestKey,
+        attempt: &Attempt,
+        outcome: Outcome,
+    ) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let service = &request.submission.service;
+        let failed = match outcome {
+            Outcome::Answered => false,
+            Outcome::Failed
+            | Outcome::Broken
+            | Outcome::Invalid
+            | Outcome::Oversized
+            | Outcome::Expired => true,
+            Outcome::Unreachable | Outcome::Withdrawn => {
+                return self.rollouts.record_unsent(service);
+            }
+            Outcome::NotRun | Outcome::Misdirected | Outcome::Left => return,
+        };
+        self.rollouts
+            .record_response(service, &attempt.version, attempt.zone, failed);
+    }
+
+    /// Counts an attempt at a silent server that was replaced.
+    pub(super) fn record_rollout_silence(&mut self, key: RequestKey, attempt: &Attempt) {
+        let Some(request) = self.requests.get(&key).filter(|r| !r.started) else {
+            return;
+        };
+        let service = &request.submission.service;
+        let (version, zone) = (&attempt.version, attempt.zone);
+        self.rollouts
+            .record_time(service, version, zone, SILENT_TIME);
+    }
+}
+
+/// Returns the hash of a zone's name, for the evidence of a rollout.
+pub(super) fn zone_hash(zone: &str) -> u32 {
+    name_hash(zone)
+}
--- a/crates/fleet/src/fleet/stalls.rs
+++ b/crates/fleet/src/fleet/stalls.rs
@@ -77,6 +77,7 @@
         let request = self.requests.get(&key);
         let fingerprint = request.map(|r| r.submission.fingerprint);
         if let Some((fingerprint, attempt)) = fingerprint.zip(self.release_replaced(key)) {
+            self.record_rollout_silence(key, &attempt);
             self.judge_silence(now, fingerprint, &attempt);
         }
         self.set_execution(key, Execution::Unknown);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,6 +21,7 @@
 //! * [`pressure`]: overload of this router's event loop;
 //! * [`peers`]: reports from the other routers;
 //! * [`members`]: the routers that share each limit;
+//! * [`rollout`]: rollouts of software versions;
 //! * [`versions`]: software versions of the servers, and which can have begun a stream.
 
 pub mod arrivals;
@@ -41,6 +42,7 @@
 pub mod quota;
 pub mod registry;
 pub mod retry;
+pub mod rollout;
 pub mod suspects;
 pub mod versions;
 pub mod window;
--- a/crates/fleet/src/objects.rs
+++ b/crates/fleet/src/objects.rs
@@ -10,6 +10,8 @@
 use hibiscusrail_macros::{id, record};
 use serde::{Deserialize, Serialize};
 
+use crate::rollout::order::Order;
+
 /// Revision of a table in the store; increases with each change.
 ///
 /// A store that was restored from an older copy gives out versions again, so the store's era forms
@@ -33,6 +35,12 @@
     pub fn era(self) -> u64 {
         self.0 >> Self::VERSION_BITS
     }
+
+    /// Returns the version that the store gave out in its era.
+    #[must_use]
+    pub fn version(self) -> u64 {
+        self.0 & ((1 << Self::VERSION_BITS) - 1)
+    }
 }
 
 /// Whether a request may run more than once.
@@ -187,6 +195,9 @@
     pub deployment: Option<Deployment>,
     /// Evacuated availability zones; their servers receive no requests.
     pub evacuated: BTreeSet<String>,
+    /// Orders to roll out versions, by service.
+    #[serde(default)]
+    pub rollouts: BTreeMap<String, Order>,
 }
 
 /// Registration of a backend server.
--- a/crates/fleet/src/params.rs
+++ b/crates/fleet/src/params.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::retry::RetryBound;
+use crate::rollout::order::Bounds;
 
 /// Time from the last look at a table to the request's bytes at the server: a turn of the event loop
 /// of a flooded router.
@@ -31,6 +32,8 @@
     pub report_period: Duration,
     /// Age from which a report no longer counts because its sender is considered unreachable.
     pub report_ttl: Duration,
+    /// Bounds on rollouts; none in deployments without them, where all versions are served alike.
+    pub rollout: Option<Bounds>,
     /// Prefill rate of an idle engine in tokens per millisecond; from the engine's data sheet.
     pub read_rate: f64,
     /// Time per output token at an idle engine; from its data sheet.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -12,6 +12,7 @@
 use prost::Message;
 
 use crate::engine::Load;
+use crate::rollout::report::RolloutReport;
 use crate::suspects::Suspect;
 
 /// Hash of a router's name.
@@ -154,6 +155,9 @@
     /// configuration and the servers; none unless it goes on to read them for its zone.
     #[prost(uint64, optional, tag = "19")]
     pub read_age: Option<u64>,
+    /// Rollouts of software versions.
+    #[prost(message, repeated, tag = "30")]
+    pub rollouts: Vec<RolloutReport>,
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -25,6 +25,7 @@
 mod replacements;
 mod reports;
 mod retries;
+mod rollouts;
 mod server_rates;
 mod stalls;
 mod store_restored;
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -37,6 +37,7 @@
         },
         report_period: Duration::from_millis(100),
         report_ttl: Duration::from_millis(1_500),
+        rollout: None,
         read_rate: 55.0,
         step_time: Duration::from_micros(2_900),
         step_each: Duration::from_micros(100),
@@ -115,6 +116,7 @@
             .iter()
             .map(|z| (*z).to_owned())
             .collect::<BTreeSet<_>>(),
+        rollouts: BTreeMap::new(),
     }
 }
 
--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -142,6 +142,7 @@
     let config = OperatorConfig {
         deployment: Some(deployment()),
         evacuated: BTreeSet::new(),
+        rollouts: std::collections::BTreeMap::new(),
     };
     shell.handle(Event::Config(Revision(1), config));
     shell
