--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`caller`] serves callers, [`upstream`] sends attempts to backend servers and [`answer`] relays
 //! response streams; [`shell`] passes their events to the reducer and returns its decisions.
 //! [`peers`] exchanges reports with the other routers, [`watch`] follows the store through the
-//! [`Store`](watch::Store) that the deployment's adapter implements, [`work`] counts what the event
+//! [`Store`](watch::Store) that the deployment's adapter implements, [`rollouts`] writes the status of
+//! rollouts, [`work`] counts what the event
 //! loop does, and [`protocol`] holds the deployment's header names.
 
 pub mod answer;
@@ -17,6 +18,7 @@
 pub mod peers;
 pub mod protocol;
 pub mod refusal;
+pub mod rollouts;
 pub mod shell;
 pub mod start;
 pub mod state;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use hibiscusrail_fleet::event::{Exclusions, Execution};
+use hibiscusrail_fleet::rollout::Rollouts;
 use hibiscusrail_net::process::ProcessMetrics;
 use hibiscusrail_net::server::{AcceptEvent, Accepted};
 use prometheus::{
     CounterVec, Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
-    IntGauge, Opts, Registry, TextEncoder,
+    IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 use crate::work::Work;
@@ -65,6 +66,7 @@
     loop_lag: Gauge,
     list_age: Histogram,
     config_age: Gauge,
+    rollouts: IntGaugeVec,
     work: WorkMetrics,
 }
 
@@ -159,6 +161,15 @@
     collector
 }
 
+fn rollout_gauges(registry: &Registry) -> IntGaugeVec {
+    let options = Opts::new(
+        "hibiscusrail_rollout_requests",
+        "Requests of this router since the service's order, by version and result.",
+    );
+    let gauges = IntGaugeVec::new(options, &["service", "version", "result"]);
+    register(registry, gauges.expect("the name is valid"))
+}
+
 fn list_age_histogram(r: &Registry) -> Histogram {
     let options = HistogramOpts::new(
         "hibiscusrail_server_list_age_seconds",
@@ -266,6 +277,7 @@
                 "hibiscusrail_config_age_seconds",
                 "Time since the store confirmed the operator configuration in force.",
             ),
+            rollouts: rollout_gauges(&r),
             list_age: list_age_histogram(&r),
             registry: r,
         }
@@ -376,6 +388,24 @@
         self.config_age.set(age.as_secs_f64());
     }
 
+    /// Sets the counts of rollouts.
+    pub fn set_rollouts(&self, rollouts: &Rollouts) {
+        for (service, counts) in rollouts.counts() {
+            for (version, count) in ["old", "new"].into_iter().zip(counts) {
+                let values = [
+                    ("sent", count.sent),
+                    ("ended", count.responses),
+                    ("failed", count.failures),
+                ];
+                for (what, value) in values {
+                    let labels = [service, version, what];
+                    let value = i64::try_from(value).unwrap_or(i64::MAX);
+                    self.rollouts.with_label_values(&labels).set(value);
+                }
+            }
+        }
+    }
+
     /// Sets the counters of the event loop's work.
     pub fn set_work(&self, work: &Work) {
         self.work.set(work);
--- /dev/null
+++ b/crates/front/src/rollouts.rs
@@ -0,0 +1,75 @@
+//! Reads and writes the status rows of rollouts.
+//!
+//! The reducer proposes a status; the row is read first, and the write expects the version that was
+//! read, so that a final state is never replaced and two routers never both write one.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hibiscusrail_fleet::Event;
+use hibiscusrail_fleet::rollout::order::{Proposal, Status};
+
+use crate::shell::Shell;
+use crate::watch::{RESPONSE_TIMEOUT, Store, StoreError, StoreLink};
+
+/// Interval of asking the reducer for proposals.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Rows of a service's rollout in the store.
+#[derive(Debug, Clone, Default)]
+pub struct RolloutRows {
+    /// Version of the order's row; none without one.
+    pub order: Option<u64>,
+    /// Version of the status row; zero without one.
+    pub status_version: u64,
+    /// The status; none without a row, or if it can't be read.
+    pub status: Option<Status>,
+}
+
+/// Makes the calls that the reducer proposes until the task is dropped.
+pub async fn follow_rollouts(shell: Rc<Shell>, store: Rc<impl Store>) {
+    let mut link = StoreLink::new("rollouts");
+    loop {
+        compio::time::sleep(INTERVAL).await;
+        let (now, epoch_ms) = (shell.now(), shell.epoch_ms());
+        let proposals = shell.with_fleet_mut(|f| f.rollout_proposals(now, epoch_ms));
+        for proposal in proposals {
+            let call = execute(store.as_ref(), &proposal);
+            let timeout = RESPONSE_TIMEOUT * 3;
+            if let Some(status) = link.call(&shell, timeout, call).await {
+                shell.handle(Event::RolloutStatus {
+                    epoch_ms: shell.epoch_ms(),
+                    service: proposal.service,
+                    status,
+                });
+            }
+        }
+    }
+}
+
+/// Writes a proposed status unless the row has a final one of its order, or the order is no longer
+/// the operator's; returns the row's status after it.
+async fn execute(store: &impl Store, proposal: &Proposal) -> Result<Option<Status>, StoreError> {
+    let rows = store.rollout(&proposal.service).await?;
+    let Some(status) = &proposal.status else {
+        return Ok(rows.status);
+    };
+    let is_final = |s: &Status| s.order == status.order && s.to == status.to && s.state.is_final();
+    if rows.status.as_ref().is_some_and(is_final) || rows.order != Some(proposal.order) {
+        return Ok(rows.status);
+    }
+    let written = store.write_rollout(&proposal.service, status, rows.status_version);
+    if written.await? {
+        log::info!(
+            service = proposal.service.as_str(),
+            order = status.order,
+            to = status.to.as_str(),
+            state = status.state.name(),
+            reason = status.reason.as_str();
+            "rollout_written"
+        );
+        return Ok(Some(status.clone()));
+    }
+    log::info!(service = proposal.service.as_str(), order = status.order; "rollout_write_refused");
+    Ok(store.rollout(&proposal.service).await?.status)
+}
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -23,7 +23,7 @@
 use crate::protocol::Protocol;
 use crate::shell::Shell;
 use crate::watch::{self, Store};
-use crate::{caller, overload, refusal, state, stop};
+use crate::{caller, overload, refusal, rollouts, state, stop};
 
 /// Exit code if requests were still running when the stop timeout expired.
 const EXIT_ABORTED: u8 = 3;
@@ -168,7 +168,9 @@
     spawn_urgent(routers);
     let lookups = origins::follow_lookups(Rc::clone(&shell), Rc::clone(&store));
     event_loop::spawn(lookups);
-    event_loop::spawn(origins::follow_versions(Rc::clone(&shell), store));
+    let versions = origins::follow_versions(Rc::clone(&shell), Rc::clone(&store));
+    event_loop::spawn(versions);
+    event_loop::spawn(rollouts::follow_rollouts(Rc::clone(&shell), store));
     event_loop::spawn(measure_loop_lag(Rc::clone(&shell)));
     let incremental = peers::send_incremental_reports(Rc::clone(&shell), Rc::clone(&peers));
     spawn_urgent(incremental);
@@ -212,6 +214,7 @@
             .metrics()
             .set_connections(shell.connections().open_count());
         shell.metrics().set_work(shell.work());
+        shell.with_fleet(|f| shell.metrics().set_rollouts(f.rollouts()));
         let page = shell.metrics().render(running, shell.is_ready(), revision);
         std::future::ready(Response::new(full(page))).boxed_local()
     })
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -12,12 +12,14 @@
 
 use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
+use hibiscusrail_fleet::rollout::order::Status;
 use hibiscusrail_fleet::versions::VersionSet;
 use hibiscusrail_fleet::{Event, Fleet};
 use serde::{Deserialize, Serialize};
 
 use crate::origins::Origin;
 use crate::peers::{PeerLocation, Peers};
+use crate::rollouts::RolloutRows;
 use crate::shell::{Shell, millis};
 
 /// How long the store holds a long poll. Together with [`RESPONSE_TIMEOUT`] and the time for other
@@ -104,6 +106,18 @@
     /// Writes the row of a service that has had several software versions.
     async fn save_versions(&self, row: &VersionSet) -> Result<(), StoreError>;
 
+    /// Returns the rows of a service's rollout.
+    async fn rollout(&self, service: &str) -> Result<RolloutRows, StoreError>;
+
+    /// Writes the status row of a service's rollout if its version in the store is `expected`, zero
+    /// standing for no row; returns whether it was.
+    async fn write_rollout(
+        &self,
+        service: &str,
+        status: &Status,
+        expected: u64,
+    ) -> Result<bool, StoreError>;
+
     /// Returns the record of the stream that a request began, by the request's id.
     async fn origin(&self, request: &str) -> Result<Option<Origin>, StoreError>;
 
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -81,7 +81,8 @@
             | Event::ServersConfirmed(_)
             | Event::Members(_)
             | Event::Versions(..)
-            | Event::VersionsSaved(_) => Self::Store,
+            | Event::VersionsSaved(_)
+            | Event::RolloutStatus { .. } => Self::Store,
             Event::LoopLag(_) | Event::Tick | Event::Stopping => Self::Other,
         }
     }
--- a/crates/front/tests/all/metrics.rs
+++ b/crates/front/tests/all/metrics.rs
@@ -4,6 +4,9 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::event::Exclusions;
+use hibiscusrail_fleet::objects::Revision;
+use hibiscusrail_fleet::rollout::order::{Bounds, Order};
+use hibiscusrail_fleet::rollout::{Learner, Rollouts};
 use hibiscusrail_front::metrics::Metrics;
 use hibiscusrail_front::work::{Kind, Work};
 use hibiscusrail_net::server::AcceptEvent;
@@ -29,6 +32,30 @@
     names.map(|n| n.trim_matches('`').to_owned()).collect()
 }
 
+/// Returns rollouts with one order.
+fn rollouts() -> Rollouts {
+    let bounds = Bounds {
+        share: 0.1,
+        slack: 50.0,
+        rollback: Duration::from_secs(5),
+        max_skew: Duration::from_secs(6),
+    };
+    let order = Order {
+        version: 1,
+        to: Some("v2".to_owned()),
+        duration: Duration::from_secs(12),
+    };
+    let learner = Learner {
+        router: 1,
+        routers: 1,
+        had_config: true,
+    };
+    let mut rollouts = Rollouts::new(Some(bounds));
+    let orders = [("s".to_owned(), order)].into();
+    rollouts.apply_orders(Instant::now(), Revision(1), &orders, &learner);
+    rollouts
+}
+
 fn filled_metrics() -> String {
     let metrics = Metrics::new();
     metrics.request_ended("s", "answered", "", Duration::ZERO);
@@ -43,6 +70,7 @@
     work.add(Kind::Refusal, Duration::from_micros(500));
     work.add(Kind::Refusal, Duration::from_micros(500));
     metrics.set_work(&work);
+    metrics.set_rollouts(&rollouts());
     String::from_utf8(metrics.render(0, true, 1)).expect("it is text")
 }
 
--- a/crates/front/tests/all/tables.rs
+++ b/crates/front/tests/all/tables.rs
@@ -5,8 +5,10 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
+use hibiscusrail_fleet::rollout::order::Status;
 use hibiscusrail_fleet::versions::VersionSet;
 use hibiscusrail_front::origins::Origin;
+use hibiscusrail_front::rollouts::RolloutRows;
 use hibiscusrail_front::watch::{Registration, Store, StoreError, TableRead};
 
 /// In-memory tables, shared by the routers of a test.
@@ -22,6 +24,8 @@
     pub versions: RefCell<BTreeMap<String, VersionSet>>,
     /// Records of streams by the id of the request that began them.
     pub streams: RefCell<BTreeMap<String, Origin>>,
+    /// Versions of the orders' and status rows, and the status, by service.
+    pub rollouts: RefCell<BTreeMap<String, RolloutRows>>,
     /// Whether calls for versions and records fail.
     pub away: Cell<bool>,
 }
@@ -79,6 +83,29 @@
         Ok(())
     }
 
+    async fn rollout(&self, service: &str) -> Result<RolloutRows, StoreError> {
+        self.check()?;
+        let rollouts = self.rollouts.borrow();
+        Ok(rollouts.get(service).cloned().unwrap_or_default())
+    }
+
+    async fn write_rollout(
+        &self,
+        service: &str,
+        status: &Status,
+        expected: u64,
+    ) -> Result<bool, StoreError> {
+        self.check()?;
+        let mut rollouts = self.rollouts.borrow_mut();
+        let rows = rollouts.entry(service.to_owned()).or_default();
+        if rows.status_version != expected {
+            return Ok(false);
+        }
+        rows.status_version += 1;
+        rows.status = Some(status.clone());
+        Ok(true)
+    }
+
     async fn origin(&self, request: &str) -> Result<Option<Origin>, StoreError> {
         self.check()?;
         Ok(self.streams.borrow().get(request).cloned())
--- a/crates/settings/src/front.rs
+++ b/crates/settings/src/front.rs
@@ -6,6 +6,7 @@
 
 use hibiscusrail_fleet::Params;
 use hibiscusrail_fleet::retry::RetryBound;
+use hibiscusrail_fleet::rollout::order::Bounds;
 use hibiscusrail_macros::record;
 
 use crate::reader::{Reader, SettingErrors};
@@ -17,6 +18,8 @@
 const STORE: &str = "store";
 /// Section with the deployment's limits on retries, cold servers and quotas.
 const BOUNDS: &str = "bounds";
+/// Section with the bounds on rollouts; without it, all versions are served alike.
+const ROLLOUT: &str = "rollout";
 /// Section with the engines' reporting and speed.
 const ENGINES: &str = "engines";
 
@@ -112,11 +115,29 @@
     })
 }
 
+/// Reads the bounds on rollouts; none without the section.
+fn read_rollout(r: &mut Reader) -> Option<Bounds> {
+    if !r.sections(ROLLOUT).iter().any(|s| s == ROLLOUT) {
+        return None;
+    }
+    let share = r.required(ROLLOUT, "share");
+    let slack = r.required(ROLLOUT, "slack");
+    let rollback = r.required(ROLLOUT, "rollback");
+    let max_skew = r.required(ROLLOUT, "max_skew");
+    Some(Bounds {
+        share: share?,
+        slack: slack?,
+        rollback: rollback?,
+        max_skew: max_skew?,
+    })
+}
+
 fn read_params(r: &mut Reader) -> Option<Params> {
     let zone = r.required::<String>(FRONT, "zone");
     let ratio = r.optional(BOUNDS, "retry_ratio", 0.2);
     let constant = r.optional(BOUNDS, "retry_constant", 50.0);
     let window = r.optional(BOUNDS, "retry_window", Duration::from_secs(10));
+    let rollout = read_rollout(r);
     Some(Params {
         zone: zone?,
         cold_factor: r.optional(BOUNDS, "cold_factor", 1.5),
@@ -129,6 +150,7 @@
             constant,
             window,
         },
+        rollout,
         report_period: r.optional(ENGINES, "report_period", Duration::from_millis(100)),
         report_ttl: r.optional(ENGINES, "report_life", Duration::from_millis(1_500)),
         read_rate: r.optional(ENGINES, "read_rate", 55.0),
--- a/crates/settings/tests/front.rs
+++ b/crates/settings/tests/front.rs
@@ -43,3 +43,18 @@
         assert!(errors.contains(part), "{part} is missing in:\n{errors}");
     }
 }
+
+// Guards against rollouts that are on, or half set, in deployments without the bounds.
+#[test]
+fn parse_rollout_is_whole_or_off() {
+    let settings = FrontSettings::parse("s.ini", MINIMAL).expect("valid settings");
+    assert_eq!(settings.params.rollout, None);
+    let section = "[rollout]\nshare = 0.1\nslack = 50\nrollback = 5000ms\nmax_skew = 6000ms\n";
+    let text = format!("{MINIMAL}{section}");
+    let settings = FrontSettings::parse("s.ini", &text).expect("valid settings");
+    let bounds = settings.params.rollout.expect("the section is there");
+    assert_eq!(bounds.rollback, Duration::from_secs(5));
+    let text = text.replace("slack = 50\n", "");
+    let errors = FrontSettings::parse("s.ini", &text).unwrap_err();
+    assert!(errors.to_string().contains("[rollout] slack: missing"));
+}
