--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -295,7 +295,7 @@
         let config = OperatorConfig {
             deployment: Some(deployment()),
             evacuated: BTreeSet::new(),
-            rollouts: std::collections::BTreeMap::new(),
+            rollouts: BTreeMap::new(),
         };
         let name = shell.settings().name;
         shell.handle(Event::Members(vec![name]));
