--- a/crates/fleet/src/fleet/choice/room.rs
+++ b/crates/fleet/src/fleet/choice/room.rs
@@ -26,14 +26,14 @@
     }
 
     /// Returns the standing of a new request to a plain service if all slots of one of its servers
-    /// are in use.
+    /// are in use; none unless the service's servers are learned.
     pub(super) fn plain_standing(
         &self,
         ctx: &Context<'_>,
         request: &Request,
         eligible: &[Eligible<'_>],
     ) -> Option<Standing> {
-        if ctx.service.engine.is_some() || request.may_have_run() {
+        if !ctx.learns || ctx.service.engine.is_some() || request.may_have_run() {
             return None;
         }
         let is_full = |e: &Eligible<'_>| e.server.load().running >= e.server.backend.slots;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -14,6 +14,7 @@
 use crate::engine::Load;
 use crate::model::{LearnedSpeed, SlowdownNotice};
 use crate::pace::PaceNotice;
+use crate::rollout::report::RolloutReport;
 use crate::room::PlainUse;
 use crate::suspects::Suspect;
 
@@ -174,6 +175,9 @@
     /// What the sender learned from servers' responses.
     #[prost(message, optional, boxed, tag = "40")]
     pub learned: Option<Box<Learned>>,
+    /// Rollouts of software versions.
+    #[prost(message, repeated, tag = "30")]
+    pub rollouts: Vec<RolloutReport>,
     /// Placements within the last few report periods.
     #[prost(message, repeated, tag = "8")]
     pub placed: Vec<Placement>,
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod replacements;
 mod reports;
 mod retries;
+mod rollouts;
 mod room;
 mod server_rates;
 mod stalls;
--- a/crates/fleet/tests/all/room.rs
+++ b/crates/fleet/tests/all/room.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::event::{Reason, RefusalInputs};
+use hibiscusrail_fleet::model::Learn;
 use hibiscusrail_fleet::objects::{Repeat, Revision, Servers};
 use hibiscusrail_fleet::peers::{Report, Scope};
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::room::PlainUse;
-use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey, Submission};
+use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, Params, RequestKey, Submission};
 
 use super::support::{self, PLAIN, backend, failure_reason, plain};
 
@@ -67,6 +68,10 @@
         let names: Vec<String> = (0..routers).map(|n| format!("r{n}")).collect();
         let start = |name: &String| {
             let mut fleet = support::router(name, 0, now);
+            fleet.set_params(Params {
+                learn: Learn::On,
+                ..support::params()
+            });
             fleet.handle(now, Event::Servers(Revision(2), servers()));
             fleet.handle(now, Event::Members(names.clone()));
             fleet
--- a/crates/front/benches/support/mod.rs
+++ b/crates/front/benches/support/mod.rs
@@ -124,6 +124,7 @@
     let config = OperatorConfig {
         deployment: Some(deployment()),
         evacuated: BTreeSet::new(),
+        rollouts: BTreeMap::new(),
     };
     shell.handle(Event::Config(Revision(1), config));
     shell
