fleet, front, net: repair what the review of the new parts found

- a stream without events is ended only where the route names its longest pause, by time spent waiting for the server, also after a resume
- an order for the version in service serves it while other versions are listed; a completed version is not barred; a rollout whose order is gone sends nothing and makes no calls; the time kept for the end is bounded by the share for short orders; an age from another clock is not overestimated
- routers report only their own evidence about a pace; failures and unreachable servers do not cut it; cold limits hold for differing paces
- free slots of plain servers are used whatever the mean service time
- an evicted body is not completed, small bodies stay uncharged, and notifications of other threads are not lost by the poller

--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -66,6 +66,9 @@
 const COLD_LIMIT_FRACTION: f64 = 0.85;
 /// Fraction of its capacity from which the pace of a server without a cold limit starts.
 const START_FRACTION: f64 = 0.25;
+/// Lowest bound, in requests per second, on a server without a cold limit: one router is left a rate
+/// of 1.5.
+const MIN_START_BOUND: f64 = 2.5;
 /// Lowest rate, in requests per second, for each router that uses a cold server.
 const MIN_COLD_RATE: f64 = 3.0;
 /// Fraction of an engine's slots in use from which the score is penalized.
@@ -561,7 +564,7 @@
             Some(_) => slots,
             None => slots / server.model().plain_time(now).as_secs_f64(),
         };
-        pace.map(|pace| capacity * START_FRACTION * pace)
+        pace.map(|pace| (capacity * START_FRACTION * pace).max(MIN_START_BOUND))
     }
 
     /// Returns the rate, in requests per second, at which this router may use a server that is cold
@@ -577,6 +580,17 @@
         if !self.members.may_share(now) {
             return 0.0;
         }
+        let rate = self.part_of(bound, server);
+        if service.cold_rate > 0.0 && server.is_cold(now) {
+            // Routers whose paces differ assign the server to different numbers of routers.
+            let full = self.params.cold_bound(service.cold_rate) * COLD_LIMIT_FRACTION;
+            return rate.min(self.part_of(full, server));
+        }
+        rate
+    }
+
+    /// Returns this router's part, in requests per second, of a bound on all routers.
+    fn part_of(&self, bound: f64, server: &Server) -> f64 {
         #[allow(
             clippy::cast_precision_loss,
             clippy::cast_possible_truncation,
--- a/crates/fleet/src/fleet/choice/room.rs
+++ b/crates/fleet/src/fleet/choice/room.rs
@@ -76,7 +76,8 @@
     };
     let (running, slots) = (server.load().running, server.backend.slots);
     let may_use = running < slots || standing.is_within();
-    let in_time = standing.is_in_time(running, slots);
+    // The service time is a mean over all routes, so it decides only where a request would wait.
+    let in_time = running < slots || standing.is_in_time(running, slots);
     exclusions.occupancy += u32::from(!may_use);
     exclusions.late += u32::from(!in_time);
     may_use && in_time
--- a/crates/fleet/src/fleet/learning.rs
+++ b/crates/fleet/src/fleet/learning.rs
@@ -173,13 +173,11 @@
 
     /// Cuts the pace of a server if the outcome of an attempt says that it can't keep up.
     pub(super) fn pace_outcome(&mut self, now: Instant, key: ServerKey, outcome: Outcome) {
+        // A failure says nothing of the server's load, and an unreachable server may be this router's
+        // own fault.
         let is_sign = matches!(
             outcome,
-            Outcome::NotRun
-                | Outcome::Failed
-                | Outcome::Broken
-                | Outcome::Unreachable
-                | Outcome::Expired
+            Outcome::NotRun | Outcome::Broken | Outcome::Expired
         );
         if !is_sign || !self.learns_of(key) {
             return;
@@ -188,7 +186,7 @@
             return;
         };
         let cold = server.cold_until;
-        if server.pace.as_mut().is_some_and(|p| p.cut(now, now, cold)) {
+        if server.pace.as_mut().is_some_and(|p| p.cut(now, cold)) {
             self.log_cut(now, key, &format!("outcome={outcome:?}"));
         }
     }
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -26,6 +26,8 @@
 const FIRST_COUNT: f64 = 4.0;
 /// Range of a learned figure relative to the configured one.
 const MAX_RATIO: f64 = 8.0;
+/// Range of the service time, for which no figure is configured.
+const MAX_SERVICE_RATIO: f64 = 500.0;
 /// Age from which a reported slowdown says nothing: a slow period lasts some 600 ms.
 const SLOWDOWN_TTL: Duration = Duration::from_millis(300);
 /// Range of the slowdown that is used, so that a wrong figure neither attracts all requests nor
@@ -120,7 +122,7 @@
     }
 
     /// Adds observations of `value`, where `nominal` is the configured one.
-    fn observe(&mut self, now: Instant, value: f64, weight: f64, nominal: f64) {
+    fn observe(&mut self, now: Instant, value: f64, weight: f64, (nominal, ratio): (f64, f64)) {
         if !(value.is_finite() && value > 0.0 && weight > 0.0 && nominal > 0.0) {
             return;
         }
@@ -133,7 +135,7 @@
         let nominal = nominal.ln();
         let before = if count > 0.0 { self.log } else { nominal };
         let step = (value.ln() - before).clamp(-limit, limit);
-        let range = MAX_RATIO.ln();
+        let range = ratio.ln();
         let log = before + step * weight / (count + weight);
         self.log = log.clamp(nominal - range, nominal + range);
         self.count = (count + weight).min(MAX_COUNT);
@@ -336,7 +338,9 @@
             return;
         }
         let rate = tokens as f64 / (took.as_secs_f64() * 1e3) * slowdown;
-        self.prefill.own.observe(now, rate, 1.0, nominal.read_rate);
+        self.prefill
+            .own
+            .observe(now, rate, 1.0, (nominal.read_rate, MAX_RATIO));
     }
 
     /// Records that a stream received `tokens` after `gap`, while the server processed `running`
@@ -367,8 +371,12 @@
         };
         let weight = f64::from(tokens) / EVENT_TOKENS;
         let weight = weight.min(1.0);
-        self.step_time.own.observe(now, at_rest, weight, base);
-        self.step_each.own.observe(now, growth, weight, each);
+        self.step_time
+            .own
+            .observe(now, at_rest, weight, (base, MAX_RATIO));
+        self.step_each
+            .own
+            .observe(now, growth, weight, (each, MAX_RATIO));
     }
 
     /// Records that the server answered a plain request after `took`, with `running` requests in
@@ -379,7 +387,9 @@
         };
         let rounds = (f64::from(running) / f64::from(slots.max(1))).max(1.0);
         let time = micros(took) / rounds / slowdown;
-        self.service.own.observe(now, time, 1.0, micros(PLAIN_TIME));
+        self.service
+            .own
+            .observe(now, time, 1.0, (micros(PLAIN_TIME), MAX_SERVICE_RATIO));
     }
 
     /// Returns the learned prefill rate in tokens per millisecond, without the momentary slowdown.
@@ -466,29 +476,39 @@
         let count = f64::from(learned.count).min(MAX_COUNT);
         let weight = count * (-age / HALF_LIFE.as_secs_f64()).exp2();
         let figures = [
-            (&mut self.prefill, learned.prefill, 1e3, nominal.read_rate),
+            (
+                &mut self.prefill,
+                learned.prefill,
+                1e3,
+                nominal.read_rate,
+                MAX_RATIO,
+            ),
             (
                 &mut self.step_time,
                 learned.step_time,
                 1.0,
                 micros(nominal.step_time),
+                MAX_RATIO,
             ),
             (
                 &mut self.step_each,
                 learned.step_each,
                 1e3,
                 micros(nominal.step_each),
+                MAX_RATIO,
             ),
             (
                 &mut self.service,
                 learned.service_time,
                 1.0,
                 micros(PLAIN_TIME),
+                MAX_SERVICE_RATIO,
             ),
         ];
-        for (figure, value, scale, nominal) in figures {
+        for (figure, value, scale, nominal, ratio) in figures {
             let value = f64::from(value) / scale;
-            figure.peers.observe_report(now, value, weight, nominal);
+            let range = (nominal, ratio);
+            figure.peers.observe_report(now, value, weight, range);
         }
     }
 
@@ -516,12 +536,18 @@
 impl Average {
     /// Adds an average that another router reports, which is no single observation: its effect is
     /// limited by its weight alone.
-    fn observe_report(&mut self, now: Instant, value: f64, weight: f64, nominal: f64) {
+    fn observe_report(
+        &mut self,
+        now: Instant,
+        value: f64,
+        weight: f64,
+        (nominal, ratio): (f64, f64),
+    ) {
         if value <= 0.0 || weight <= 0.0 || nominal <= 0.0 {
             return;
         }
         let count = self.count(now);
-        let range = MAX_RATIO.ln();
+        let range = ratio.ln();
         let log = value.ln().clamp(nominal.ln() - range, nominal.ln() + range);
         let before = if count > 0.0 { self.log } else { log };
         self.log = before + (log - before) * weight / (count + weight);
--- a/crates/fleet/src/pace.rs
+++ b/crates/fleet/src/pace.rs
@@ -61,6 +61,10 @@
     good_at: Option<Instant>,
     /// When the pace was last cut.
     cut_at: Option<Instant>,
+    /// The part of this evidence that this router has seen itself. Only that is reported: evidence that
+    /// is passed on would come back as new, by the time that reports take.
+    own_good: Option<Instant>,
+    own_cut: Option<Instant>,
 }
 
 impl Pace {
@@ -72,6 +76,8 @@
             at: now,
             good_at: None,
             cut_at: None,
+            own_good: None,
+            own_cut: None,
         }
     }
 
@@ -122,18 +128,27 @@
         took: Duration,
     ) -> bool {
         if took > expected * LATE_FACTOR + LATE_SLACK {
-            return self.cut(now, now, cold_until);
+            return self.cut(now, cold_until);
         }
         if took <= expected * SOON_FACTOR + SOON_SLACK {
             self.settle(now, cold_until);
             self.good_at = Some(now);
+            self.own_good = Some(now);
         }
         false
     }
 
-    /// Cuts the pace for a sign at `at` that the server can't keep up; returns whether it is a new
+    /// Cuts the pace for a sign seen now that the server can't keep up; returns whether it is a new
     /// one.
-    pub fn cut(&mut self, now: Instant, at: Instant, cold_until: Option<Instant>) -> bool {
+    pub fn cut(&mut self, now: Instant, cold_until: Option<Instant>) -> bool {
+        let is_new = self.apply_cut(now, now, cold_until);
+        if is_new {
+            self.own_cut = Some(now);
+        }
+        is_new
+    }
+
+    fn apply_cut(&mut self, now: Instant, at: Instant, cold_until: Option<Instant>) -> bool {
         let is_known = |cut: Instant| at < cut + HOLD_TIME;
         if self.cut_at.is_some_and(is_known) {
             return false;
@@ -157,7 +172,7 @@
             self.good_at = self.good_at.max(Some(good_at));
         }
         let cut_at = notice.cut_age.and_then(at);
-        cut_at.is_some_and(|at| self.cut(now, at, cold_until))
+        cut_at.is_some_and(|at| self.apply_cut(now, at, cold_until))
     }
 
     /// Returns the evidence for a report; none if nothing is new.
@@ -167,7 +182,7 @@
             let age = now.saturating_duration_since(at?);
             (age < EVIDENCE_TTL).then(|| u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
         };
-        let (good_age, cut_age) = (age(self.good_at), age(self.cut_at));
+        let (good_age, cut_age) = (age(self.own_good), age(self.own_cut));
         (good_age.is_some() || cut_age.is_some()).then_some(PaceNotice {
             server,
             life,
--- a/crates/fleet/src/rollout/mod.rs
+++ b/crates/fleet/src/rollout/mod.rs
@@ -123,6 +123,11 @@
         let Some(bounds) = self.bounds else {
             return;
         };
+        let is_readable = |service: &String| orders.get(service).is_some_and(|o| o.to.is_some());
+        for (service, rollout) in &mut self.services {
+            rollout.withdrawn = !is_readable(service);
+        }
+        self.held.retain(|service| orders.contains_key(service));
         for (service, order) in orders {
             let Some(to) = &order.to else {
                 if self.held.insert(service.clone()) {
@@ -184,7 +189,8 @@
         for (service, servers) in listed {
             self.observe_versions(now, service, &servers);
             if let Some(rollout) = self.services.get_mut(service) {
-                rollout.observe_servers(now, &servers);
+                let barred = self.barred.entry(service.to_owned()).or_default();
+                rollout.observe_servers(now, &servers, barred);
             }
         }
     }
@@ -375,6 +381,12 @@
             let barred = self.barred.entry(service.to_owned()).or_default();
             barred.insert(other.to.clone());
         }
+        if let Some(other) = status.filter(|s| s.state == State::Completed)
+            && let Some(barred) = self.barred.get_mut(service)
+        {
+            // It was completed before this router heard of that.
+            barred.remove(&other.to);
+        }
         if let Some(line) = rollout.apply_status(now, epoch_ms, status) {
             self.lines.push((line.0, service.to_owned(), line.1));
         }
--- a/crates/fleet/src/rollout/progress.rs
+++ b/crates/fleet/src/rollout/progress.rs
@@ -1,6 +1,6 @@
 //! One rollout, from its order to its end.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use crate::engine::Server;
@@ -18,12 +18,10 @@
 const MIN_MARGIN: Duration = Duration::from_millis(600);
 /// Time before the limit at which a rollout is decided, as a fraction of its duration.
 const MARGIN_FRACTION: f64 = 0.05;
-/// Longest such time, as a fraction of the duration.
-const MAX_MARGIN_FRACTION: f64 = 0.25;
+/// Greatest part of the share that is kept for that time, which bounds the time.
+const MAX_RESERVE_FRACTION: f64 = 0.6;
 /// Factor on the margin's part of the requests, which is kept for the time after completion.
 const RESERVE_FACTOR: f64 = 1.25;
-/// Lowest fraction of the share that is used.
-const MIN_SHARE_FRACTION: f64 = 0.5;
 /// Fraction of the duration in which only a part of the share is used.
 const CANARY_TIME: f64 = 1.0 / 3.0;
 /// Part of the share that is used in that time.
@@ -38,6 +36,8 @@
 const MIN_CAPACITY: f64 = 1.2;
 /// Time that a router waits for each one that ranks higher.
 const RANK_DELAY: Duration = Duration::from_millis(300);
+/// Time between two calls of a router to the store for an order.
+const ASK_INTERVAL: Duration = Duration::from_millis(300);
 /// Rank from which the wait no longer grows by the rank.
 const MAX_RANK: u32 = 5;
 /// Step and number of steps of the further wait from that rank on.
@@ -84,6 +84,12 @@
     own: Evidence,
     peers: BTreeMap<u32, (u64, Evidence)>,
     verdict: Verdict,
+    /// Whether the order's row is gone or can't be read.
+    pub(super) withdrawn: bool,
+    /// Whether this router saw the order appear, so that it knows its age.
+    is_witness: bool,
+    /// When this router last called the store for the order.
+    asked: Option<Instant>,
     /// State that is to be recorded, and since when.
     due: Option<(State, Instant)>,
     router: u32,
@@ -124,6 +130,9 @@
             own: Evidence::new(),
             peers: BTreeMap::new(),
             verdict: Verdict::default(),
+            withdrawn: false,
+            is_witness,
+            asked: None,
             due: None,
             router: learner.router,
         }
@@ -132,7 +141,8 @@
     /// Returns how long before its time limit the rollout is decided.
     fn margin(&self) -> Duration {
         let part = self.duration.mul_f64(MARGIN_FRACTION).max(MIN_MARGIN);
-        part.min(self.duration.mul_f64(MAX_MARGIN_FRACTION))
+        let reserve = self.bounds.share * MAX_RESERVE_FRACTION;
+        part.min(self.duration.mul_f64(reserve / RESERVE_FACTOR))
     }
 
     fn age(&self, now: Instant) -> Duration {
@@ -144,7 +154,7 @@
         let all = self.bounds.share;
         let length = self.duration.as_secs_f64().max(0.001);
         let reserve = self.margin().as_secs_f64() / length * RESERVE_FACTOR;
-        let share = (all - reserve).max(all * MIN_SHARE_FRACTION);
+        let share = (all - reserve).max(0.0);
         if self.is_growing(now) {
             share
         } else {
@@ -160,6 +170,7 @@
     pub(super) fn allows(&self, now: Instant) -> bool {
         self.is_known
             && self.state == State::InProgress
+            && !self.withdrawn
             && self.stopped.is_none()
             && self.exposure.allows(self.share(now))
     }
@@ -169,19 +180,26 @@
         !self.is_growing(now) || self.focus.contains(&server)
     }
 
-    /// Records the servers of the service.
+    /// Records the servers of the service; `barred` versions take no part in the rollout.
     #[allow(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss
     )]
-    pub(super) fn observe_servers(&mut self, now: Instant, servers: &[&Server]) {
+    pub(super) fn observe_servers(
+        &mut self,
+        now: Instant,
+        servers: &[&Server],
+        barred: &BTreeSet<String>,
+    ) {
         let is_new = |s: &&&Server| s.backend.version == self.to;
         let new: Vec<&&Server> = servers
             .iter()
             .filter(|s| is_new(s) && s.is_open(now))
             .collect();
-        let old = servers.iter().filter(|s| !is_new(s)).count();
+        let is_barred = |s: &&&Server| barred.contains(&s.backend.version);
+        let old = servers.iter().filter(|s| !is_new(s) && !is_barred(s));
+        let old = old.count();
         self.saw_others |= old > 0;
         self.new_servers = new.len();
         let warm = new.iter().filter(|s| !s.is_cold(now));
@@ -207,7 +225,8 @@
     /// Evaluates the evidence; returns the values of a log line if the new version is stopped.
     pub(super) fn evaluate(&mut self, now: Instant) -> Option<String> {
         let fault = self.verdict.evaluate(now)?;
-        if self.state.is_final() || self.stopped.is_some() {
+        // Without an old version in service there is nothing to compare with or to go back to.
+        if self.state.is_final() || self.stopped.is_some() || !self.saw_others {
             return None;
         }
         let reason = format!("{fault:?}").to_lowercase();
@@ -231,12 +250,12 @@
         if self.state.is_final() {
             return (self.state, &self.reason);
         }
-        if let Some(reason) = &self.stopped {
-            return (State::Reverted, reason);
-        }
         if !self.saw_others && self.new_servers > 0 && self.recorded.is_none() {
             return (State::Completed, "in_service");
         }
+        if let Some(reason) = &self.stopped {
+            return (State::Reverted, reason);
+        }
         if self.age(now) + self.margin() < self.duration {
             return (State::InProgress, "");
         }
@@ -259,7 +278,11 @@
         epoch_ms: u64,
         rank: usize,
     ) -> Option<Option<Status>> {
+        if self.withdrawn || self.asked.is_some_and(|at| now < at + ASK_INTERVAL) {
+            return None;
+        }
         if !self.is_known {
+            self.asked = Some(now);
             return Some(None);
         }
         let (state, reason) = self.wanted(now);
@@ -276,6 +299,7 @@
         if now.saturating_duration_since(since) < self.delay(rank) {
             return None;
         }
+        self.asked = Some(now);
         let age = u64::try_from(self.age(now).as_millis()).unwrap_or(u64::MAX);
         Some(Some(Status {
             order: self.version,
@@ -312,11 +336,20 @@
         self.recorded = Some(status.state);
         let limit = self.duration + self.bounds.max_skew;
         let age = Duration::from_millis(epoch_ms.saturating_sub(status.started)).min(limit);
-        self.learned = now.checked_sub(age).unwrap_or(now).min(self.learned);
+        // The clock of the router that wrote it may be behind.
+        self.observe_age(now, age.saturating_sub(self.bounds.max_skew));
         let reason = status.reason.clone();
         self.adopt(now, status.state, &reason, "store")
     }
 
+    /// Records how old the order is at least; a router that saw it appear knows that itself.
+    fn observe_age(&mut self, now: Instant, age: Duration) {
+        if !self.is_witness {
+            let since = now.checked_sub(age).unwrap_or(now);
+            self.learned = self.learned.min(since);
+        }
+    }
+
     /// Puts a recorded state in force, unless a final one is; returns a log line if it changes.
     fn adopt(&mut self, now: Instant, state: State, reason: &str, source: &str) -> Option<Line> {
         if self.state.is_final() || self.state == state {
@@ -326,7 +359,7 @@
         reason.clone_into(&mut self.reason);
         let (sent, sent_new) = self.exposure.counts();
         let detail = format!(
-            "order={} to={} state={} reason={reason} source={source} age_ms={} sent={sent}              sent_new={sent_new} responses={}",
+            "order={} to={} state={} reason={reason} source={source} age_ms={} sent={sent} sent_new={sent_new} responses={}",
             self.version,
             self.to,
             state.name(),
@@ -364,8 +397,7 @@
         (sender, incarnation): (u32, u64),
         report: &RolloutReport,
     ) -> Option<Line> {
-        let since = now.checked_sub(Duration::from_millis(report.age));
-        self.learned = since.unwrap_or(now).min(self.learned);
+        self.observe_age(now, Duration::from_millis(report.age));
         let known = self.peers.entry(sender).or_default();
         if known.0 != incarnation {
             // The totals of a restarted router begin anew.
--- a/crates/fleet/tests/all/pace.rs
+++ b/crates/fleet/tests/all/pace.rs
@@ -136,7 +136,7 @@
 fn one_cut_within_hold_time() {
     let now = Instant::now();
     let mut pace = Pace::new(now);
-    assert!(pace.cut(now, now, None));
+    assert!(pace.cut(now, None));
     let soon = now + Duration::from_millis(100);
     let late = Duration::from_secs(1);
     assert!(!pace.record_first_byte(soon, None, Duration::from_millis(20), late));
--- a/crates/fleet/tests/all/room.rs
+++ b/crates/fleet/tests/all/room.rs
@@ -62,16 +62,22 @@
     most_held: usize,
 }
 
+/// Returns a router that shares the slots of plain servers.
+fn router(name: &str, now: Instant) -> Fleet {
+    let mut fleet = support::router(name, 0, now);
+    fleet.set_params(Params {
+        learn: Learn::On,
+        ..support::params()
+    });
+    fleet
+}
+
 impl Site {
     fn new(routers: usize) -> Self {
         let now = Instant::now();
         let names: Vec<String> = (0..routers).map(|n| format!("r{n}")).collect();
         let start = |name: &String| {
-            let mut fleet = support::router(name, 0, now);
-            fleet.set_params(Params {
-                learn: Learn::On,
-                ..support::params()
-            });
+            let mut fleet = router(name, now);
             fleet.handle(now, Event::Servers(Revision(2), servers()));
             fleet.handle(now, Event::Members(names.clone()));
             fleet
@@ -309,7 +315,7 @@
 #[test]
 fn reported_use_is_replaced_and_expires() {
     let now = Instant::now();
-    let own = known_running(&mut support::router("r", 0, now), now);
+    let own = known_running(&mut router("r", now), now);
     let cases: [(&[Reported], f64); 5] = [
         (&[(1, 1, 5)], 5.0),
         (&[(1, 1, 5), (1, 1, 5)], 5.0),
@@ -318,7 +324,7 @@
         (&[(1, 1, 5), (1, 2, 2)], 2.0),
     ];
     for (reports, expected) in cases {
-        let mut fleet = support::router("r", 0, now);
+        let mut fleet = router("r", now);
         for (sequence, incarnation, running) in reports {
             let report = report(*sequence, *incarnation, *running);
             fleet.handle(now, Event::Report(report));
@@ -330,7 +336,7 @@
         let others = sent - own_requests as f64;
         assert!((others - expected).abs() < 0.1, "{reports:?}: {others}");
     }
-    let mut fleet = support::router("r", 0, now);
+    let mut fleet = router("r", now);
     fleet.handle(now, Event::Report(report(1, 1, 5)));
     let later = now + Duration::from_secs(5);
     fleet.handle(later, Event::Tick);
@@ -354,3 +360,17 @@
     let decisions = site.routers[0].handle(site.now, Event::Submit(past_target));
     assert!(support::sent_to(&decisions).is_some());
 }
+
+/// Guards against shares of plain servers in deployments that did not ask for them.
+#[test]
+fn request_to_full_servers_without_learning_is_placed_as_before() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 0, now);
+    fleet.handle(now, Event::Servers(Revision(2), servers()));
+    for key in 0..u64::from(2 * SLOTS) {
+        let mut request = plain(key, Repeat::Once, now);
+        request.workspace = Some(WorkspaceHash(1));
+        let decisions = fleet.handle(now, Event::Submit(request));
+        assert!(support::sent_to(&decisions).is_some(), "request {key}");
+    }
+}
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -37,11 +37,13 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Shortest read timeout after which a retryable request is sent to another server.
 const MIN_READ_TIMEOUT: Duration = Duration::from_millis(600);
-/// Least pause between two events of a stream after which its caller has given it up: eight times a
-/// pause of a second, which sound servers make. What a route allows is not known here.
+/// Least pause between two events after which a stream is ended: sound servers make pauses of a second
+/// or more, and callers give a stream up two seconds after its last event at the earliest.
 const MIN_ABANDON_TIME: Duration = Duration::from_secs(8);
 /// Pause after which a caller has given a stream up, as a multiple of the route's latency target.
-const ABANDON_FACTOR: u32 = 4;
+const TARGET_ABANDON_FACTOR: u32 = 4;
+/// That pause as a multiple of the longest one that the route allows.
+const PAUSE_ABANDON_FACTOR: u32 = 8;
 /// Read timeout of a retryable request as a multiple of the route's latency target.
 const TIMEOUT_FACTOR: f64 = 1.2;
 
@@ -457,11 +459,19 @@
         retryable,
         begins: route.stream && route.resumable && !takes_up,
         read_timeout: retryable.then_some(read_timeout),
-        abandon_time: MIN_ABANDON_TIME.max(route.target.saturating_mul(ABANDON_FACTOR)),
+        abandon_time: abandon_time(&route),
     };
     run_attempts(shell, plan, tracker, target).await
 }
 
+/// Returns the pause between two events after which a caller has given a stream up; none if the route
+/// does not say which pauses it allows.
+fn abandon_time(route: &Route) -> Option<Duration> {
+    let by_pause = route.max_pause?.saturating_mul(PAUSE_ABANDON_FACTOR);
+    let by_target = route.target.saturating_mul(TARGET_ABANDON_FACTOR);
+    Some(MIN_ABANDON_TIME.max(by_target).max(by_pause))
+}
+
 /// Refuses a request that takes up a stream, as it is not known where that can go on.
 fn refuse_resume(
     shell: &Shell,
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -23,8 +23,9 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for completed responses to reach their callers.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
-/// Longest time for the answers to the last connections; within [`EXIT_RESERVE`], with the flush.
-const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+/// Longest time for the answers to the last connections. With the flush it leaves time within
+/// [`EXIT_RESERVE`] to remove this router's row.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 
 /// Returns whether a request that arrives now can be expected to finish within the stop timeout.
 #[must_use]
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -55,7 +55,7 @@
     /// can't be retried.
     pub read_timeout: Option<Duration>,
     /// Pause between two events after which the caller has given a stream up.
-    pub abandon_time: Duration,
+    pub abandon_time: Option<Duration>,
 }
 
 /// The head of a server's response, and the connection that delivers the rest.
@@ -186,6 +186,9 @@
     last_arrival: Instant,
     /// Whether an event other than a comment has arrived.
     has_event: bool,
+    /// Time spent waiting for the server since the last event; a caller that reads slowly does not
+    /// add to it.
+    silence: Duration,
     /// Bytes received since events were last returned.
     unreturned: usize,
 }
@@ -666,7 +669,8 @@
         plan: plan.clone(),
         last_id: resume,
         last_arrival: shell.now(),
-        has_event: false,
+        has_event: resume.is_some(),
+        silence: Duration::ZERO,
         unreturned: 0,
     };
     let first = match stream.next(shell).await? {
@@ -691,8 +695,9 @@
     pub async fn next(&mut self, shell: &Rc<Shell>) -> Result<StreamItem, Interruption> {
         loop {
             // Single bytes and comments keep a stream open without getting its caller anything.
-            let abandoned = self.last_arrival + self.plan.abandon_time;
-            let abandoned = self.has_event.then_some(abandoned);
+            let began = shell.now();
+            let left = self.plan.abandon_time.filter(|_| self.has_event);
+            let abandoned = left.map(|time| began + time.saturating_sub(self.silence));
             let reading = self.connection.wait(self.body.frame());
             let patience = Patience::new(&self.plan, self.last_id).with_abandoned(abandoned);
             let frame = match patience.wait(shell, Duration::ZERO, reading).await? {
@@ -703,6 +708,7 @@
                 None => return Ok(StreamItem::End),
                 Some(Ok(frame)) => frame,
             };
+            self.silence += shell.now().saturating_duration_since(began);
             let Ok(data) = frame.into_data() else {
                 continue;
             };
@@ -724,6 +730,7 @@
                     return Ok(StreamItem::Events { bytes, count, gap });
                 }
                 self.has_event = true;
+                self.silence = Duration::ZERO;
                 let now = shell.now();
                 let previous = std::mem::replace(&mut self.last_arrival, now);
                 let gap = now.saturating_duration_since(previous);
--- a/crates/front/tests/all/streams.rs
+++ b/crates/front/tests/all/streams.rs
@@ -334,6 +334,7 @@
             front.configure(|deployment| {
                 for route in &mut deployment.routes {
                     route.timeout = Duration::from_secs(30);
+                    route.max_pause = Some(Duration::from_millis(500));
                 }
             });
             let response = front.call("/stream/x", "").await;
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -113,6 +113,12 @@
         }
         if total > joined.capacity() {
             let doubled = total.max(2 * joined.capacity()).min(limit);
+            // Small bodies are not charged, so their buffer stays small too.
+            let doubled = if total <= FREE_BYTES {
+                doubled.min(FREE_BYTES)
+            } else {
+                doubled
+            };
             let capacity = doubled.max(announced);
             charge(capacity, &mut account)?;
             joined.reserve_exact(capacity - joined.len());
@@ -120,6 +126,10 @@
         joined.extend_from_slice(&data);
         account.advance(Instant::now(), data.len());
     }
+    if account.is_evicted() {
+        // Its charge was given to another body.
+        return Err(MemoryShort.into());
+    }
     Ok(account.into_bytes(joined))
 }
 
--- a/crates/net/src/event_loop.rs
+++ b/crates/net/src/event_loop.rs
@@ -28,7 +28,7 @@
 const BATCH_TASKS: usize = 16;
 /// Longest wait during which a wake-up from another thread goes unnoticed. To be told of those at once,
 /// compio's driver needs some system calls for each wait, which only an idle loop can afford.
-const MAX_DEAF_WAIT: Duration = Duration::from_millis(50);
+const MAX_UNNOTIFIED_WAIT: Duration = Duration::from_millis(50);
 
 thread_local! {
     /// Urgent tasks of the event loop that runs on this thread.
@@ -228,12 +228,14 @@
     /// Waits for events or the next timer, and wakes the tasks that wait for them.
     fn wait(&self, timeout: Option<Duration>) {
         let mut timeout = timeout;
-        if timeout.is_none_or(|t| t > MAX_DEAF_WAIT) && self.runtime.flush() {
+        // A flush takes the notification of an operation that another thread has completed.
+        let notified = timeout.is_none_or(|t| t > MAX_UNNOTIFIED_WAIT) && self.runtime.flush();
+        if notified {
             timeout = Some(Duration::ZERO);
         }
         let driver_ready = self.poller.wait(timeout).expect("the poller is open");
         // Without events of its own, the driver still has timers.
-        if driver_ready || self.runtime.current_timeout() == Some(Duration::ZERO) {
+        if notified || driver_ready || self.runtime.current_timeout() == Some(Duration::ZERO) {
             self.runtime.poll_with(Some(Duration::ZERO));
         }
     }
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -205,6 +205,14 @@
         }
     }
 
+    /// Returns whether the account was evicted.
+    #[must_use]
+    pub fn is_evicted(&self) -> bool {
+        let state = self.budget.lock();
+        let entry = self.id.and_then(|id| state.entries.get(&id));
+        entry.is_some_and(|e| e.evicted)
+    }
+
     /// Returns whether the account has to give way; otherwise the task is woken when it has to.
     pub fn poll_evicted(&self, cx: &Context<'_>) -> bool {
         let Some(id) = self.id else { return false };
--- a/crates/net/src/response_filter.rs
+++ b/crates/net/src/response_filter.rs
@@ -191,6 +191,15 @@
 
 /// Returns how the body ends; none if that is not certain.
 fn framing(response: &httparse::Response<'_, '_>) -> Option<Framing> {
+    let count = |name: &HeaderName| {
+        let lines = response.headers.iter();
+        lines
+            .filter(|l| l.name.eq_ignore_ascii_case(name.as_str()))
+            .count()
+    };
+    if count(&header::CONTENT_LENGTH) > 1 || count(&header::TRANSFER_ENCODING) > 1 {
+        return None;
+    }
     let length = find(response, header::CONTENT_LENGTH.as_str());
     let coding = find(response, header::TRANSFER_ENCODING.as_str());
     match (response.code?, length, coding) {
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -71,6 +71,8 @@
 const BACKLOG: i32 = 1_024;
 /// Maximum pending connections accepted in one turn of the event loop.
 const MAX_ACCEPT_BATCH: usize = 64;
+/// Number of batches that empty the system's queue.
+const BACKLOG_BATCHES: usize = BACKLOG as usize / MAX_ACCEPT_BATCH;
 /// Maximum connections over the limit that are refused by a response at the same time.
 const MAX_REFUSALS: usize = 64;
 /// Timeout for the request head on a connection over the limit.
@@ -349,9 +351,9 @@
         log::warn!(step = "accept", error:% = error; "accept_failed");
     }
 
-    /// Accepts all pending connections.
+    /// Accepts all pending connections, of which the system's queue holds a bounded number.
     fn empty_queue(self: &Rc<Self>, listener: &Watched<TcpListener>) {
-        loop {
+        for _ in 0..=BACKLOG_BATCHES {
             match self.accept_batch(listener) {
                 Ok(false) => {}
                 Ok(true) => return,
