--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -228,6 +228,13 @@
 address = 127.0.0.1:5
 ";
 
+const ROLLOUT_SETTINGS: &str = "[rollout]
+share = 0.1
+slack = 50
+rollback = 5s
+max_skew = 6s
+";
+
 fn route(name: &str, repeat: Repeat, stream: bool, resumable: bool) -> Route {
     Route {
         name: name.to_owned(),
@@ -303,7 +310,16 @@
 
     /// Starts a router that accepts up to `connections` callers' connections.
     pub fn start_with(servers: &[&Server], connections: usize) -> Self {
-        let settings = FrontSettings::parse("test", SETTINGS).expect("the settings are valid");
+        Self::start_from(SETTINGS, servers, connections)
+    }
+
+    /// Starts a router with bounds on rollouts.
+    pub fn start_with_rollouts(servers: &[&Server]) -> Self {
+        Self::start_from(&format!("{SETTINGS}{ROLLOUT_SETTINGS}"), servers, 100)
+    }
+
+    fn start_from(settings: &str, servers: &[&Server], connections: usize) -> Self {
+        let settings = FrontSettings::parse("test", settings).expect("the settings are valid");
         let shell = Rc::new(Shell::new(settings, protocol(), Box::new(SystemClock)));
         let config = OperatorConfig {
             deployment: Some(deployment()),
@@ -347,12 +363,18 @@
 
     /// Registers the engines with these versions, in the order of the servers at the start.
     pub fn set_versions(&self, versions: &[&str]) {
+        self.set_service_versions("engines", versions);
+    }
+
+    /// Registers the servers of a service with these versions, in the order of the servers at the
+    /// start.
+    pub fn set_service_versions(&self, service: &str, versions: &[&str]) {
         let (mut servers, revision) = self.shell.with_fleet(|f| {
             let registry = f.registry();
             (registry.entries(self.shell.now()), registry.revision())
         });
         for (number, version) in versions.iter().enumerate() {
-            let server = servers.get_mut(&format!("engines{number}"));
+            let server = servers.get_mut(&format!("{service}{number}"));
             let server = server.expect("there is such a server");
             (*version).clone_into(&mut server.version);
             server.sequence += 1;
--- a/crates/front/tests/all/tables.rs
+++ b/crates/front/tests/all/tables.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
-use hibiscusrail_fleet::rollout::order::Status;
+use hibiscusrail_fleet::rollout::order::{State, Status};
 use hibiscusrail_fleet::versions::VersionSet;
 use hibiscusrail_front::origins::Origin;
 use hibiscusrail_front::rollouts::RolloutRows;
@@ -26,6 +26,12 @@
     pub streams: RefCell<BTreeMap<String, Origin>>,
     /// Versions of the orders' and status rows, and the status, by service.
     pub rollouts: RefCell<BTreeMap<String, RolloutRows>>,
+    /// States of rollouts that were written, in order.
+    pub rollout_states: RefCell<Vec<State>>,
+    /// Number of further writes of a status row that are executed and whose answers are lost.
+    pub lost_answers: Cell<u32>,
+    /// Status that another router writes right before the next write of a status row.
+    pub rival: RefCell<Option<Status>>,
     /// Whether calls for versions and records fail.
     pub away: Cell<bool>,
 }
@@ -98,11 +104,20 @@
         self.check()?;
         let mut rollouts = self.rollouts.borrow_mut();
         let rows = rollouts.entry(service.to_owned()).or_default();
+        if let Some(rival) = self.rival.take() {
+            rows.status_version += 1;
+            rows.status = Some(rival);
+        }
         if rows.status_version != expected {
             return Ok(false);
         }
         rows.status_version += 1;
         rows.status = Some(status.clone());
+        self.rollout_states.borrow_mut().push(status.state);
+        if self.lost_answers.get() > 0 {
+            self.lost_answers.set(self.lost_answers.get() - 1);
+            return Err("the answer is lost".into());
+        }
         Ok(true)
     }
 
