--- a/crates/front/src/rollouts.rs
+++ b/crates/front/src/rollouts.rs
@@ -1,7 +1,8 @@
 //! Reads and writes the status rows of rollouts.
 //!
-//! The reducer proposes a status; the row is read first, and the write expects the version that was
-//! read, so that a final state is never replaced and two routers never both write one.
+//! The reducer proposes a status; the rows are read first, and the write expects the versions of the
+//! status row and of the order's row that were read. So a final state is never replaced, two routers
+//! never both write one, and none is written for an order that was replaced after the read.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,7 +59,7 @@
     if rows.status.as_ref().is_some_and(is_final) || rows.order != Some(proposal.order) {
         return Ok(rows.status);
     }
-    let written = store.write_rollout(&proposal.service, status, rows.status_version);
+    let written = store.write_rollout(&proposal.service, status, &rows);
     if written.await? {
         log::info!(
             service = proposal.service.as_str(),
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -109,13 +109,13 @@
     /// Returns the rows of a service's rollout.
     async fn rollout(&self, service: &str) -> Result<RolloutRows, StoreError>;
 
-    /// Writes the status row of a service's rollout if its version in the store is `expected`, zero
-    /// standing for no row; returns whether it was.
+    /// Writes the status row of a service's rollout if the status row and the order's row still have
+    /// the versions in `read`; returns whether they had.
     async fn write_rollout(
         &self,
         service: &str,
         status: &Status,
-        expected: u64,
+        read: &RolloutRows,
     ) -> Result<bool, StoreError>;
 
     /// Returns the record of the stream that a request began, by the request's id.
--- a/crates/front/tests/all/rollouts.rs
+++ b/crates/front/tests/all/rollouts.rs
@@ -9,7 +9,7 @@
 use hibiscusrail_fleet::rollout::order::{Order, State, Status};
 use hibiscusrail_front::rollouts::{RolloutRows, follow_rollouts};
 
-use super::support::{Act, Front, Server, TIMEOUT, full_response, run, status};
+use super::support::{Act, Front, Server, TIMEOUT, full_response, run, status, wait_until};
 use super::tables::Tables;
 
 const SERVICE: &str = "plain";
@@ -161,3 +161,18 @@
         assert!(tables.rollout_states.borrow().is_empty());
     });
 }
+
+// Guards against a state written for an order that the operator replaced after it was read.
+#[test]
+fn rollout_of_replaced_order_writes_nothing() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let server = good_server();
+        let front = start(&tables, &server);
+        tables.next_order.set(Some(ORDER + 1));
+        order(&front, &tables);
+        wait_until(|| tables.next_order.get().is_none()).await;
+        compio::time::sleep(QUIET).await;
+        assert!(tables.rollout_states.borrow().is_empty());
+    });
+}
--- a/crates/front/tests/all/tables.rs
+++ b/crates/front/tests/all/tables.rs
@@ -32,6 +32,8 @@
     pub lost_answers: Cell<u32>,
     /// Status that another router writes right before the next write of a status row.
     pub rival: RefCell<Option<Status>>,
+    /// Version of the order's row that the operator writes right before the next such write.
+    pub next_order: Cell<Option<u64>>,
     /// Whether calls for versions and records fail.
     pub away: Cell<bool>,
 }
@@ -99,7 +101,7 @@
         &self,
         service: &str,
         status: &Status,
-        expected: u64,
+        read: &RolloutRows,
     ) -> Result<bool, StoreError> {
         self.check()?;
         let mut rollouts = self.rollouts.borrow_mut();
@@ -108,7 +110,10 @@
             rows.status_version += 1;
             rows.status = Some(rival);
         }
-        if rows.status_version != expected {
+        if let Some(order) = self.next_order.take() {
+            rows.order = Some(order);
+        }
+        if (rows.status_version, rows.order) != (read.status_version, read.order) {
             return Ok(false);
         }
         rows.status_version += 1;
