--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod replacements;
 mod reports;
 mod retries;
+mod rollout_verdict;
 mod rollouts;
 mod room;
 mod server_rates;
