front, fleet: read events together while the router is behind

While the mean loop lag is above 15 ms, a stream leaves its server's bytes unread after an event, for at most half of the new setting [bounds] pass less the lag, so that one read and one write carry several events. First events are never held. A stop and a caller that leaves end the wait at once.

--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -457,6 +457,7 @@
         retryable,
         begins: route.stream && route.resumable && !takes_up,
         read_timeout: retryable.then_some(read_timeout),
+        max_pause: route.max_pause,
         abandon_time: MIN_ABANDON_TIME.max(route.target.saturating_mul(ABANDON_FACTOR)),
     };
     run_attempts(shell, plan, tracker, target).await
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod config_changes;
 mod fingerprint;
 mod followers;
+mod holds;
 mod metrics;
 mod notices;
 mod overload;
