--- a/crates/front/tests/all/versions.rs
+++ b/crates/front/tests/all/versions.rs
@@ -150,3 +150,50 @@
         wait_until(saved).await;
     });
 }
+
+// Guards against ORDER around a handover: two routers that both write the rows of versions and of
+// streams, one of which has an older list of servers and writes last.
+#[test]
+fn stream_goes_on_at_its_version_when_two_routers_write() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let server = Server::start(vec![broken(), broken(), rest()]);
+        let fronts = [0, 1].map(|_| start(&server, &["v1", "v2"], &tables));
+        for (number, front) in fronts.iter().enumerate() {
+            let text = format!(
+                "POST /resume/x HTTP/1.1\r\nhost: host\r\nauthorization: Bearer key\r\n\
+                 x-id: s{number}\r\nx-wait-ms: 5000\r\nconnection: close\r\n\r\n"
+            );
+            front.raw(&text).await;
+        }
+        let recorded = || tables.streams.borrow().len() == 2;
+        wait_until(recorded).await;
+        wait_until(|| tables.versions.borrow().contains_key("engines")).await;
+        // The first router sees that the first version has gone, the second one writes last.
+        fronts[0].set_versions(&["v2", "v2"]);
+        let versions = || tables.versions.borrow()["engines"].versions.clone();
+        wait_until(|| versions().len() == 1).await;
+        let mut older = tables.versions.borrow()["engines"].clone();
+        older.versions = ["v1".to_owned()].into();
+        older.changed -= 2_000;
+        tables
+            .versions
+            .borrow_mut()
+            .insert(older.service.clone(), older);
+        // A router that starts then sees the second version alone.
+        let last = start(&server, &["v2", "v2"], &tables);
+        let begun = tables.streams.borrow().clone();
+        for (id, origin) in begun {
+            let response = last.call("/resume/x", &resumes(&id)).await;
+            let expected = if origin.version == "v2" { 200 } else { 503 };
+            assert_eq!(
+                status(&response),
+                expected,
+                "{id} of {}: {response}",
+                origin.version
+            );
+        }
+        let response = last.call("/resume/x", &resumes("unknown")).await;
+        assert_eq!(status(&response), 503, "{response}");
+    });
+}
