--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use hibiscusrail_net::{bind, serve_counted};
 use hibiscusrail_settings::FrontSettings;
 use http::HeaderName;
+use rustix::net::{self, AddressFamily, SocketType};
 
 /// Timeout of every wait in these tests.
 pub const TIMEOUT: Duration = Duration::from_secs(10);
@@ -54,6 +56,8 @@
     received: Rc<RefCell<Vec<String>>>,
     disconnects: Rc<Cell<usize>>,
     closed: Rc<Cell<usize>>,
+    /// Socket that keeps the port of a server that refuses connections.
+    _reserved: Option<Rc<OwnedFd>>,
 }
 
 impl Server {
@@ -64,6 +68,7 @@
             received: Rc::default(),
             disconnects: Rc::default(),
             closed: Rc::default(),
+            _reserved: None,
         };
         let (own, next) = (server.clone(), Rc::new(Cell::new(0)));
         compio::runtime::spawn(async move {
@@ -78,12 +83,19 @@
 
     /// Returns a server that refuses connections.
     pub fn unreachable() -> Self {
-        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback is up");
+        // A socket that is bound and does not listen. A closed one would leave its port to the router
+        // of a test that runs at the same time.
+        let socket = net::socket(AddressFamily::INET, SocketType::STREAM, None);
+        let socket = socket.expect("the system gives a socket");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        net::bind(&socket, &any).expect("loopback is up");
+        let address = net::getsockname(&socket).expect("the socket is bound");
         Self {
-            address: listener.local_addr().expect("the listener is bound"),
+            address: address.try_into().expect("it has an address"),
             received: Rc::default(),
             disconnects: Rc::default(),
             closed: Rc::default(),
+            _reserved: Some(Rc::new(socket)),
         }
     }
 
