--- a/crates/fleet/src/fleet/overload.rs
+++ b/crates/fleet/src/fleet/overload.rs
@@ -31,13 +31,6 @@
         self.pressure.sheds_connections() || !self.pressure.admits_stream(None, 0.0, 0.0)
     }
 
-    /// Returns for how long a stream may leave its server's bytes unread after an event, so that fewer
-    /// reads and writes carry them; zero unless the router is behind.
-    #[must_use]
-    pub fn hold_limit(&self) -> Duration {
-        self.pressure.hold_limit(self.params.pass_bound)
-    }
-
     /// Records the demand of a request, and returns the retry delay if this router is too busy for
     /// it. If it returns none, the request has to be submitted as an admitted one.
     pub fn overloaded(
--- a/crates/fleet/src/params.rs
+++ b/crates/fleet/src/params.rs
@@ -25,9 +25,6 @@
     /// Time after a change of the configuration from which all requests are handled by it; from the
     /// deployment's bounds.
     pub config_bound: Duration,
-    /// Time from the arrival of an event at the router from which its stream counts as late; from the
-    /// deployment's bounds.
-    pub pass_bound: Duration,
     /// Window over which shares of throughput are computed; from the deployment's bounds.
     pub quota_window: Duration,
     /// Limit on retries; from the deployment's bounds.
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -31,9 +31,6 @@
 const REFUSE_OVER_SHARE_LAG: Duration = Duration::from_millis(60);
 /// Mean lag from which all streams are refused: all of the 120 ms.
 const REFUSE_ALL_LAG: Duration = Duration::from_millis(120);
-/// Fraction of the bound on forwarding an event that a hold and the lag may take together. The rest is
-/// for an iteration of the loop that is longer than the mean.
-const HOLD_FRACTION: f64 = 0.5;
 /// Time constant with which the charge needed after an overload falls. It is above
 /// [`MIN_SHED_TIME`], since the wave comes back with the next connections.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
@@ -114,18 +111,6 @@
         self.shed_since.is_some()
     }
 
-    /// Returns for how long a stream may leave its server's bytes unread after an event; zero unless
-    /// the lag is above the limit up to which every stream is admitted.
-    ///
-    /// What the lag takes is left out: events arrive in that time too and are read together anyway.
-    #[must_use]
-    pub fn hold_limit(&self, pass_bound: Duration) -> Duration {
-        if self.lag <= ADMIT_ALL_LAG {
-            return Duration::ZERO;
-        }
-        pass_bound.mul_f64(HOLD_FRACTION).saturating_sub(self.lag)
-    }
-
     fn halve_counts(&mut self, now: Instant) {
         let halved_at = *self.halved_at.get_or_insert(now);
         if now.saturating_duration_since(halved_at) < COUNT_HALF_LIFE {
--- a/crates/fleet/tests/all/crowded_router.rs
+++ b/crates/fleet/tests/all/crowded_router.rs
@@ -65,21 +65,6 @@
     assert_eq!(logged, 1);
 }
 
-/// Guards against holds at a router that is not behind, and against a hold and the lag that together
-/// take more than half of the bound on forwarding an event.
-#[test]
-fn hold_limit_leaves_half_of_bound() {
-    for (lag, limit) in [(0, 0), (14, 0), (20, 40), (40, 20), (70, 0)] {
-        let start = Instant::now();
-        let mut fleet = support::router("r", 2, start);
-        let lag = Duration::from_millis(lag);
-        add_lag(&mut fleet, start, lag, Duration::from_secs(5));
-        // The mean stays below a steady lag by its first, decayed observation at most.
-        let held = fleet.hold_limit().as_secs_f64() * 1e3;
-        assert!((held - f64::from(limit)).abs() < 0.1, "{lag:?}: {held}");
-    }
-}
-
 #[test]
 fn submit_lagging_router_refuses_streams_over_share_first() {
     let start = Instant::now();
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -29,7 +29,6 @@
         cold_factor: 1.5,
         cold_slack: 5.0,
         drain_bound: Duration::from_secs(2),
-        pass_bound: Duration::from_millis(120),
         config_bound: Duration::from_secs(2),
         quota_window: Duration::from_secs(4),
         retries: RetryBound {
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -459,7 +459,6 @@
         retryable,
         begins: route.stream && route.resumable && !takes_up,
         read_timeout: retryable.then_some(read_timeout),
-        max_pause: route.max_pause,
         abandon_time: abandon_time(&route),
     };
     run_attempts(shell, plan, tracker, target).await
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod answer;
 pub mod caller;
 pub mod fingerprint;
-pub mod holds;
 pub mod metrics;
 pub mod origins;
 pub mod outgoing;
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -21,7 +21,6 @@
 use hibiscusrail_settings::FrontSettings;
 use http::HeaderMap;
 
-use crate::holds::Holds;
 use crate::metrics::Metrics;
 use crate::origins::Origins;
 use crate::protocol::Protocol;
@@ -83,7 +82,6 @@
     budget: Arc<Budget>,
     work: Work,
     origins: Origins,
-    holds: Rc<Holds>,
     next_key: Cell<u64>,
     /// Signals that an incremental report is due.
     report_tx: RefCell<mpsc::Sender<()>>,
@@ -115,7 +113,6 @@
             .with_on_accept(Rc::new(metrics.accept_counter()));
         let budget = Budget::new(settings.memory_bytes() / 100 * BUDGET_PERCENT);
         let work = Work::new(clock.now());
-        let holds = Rc::new(Holds::new(clock.now()));
         let (report_tx, report_rx) = mpsc::channel(0);
         let (running, exiting) = oneshot::channel();
         let fleet = Fleet::new(&settings.name, clock.epoch_ms(), params, clock.now());
@@ -130,7 +127,6 @@
             budget: Arc::new(budget),
             work,
             origins: Origins::default(),
-            holds,
             next_key: Cell::new(0),
             report_tx: RefCell::new(report_tx),
             report_rx: Cell::new(Some(report_rx)),
@@ -200,12 +196,6 @@
         &self.origins
     }
 
-    /// Returns the streams that leave their servers' bytes unread for a short time.
-    #[must_use]
-    pub fn holds(&self) -> &Rc<Holds> {
-        &self.holds
-    }
-
     /// Returns the counts of the event loop's work.
     #[must_use]
     pub fn work(&self) -> &Work {
@@ -234,7 +224,6 @@
     /// Begins the stop: the router is not ready any more.
     pub fn stop(&self) {
         self.stopping.set(Some(self.now()));
-        self.holds.close();
         self.handle(Event::Stopping);
     }
 
@@ -242,7 +231,6 @@
     /// get one.
     pub fn begin_exit(&self) {
         self.running.take();
-        self.holds.close();
     }
 
     /// Waits until the process is about to exit.
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -17,7 +17,6 @@
 use hibiscusrail_net::sse::{MAX_EVENT_BYTES, Splitter};
 use hibiscusrail_net::{Body, OwnedConnection, connect_owned, headers};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -37,10 +36,6 @@
 /// Time between two looks for a server that replaces a silent one.
 const STALL_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Parts of a stream that are read together while the router is behind; a fraction of the parts after
-/// which a connection lets other tasks run.
-const MAX_BATCH_PARTS: usize = 16;
-
 /// What every attempt of a request sends, and how its response is read.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -61,9 +56,6 @@
     pub read_timeout: Option<Duration>,
     /// Pause between two events after which the caller has given a stream up.
     pub abandon_time: Option<Duration>,
-    /// Longest pause between two events for which the response is on time; none if the route has no
-    /// such limit.
-    pub max_pause: Option<Duration>,
 }
 
 /// The head of a server's response, and the connection that delivers the rest.
@@ -199,17 +191,8 @@
     silence: Duration,
     /// Bytes received since events were last returned.
     unreturned: usize,
-    /// Time between the last two events, as a mean over those that were returned together.
-    event_gap: Duration,
-    /// What [`Self::read_ahead`] received after the last bytes: the trailers, an error or the end.
-    ahead: Option<Part>,
-    /// Whether [`Self::read_ahead`] has received all that had arrived.
-    is_drained: bool,
 }
 
-/// A part of a response's body; none at its end.
-type Part = Option<hyper::Result<Frame<Bytes>>>;
-
 /// The next part of a stream.
 #[derive(Debug)]
 pub enum StreamItem {
@@ -689,9 +672,6 @@
         has_event: resume.is_some(),
         silence: Duration::ZERO,
         unreturned: 0,
-        event_gap: Duration::ZERO,
-        ahead: None,
-        is_drained: false,
     };
     let first = match stream.next(shell).await? {
         StreamItem::Events { bytes, .. } => bytes,
@@ -713,13 +693,14 @@
     ///
     /// Returns how the stream broke, or the server that replaces a silent one.
     pub async fn next(&mut self, shell: &Rc<Shell>) -> Result<StreamItem, Interruption> {
-        self.hold(shell).await;
         loop {
-            let part = match self.ahead.take() {
-                Some(part) => part,
-                None => self.read(shell).await?,
-            };
-            let frame = match part {
+            // Single bytes and comments keep a stream open without getting its caller anything.
+            let began = shell.now();
+            let left = self.plan.abandon_time.filter(|_| self.has_event);
+            let abandoned = left.map(|time| began + time.saturating_sub(self.silence));
+            let reading = self.connection.wait(self.body.frame());
+            let patience = Patience::new(&self.plan, self.last_id).with_abandoned(abandoned);
+            let frame = match patience.wait(shell, Duration::ZERO, reading).await? {
                 Some(Err(_)) => return Err(Outcome::Broken.into()),
                 None if self.splitter.pending_bytes() > 0 => {
                     return Err(Outcome::Broken.into());
@@ -727,12 +708,12 @@
                 None => return Ok(StreamItem::End),
                 Some(Ok(frame)) => frame,
             };
+            self.silence += shell.now().saturating_duration_since(began);
             let Ok(data) = frame.into_data() else {
                 continue;
             };
             self.splitter.push(&data);
             self.unreturned += data.len();
-            self.is_drained = self.read_ahead(shell);
             let (bytes, count) = self.take_events(shell)?;
             if !bytes.is_empty() {
                 self.unreturned = self.splitter.pending_bytes();
@@ -753,81 +734,11 @@
                 let now = shell.now();
                 let previous = std::mem::replace(&mut self.last_arrival, now);
                 let gap = now.saturating_duration_since(previous);
-                self.event_gap = gap / count;
                 return Ok(StreamItem::Events { bytes, count, gap });
             }
         }
     }
 
-    /// Waits for the next part of the response.
-    async fn read(&mut self, shell: &Rc<Shell>) -> Result<Part, Interruption> {
-        // Single bytes and comments keep a stream open without getting its caller anything.
-        let began = shell.now();
-        let left = self.plan.abandon_time.filter(|_| self.has_event);
-        let abandoned = left.map(|time| began + time.saturating_sub(self.silence));
-        let reading = self.connection.wait(self.body.frame());
-        let patience = Patience::new(&self.plan, self.last_id).with_abandoned(abandoned);
-        let part = patience.wait(shell, Duration::ZERO, reading).await;
-        self.silence += shell.now().saturating_duration_since(began);
-        part
-    }
-
-    /// Leaves the server's bytes unread for a short time if the router is behind, so that the next
-    /// read and the write that follows carry several events.
-    ///
-    /// It begins only once all that had arrived is on its way to the caller: what is left unread
-    /// would wait once more with each hold.
-    async fn hold(&mut self, shell: &Shell) {
-        if !std::mem::take(&mut self.is_drained) {
-            return;
-        }
-        let limit = self.hold_limit(shell);
-        if !limit.is_zero() {
-            shell.holds().wait(shell.now(), limit).await;
-        }
-    }
-
-    /// Returns for how long the server's bytes may be left unread; zero before the first event.
-    fn hold_limit(&self, shell: &Shell) -> Duration {
-        let limit = shell.with_fleet(Fleet::hold_limit);
-        if limit.is_zero() || !self.has_event {
-            return Duration::ZERO;
-        }
-        let pause = self.plan.max_pause;
-        let pause = pause.map_or(limit, |p| p.saturating_sub(self.event_gap));
-        let left = self.plan.outgoing.deadline;
-        let left = left.saturating_duration_since(shell.now());
-        // Half of the time left, so that what arrives before the deadline is still forwarded.
-        limit.min(pause).min(left / 2)
-    }
-
-    /// Receives what has arrived besides the last part, without waiting, if the stream may be held;
-    /// returns whether that is everything.
-    fn read_ahead(&mut self, shell: &Shell) -> bool {
-        if self.hold_limit(shell).is_zero() {
-            return false;
-        }
-        for _ in 0..MAX_BATCH_PARTS {
-            // Large events aren't collected, as their memory is charged only afterwards.
-            if self.unreturned > FREE_BYTES {
-                return false;
-            }
-            match self.connection.now_or_never(self.body.frame()) {
-                None => return true,
-                Some(Some(Ok(frame))) if frame.is_data() => {
-                    let data = frame.into_data().unwrap_or_default();
-                    self.splitter.push(&data);
-                    self.unreturned += data.len();
-                }
-                Some(part) => {
-                    self.ahead = Some(part);
-                    return false;
-                }
-            }
-        }
-        false
-    }
-
     /// Takes the complete events, without those that were returned before a resume.
     ///
     /// # Errors
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -5,7 +5,6 @@
 mod config_changes;
 mod fingerprint;
 mod followers;
-mod holds;
 mod metrics;
 mod notices;
 mod overload;
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -11,12 +11,12 @@
 use compio::io::{AsyncRead, AsyncWriteExt};
 use compio::net::TcpStream;
 use hibiscusrail_core::SystemClock;
+use hibiscusrail_fleet::Event;
 use hibiscusrail_fleet::engine::Prompt;
 use hibiscusrail_fleet::objects::{
     Backend, Deployment, EngineFacts, Limits, OperatorConfig, Repeat, Revision, Route, Service,
     Target, Workspace,
 };
-use hibiscusrail_fleet::{Event, Fleet};
 use hibiscusrail_front::protocol::Protocol;
 use hibiscusrail_front::shell::Shell;
 use hibiscusrail_front::{caller, overload};
@@ -55,7 +55,6 @@
     pub address: SocketAddr,
     received: Rc<RefCell<Vec<String>>>,
     disconnects: Rc<Cell<usize>>,
-    closed: Rc<Cell<usize>>,
     /// Socket that keeps the port of a server that refuses connections.
     _reserved: Option<Rc<OwnedFd>>,
 }
@@ -67,7 +66,6 @@
             address: listener.local_addr().expect("the listener is bound"),
             received: Rc::default(),
             disconnects: Rc::default(),
-            closed: Rc::default(),
             _reserved: None,
         };
         let (own, next) = (server.clone(), Rc::new(Cell::new(0)));
@@ -94,7 +92,6 @@
             address: address.try_into().expect("it has an address"),
             received: Rc::default(),
             disconnects: Rc::default(),
-            closed: Rc::default(),
             _reserved: Some(Rc::new(socket)),
         }
     }
@@ -109,12 +106,6 @@
         self.disconnects.get()
     }
 
-    /// Returns the number of connections that the router closed between two requests, or before the
-    /// end of a stream.
-    pub fn closed(&self) -> usize {
-        self.closed.get()
-    }
-
     async fn serve(self, mut stream: TcpStream, acts: Vec<Act>, next: Rc<Cell<usize>>) {
         while let Some(head) = read_request(&mut stream).await {
             let id = header(&head, "x-id").unwrap_or_default();
@@ -155,7 +146,6 @@
                 _ => return,
             }
         }
-        self.closed.set(self.closed.get() + 1);
     }
 }
 
@@ -437,27 +427,6 @@
         }
     }
 
-    /// Sets the bound on forwarding an event.
-    pub fn set_pass_bound(&self, bound: Duration) {
-        let mut settings = self.shell.settings();
-        settings.params.pass_bound = bound;
-        self.shell.reload(settings);
-    }
-
-    /// Reports a mean loop lag from which a stream is admitted only if its charge is large.
-    pub fn fall_behind(&self) {
-        self.shell.handle(Event::LoopLag(Duration::from_millis(29)));
-    }
-
-    /// Reports no lag for long enough that every stream is admitted again.
-    pub async fn catch_up(&self) {
-        wait_until(|| {
-            self.shell.handle(Event::LoopLag(Duration::ZERO));
-            self.shell.with_fleet(Fleet::hold_limit).is_zero()
-        })
-        .await;
-    }
-
     /// Sends a request and returns everything received until the connection closes.
     pub async fn call(&self, path: &str, extra: &str) -> String {
         let text = format!(
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Waker};
 use std::time::Duration;
 
 use http::{HeaderName, HeaderValue, Request, Response};
@@ -156,29 +156,6 @@
         .await
     }
 
-    /// Returns the output of `work`, which needs bytes of this connection, if it is complete with those
-    /// that have arrived. Nothing wakes the task for later bytes, so [`Self::wait`] has to follow. The
-    /// caller bounds how often it asks without waiting.
-    pub fn now_or_never<T>(&mut self, work: impl Future<Output = T>) -> Option<T> {
-        let cx = &mut Context::from_waker(Waker::noop());
-        let mut work = pin!(work);
-        let mut polled = work.as_mut().poll(cx);
-        if polled.is_pending() {
-            self.poll_driver(cx);
-            polled = work.as_mut().poll(cx);
-        }
-        match polled {
-            Poll::Ready(output) => {
-                self.turn_parts += 1;
-                Some(output)
-            }
-            Poll::Pending => {
-                self.turn_parts = 0;
-                None
-            }
-        }
-    }
-
     fn poll_driver(&mut self, cx: &mut Context<'_>) {
         let ended = self
             .driver
--- a/crates/settings/src/front.rs
+++ b/crates/settings/src/front.rs
@@ -162,7 +162,6 @@
         cold_slack: r.optional(BOUNDS, "cold_slack", 5.0),
         drain_bound: r.optional(BOUNDS, "drain", Duration::from_secs(2)),
         config_bound: r.optional(BOUNDS, "config", Duration::from_secs(2)),
-        pass_bound: r.optional(BOUNDS, "pass", Duration::ZERO),
         quota_window: r.optional(BOUNDS, "quota_window", Duration::from_secs(4)),
         retries: RetryBound {
             ratio,
