--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -46,7 +46,7 @@
 const SCORE_JITTER: Duration = Duration::from_millis(30);
 /// That range for prompts without a shared prefix where the learned speeds are used: the fastest
 /// servers would get the requests of all routers before they hear of each other's. With 80 and 150 ms
-/// more first bytes were late in the play of `uneven_servers`.
+/// more first bytes were late in the simulation of `uneven_servers`.
 const LEARNED_SCORE_JITTER: Duration = Duration::from_millis(300);
 /// Score penalty of a server in another zone whose load is reported late.
 const STALE_ZONE_PENALTY: Duration = Duration::from_millis(100);
--- a/crates/fleet/src/fleet/learning.rs
+++ b/crates/fleet/src/fleet/learning.rs
@@ -17,7 +17,7 @@
 /// Number of full reports between two with learned models.
 const MODEL_REPORTS: u64 = 10;
 /// Number of reports with learned models after a router has joined, which knows none.
-const GREETINGS: u32 = 2;
+const JOIN_REPORTS: u32 = 2;
 
 /// Services whose servers are modelled, and the progress of reporting the models.
 #[derive(Debug, Default)]
@@ -28,7 +28,7 @@
     /// Position in the server list of the next model to report.
     next: usize,
     /// Reports with models that are due as a router has joined.
-    greetings: u32,
+    join_reports: u32,
 }
 
 /// Returns the low bits of a server's start time.
@@ -233,7 +233,7 @@
             pace.notice(now, s.hash, life(s))
         });
         let (slowdowns, paces) = (slowdowns.collect(), paces.collect());
-        let is_due = self.learning.greetings > 0 || self.sequence.is_multiple_of(MODEL_REPORTS);
+        let is_due = self.learning.join_reports > 0 || self.sequence.is_multiple_of(MODEL_REPORTS);
         let mut models = Vec::new();
         if is_due {
             // Routers begin at different servers, so that together they tell all of them at once.
@@ -243,7 +243,7 @@
             let learned = in_turn.filter_map(|s| s.model.learned(now, s.hash, life(s)));
             models = learned.take(REPORTED_MODELS).collect();
             self.learning.next = (self.learning.next + REPORTED_MODELS) % servers.len();
-            self.learning.greetings = self.learning.greetings.saturating_sub(1);
+            self.learning.join_reports = self.learning.join_reports.saturating_sub(1);
         }
         let learned = Learned {
             models,
@@ -256,7 +256,7 @@
     /// Takes up the learned figures of a report; `joined` says whether its sender just started.
     pub(super) fn apply_learned(&mut self, now: Instant, report: &Report, joined: bool) {
         if joined {
-            self.learning.greetings = GREETINGS;
+            self.learning.join_reports = JOIN_REPORTS;
         }
         if self.params.learn == Learn::Off {
             return;
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -604,7 +604,7 @@
             return Err(Outcome::Oversized.into());
         }
         Err(CollectError::Broken { .. }) => return Err(Outcome::Broken.into()),
-        // The server has done its part.
+        // Not a failure of the server.
         Err(CollectError::Memory { .. }) => return Err(memory_short(target.address)),
     };
     return_to_pool(shell, target.address, connection);
@@ -622,7 +622,7 @@
     Ok(Reply::Full(response))
 }
 
-/// Logs that a response can't be held; the server is not at fault, so the attempt ends as if the
+/// Logs that a response can't be held; this is no failure of the server, so the attempt ends as if the
 /// caller had left.
 fn memory_short(peer: SocketAddr) -> Interruption {
     log::warn!(step = "response", peer:% = peer; "memory_short");
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -141,7 +141,7 @@
     Ok(())
 }
 
-/// Waits for the next part of a body, as long as its account need not give way.
+/// Waits for the next part of a body, as long as its account is not evicted.
 async fn next_frame(
     body: &mut Incoming,
     account: &Account,
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -1,7 +1,7 @@
 //! A budget for the memory that a process holds for its clients and servers.
 //!
 //! Bodies and parts of streams above [`FREE_BYTES`] are charged to an [`Account`] with the capacity
-//! that is allocated for them. When the budget is short, [`decide`] says who gives way: first the
+//! that is allocated for them. When the budget is short, [`decide`] says which are evicted: first the
 //! bodies that no longer arrive, then the request that asks.
 
 use std::collections::BTreeMap;
@@ -18,7 +18,7 @@
 const STEP_DIVISOR: usize = 256;
 /// Least number of bytes that count as progress.
 const MIN_STEP_BYTES: usize = 4 << 10;
-/// Time without progress after which a body gives way to another one while memory is short.
+/// Time without progress after which a body may be evicted for another one while memory is short.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
 /// The memory is needed for others.
@@ -37,7 +37,7 @@
     pub idle: Duration,
 }
 
-/// Who gives way while memory is short.
+/// Which accounts are evicted while memory is short.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decision {
     /// These accounts, whose bytes suffice.
@@ -46,7 +46,7 @@
     Refuse,
 }
 
-/// Decides who gives way so that `missing` more bytes become free.
+/// Decides which accounts are evicted so that `missing` more bytes become free.
 ///
 /// Stalled bodies do, those first that hold most for the longest time. If they are not enough, none
 /// of them is given up.
@@ -115,7 +115,7 @@
         self.lock().held
     }
 
-    /// Returns the number of bodies given up for others.
+    /// Returns the number of evicted bodies.
     #[must_use]
     pub fn evictions(&self) -> u64 {
         self.lock().evictions
@@ -213,7 +213,7 @@
         entry.is_some_and(|e| e.evicted)
     }
 
-    /// Returns whether the account has to give way; otherwise the task is woken when it has to.
+    /// Returns whether the account was evicted; otherwise the task is woken when it is.
     pub fn poll_evicted(&self, cx: &Context<'_>) -> bool {
         let Some(id) = self.id else { return false };
         let mut state = self.budget.lock();
