--- a/review/harness/src/world.rs
+++ b/review/harness/src/world.rs
@@ -181,6 +181,7 @@
             ("internal-ports.0", ports[2].to_string()),
             ("internal-ports.1", ports[3].to_string()),
             ("limits.max-fds", "4100".to_owned()),
+            ("limits.memory-mb", "260".to_owned()),
             ("bounds.grace-s", "8".to_owned()),
             ("platform.address", self.store.address.to_string()),
             ("bounds.retry-budget-ratio", "0.2".to_owned()),
@@ -191,7 +192,13 @@
             ("bounds.drain-ms", "2000".to_owned()),
             ("bounds.quota-window-s", "4".to_owned()),
         ]);
+        // A section is left out where a deployment lacks its value; these have no rollouts.
         let mut text = template;
+        if let Some(start) = text.find("{{#") {
+            let end = text.rfind("{{/").expect("the section ends");
+            let after = text[end..].find("}}").expect("the tag ends");
+            text.replace_range(start..end + after + 2, "");
+        }
         for (key, value) in values {
             text = text.replace(&format!("{{{{{key}}}}}"), &value);
         }
