fleet: count and report the use of plain services only where it is shared

Routers counted requests to plain services and told them to each other in every full report, also in deployments where no decision uses them. Where the gate opens while requests run, those are not counted; nothing else changes.

--- a/crates/fleet/src/fleet/choice/room.rs
+++ b/crates/fleet/src/fleet/choice/room.rs
@@ -14,13 +14,15 @@
 const MIN_TIME_LAGS: u32 = 4;
 
 impl Fleet {
-    /// Returns the class of a request of a workspace to a plain service; none of other requests.
+    /// Returns the class of a request of a workspace to a plain service whose slots are shared; none
+    /// of other requests, which are neither counted nor reported.
     pub(in super::super) fn plain_class(&self, key: RequestKey) -> Option<Class> {
         let submission = &self.requests.get(&key)?.submission;
         let is_plain = self.service(&submission.service)?.engine.is_none();
+        let is_shared = is_plain && self.learns(&submission.service);
         Some(Class {
             service: name_hash(&submission.service),
-            workspace: submission.workspace.filter(|_| is_plain)?.0,
+            workspace: submission.workspace.filter(|_| is_shared)?.0,
             rank: submission.rank,
         })
     }
--- a/crates/fleet/tests/all/room.rs
+++ b/crates/fleet/tests/all/room.rs
@@ -373,4 +373,6 @@
         let decisions = fleet.handle(now, Event::Submit(request));
         assert!(support::sent_to(&decisions).is_some(), "request {key}");
     }
+    let report = fleet.report(now, Scope::All);
+    assert!(report.plain_uses.is_empty(), "{report:?}");
 }
