fleet: drop state that nothing reads, and compute the cold limit in one place

The last load of a server was stored and never read; two names were copied for each response after the gate had opened; a hash of a zone's name had a second function.

--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -19,7 +19,6 @@
 use crate::room::Standing;
 
 use super::homes::Homes;
-use super::rollouts::zone_hash;
 use super::{Attempt, Fleet, Refusal, Request, limits};
 
 mod room;
@@ -555,9 +554,8 @@
     /// recovered; none if there is no limit.
     fn start_bound(&self, now: Instant, service: &Service, server: &Server) -> Option<f64> {
         let pace = self.pace_of(now, server);
-        if service.cold_rate > 0.0 {
-            let bound = self.params.cold_bound(service.cold_rate) * COLD_LIMIT_FRACTION;
-            return Some(bound * pace.unwrap_or(1.0));
+        if let Some(limit) = self.cold_limit(service) {
+            return Some(limit * pace.unwrap_or(1.0));
         }
         let slots = f64::from(server.backend.slots.max(1));
         let capacity = match service.engine {
@@ -581,12 +579,18 @@
             return 0.0;
         }
         let rate = self.part_of(bound, server);
-        if service.cold_rate > 0.0 && server.is_cold(now) {
+        match self.cold_limit(service).filter(|_| server.is_cold(now)) {
             // Routers whose paces differ assign the server to different numbers of routers.
-            let full = self.params.cold_bound(service.cold_rate) * COLD_LIMIT_FRACTION;
-            return rate.min(self.part_of(full, server));
+            Some(limit) => rate.min(self.part_of(limit, server)),
+            None => rate,
         }
-        rate
+    }
+
+    /// Returns the part that is used of the fleet's limit on the requests per second to a cold server;
+    /// none if the service has no limit.
+    fn cold_limit(&self, service: &Service) -> Option<f64> {
+        let rate = Some(service.cold_rate).filter(|rate| *rate > 0.0)?;
+        Some(self.params.cold_bound(rate) * COLD_LIMIT_FRACTION)
     }
 
     /// Returns this router's part, in requests per second, of a bound on all routers.
@@ -820,7 +824,7 @@
             server: candidate.key,
             server_hash: server.hash,
             version: server.backend.version.clone(),
-            zone: zone_hash(&server.backend.zone),
+            zone: placement::name_hash(&server.backend.zone),
             cold: server.is_cold(now),
             sent_at: now,
             expected: candidate.inputs.first_byte,
--- a/crates/fleet/src/fleet/learning.rs
+++ b/crates/fleet/src/fleet/learning.rs
@@ -53,13 +53,17 @@
         server.is_some_and(|s| self.learns(&s.backend.service))
     }
 
-    /// Opens the gate of a service as one of its servers reports its slowdown.
-    fn open_gate(&mut self, service: String, id: &str) {
-        if self.learning.services.contains(&service) {
+    /// Opens the gate of the service of a server, given the hash of its id, that reports its slowdown.
+    fn open_gate(&mut self, server: u32) {
+        let Some(server) = self.registry.by_hash_mut(server) else {
+            return;
+        };
+        if self.learning.services.contains(&server.backend.service) {
             return;
         }
+        let (service, id) = (server.backend.service.clone(), server.id.clone());
         let detail = format!("service={service} learn={:?}", self.params.learn);
-        self.log("speed_learned", id, detail);
+        self.log("speed_learned", &id, detail);
         self.learning.services.insert(service);
     }
 
@@ -70,8 +74,8 @@
         };
         server.model.record_status(now, status);
         if status.slowdown.is_some() {
-            let (service, id) = (server.backend.service.clone(), server.id.clone());
-            self.open_gate(service, &id);
+            let hash = server.hash;
+            self.open_gate(hash);
         }
     }
 
@@ -279,8 +283,7 @@
                 continue;
             };
             server.model.merge(now, speed, &nominal);
-            let (service, id) = (server.backend.service.clone(), server.id.clone());
-            self.open_gate(service, &id);
+            self.open_gate(speed.server);
         }
         for notice in &learned.paces {
             let server = self.registry.by_hash_mut(notice.server);
--- a/crates/fleet/src/fleet/rollouts.rs
+++ b/crates/fleet/src/fleet/rollouts.rs
@@ -5,7 +5,7 @@
 use crate::event::{Outcome, RequestKey};
 use crate::objects::Revision;
 use crate::peers::Report;
-use crate::placement::{self, name_hash};
+use crate::placement;
 use crate::rollout::order::{Proposal, Status};
 use crate::rollout::{Learner, Rollouts, Turn};
 
@@ -142,8 +142,3 @@
             .record_time(service, version, zone, SILENT_TIME);
     }
 }
-
-/// Returns the hash of a zone's name, for the evidence of a rollout.
-pub(super) fn zone_hash(zone: &str) -> u32 {
-    name_hash(zone)
-}
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -272,8 +272,6 @@
     service: Figure,
     tokens: TokenFit,
     slowdown: Option<Slowdown>,
-    /// Newest load that the server reported to this router.
-    status: Option<(Instant, LoadStatus)>,
     /// Whether a figure of this server was rejected, so that further ones are not logged.
     rejected: bool,
 }
@@ -281,7 +279,6 @@
 impl Model {
     /// Records the load that a response received at `now` reports.
     pub fn record_status(&mut self, now: Instant, status: LoadStatus) {
-        self.status = Some((now, status));
         if let Some(factor) = status.slowdown {
             self.set_slowdown(now, factor, true);
         }
@@ -292,12 +289,6 @@
         !std::mem::replace(&mut self.rejected, true)
     }
 
-    /// Returns the newest load that the server reported to this router, and when.
-    #[must_use]
-    pub fn status(&self) -> Option<(Instant, LoadStatus)> {
-        self.status
-    }
-
     fn set_slowdown(&mut self, at: Instant, factor: f64, own: bool) {
         if self.slowdown.is_none_or(|s| at >= s.at) {
             let (low, high) = SLOWDOWN_RANGE;
