--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -530,9 +530,11 @@
 /// Tells the reducer which load a response reports.
 fn read_load(shell: &Shell, target: &Target, headers: &HeaderMap) {
     match (shell.protocol().load)(headers) {
-        Ok(None) => {}
-        Ok(Some(status)) => {
-            shell.handle(Event::ServerStatus(target.server, status));
+        // Only the momentary slowdown is used, which most servers don't report.
+        Ok(status) => {
+            if let Some(status) = status.filter(|s| s.slowdown.is_some()) {
+                shell.handle(Event::ServerStatus(target.server, status));
+            }
         }
         Err(value) => {
             let value = format!("{value:?}");
