--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -170,7 +170,10 @@
     event_loop::spawn(lookups);
     let versions = origins::follow_versions(Rc::clone(&shell), Rc::clone(&store));
     event_loop::spawn(versions);
-    event_loop::spawn(rollouts::follow_rollouts(Rc::clone(&shell), store));
+    // The bounds are those of the start; without them there is nothing to follow.
+    if settings.params.rollout.is_some() {
+        event_loop::spawn(rollouts::follow_rollouts(Rc::clone(&shell), store));
+    }
     event_loop::spawn(measure_loop_lag(Rc::clone(&shell)));
     let incremental = peers::send_incremental_reports(Rc::clone(&shell), Rc::clone(&peers));
     spawn_urgent(incremental);
--- a/crates/front/src/stop.rs
+++ b/crates/front/src/stop.rs
@@ -70,18 +70,21 @@
 /// Requests are then refused: one accepted while the last responses flush would be aborted. The
 /// listener is closed once its queue is empty, so that no connection is accepted and not answered.
 pub async fn drain(shell: &Shell, end: Instant) -> usize {
-    while shell.now() < end && !is_idle(shell) {
-        compio::time::sleep(CHECK_INTERVAL).await;
-    }
+    wait_idle(shell, end).await;
     shell.begin_exit();
     compio::time::sleep(FLUSH_TIME).await;
     shell.connections().stop_accepting();
     let last = shell.now() + LAST_ANSWERS_TIME;
     compio::time::sleep(CHECK_INTERVAL).await;
-    while shell.now() < last && !is_idle(shell) {
+    wait_idle(shell, last).await;
+    shell.with_fleet(Fleet::requests)
+}
+
+/// Waits until no request or connection remains or until `end`.
+async fn wait_idle(shell: &Shell, end: Instant) {
+    while shell.now() < end && !is_idle(shell) {
         compio::time::sleep(CHECK_INTERVAL).await;
     }
-    shell.with_fleet(Fleet::requests)
 }
 
 fn is_idle(shell: &Shell) -> bool {
