--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -112,13 +112,13 @@
             return Ok(data);
         }
         if total > joined.capacity() {
-            let doubled = total.max(2 * joined.capacity()).min(limit);
             // Small bodies are not charged, so their buffer stays small too.
-            let doubled = if total <= FREE_BYTES {
-                doubled.min(FREE_BYTES)
+            let most = if total <= FREE_BYTES {
+                limit.min(FREE_BYTES)
             } else {
-                doubled
+                limit
             };
+            let doubled = total.max(2 * joined.capacity()).min(most);
             let capacity = doubled.max(announced);
             charge(capacity, &mut account)?;
             joined.reserve_exact(capacity - joined.len());
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -541,17 +541,14 @@
             match (&mut serving).now_or_never() {
                 Some(result) => (result, false),
                 None => {
-                    let first = match trace.is_new() {
-                        true => timeout(CLOSING_HEAD_TIMEOUT, &mut serving).await.ok(),
-                        false => None,
-                    };
-                    let was_idle = trace.is_idle();
-                    match first {
-                        Some(result) => (result, false),
-                        None => {
-                            Pin::new(&mut serving).graceful_shutdown();
-                            ((&mut serving).await, was_idle)
-                        }
+                    if trace.is_new()
+                        && let Ok(result) = timeout(CLOSING_HEAD_TIMEOUT, &mut serving).await
+                    {
+                        (result, false)
+                    } else {
+                        let was_idle = trace.is_idle();
+                        Pin::new(&mut serving).graceful_shutdown();
+                        ((&mut serving).await, was_idle)
                     }
                 }
             }
