net: ignore new handshakes before a listener is closed

Ruled out: the queue itself (emptied in batches) and the answers to the last requests (the router had not accepted the connection). A socket filter now drops new handshakes first; those under way complete and are accepted.

--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -22,7 +22,7 @@
 use hyper::service::service_fn;
 use rustix::io::Errno;
 use rustix::net::SocketFlags;
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockFilter, SockRef, Socket, Type};
 
 use crate::body::Body;
 use crate::event_loop;
@@ -80,6 +80,8 @@
 /// Time for the first request of a new connection once all connections are being closed: its peer
 /// may have opened it before it knew, and the request is on its way.
 const CLOSING_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for the handshakes under way at the end of a listener: some round trips to a caller.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(20);
 
 /// Opens a listening socket.
 ///
@@ -214,7 +216,8 @@
         self.close.take();
     }
 
-    /// Accepts the connections that wait in the system's queue, then closes the listener.
+    /// Accepts the connections that wait in the system's queue and those whose handshake is under way,
+    /// then closes the listener.
     ///
     /// The system refuses later ones, so their peers know that no request was read.
     pub fn stop_accepting(&self) {
@@ -333,9 +336,38 @@
             }
         }
     }
+    if let Err(error) = ignore_handshakes(&listener) {
+        log::debug!(step = "stop_accepting", error:% = error; "accept_failed");
+    }
+    compio::time::sleep(HANDSHAKE_TIME).await;
     server.empty_queue(&listener);
 }
 
+/// Makes the system ignore new handshakes at a listener, while those under way complete.
+///
+/// Without it, a connection made between the last look at the queue and the close of the listener is
+/// reset with its request unread. The peer repeats its handshake and is refused once the listener is
+/// closed.
+///
+/// # Errors
+///
+/// Fails if the system has no socket filters.
+fn ignore_handshakes(listener: &TcpListener) -> io::Result<()> {
+    /// Offset of the flags in a TCP header.
+    const FLAGS_OFFSET: u32 = 13;
+    const SYN: u32 = 0x02;
+    // Classic BPF: load a byte, jump if a bit is set, return the number of bytes to keep.
+    const LOAD_BYTE: u16 = 0x30;
+    const JUMP_IF_SET: u16 = 0x45;
+    const RETURN: u16 = 0x06;
+    SockRef::from(&listener.as_fd()).attach_filter(&[
+        SockFilter::new(LOAD_BYTE, 0, 0, FLAGS_OFFSET),
+        SockFilter::new(JUMP_IF_SET, 0, 1, SYN),
+        SockFilter::new(RETURN, 0, 0, 0),
+        SockFilter::new(RETURN, 0, 0, u32::MAX),
+    ])
+}
+
 /// A listener's limits and handlers, and the connections that are not decided on.
 struct Server {
     limits: Limits,
--- a/crates/net/tests/closing.rs
+++ b/crates/net/tests/closing.rs
@@ -137,3 +137,40 @@
         TcpStream::connect(address).expect_err("the listener is closed");
     });
 }
+
+/// Guards against a connection that is made between the last look at the system's queue and the close
+/// of the listener, and is reset with its request unread.
+#[test]
+fn stop_accepting_answers_or_refuses_each_connection() {
+    /// Longer than any answer takes, shorter than the second after which a handshake is repeated.
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+    run(async {
+        for _ in 0..20 {
+            let (connections, address) = start(Limits::new());
+            let callers: Vec<_> = (0..16)
+                .map(|_| std::thread::spawn(move || call_until_refused(address, CONNECT_TIMEOUT)))
+                .collect();
+            compio::time::sleep(SETTLE).await;
+            connections.stop_accepting();
+            while callers.iter().any(|c| !c.is_finished()) {
+                compio::time::sleep(SETTLE).await;
+            }
+            for caller in callers {
+                assert_eq!(caller.join().expect("it does not panic"), 0);
+            }
+        }
+    });
+}
+
+/// Makes connections with one request each until none is accepted; returns how many of them got no
+/// answer.
+fn call_until_refused(address: SocketAddr, timeout: Duration) -> usize {
+    let mut unanswered = 0;
+    while let Ok(mut stream) = TcpStream::connect_timeout(&address, timeout) {
+        let read = stream
+            .write_all(b"GET / HTTP/1.1\r\nhost: host\r\nconnection: close\r\n\r\n")
+            .and_then(|()| stream.read(&mut [0; 1_024]));
+        unanswered += usize::from(!matches!(read, Ok(count) if count > 0));
+    }
+    unanswered
+}
