fleet: count connections that fail before the response in rollouts

A server of the new version that refuses connections or ends them was hidden by the retry at another server. Failures at servers of other zones count once the zone is known to have answered before and after them.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -91,6 +91,8 @@
     prefill_tokens: u64,
     /// Number of times that the stream went on after its first events.
     progress: u32,
+    /// Whether the response began.
+    began: bool,
     /// Whether the server has been silent for longer than expected.
     silent: bool,
     /// Why the request was last kept at its silent server.
@@ -798,6 +800,9 @@
                 .version
                 .get_or_insert_with(|| attempt.version.clone());
         }
+        attempt.began = true;
+        self.rollouts
+            .record_zone_answer(now, attempt.zone, attempt.sent_at);
         let pending = attempt.load.pending_prefill;
         let took = now.saturating_duration_since(attempt.sent_at);
         let prefill_tokens = std::mem::take(&mut attempt.prefill_tokens);
@@ -857,7 +862,14 @@
             self.requests.remove(&key);
             return;
         };
-        self.record_rollout_outcome(key, &attempt, outcome);
+        self.record_rollout_outcome(now, key, &attempt, outcome);
+        if matches!(
+            outcome,
+            Outcome::Answered | Outcome::Failed | Outcome::NotRun
+        ) {
+            let (zone, sent_at) = (attempt.zone, attempt.sent_at);
+            self.rollouts.record_zone_answer(now, zone, sent_at);
+        }
         match outcome {
             Outcome::Expired => self.judge_expiry(now, key, &attempt),
             _ => self.record_outcome(now, attempt.server, outcome),
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -831,6 +831,7 @@
             load,
             prefill_tokens: candidate.inputs.pending_prefill + load.pending_prefill,
             progress: 0,
+            began: false,
             silent: false,
             kept_for: None,
             queued,
--- a/crates/fleet/src/fleet/rollouts.rs
+++ b/crates/fleet/src/fleet/rollouts.rs
@@ -7,6 +7,7 @@
 use crate::peers::Report;
 use crate::placement;
 use crate::rollout::order::{Proposal, Status};
+use crate::rollout::zone_paths::Failure;
 use crate::rollout::{Learner, Rollouts, Turn};
 
 use super::{Attempt, Fleet, Request};
@@ -107,6 +108,7 @@
     /// Counts the end of an attempt for the rollout of its service.
     pub(super) fn record_rollout_outcome(
         &mut self,
+        now: Instant,
         key: RequestKey,
         attempt: &Attempt,
         outcome: Outcome,
@@ -117,20 +119,42 @@
         let service = &request.submission.service;
         let failed = match outcome {
             Outcome::Answered => false,
+            Outcome::Broken if !attempt.began => {
+                return self.record_rollout_connection(now, key, attempt);
+            }
             Outcome::Failed
             | Outcome::Broken
             | Outcome::Invalid
             | Outcome::Oversized
             | Outcome::Expired => true,
-            Outcome::Unreachable | Outcome::Withdrawn => {
-                return self.rollouts.record_unsent(service);
+            Outcome::Unreachable => {
+                self.rollouts.record_unsent(service);
+                return self.record_rollout_connection(now, key, attempt);
             }
+            Outcome::Withdrawn => return self.rollouts.record_unsent(service),
             Outcome::NotRun | Outcome::Misdirected | Outcome::Left => return,
         };
         self.rollouts
             .record_response(service, &attempt.version, attempt.zone, failed);
     }
 
+    /// Counts a connection that failed before a response began for the rollout of its service.
+    fn record_rollout_connection(&mut self, now: Instant, key: RequestKey, attempt: &Attempt) {
+        let Some(request) = self.requests.get(&key) else {
+            return;
+        };
+        let failure = Failure {
+            service: request.submission.service.clone(),
+            version: attempt.version.clone(),
+            zone: attempt.zone,
+            sent_at: attempt.sent_at,
+            at: now,
+        };
+        let is_own_zone = attempt.zone == placement::name_hash(&self.params.zone);
+        self.rollouts
+            .record_connection_failure(failure, is_own_zone);
+    }
+
     /// Counts an attempt at a silent server that was replaced.
     pub(super) fn record_rollout_silence(&mut self, key: RequestKey, attempt: &Attempt) {
         let Some(request) = self.requests.get(&key).filter(|r| !r.started) else {
--- a/crates/fleet/src/rollout/mod.rs
+++ b/crates/fleet/src/rollout/mod.rs
@@ -3,6 +3,7 @@
 //! * [`order`]: orders of the operator and the recorded status;
 //! * [`exposure`]: bound on the requests to the new version;
 //! * [`verdict`]: comparison of the responses of both versions;
+//! * [`zone_paths`]: failed connections between zones, which may be the network's fault;
 //! * [`report`]: what routers tell each other.
 //!
 //! [`Rollouts`] is the state of one router. Without bounds in the settings it does nothing.
@@ -12,6 +13,7 @@
 mod progress;
 pub mod report;
 pub mod verdict;
+pub mod zone_paths;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -25,6 +27,7 @@
 use order::{Bounds, Order, Proposal, State, Status};
 use progress::Rollout;
 use report::RolloutReport;
+use zone_paths::{Failure, ZonePaths};
 
 pub use progress::MIN_RESPONSES;
 
@@ -82,6 +85,7 @@
     /// Versions of each service's servers, and when each was first seen; none if it is from before
     /// this router's first list.
     present: BTreeMap<String, BTreeMap<String, Option<Instant>>>,
+    zone_paths: ZonePaths,
     lines: Vec<Line>,
 }
 
@@ -302,6 +306,33 @@
         }
     }
 
+    /// Counts a connection that failed before a response began, to a server of this router's zone or
+    /// of another one.
+    pub fn record_connection_failure(&mut self, failure: Failure, is_own_zone: bool) {
+        if !self.services.contains_key(&failure.service) {
+            return;
+        }
+        if is_own_zone {
+            self.count_failure(&failure);
+        } else {
+            self.zone_paths.record_failure(failure);
+        }
+    }
+
+    /// Records that a server of a zone answered a request that was sent at `sent_at`.
+    pub fn record_zone_answer(&mut self, now: Instant, zone: u32, sent_at: Instant) {
+        if self.bounds.is_none() {
+            return;
+        }
+        for failure in self.zone_paths.record_answer(now, zone, sent_at) {
+            self.count_failure(&failure);
+        }
+    }
+
+    fn count_failure(&mut self, failure: &Failure) {
+        self.record_response(&failure.service, &failure.version, failure.zone, true);
+    }
+
     /// Counts a time to first byte of a server in a zone.
     pub fn record_time(&mut self, service: &str, version: &str, zone: u32, time: Duration) {
         if let Some(rollout) = self.services.get_mut(service) {
@@ -311,6 +342,7 @@
 
     /// Evaluates the evidence.
     pub fn tick(&mut self, now: Instant) {
+        self.zone_paths.drop_old(now);
         for (service, rollout) in &mut self.services {
             if let Some(detail) = rollout.evaluate(now) {
                 self.lines
@@ -364,6 +396,14 @@
         proposals
     }
 
+    /// Returns whether a proposal that was made before is still right, so that its status may be
+    /// written; the calls before the write may take longer than a fault takes to be found.
+    #[must_use]
+    pub fn is_wanted(&self, now: Instant, proposal: &Proposal) -> bool {
+        let rollout = self.services.get(&proposal.service);
+        rollout.is_some_and(|r| r.is_wanted(now, proposal))
+    }
+
     /// Applies the status row of a service, as read at `epoch_ms`.
     pub fn apply_status(
         &mut self,
--- a/crates/fleet/src/rollout/progress.rs
+++ b/crates/fleet/src/rollout/progress.rs
@@ -7,7 +7,7 @@
 use crate::placement::{self, name_hash};
 
 use super::exposure::Exposure;
-use super::order::{Bounds, Order, State, Status};
+use super::order::{Bounds, Order, Proposal, State, Status};
 use super::report::{RolloutReport, ZoneEvidence, decode_state, encode_state};
 use super::verdict::{Tally, Verdict};
 use super::{Learner, VersionCounts};
@@ -310,6 +310,13 @@
         }))
     }
 
+    /// Returns whether a proposed status is still the one that the store should have.
+    pub(super) fn is_wanted(&self, now: Instant, proposal: &Proposal) -> bool {
+        let is_own = |s: &Status| s.order == self.version && s.to == self.to;
+        let status = proposal.status.as_ref().filter(|s| is_own(s));
+        !self.withdrawn && status.is_some_and(|s| s.state == self.wanted(now).0)
+    }
+
     fn delay(&self, rank: usize) -> Duration {
         let rank = u32::try_from(rank).unwrap_or(u32::MAX).min(MAX_RANK);
         let late = if rank == MAX_RANK {
--- a/crates/fleet/tests/all/rollouts.rs
+++ b/crates/fleet/tests/all/rollouts.rs
@@ -52,6 +52,19 @@
     Away,
     /// Calls are executed, and their answers are lost.
     AnswersLost,
+    /// Each call takes 2 s.
+    Slow,
+}
+
+/// Time that a call of a slow store takes.
+const SLOW_CALL: Duration = Duration::from_secs(2);
+
+/// Calls of a proposal at a slow store: the read of the rows, and the write after it.
+struct SlowCall {
+    due: Instant,
+    proposal: Proposal,
+    /// The row's version when it was read; none while it is being read.
+    read: Option<u64>,
 }
 
 struct Router {
@@ -60,6 +73,7 @@
     link: Link,
     /// Whether reports reach it and leave it.
     is_cut: bool,
+    slow_call: Option<SlowCall>,
 }
 
 struct Play {
@@ -74,6 +88,8 @@
     config: OperatorConfig,
     revision: u64,
     behaviour: Behaviour,
+    /// How a failed request ends.
+    failure: Outcome,
     next_key: u64,
     /// Probability of a request at each router in each step.
     rate: f64,
@@ -133,6 +149,7 @@
             config: support::config(&[]),
             revision: 10,
             behaviour,
+            failure: Outcome::Failed,
             next_key: 0,
             rate: 0.4,
             loss: 0.0,
@@ -166,6 +183,7 @@
             name: name.to_owned(),
             link: Link::Up,
             is_cut: false,
+            slow_call: None,
         };
         self.read_tables(&mut router);
         router
@@ -173,7 +191,7 @@
 
     /// Lets a router read the operator configuration and the servers.
     fn read_tables(&self, router: &mut Router) {
-        if router.link != Link::Up {
+        if !matches!(router.link, Link::Up | Link::Slow) {
             return;
         }
         let revision = Revision(self.revision);
@@ -197,6 +215,14 @@
         self.start = self.now;
     }
 
+    /// Starts the servers of version 2 in these zones.
+    fn set_new_zones(&mut self, zones: &[&str]) {
+        let new = self.servers.iter_mut().filter(|(_, s)| s.version == "v2");
+        for ((_, server), zone) in new.zip(zones.iter().cycle()) {
+            (*zone).clone_into(&mut server.zone);
+        }
+    }
+
     fn write_order(&mut self, version: u64, to: &str) {
         self.has_order = true;
         self.revision = version;
@@ -281,7 +307,7 @@
                 continue;
             };
             let outcome = if failed {
-                Outcome::Failed
+                self.failure
             } else {
                 router.fleet.handle(now, Event::FirstByte(key));
                 Outcome::Answered
@@ -317,6 +343,9 @@
     }
 
     fn call_store(&mut self, router: &mut Router) {
+        if router.link == Link::Slow || router.slow_call.is_some() {
+            return self.call_slow_store(router);
+        }
         let epoch = self.epoch();
         for proposal in router.fleet.rollout_proposals(self.now, epoch) {
             if router.link == Link::Away {
@@ -335,6 +364,43 @@
         }
     }
 
+    /// Makes one call at a time, as the daemon does.
+    fn call_slow_store(&mut self, router: &mut Router) {
+        let epoch = self.epoch();
+        if let Some(mut call) = router.slow_call.take_if(|c| c.due <= self.now) {
+            let (row, order) = (self.row.as_ref(), call.proposal.order);
+            let is_final = row.is_some_and(|(_, s)| s.order == order && s.state.is_final());
+            let is_done = is_final
+                || call.read.is_some()
+                || call.proposal.status.is_none()
+                || !router.fleet.rollouts().is_wanted(self.now, &call.proposal);
+            let ver = row.map_or(0, |(ver, _)| *ver);
+            if call.read == Some(ver) {
+                self.execute(&call.proposal);
+            }
+            if is_done {
+                let event = Event::RolloutStatus {
+                    epoch_ms: epoch,
+                    service: call.proposal.service,
+                    status: self.row.clone().map(|(_, s)| s),
+                };
+                router.fleet.handle(self.now, event);
+            } else {
+                call.read = Some(ver);
+                call.due = self.now + SLOW_CALL;
+                router.slow_call = Some(call);
+            }
+        }
+        if router.slow_call.is_none() {
+            let proposals = router.fleet.rollout_proposals(self.now, epoch);
+            router.slow_call = proposals.into_iter().next().map(|proposal| SlowCall {
+                due: self.now + SLOW_CALL,
+                proposal,
+                read: None,
+            });
+        }
+    }
+
     /// Executes the calls of a proposal as the daemon makes them; returns the row after it.
     fn execute(&mut self, proposal: &Proposal) -> Option<Status> {
         let row = self.row.clone();
@@ -554,6 +620,78 @@
     }
 }
 
+// Guards against EXPOSURE and against two final states while each call to the store takes 2 s.
+#[test]
+fn final_state_is_one_at_slow_store() {
+    for (rate, end) in [(0.3, State::Reverted), (0.0, State::Completed)] {
+        let mut play = Play::new(4, bad_if(move |_| rate));
+        play.order();
+        play.routers.iter_mut().for_each(|r| r.link = Link::Slow);
+        play.run(LIMIT + Duration::from_secs(6));
+        play.assert_exposure();
+        play.assert_final_states_kept();
+        assert_eq!(play.state(), Some(end), "{}", play.reason());
+        for router in &play.routers {
+            assert_eq!(router.fleet.rollouts().state(PLAIN), Some(end));
+        }
+    }
+}
+
+// Guards against a router that writes a version into service which it stopped after it had begun
+// the calls for that: at a slow store they take longer than bad responses take to be found.
+#[test]
+fn version_stopped_during_slow_calls_is_not_completed() {
+    let decided = Duration::from_millis(11_400);
+    let late = decided + Duration::from_millis(200);
+    let mut play = Play::new(1, bad_if(move |c| f64::from(u8::from(c.at > late))));
+    play.rate = 0.9;
+    play.order();
+    play.run(Duration::from_secs(9));
+    play.routers[0].link = Link::Slow;
+    play.run(LIMIT);
+    play.assert_exposure();
+    assert_eq!(play.state(), Some(State::Reverted), "{}", play.reason());
+}
+
+// Guards against a new version whose servers refuse connections or end them, and which goes into
+// service since other servers take the requests.
+#[test]
+fn rollout_of_refusing_version_is_reverted() {
+    for failure in [Outcome::Unreachable, Outcome::Broken] {
+        for zones in [&["a", "b"][..], &["b"]] {
+            let mut play = Play::new(4, bad_if(|_| 0.5));
+            play.failure = failure;
+            play.order();
+            play.set_new_zones(zones);
+            play.run(LIMIT + Duration::from_secs(3));
+            play.assert_exposure();
+            assert_eq!(play.state(), Some(State::Reverted), "{failure:?} {zones:?}");
+            assert!(["failures", "peer"].contains(&play.reason()));
+        }
+    }
+}
+
+// Guards against a partition between zones that is taken for a fault of the new version.
+#[test]
+fn rollout_during_cut_between_zones_completes() {
+    for failure in [Outcome::Unreachable, Outcome::Broken] {
+        for zones in [&["a", "b"][..], &["b"]] {
+            let behaviour = |call: &Call, rng: &mut SmallRng| {
+                let (took, _) = good(call, rng);
+                let is_cut = (5_000..8_000).contains(&call.at.as_millis());
+                (took, is_cut && call.zone == "b")
+            };
+            let mut play = Play::new(4, Box::new(behaviour));
+            play.failure = failure;
+            play.order();
+            play.set_new_zones(zones);
+            play.run(LIMIT + Duration::from_secs(3));
+            play.assert_exposure();
+            assert_eq!(play.state(), Some(State::Completed), "{}", play.reason());
+        }
+    }
+}
+
 // Guards against a final state that is lost with the store's newest rows.
 #[test]
 fn final_state_is_written_again_after_restore() {
--- a/crates/front/src/rollouts.rs
+++ b/crates/front/src/rollouts.rs
@@ -35,7 +35,7 @@
         let (now, epoch_ms) = (shell.now(), shell.epoch_ms());
         let proposals = shell.with_fleet_mut(|f| f.rollout_proposals(now, epoch_ms));
         for proposal in proposals {
-            let call = execute(store.as_ref(), &proposal);
+            let call = execute(&shell, store.as_ref(), &proposal);
             let timeout = RESPONSE_TIMEOUT * 3;
             if let Some(status) = link.call(&shell, timeout, call).await {
                 shell.handle(Event::RolloutStatus {
@@ -48,9 +48,13 @@
     }
 }
 
-/// Writes a proposed status unless the row has a final one of its order, or the order is no longer
-/// the operator's; returns the row's status after it.
-async fn execute(store: &impl Store, proposal: &Proposal) -> Result<Option<Status>, StoreError> {
+/// Writes a proposed status unless the row has a final one of its order, the order is no longer the
+/// operator's, or the reducer no longer wants the status; returns the row's status after it.
+async fn execute(
+    shell: &Shell,
+    store: &impl Store,
+    proposal: &Proposal,
+) -> Result<Option<Status>, StoreError> {
     let rows = store.rollout(&proposal.service).await?;
     let Some(status) = &proposal.status else {
         return Ok(rows.status);
@@ -59,6 +63,10 @@
     if rows.status.as_ref().is_some_and(is_final) || rows.order != Some(proposal.order) {
         return Ok(rows.status);
     }
+    // The read may have taken seconds.
+    if !shell.with_fleet(|f| f.rollouts().is_wanted(shell.now(), proposal)) {
+        return Ok(rows.status);
+    }
     let written = store.write_rollout(&proposal.service, status, &rows);
     if written.await? {
         log::info!(
