fleet: find failures of a new version among common ones

A stratified test (Cochran, Mantel, Haenszel) compares both versions within one zone and 400 ms, so it needs no estimate of the old rate that lags behind a disruption. The cumulative sum uses the rate since the last evaluation where that is higher; it stopped good versions during disruptions.

--- a/crates/fleet/src/rollout/verdict.rs
+++ b/crates/fleet/src/rollout/verdict.rs
@@ -26,7 +26,8 @@
 const BAD_SLOW_RATE: f64 = 0.25;
 /// Factor on the old version's rate that is accepted.
 const RATE_MARGIN: f64 = 1.5;
-/// Highest rate that can be accepted: a higher one of the old version tells nothing about the new.
+/// Highest rate that can be accepted. Above it the old version's failures are compared with the new
+/// one's only by their excess.
 const MAX_ACCEPTED_RATE: f64 = 0.6;
 /// Time constant by which the old version's responses lose weight.
 const RECENT: Duration = Duration::from_secs(2);
@@ -39,6 +40,14 @@
 /// Bad responses that stop a rollout on their own: well below 50, from which the bound counts, since
 /// reports of other routers arrive late.
 const MAX_BAD: f64 = 30.0;
+/// Length of a stratum of the test on the excess of failures: the old version has enough responses in
+/// it, and the common rate changes little.
+const STRATUM: Duration = Duration::from_millis(400);
+/// Failures of the new version below which their excess is not tested: the rollback bound counts
+/// from the 50th.
+const MIN_EXCESS_FAILURES: u64 = 30;
+/// Exponent of Bernstein's bound on the chance of a false alarm in one evaluation.
+const EXCESS_EXPONENT: f64 = 6.0;
 /// Factor on the number of bad responses that the old version's rates explain.
 const BAD_FACTOR: f64 = 3.0;
 
@@ -90,6 +99,16 @@
         }
     }
 
+    /// Returns the fraction of failures; zero with few responses.
+    #[allow(clippy::cast_precision_loss)]
+    fn failure_rate(&self) -> f64 {
+        let responses = self.responses as f64;
+        if responses < MIN_OLD_RESPONSES {
+            return 0.0;
+        }
+        self.failures as f64 / responses
+    }
+
     /// Adds another count.
     pub fn add(&mut self, other: &Self) {
         self.responses += other.responses;
@@ -178,9 +197,48 @@
     (accepted, looked_for)
 }
 
+/// Excess of the new version's failures over those of the old one at the same time in the same zone:
+/// the test of Cochran, Mantel and Haenszel, with one stratum for each zone and [`STRATUM`].
+///
+/// Each stratum is compared only with itself, so a disruption of both versions adds nothing,
+/// however fast the common rate changes.
+#[derive(Debug, Default)]
+struct Excess {
+    sum: f64,
+    variance: f64,
+}
+
+#[allow(clippy::cast_precision_loss)]
+impl Excess {
+    /// Adds the responses of a stratum.
+    fn add(&mut self, new: &Tally, old: &Tally) {
+        let (n, m) = (new.responses as f64, old.responses as f64);
+        let total = n + m;
+        if n < 1.0 || m < 1.0 {
+            return;
+        }
+        let failed = (new.failures + old.failures) as f64;
+        self.sum += new.failures as f64 - n * failed / total;
+        let others = total - failed;
+        self.variance += n * m * failed * others / (total * total * (total - 1.0));
+    }
+
+    /// Returns whether the excess is above what a version that is as good has by chance, by
+    /// Bernstein's bound, which also holds for few failures.
+    fn is_significant(&self) -> bool {
+        let bound = (2.0 * self.variance * EXCESS_EXPONENT).sqrt() + EXCESS_EXPONENT / 3.0;
+        self.sum >= bound
+    }
+}
+
 /// Responses of one zone's servers.
 #[derive(Debug, Default)]
 struct Zone {
+    /// Responses of both versions in the stratum that is being filled.
+    stratum: [Tally; 2],
+    /// Failure rate of the old version between the last two evaluations, which follows the begin of
+    /// a disruption without delay; zero with few responses.
+    last_rate: f64,
     /// Responses of the new version since the last evaluation.
     new: Tally,
     /// Responses of the old version since the last evaluation.
@@ -200,6 +258,11 @@
     bad: f64,
     /// Bad responses that the old version's rates explain.
     explained: f64,
+    excess: Excess,
+    /// Failures of the new version.
+    failed: u64,
+    /// When the strata in progress began.
+    stratum_at: Option<Instant>,
     fault: Option<Fault>,
 }
 
@@ -220,9 +283,13 @@
         let mut all = Recent::default();
         for zone in self.zones.values_mut() {
             zone.recent.decay(factor);
+            zone.stratum[0].add(&zone.new);
+            zone.stratum[1].add(&zone.old);
+            zone.last_rate = zone.old.failure_rate();
             zone.recent.add(&std::mem::take(&mut zone.old));
             all.merge(&zone.recent);
         }
+        self.close_strata(now);
         let (mut failures, mut slow) = (0.0, 0.0);
         for zone in self.zones.values_mut() {
             let new = std::mem::take(&mut zone.new);
@@ -232,12 +299,15 @@
             let has_old = zone.recent.responses >= MIN_OLD_RESPONSES;
             let old = if has_old { &zone.recent } else { &all };
             let (responses, failed) = (new.responses as f64, new.failures as f64);
-            let (accepted, looked_for) =
-                rates(old.failure_rate(), MIN_FAILURE_RATE, BAD_FAILURE_RATE);
-            failures += log_ratio(failed, responses, accepted, looked_for);
+            let old_rate = old.failure_rate().max(zone.last_rate);
+            if old_rate * RATE_MARGIN <= MAX_ACCEPTED_RATE {
+                let (accepted, looked_for) = rates(old_rate, MIN_FAILURE_RATE, BAD_FAILURE_RATE);
+                failures += log_ratio(failed, responses, accepted, looked_for);
+            }
             self.responses += new.responses;
             self.bad += failed;
-            self.explained += responses * old.failure_rate();
+            self.failed += new.failures;
+            self.explained += responses * old_rate;
             let has_times = has_old && zone.recent.slow_from().is_some();
             let old = if has_times { &zone.recent } else { &all };
             let Some(from) = old.slow_from() else {
@@ -260,8 +330,21 @@
         self.fault
     }
 
+    fn close_strata(&mut self, now: Instant) {
+        let began = *self.stratum_at.get_or_insert(now);
+        if now.saturating_duration_since(began) < STRATUM {
+            return;
+        }
+        self.stratum_at = Some(now);
+        for zone in self.zones.values_mut() {
+            let [new, old] = std::mem::take(&mut zone.stratum);
+            self.excess.add(&new, &old);
+        }
+    }
+
     fn find_fault(&self) -> Option<Fault> {
-        if self.failures >= FAILURE_THRESHOLD {
+        let is_excess = || self.failed >= MIN_EXCESS_FAILURES && self.excess.is_significant();
+        if self.failures >= FAILURE_THRESHOLD || is_excess() {
             Some(Fault::Failures)
         } else if self.slow >= SLOW_THRESHOLD {
             Some(Fault::Slow)
--- a/crates/fleet/tests/all/rollout_verdict.rs
+++ b/crates/fleet/tests/all/rollout_verdict.rs
@@ -33,6 +33,23 @@
 /// Shares of the old version's responses that fail.
 const OLD_FAILURES: [f64; 2] = [0.004, 0.14];
 
+/// A time in which responses of both versions fail more often.
+#[derive(Debug, Clone, Copy)]
+struct Disruption {
+    /// When it begins and ends, in milliseconds since the order.
+    time: (u64, u64),
+    /// Share of the responses that fail.
+    failures: f64,
+    /// Number of zones that it hits, of three.
+    zones: u32,
+}
+
+impl Disruption {
+    fn hits(&self, at: u64, zone: u32) -> bool {
+        (self.time.0..self.time.1).contains(&at) && zone < self.zones
+    }
+}
+
 /// How a new version differs from the old one.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Kind {
@@ -80,7 +97,13 @@
     (time, rng.random_bool(old_failures.max(more)))
 }
 
-fn simulate(seed: u64, rate: u64, old_failures: f64, kind: Kind) -> Run {
+fn simulate(
+    seed: u64,
+    rate: u64,
+    old_failures: f64,
+    kind: Kind,
+    disruption: Option<Disruption>,
+) -> Run {
     let mut rng = SmallRng::seed_from_u64(seed);
     let (start, mut verdict) = (Instant::now(), Verdict::default());
     let mut exposure = Exposure::new(CREDIT, 0.0);
@@ -97,7 +120,13 @@
             }
             let kind = if is_new { kind } else { Kind::Good };
             let response = respond(&mut rng, kind, old_failures, at.unwrap_or(0));
-            let (time, failed) = response;
+            let (time, mut failed) = response;
+            let zone = rng.random_range(0..3);
+            if let Some(disruption) = disruption
+                && at.is_some_and(|at| disruption.hits(at, zone))
+            {
+                failed |= rng.random_bool(disruption.failures);
+            }
             if is_new && (failed || kind == Kind::Slow) {
                 bad += 1;
                 if bad == 50 {
@@ -109,7 +138,6 @@
             if !failed {
                 tally.record_time(time);
             }
-            let zone = rng.random_range(0..3);
             in_transit.push_back((clock + DELAY_MS, zone, is_new, tally));
         }
         while in_transit.front().is_some_and(|r| r.0 <= clock) {
@@ -130,13 +158,20 @@
 
 /// Returns how many of the simulated rollouts the version was stopped in, and in how many it was
 /// not by the rollback bound.
-fn measure(rate: u64, old_failures: f64, kind: Kind) -> (usize, usize) {
+fn measure(
+    rate: u64,
+    old_failures: f64,
+    kind: Kind,
+    disruption: Option<Disruption>,
+) -> (usize, usize) {
     let runs: Vec<Run> = (0..SEEDS)
-        .map(|seed| simulate(seed, rate, old_failures, kind))
+        .map(|seed| simulate(seed, rate, old_failures, kind, disruption))
         .collect();
     let stopped = runs.iter().filter(|r| r.stopped.is_some()).count();
     let late = runs.iter().filter(|r| !r.is_in_time()).count();
-    println!("{kind:?} rate={rate} old={old_failures}: stopped={stopped} late={late} of {SEEDS}");
+    println!(
+        "{kind:?} rate={rate} old={old_failures} {disruption:?}: stopped={stopped} late={late} of {SEEDS}"
+    );
     (stopped, late)
 }
 
@@ -145,18 +180,42 @@
 fn verdict_false_alarms_are_rare() {
     for rate in RATES {
         for old_failures in OLD_FAILURES {
-            let (stopped, _) = measure(rate, old_failures, Kind::Good);
+            let (stopped, _) = measure(rate, old_failures, Kind::Good, None);
             assert!(stopped as u64 * 100 <= SEEDS, "{stopped} of {SEEDS}");
         }
     }
 }
 
+// Guards against a disruption of both versions that is taken for a fault of the new one.
+#[test]
+fn verdict_false_alarms_are_rare_during_disruptions() {
+    let mut wrong = Vec::new();
+    for rate in RATES {
+        for old_failures in OLD_FAILURES {
+            for time in [(2_000, 4_000), (5_000, 7_000), (9_000, 9_500)] {
+                for (failures, zones) in [(0.4, 3), (0.4, 1), (0.9, 1), (1.0, 3)] {
+                    let disruption = Disruption {
+                        time,
+                        failures,
+                        zones,
+                    };
+                    let (stopped, _) = measure(rate, old_failures, Kind::Good, Some(disruption));
+                    if stopped > 0 {
+                        wrong.push((rate, old_failures, disruption, stopped));
+                    }
+                }
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
 /// Asserts that a bad version is stopped by the rollback bound in all simulated rollouts.
 fn assert_in_time(kinds: &[Kind], old_failures: f64) {
     let mut wrong = Vec::new();
     for kind in kinds {
         for rate in RATES {
-            let (_, late) = measure(rate, old_failures, *kind);
+            let (_, late) = measure(rate, old_failures, *kind, None);
             if late > 0 {
                 wrong.push((*kind, rate, late));
             }
--- a/crates/front/src/rollouts.rs
+++ b/crates/front/src/rollouts.rs
@@ -11,10 +11,15 @@
 use hibiscusrail_fleet::rollout::order::{Proposal, Status};
 
 use crate::shell::Shell;
-use crate::watch::{RESPONSE_TIMEOUT, Store, StoreError, StoreLink};
+use crate::watch::{Store, StoreError, StoreLink};
 
 /// Interval of asking the reducer for proposals.
 const INTERVAL: Duration = Duration::from_millis(100);
+/// Time limit of one call. A store that takes 2 s for each one is slow, not away; a call whose answer
+/// is lost delays the next one by this time, at one of the routers.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Greatest number of calls for a proposal: a read, a write, and a read if that is refused.
+const MAX_CALLS: u32 = 3;
 
 /// Rows of a service's rollout in the store.
 #[derive(Debug, Clone, Default)]
@@ -36,7 +41,7 @@
         let proposals = shell.with_fleet_mut(|f| f.rollout_proposals(now, epoch_ms));
         for proposal in proposals {
             let call = execute(&shell, store.as_ref(), &proposal);
-            let timeout = RESPONSE_TIMEOUT * 3;
+            let timeout = CALL_TIMEOUT * MAX_CALLS;
             if let Some(status) = link.call(&shell, timeout, call).await {
                 shell.handle(Event::RolloutStatus {
                     epoch_ms: shell.epoch_ms(),
@@ -55,7 +60,7 @@
     store: &impl Store,
     proposal: &Proposal,
 ) -> Result<Option<Status>, StoreError> {
-    let rows = store.rollout(&proposal.service).await?;
+    let rows = limited(store.rollout(&proposal.service)).await?;
     let Some(status) = &proposal.status else {
         return Ok(rows.status);
     };
@@ -68,7 +73,7 @@
         return Ok(rows.status);
     }
     let written = store.write_rollout(&proposal.service, status, &rows);
-    if written.await? {
+    if limited(written).await? {
         log::info!(
             service = proposal.service.as_str(),
             order = status.order,
@@ -80,5 +85,13 @@
         return Ok(Some(status.clone()));
     }
     log::info!(service = proposal.service.as_str(), order = status.order; "rollout_write_refused");
-    Ok(store.rollout(&proposal.service).await?.status)
+    Ok(limited(store.rollout(&proposal.service)).await?.status)
+}
+
+/// Waits for the answer of one call.
+async fn limited<T>(call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
+    match hibiscusrail_net::timeout(CALL_TIMEOUT, call).await {
+        Ok(answer) => answer,
+        Err(_) => Err(format!("no response within {CALL_TIMEOUT:?}").into()),
+    }
 }
--- a/crates/front/tests/all/rollouts.rs
+++ b/crates/front/tests/all/rollouts.rs
@@ -9,7 +9,7 @@
 use hibiscusrail_fleet::rollout::order::{Order, State, Status};
 use hibiscusrail_front::rollouts::{RolloutRows, follow_rollouts};
 
-use super::support::{Act, Front, Server, TIMEOUT, full_response, run, status, wait_until};
+use super::support::{Act, Front, Server, full_response, run, status, wait_until};
 use super::tables::Tables;
 
 const SERVICE: &str = "plain";
@@ -17,6 +17,8 @@
 const ORDER: u64 = 2;
 /// Time limit of the order: above the 3 s in which a version that was just seen gets no requests.
 const LIMIT: Duration = Duration::from_secs(4);
+/// Time by which a rollout ends whatever the store does: four slow calls and the limit.
+const END: Duration = Duration::from_secs(20);
 /// Time in which a router that has nothing left to write would write again.
 const QUIET: Duration = Duration::from_millis(500);
 
@@ -62,7 +64,7 @@
     let mut ended = None;
     let mut responses = 0;
     while ended.is_none_or(|at: Instant| at.elapsed() < QUIET) {
-        assert!(started.elapsed() < TIMEOUT, "the rollout ends");
+        assert!(started.elapsed() < END, "the rollout ends");
         assert_ne!(status(&front.call("/again/x", "").await), 0);
         front.shell.handle(Event::Tick);
         let state = state(front);
@@ -141,6 +143,40 @@
     });
 }
 
+// Guards against a rollout that never ends at a store that takes 2 s for each call, or that gets a
+// second final state there.
+#[test]
+fn rollout_ends_at_slow_store() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let server = bad_server();
+        let front = start(&tables, &server);
+        tables.delay.set(Duration::from_secs(2));
+        order(&front, &tables);
+        serve(&front).await;
+        assert_eq!(state(&front), Some(State::Reverted));
+        let states = tables.rollout_states.borrow();
+        let finals = states.iter().filter(|s| s.is_final());
+        assert_eq!(finals.count(), 1, "{states:?}");
+    });
+}
+
+// Guards against a version whose servers refuse connections and which goes into service, as the old
+// ones take the requests.
+#[test]
+fn rollout_of_refusing_server_is_reverted() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let server = Server::unreachable();
+        let front = start(&tables, &server);
+        order(&front, &tables);
+        // The server is left alone after a few refusals, so that one router has little evidence.
+        let responses = serve(&front).await;
+        assert!(responses > 0, "the refusals are evidence");
+        assert_eq!(state(&front), Some(State::Reverted));
+    });
+}
+
 // Guards against a router that replaces the final state which another one wrote after its read.
 #[test]
 fn rollout_adopts_final_state_of_faster_router() {
--- a/crates/front/tests/all/tables.rs
+++ b/crates/front/tests/all/tables.rs
@@ -34,6 +34,8 @@
     pub rival: RefCell<Option<Status>>,
     /// Version of the order's row that the operator writes right before the next such write.
     pub next_order: Cell<Option<u64>>,
+    /// Time that each call for a rollout takes.
+    pub delay: Cell<Duration>,
     /// Whether calls for versions and records fail.
     pub away: Cell<bool>,
 }
@@ -93,6 +95,7 @@
 
     async fn rollout(&self, service: &str) -> Result<RolloutRows, StoreError> {
         self.check()?;
+        compio::time::sleep(self.delay.get()).await;
         let rollouts = self.rollouts.borrow();
         Ok(rollouts.get(service).cloned().unwrap_or_default())
     }
@@ -104,6 +107,7 @@
         read: &RolloutRows,
     ) -> Result<bool, StoreError> {
         self.check()?;
+        compio::time::sleep(self.delay.get()).await;
         let mut rollouts = self.rollouts.borrow_mut();
         let rows = rollouts.entry(service.to_owned()).or_default();
         if let Some(rival) = self.rival.take() {
