fleet, front: keep what a restored store lacks from routers that restart

A router that restarted after the store was restored from a copy knew the copy alone: it sent requests to servers that had left and accepted revoked keys until they were written again, and took the only version of a service for the one that began a stream. Reports now name the version of the deployment configuration and the servers of which the list has a registration from before they left, and the row of versions is read two seconds after the start.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -613,6 +613,7 @@
             plain_uses: self.room.report(now),
             learned,
             departed: self.departures.recent(now),
+            outdated: self.registry.outdated().to_vec(),
             rates: self.rate_notices(now, max_age),
             suspects,
             rollouts: self.rollouts.reports(now),
@@ -638,6 +639,7 @@
             sequence: self.sequence,
             orders: self.config_revision.0,
             servers: self.registry.revision().0,
+            deployment: deployment_version(&self.config),
             zone: name_hash(&self.params.zone),
             ..Report::default()
         }
@@ -1070,9 +1072,9 @@
 
     fn apply_config(&mut self, now: Instant, revision: Revision, mut config: OperatorConfig) {
         if revision <= self.config_revision {
-            return;
+            return self.adopt_deployment(revision, config);
         }
-        let version = |c: &OperatorConfig| c.deployment.as_ref().map_or(0, |d| d.version);
+        let version = deployment_version;
         let restored = revision.era() > self.config_revision.era();
         let first = self.config_revision == Revision::default();
         if version(&config) < version(&self.config) {
@@ -1119,6 +1121,35 @@
         self.apply_rollout_orders(now, revision, first);
     }
 
+    /// Takes over a deployment configuration that another router had before the store was restored
+    /// from a copy without it.
+    fn adopt_deployment(&mut self, revision: Revision, config: OperatorConfig) {
+        let was = deployment_version(&self.config);
+        if !self.lacks_deployment(revision, deployment_version(&config)) {
+            return;
+        }
+        let before = std::mem::replace(&mut self.config.deployment, config.deployment);
+        if let Some(before) = before {
+            self.retire_services(before.services);
+        }
+        let detail = format!(
+            "revision={} version={} was={was} restored=true",
+            self.config_revision.0,
+            deployment_version(&self.config),
+        );
+        self.log("orders_in_force", "orders", detail);
+    }
+
+    /// Returns whether a router with the configuration of `revision` has a deployment configuration,
+    /// of this version, that this router lacks since the store was restored from an older copy.
+    ///
+    /// The routers that run since before keep the newest version, with the same revision.
+    #[must_use]
+    pub fn lacks_deployment(&self, revision: Revision, version: u64) -> bool {
+        let era = self.config_revision.era();
+        era > 0 && revision.era() == era && version > deployment_version(&self.config)
+    }
+
     /// Keeps the services of the configuration before that requests in progress still use.
     fn retire_services(&mut self, before: BTreeMap<String, Service>) {
         self.retired_services.extend(before);
@@ -1268,6 +1299,7 @@
         }
         self.confirm_by_report(now, report);
         self.withdraw_departed(report);
+        self.remove_outdated(now, report);
         let answered_at = now.checked_sub(Duration::from_millis(report.store_age));
         if let Some(at) = answered_at.filter(|_| !report.incremental) {
             self.store_answered_peer(at);
@@ -1340,6 +1372,21 @@
         }
     }
 
+    /// Removes the servers that left before the store was restored, according to a report.
+    fn remove_outdated(&mut self, now: Instant, report: &Report) {
+        for outdated in &report.outdated {
+            let Some(id) = self.registry.remove_outdated(now, outdated) else {
+                continue;
+            };
+            self.departures.record(now, outdated.server);
+            let detail = format!(
+                "restored=true sequence={} router={:08x}",
+                outdated.sequence, report.sender
+            );
+            self.log("server_gone", &id, detail);
+        }
+    }
+
     fn subtract_peer_loads(&mut self, loads: &BTreeMap<u32, Load>) {
         for (hash, load) in loads {
             if let Some(server) = self.registry.by_hash_mut(*hash) {
@@ -1418,3 +1465,8 @@
         }
     }
 }
+
+/// Returns the version of a deployment configuration; 0 without one.
+fn deployment_version(config: &OperatorConfig) -> u64 {
+    config.deployment.as_ref().map_or(0, |d| d.version)
+}
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -112,6 +112,20 @@
     pub paces: Vec<PaceNotice>,
 }
 
+/// Server of which a restored store still has a registration from before it left.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Outdated {
+    /// Hash of the server's id.
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    /// Start time of the server in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub born: u64,
+    /// Sequence number of its last registration that the sender knows.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+}
+
 /// Report of a router to the other routers.
 #[derive(Clone, PartialEq, Message)]
 pub struct Report {
@@ -184,6 +198,12 @@
     /// Use of the plain services by the sender's requests; none in incremental reports.
     #[prost(message, repeated, tag = "60")]
     pub plain_uses: Vec<PlainUse>,
+    /// Version that the operator gave the sender's deployment configuration.
+    #[prost(uint64, tag = "70")]
+    pub deployment: u64,
+    /// Servers that left, and that the server list has again since the store was restored.
+    #[prost(message, repeated, tag = "71")]
+    pub outdated: Vec<Outdated>,
 }
 
 /// State from the reports of one router.
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -8,6 +8,7 @@
 use crate::engine::Server;
 use crate::notice::Notice;
 use crate::objects::{Backend, Revision, Servers};
+use crate::peers::Outdated;
 use crate::placement::name_hash;
 
 new_key_type! {
@@ -56,6 +57,8 @@
     revision: Revision,
     /// When the store was last restored from an older copy.
     restored_at: Option<Instant>,
+    /// Servers of which the newest list has a registration from before they left.
+    outdated: Vec<Outdated>,
 }
 
 impl Registry {
@@ -134,6 +137,7 @@
             self.restored_at = Some(now);
         }
         self.revision = revision;
+        self.outdated.clear();
         self.departed
             .retain(|_, d| now.saturating_duration_since(d.removed_at) < DEPARTED_TTL);
         for server in self.servers.values_mut() {
@@ -145,7 +149,7 @@
         for (id, backend) in servers {
             match self.by_id.get(id).copied() {
                 Some(key) => self.update(now, key, backend, &mut changes),
-                None if self.is_outdated(now, id, backend) => {}
+                None if self.is_outdated(now, id, backend) => self.note_outdated(id),
                 None => {
                     self.insert(now, id, backend.clone());
                     changes.started.push(id.clone());
@@ -221,6 +225,45 @@
         })
     }
 
+    /// Returns the servers of which the newest list has a registration from before they left.
+    #[must_use]
+    pub fn outdated(&self) -> &[Outdated] {
+        &self.outdated
+    }
+
+    /// Records that the list has a registration of a removed server from before it left.
+    fn note_outdated(&mut self, id: &str) {
+        let departed = self.departed.get(id).map(|d| Outdated {
+            server: name_hash(id),
+            born: d.born,
+            sequence: d.sequence,
+        });
+        self.outdated.extend(departed);
+    }
+
+    /// Removes a server whose registration is from before it left, as another router knows; returns
+    /// its id.
+    ///
+    /// It is used again once it has registered anew.
+    pub fn remove_outdated(&mut self, now: Instant, outdated: &Outdated) -> Option<String> {
+        let key = *self.by_hash.get(&outdated.server)?;
+        let server = self.servers.get_mut(key)?;
+        let (id, backend) = (server.id.clone(), server.backend.clone());
+        let is_older = (backend.is_same_life(outdated.born)
+            && backend.sequence <= outdated.sequence)
+            || self.is_earlier_life(now, outdated.born, &backend);
+        if backend.leaving || !is_older {
+            return None;
+        }
+        self.depart(now, key);
+        if let Some(departed) = self.departed.get_mut(&id) {
+            departed.born = outdated.born;
+            departed.sequence = outdated.sequence;
+        }
+        self.note_outdated(&id);
+        Some(id)
+    }
+
     /// Returns whether a registration comes from the copy of a restored store and is of a life before
     /// the one that started at `born`.
     ///
@@ -295,6 +338,14 @@
         }
         // From an older copy of the store.
         if newest.is_same_life(old.born) && newest.sequence < old.sequence {
+            if old.leaving && !newest.leaving {
+                let outdated = Outdated {
+                    server: server.hash,
+                    born: old.born,
+                    sequence: old.sequence,
+                };
+                self.outdated.push(outdated);
+            }
             return;
         }
         if newest.leaving && !old.leaving {
--- a/crates/fleet/tests/all/store_restored.rs
+++ b/crates/fleet/tests/all/store_restored.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::objects::{OperatorConfig, Repeat, Revision, Servers};
+use hibiscusrail_fleet::peers::Scope;
 use hibiscusrail_fleet::{Event, Fleet};
 
 use super::support::{self, PLAIN, backend, failure_reason, plain, sent_to};
@@ -198,3 +199,61 @@
     let known = fleet.registry().of_service(support::ENGINES).count();
     assert_eq!(known, 0);
 }
+
+/// Returns a router that starts after the store was restored from a copy with these servers, and has
+/// received a report of `older`, which runs since before.
+fn restarted(older: &mut Fleet, servers: Servers, now: Instant) -> Fleet {
+    let mut fleet = Fleet::new("restarted", 2, support::params(), now);
+    let revision = Revision::new(1, 90);
+    fleet.handle(now, Event::Config(revision, config(7, &[])));
+    fleet.handle(now, Event::Servers(revision, servers));
+    let report = older.report(now, Scope::All);
+    fleet.handle(now, Event::Report(report));
+    fleet
+}
+
+// Guards against requests to a server that had left, at a router that restarts after the restore and
+// knows the copy alone (report 4).
+#[test]
+fn servers_removed_before_restore_are_not_used_by_restarted_router() {
+    let now = Instant::now();
+    let mut older = router(&[], one_server("p", 5, false), now);
+    older.handle(now, Event::Servers(Revision::new(0, 101), Servers::new()));
+    let copy = one_server("p", 4, false);
+    // It left longer ago than reports repeat departures.
+    let now = now + Duration::from_secs(30);
+    older.handle(now, Event::Servers(Revision::new(1, 90), copy.clone()));
+    let mut fleet = restarted(&mut older, copy.clone(), now);
+    assert_eq!(destination(&mut fleet, 1, now), None);
+    // The copy's row is still there in later lists.
+    fleet.handle(now, Event::Servers(Revision::new(1, 91), copy));
+    assert_eq!(destination(&mut fleet, 2, now), None);
+    let newer = one_server("p", 6, false);
+    fleet.handle(now, Event::Servers(Revision::new(1, 92), newer));
+    assert_eq!(destination(&mut fleet, 3, now).as_deref(), Some("p"));
+}
+
+// The same for a server that is draining.
+#[test]
+fn servers_leaving_before_restore_are_not_used_by_restarted_router() {
+    let now = Instant::now();
+    let mut older = router(&[], one_server("p", 5, true), now);
+    let copy = one_server("p", 4, false);
+    older.handle(now, Event::Servers(Revision::new(1, 90), copy.clone()));
+    let mut fleet = restarted(&mut older, copy, now);
+    assert_eq!(destination(&mut fleet, 1, now), None);
+}
+
+// A server that registered again since the copy was made is in use, whatever others knew of it.
+#[test]
+fn servers_registered_since_restore_are_used_by_restarted_router() {
+    let now = Instant::now();
+    let mut older = router(&[], one_server("p", 5, false), now);
+    older.handle(now, Event::Servers(Revision::new(0, 101), Servers::new()));
+    older.handle(
+        now,
+        Event::Servers(Revision::new(1, 90), one_server("p", 4, false)),
+    );
+    let mut fleet = restarted(&mut older, one_server("p", 6, false), now);
+    assert_eq!(destination(&mut fleet, 1, now).as_deref(), Some("p"));
+}
--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -12,6 +12,7 @@
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
 use hibiscusrail_fleet::event::Reason;
+use hibiscusrail_fleet::objects::Revision;
 use hibiscusrail_fleet::{Event, Fleet};
 use serde::{Deserialize, Serialize};
 
@@ -33,6 +34,9 @@
 const MAX_ORIGINS: usize = 20_000;
 /// Maximum number of records that are read at the same time.
 const MAX_LOOKUPS: usize = 8;
+/// Time after the start in which a restored store may lack rows of versions that routers which run
+/// since before the restore are about to write again.
+const REWRITE_TIME: Duration = Duration::from_secs(2);
 /// Time after which a record that is not found may have been written.
 pub const RECORD_DELAY: Duration = Duration::from_millis(500);
 
@@ -228,10 +232,13 @@
 /// Keeps the store's rows of versions and records of streams until the task is dropped.
 pub async fn follow_versions(shell: Rc<Shell>, store: Rc<impl Store>) {
     let mut link = StoreLink::new("versions");
+    let started = shell.now();
     loop {
         let interval = RECORD_INTERVAL_EACH * routers(&shell);
         compio::time::sleep(interval.max(MIN_RECORD_INTERVAL)).await;
-        if !shell.with_fleet(|f| f.versions().is_loaded()) {
+        let age = shell.now().saturating_duration_since(started);
+        let is_copy = age < REWRITE_TIME && shell.with_fleet(may_be_copy);
+        if !is_copy && !shell.with_fleet(|f| f.versions().is_loaded()) {
             let Some(rows) = link.call(&shell, RESPONSE_TIMEOUT, store.versions()).await else {
                 continue;
             };
@@ -255,6 +262,13 @@
     }
 }
 
+/// Returns whether the store may have been restored from a copy whose rows other routers have not yet
+/// written again.
+fn may_be_copy(fleet: &Fleet) -> bool {
+    let revision = fleet.registry().revision();
+    revision == Revision::default() || revision.era() > 0
+}
+
 fn routers(shell: &Shell) -> u32 {
     u32::try_from(shell.with_fleet(Fleet::known_routers)).unwrap_or(u32::MAX)
 }
--- a/crates/front/src/peers.rs
+++ b/crates/front/src/peers.rs
@@ -12,6 +12,7 @@
 
 use futures_util::StreamExt;
 use hibiscusrail_fleet::freshness::Source;
+use hibiscusrail_fleet::objects::Revision;
 use hibiscusrail_fleet::peers::{Report, Scope};
 use hibiscusrail_fleet::{Event, Fleet};
 use hibiscusrail_net::event_loop;
@@ -224,16 +225,17 @@
             .map(|(age, waited)| age.saturating_add(waited));
     }
     let (config, servers) = (report.orders, report.servers);
-    let sender = report.sender;
+    let (sender, deployment) = (report.sender, report.deployment);
     shell.handle(Event::Report(report));
     let behind = shell.with_fleet(|f| {
         let needs_peer = f.store_is_lost() || (!f.reads_store(now) && f.is_source(sender));
-        needs_peer && (f.config_revision().0 < config || f.registry().revision().0 < servers)
+        let is_newer = f.config_revision().0 < config || f.registry().revision().0 < servers;
+        (needs_peer && is_newer) || f.lacks_deployment(Revision(config), deployment)
     });
     if behind && peers.begin_fetch(address, now) {
         let (shell, peers) = (Rc::clone(shell), Rc::clone(peers));
         event_loop::spawn(async move {
-            state::catch_up(&shell, address, Source::Router(sender)).await;
+            state::catch_up(&shell, address, Source::Router(sender), deployment).await;
             peers.end_fetch(address);
         });
     }
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -123,10 +123,18 @@
     })
 }
 
-/// Fetches the tables of which `peer` has a newer revision and applies them.
-pub async fn catch_up(shell: &Rc<Shell>, peer: SocketAddr, source: Source) {
+/// Fetches the tables of which `peer` has a newer revision and applies them; also the configuration
+/// of the same revision if this router lacks `deployment`, the version that the peer reported.
+pub async fn catch_up(shell: &Rc<Shell>, peer: SocketAddr, source: Source, deployment: u64) {
     let asked = shell.now();
-    match hibiscusrail_net::timeout(REQUEST_TIMEOUT, fetch(shell, peer)).await {
+    let (config, servers) = shell.with_fleet(|f| {
+        let own = f.config_revision();
+        let lacks = f.lacks_deployment(own, deployment);
+        let known = if lacks { Revision::default() } else { own };
+        (known, f.registry().revision())
+    });
+    let fetching = fetch(peer, config, servers);
+    match hibiscusrail_net::timeout(REQUEST_TIMEOUT, fetching).await {
         Ok(Ok(state)) => {
             let confirmation = |revision, age: Option<u64>| {
                 Some(Confirmation {
@@ -161,14 +169,13 @@
     }
 }
 
-async fn fetch(shell: &Shell, peer: SocketAddr) -> Result<State, StateError> {
+/// Fetches the tables of which `peer` has a newer revision than these.
+async fn fetch(peer: SocketAddr, config: Revision, servers: Revision) -> Result<State, StateError> {
     let mut connection = connect_owned(peer, REQUEST_TIMEOUT)
         .await
         .context(ConnectSnafu)?;
     let mut request = Request::new(empty());
-    let (config, servers) =
-        shell.with_fleet(|f| (f.config_revision().0, f.registry().revision().0));
-    let uri = format!("{STATE_PATH}?{config},{servers}");
+    let uri = format!("{STATE_PATH}?{},{}", config.0, servers.0);
     *request.uri_mut() = uri.parse().expect("a path and numbers are a valid URI");
     let host = HeaderValue::from_str(&peer.to_string()).expect("an address is a valid header");
     request.headers_mut().insert(header::HOST, host);
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod refusal;
 mod replacements;
 mod requests;
+mod restarts;
 mod rollouts;
 mod streams;
 mod support;
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -330,7 +330,19 @@
         Self::start_from(&format!("{SETTINGS}{ROLLOUT_SETTINGS}"), servers, 100)
     }
 
+    /// Starts a router that has not read the rows of services with several versions.
+    pub fn start_without_versions(servers: &[&Server]) -> Self {
+        Self::start_unloaded(SETTINGS, servers, 100)
+    }
+
     fn start_from(settings: &str, servers: &[&Server], connections: usize) -> Self {
+        let front = Self::start_unloaded(settings, servers, connections);
+        // The store has no rows of services with several versions.
+        front.shell.handle(Event::Versions(0, Vec::new()));
+        front
+    }
+
+    fn start_unloaded(settings: &str, servers: &[&Server], connections: usize) -> Self {
         let settings = FrontSettings::parse("test", settings).expect("the settings are valid");
         let shell = Rc::new(Shell::new(settings, protocol(), Box::new(SystemClock)));
         let config = OperatorConfig {
@@ -341,8 +353,6 @@
         let name = shell.settings().name;
         shell.handle(Event::Members(vec![name]));
         shell.handle(Event::Config(Revision(1), config));
-        // The store has no rows of services with several versions.
-        shell.handle(Event::Versions(0, Vec::new()));
         let mut entries = BTreeMap::new();
         for service in ["plain", "engines"] {
             for (number, server) in servers.iter().enumerate() {
--- a/crates/front/tests/all/versions.rs
+++ b/crates/front/tests/all/versions.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hibiscusrail_fleet::Event;
+use hibiscusrail_fleet::objects::Revision;
 use hibiscusrail_front::origins::{self, Origin};
 
 use super::support::{
@@ -56,12 +58,17 @@
     let servers = vec![server; versions.len()];
     let front = Front::start(&servers);
     front.set_versions(versions);
+    follow(&front, tables);
+    front
+}
+
+/// Makes a router follow the tables.
+fn follow(front: &Front, tables: &Rc<Tables>) {
     let (shell, store) = (&front.shell, tables);
     let lookups = origins::follow_lookups(Rc::clone(shell), Rc::clone(store));
     compio::runtime::spawn(lookups).detach();
     let following = origins::follow_versions(Rc::clone(shell), Rc::clone(store));
     compio::runtime::spawn(following).detach();
-    front
 }
 
 /// Returns the headers of a request that takes up the stream which `began` began.
@@ -197,3 +204,62 @@
         assert_eq!(status(&response), 503, "{response}");
     });
 }
+
+// Guards against ORDER at a router that starts right after the store was restored from a copy without
+// the row of versions, before a router that knows it has written it again (report 4).
+#[test]
+fn row_of_versions_missing_from_copy_is_awaited_by_restarted_router() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let server = Server::start(vec![rest()]);
+        let front = Front::start_without_versions(&[&server, &server]);
+        let restored = |front: &Front| {
+            let entries = front
+                .shell
+                .with_fleet(|f| f.registry().entries(front.shell.now()));
+            let event = Event::Servers(Revision::new(1, 90), entries);
+            front.shell.handle(event);
+        };
+        restored(&front);
+        let older = Front::start(&[&server, &server]);
+        older.set_versions(&["v0", "v1"]);
+        older.set_versions(&["v1", "v1"]);
+        restored(&older);
+        follow(&front, &tables);
+        compio::time::sleep(Duration::from_millis(500)).await;
+        let response = front.call("/resume/x", &resumes("unknown")).await;
+        assert_eq!(status(&response), 503, "{response}");
+        follow(&older, &tables);
+        wait_until(|| tables.versions.borrow().contains_key("engines")).await;
+        let loaded = || front.shell.with_fleet(|f| f.versions().is_loaded());
+        wait_until(loaded).await;
+        let response = front.call("/resume/x", &resumes("unknown")).await;
+        assert_eq!(status(&response), 503, "{response}");
+        assert_eq!(server.received().len(), 0);
+    });
+}
+
+// Guards against LOST and ORDER for streams whose records a restored store lacks: the routers that
+// began them write them again, and a router that restarts finds them (report 4).
+#[test]
+fn record_missing_from_copy_is_written_again() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let server = Server::start(vec![broken(), rest()]);
+        let front = start(&server, &["v1", "v2"], &tables);
+        front.call("/resume/x", "").await;
+        wait_until(|| tables.streams.borrow().contains_key("r1")).await;
+        tables.streams.borrow_mut().clear();
+        let restarted = start(&server, &["v1", "v2"], &tables);
+        let response = restarted.call("/resume/x", &resumes("r1")).await;
+        assert_eq!(status(&response), 503, "{response}");
+        assert!(header(&response, "retry-after").is_some());
+        front.shell.origins().store_restored();
+        wait_until(|| tables.streams.borrow().contains_key("r1")).await;
+        let response = restarted.call("/resume/x", &resumes("r1")).await;
+        assert!(response.contains(&event(4)), "{response}");
+        let named = |head: &String| header(head, "x-server");
+        let servers: Vec<_> = server.received().iter().map(named).collect();
+        assert_eq!(servers[0], servers[1]);
+    });
+}
--- a/crates/fuzzing/tests/config.rs
+++ b/crates/fuzzing/tests/config.rs
@@ -85,6 +85,27 @@
     fleet.check_converged();
 }
 
+// Guards against an object that was changed or removed, and is in use again at a router that restarts
+// while the table is away and learns first from a peer that has not heard of the change (report 4).
+#[test]
+fn restart_without_table_learns_from_newer_peer_after_older() {
+    let mut fleet = ready_fleet();
+    // Router 1 does not hear of ticket 7, which removes objects, nor of ticket 8.
+    fleet.apply(&Action::Partition(1 << 1));
+    fleet.apply(&submit(7, &[0, 1]));
+    fleet.apply(&submit(8, &[2]));
+    fleet.poll(0, 0, false);
+    fleet.advance(Duration::from_millis(500));
+    fleet.apply(&Action::Outage(true));
+    // The restarted router sees the older one alone.
+    fleet.apply(&Action::Partition(1 << 1 | 1 << 2));
+    fleet.restart(2);
+    fleet.advance(Duration::from_secs(1));
+    fleet.apply(&Action::Partition(0));
+    fleet.advance(Duration::from_secs(5));
+    fleet.check_converged();
+}
+
 #[test]
 fn restart_without_table_and_peers_is_not_ready() {
     let mut fleet = ready_fleet();
