--- a/crates/fleet/tests/all/kv_transfers.rs
+++ b/crates/fleet/tests/all/kv_transfers.rs
@@ -1,10 +1,11 @@
 //! More requests with one shared prefix than the engine that has it cached can serve.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::objects::{Revision, Servers};
-use hibiscusrail_fleet::{Decision, Event, Fleet, Params};
+use hibiscusrail_fleet::peers::Scope;
+use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, Params, RequestKey, Submission};
 
 use super::support::{self, ENGINES, backend, prompt, sent_to, submission};
 
@@ -110,3 +111,77 @@
     assert_ne!(other, preferred);
     assert_eq!(source, None);
 }
+
+/// Returns two routers that both know that an engine with a long prefill has prefix 7.
+fn routers_with_loaded_preferred(now: Instant) -> (Fleet, Fleet) {
+    let mut first = support::router("first", 9, now);
+    let mut second = support::router("second", 9, now);
+    load_preferred(&mut first, now);
+    let report = first.report(now, Scope::All);
+    second.handle(now, Event::Report(report));
+    (first, second)
+}
+
+/// Returns a request that takes up the stream of [`submission`] 2 at another router.
+fn take_up(now: Instant) -> Submission {
+    Submission {
+        version: Some("v1".to_owned()),
+        ..submission(2, 1, prompt(7, 500), now)
+    }
+}
+
+// Guards against a transfer that two routers request for one stream, whose caller takes it up at the
+// second one while the first one still has it (report 6): the report of the placement prevents it.
+#[test]
+fn take_up_at_other_router_requests_no_second_transfer() {
+    let now = Instant::now();
+    let (mut first, mut second) = routers_with_loaded_preferred(now);
+    let sent = first.handle(now, Event::Submit(submission(2, 1, prompt(7, 500), now)));
+    let (id, _, source) = placement(&sent);
+    assert!(source.is_some(), "the first router requests a transfer");
+    let report = first.incremental_report(now);
+    second.handle(now, Event::Report(report.expect("it placed a prompt")));
+    let sent = second.handle(now, Event::Submit(take_up(now)));
+    let (other, _, source) = placement(&sent);
+    assert!(other != id || source.is_none(), "{other} fetches it again");
+}
+
+// The same with the report lost: each router requests at most one transfer, with the request that it
+// sends, and both from the engine that has the prefix.
+#[test]
+fn take_up_without_report_requests_one_transfer_for_each_router() {
+    let now = Instant::now();
+    let (mut first, mut second) = routers_with_loaded_preferred(now);
+    let requests = [submission(2, 1, prompt(7, 500), now), take_up(now)];
+    let mut sources = Vec::new();
+    for (router, request) in [&mut first, &mut second].into_iter().zip(requests) {
+        let sent = router.handle(now, Event::Submit(request));
+        let later = now + Duration::from_millis(500);
+        let all = sent.into_iter().chain(router.handle(later, Event::Tick));
+        let found = all.filter_map(|d| match d {
+            Decision::Send { source, .. } => source,
+            _ => None,
+        });
+        let found: Vec<SocketAddr> = found.collect();
+        assert!(found.len() <= 1, "{found:?}");
+        sources.extend(found);
+    }
+    sources.dedup();
+    assert_eq!(sources.len(), 1, "{sources:?}");
+}
+
+// Guards against a second transfer to the engine that has fetched the prefix, when a stream breaks there
+// and goes on.
+#[test]
+fn broken_stream_requests_no_second_transfer_to_its_engine() {
+    let now = Instant::now();
+    let mut fleet = support::router("r", 9, now);
+    load_preferred(&mut fleet, now);
+    let sent = fleet.handle(now, Event::Submit(submission(2, 1, prompt(7, 500), now)));
+    let (id, _, source) = placement(&sent);
+    assert!(source.is_some());
+    fleet.handle(now, Event::FirstByte(RequestKey(2)));
+    let again = fleet.handle(now, Event::Ended(RequestKey(2), Outcome::Broken));
+    let (other, _, source) = placement(&again);
+    assert!(other != id || source.is_none(), "{other} fetches it again");
+}
