net, front: charge connection buffers, and evict responses that are not read

Each body or event above 16 KiB is charged with 64 KiB for the buffers of its connection, an event with the capacity of the buffer in which it arrives, and large events are passed on without a copy. While memory is short, the connection of a client that has read nothing for three seconds is closed. Connections are bounded to one for each 48 KiB of the host's memory. The two functions that collect a body are one, so an announced oversize is refused at the head.

--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -460,6 +460,7 @@
         begins: route.stream && route.resumable && !takes_up,
         read_timeout: retryable.then_some(read_timeout),
         abandon_time: abandon_time(&route),
+        reader: parts.extensions.get().cloned(),
     };
     run_attempts(shell, plan, tracker, target).await
 }
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -13,7 +14,7 @@
 use futures_util::future::{Either, LocalBoxFuture, select};
 use hibiscusrail_fleet::{Event, Fleet, Outcome, RequestKey};
 use hibiscusrail_net::body::{CollectError, collect_charged};
-use hibiscusrail_net::memory::{Account, FREE_BYTES};
+use hibiscusrail_net::memory::{Account, BUFFER_BYTES, FREE_BYTES, WriteState};
 use hibiscusrail_net::sse::{MAX_EVENT_BYTES, Splitter};
 use hibiscusrail_net::{Body, OwnedConnection, connect_owned, headers};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
@@ -56,6 +57,8 @@
     pub read_timeout: Option<Duration>,
     /// Pause between two events after which the caller has given a stream up.
     pub abandon_time: Option<Duration>,
+    /// Whether the caller reads its response.
+    pub reader: Option<Arc<WriteState>>,
 }
 
 /// The head of a server's response, and the connection that delivers the rest.
@@ -596,7 +599,7 @@
     response: Response<Incoming>,
 ) -> Result<Reply, Interruption> {
     let (parts, body) = response.into_parts();
-    let account = Account::for_response(shell.budget());
+    let account = Account::for_response(shell.budget()).with_reader(plan.reader.clone());
     let collecting = connection.wait(collect_charged(body, MAX_FULL_BYTES, account));
     let patience = Patience::new(plan, resume);
     let collected = match patience.wait(shell, Duration::ZERO, collecting).await? {
@@ -667,7 +670,7 @@
         connection,
         body,
         splitter: Splitter::new(),
-        account: Account::for_response(shell.budget()),
+        account: Account::for_response(shell.budget()).with_reader(plan.reader.clone()),
         plan: plan.clone(),
         last_id: resume,
         last_arrival: shell.now(),
@@ -714,6 +717,7 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
+            self.charge_pending(shell, self.splitter.capacity_with(data.len()))?;
             self.splitter.push(&data);
             self.unreturned += data.len();
             let (bytes, count) = self.take_events(shell)?;
@@ -747,35 +751,63 @@
     ///
     /// Fails if memory is short.
     fn take_events(&mut self, shell: &Shell) -> Result<(Bytes, u32), Interruption> {
-        let mut events = BytesMut::new();
+        let mut first = Bytes::new();
+        let mut joined = BytesMut::new();
         let mut count = 0;
+        // A large event keeps the whole buffer of the splitter in which it arrived.
+        let mut capacity = self.splitter.capacity();
         while let Some(event) = self.splitter.next_event() {
             let id = event.id();
             if id.is_some() && id <= self.last_id {
                 continue;
             }
             self.last_id = id.or(self.last_id);
-            events.extend_from_slice(&event.0);
             count += u32::from(!event.is_comment());
+            if event.0.len() > FREE_BYTES && first.is_empty() && joined.is_empty() {
+                // A copy would double the memory of a large event.
+                first = event.0;
+                continue;
+            }
+            joined.extend_from_slice(&std::mem::take(&mut first));
+            joined.extend_from_slice(&event.0);
+        }
+        if !joined.is_empty() {
+            capacity = joined.capacity();
+            first = joined.freeze();
         }
-        Ok((self.charge(shell, events)?, count))
+        Ok((self.charge(shell, first, capacity)?, count))
     }
 
     /// Charges the memory of large events, both of one that is arriving and of complete ones until
     /// the caller's connection has written them.
-    fn charge(&mut self, shell: &Shell, events: BytesMut) -> Result<Bytes, Interruption> {
-        let short = |_| memory_short(self.address);
-        let pending = self.splitter.pending_bytes();
-        let rest = if pending > FREE_BYTES { pending } else { 0 };
-        self.account.resize(shell.now(), rest).map_err(short)?;
+    fn charge(
+        &mut self,
+        shell: &Shell,
+        events: Bytes,
+        capacity: usize,
+    ) -> Result<Bytes, Interruption> {
+        self.charge_pending(shell, self.splitter.capacity())?;
         if events.len() <= FREE_BYTES {
-            return Ok(events.freeze());
+            return Ok(events);
         }
-        let mut account = Account::for_response(shell.budget());
+        let account = Account::for_response(shell.budget());
+        let mut account = account.with_reader(self.plan.reader.clone());
         account
-            .resize(shell.now(), events.capacity())
-            .map_err(short)?;
-        Ok(account.into_bytes(events.into()))
+            .resize(shell.now(), capacity)
+            .map_err(|_| memory_short(self.address))?;
+        Ok(account.into_bytes(events))
+    }
+
+    /// Charges the buffer of an event that is arriving, and those of the stream's connections, unless
+    /// it is small.
+    fn charge_pending(&mut self, shell: &Shell, capacity: usize) -> Result<(), Interruption> {
+        let charged = if self.splitter.pending_bytes() > FREE_BYTES {
+            capacity + BUFFER_BYTES
+        } else {
+            0
+        };
+        let charged = self.account.resize(shell.now(), charged);
+        charged.map_err(|_| memory_short(self.address))
     }
 
     /// Returns the connection of a complete stream to the pool.
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -3,10 +3,11 @@
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Poll;
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use http_body::Frame;
@@ -14,7 +15,7 @@
 use hyper::body::Incoming;
 use snafu::{ResultExt, Snafu};
 
-use crate::memory::{Account, FREE_BYTES, MemoryShort};
+use crate::memory::{Account, BUFFER_BYTES, Budget, FREE_BYTES, MemoryShort};
 
 /// A body of any type; it is not `Send`.
 pub type Body = Pin<Box<dyn http_body::Body<Data = Bytes, Error = io::Error>>>;
@@ -48,41 +49,20 @@
     },
 }
 
-/// Reads a body of up to `limit` bytes to its end.
-///
-/// The memory that it takes depends on the bytes alone, not on the pieces in which they arrive.
+/// Reads a body of up to `limit` bytes to its end, without a budget.
 ///
 /// # Errors
 ///
 /// Fails if the body breaks off or is too large.
-pub async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, CollectError> {
-    let mut first = Bytes::new();
-    let mut joined = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.context(BrokenSnafu)?.into_data() else {
-            continue;
-        };
-        if first.len().max(joined.len()) + data.len() > limit {
-            return TooLargeSnafu { limit }.fail();
-        }
-        if first.is_empty() && joined.is_empty() {
-            // Most bodies have one piece, which needs no copy.
-            first = data;
-            continue;
-        }
-        joined.extend_from_slice(&std::mem::take(&mut first));
-        joined.extend_from_slice(&data);
-    }
-    Ok(if joined.is_empty() {
-        first
-    } else {
-        joined.freeze()
-    })
+pub async fn collect(body: Incoming, limit: usize) -> Result<Bytes, CollectError> {
+    let budget = Arc::new(Budget::new(usize::MAX));
+    collect_charged(body, limit, Account::for_request(&budget)).await
 }
 
 /// Reads a body of up to `limit` bytes to its end and charges its memory to `account`.
 ///
-/// A body that announces more is refused before any of it is read.
+/// The memory that it takes depends on the bytes alone, not on the pieces in which they arrive. A body
+/// that announces more is refused before any of it is read.
 ///
 /// # Errors
 ///
@@ -133,10 +113,10 @@
     Ok(account.into_bytes(joined))
 }
 
-/// Charges a body's memory unless it is small.
+/// Charges a body's memory and that of its connection's buffers unless the body is small.
 fn charge(capacity: usize, account: &mut Account) -> Result<(), MemoryShort> {
     if capacity > FREE_BYTES {
-        account.resize(Instant::now(), capacity)?;
+        account.resize(Instant::now(), capacity + BUFFER_BYTES)?;
     }
     Ok(())
 }
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -2,7 +2,8 @@
 //!
 //! Bodies and parts of streams above [`FREE_BYTES`] are charged to an [`Account`] with the capacity
 //! that is allocated for them. When the budget is short, [`decide`] says which are evicted: first the
-//! bodies that no longer arrive, then the request that asks.
+//! bodies that no longer arrive and the responses that their clients do not read, then the request
+//! that asks.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -14,6 +15,9 @@
 
 /// Size up to which a body is not charged, so that small bodies are always accepted.
 pub const FREE_BYTES: usize = 16 << 10;
+/// Bytes charged with each body or event above [`FREE_BYTES`] for the buffers of its connection: a
+/// parser that receives large bodies keeps one of 32 KiB while another one is in use.
+pub const BUFFER_BYTES: usize = 64 << 10;
 /// Divisor of an account's bytes that gives the bytes which count as progress.
 const STEP_DIVISOR: usize = 256;
 /// Least number of bytes that count as progress.
@@ -21,12 +25,16 @@
 /// Time without progress after which a body may be evicted for another one while memory is short.
 const STALL_TIME: Duration = Duration::from_secs(1);
 
+/// Time without progress after which the connection of a client that does not read its response may
+/// be closed while memory is short.
+const UNREAD_TIME: Duration = Duration::from_secs(3);
+
 /// The memory is needed for others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 #[snafu(display("memory is short"))]
 pub struct MemoryShort;
 
-/// A body that is arriving, as [`decide`] sees it.
+/// A body that is arriving or a response that is not read, as [`decide`] sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
     /// Identifies the account.
@@ -48,7 +56,7 @@
 
 /// Decides which accounts are evicted so that `missing` more bytes become free.
 ///
-/// Stalled bodies do, those first that hold most for the longest time. If they are not enough, none
+/// Stalled ones are, those first that hold most for the longest time. If they are not enough, none
 /// of them is given up.
 #[must_use]
 pub fn decide(mut candidates: Vec<Candidate>, missing: usize) -> Decision {
@@ -70,6 +78,59 @@
     }
 }
 
+/// Whether the peer of a connection reads what is written to it.
+#[derive(Debug, Default)]
+pub struct WriteState(Mutex<Writing>);
+
+#[derive(Debug, Default)]
+struct Writing {
+    /// Since when no write has made progress; none if the last one did.
+    blocked_at: Option<Instant>,
+    evicted: bool,
+    waker: Option<Waker>,
+}
+
+impl WriteState {
+    /// Records that a write has to wait for the peer; returns whether the connection is to be closed,
+    /// otherwise the task is woken when it is.
+    pub fn poll_blocked(&self, now: Instant, cx: &Context<'_>) -> bool {
+        let mut state = self.lock();
+        state.blocked_at.get_or_insert(now);
+        if !state
+            .waker
+            .as_ref()
+            .is_some_and(|w| w.will_wake(cx.waker()))
+        {
+            state.waker = Some(cx.waker().clone());
+        }
+        state.evicted
+    }
+
+    /// Records that a write made progress.
+    pub fn advance(&self) {
+        self.lock().blocked_at = None;
+    }
+
+    /// Returns for how long no write has made progress.
+    fn blocked_for(&self, now: Instant) -> Duration {
+        let blocked_at = self.lock().blocked_at;
+        blocked_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
+    /// Has the connection closed.
+    fn evict(&self) {
+        let mut state = self.lock();
+        state.evicted = true;
+        if let Some(waker) = state.waker.take() {
+            waker.wake();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Writing> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     held: usize,
@@ -79,10 +140,24 @@
     moved: usize,
     /// Whether its body is arriving, so that it may be given up without effect.
     receiving: bool,
+    /// Whether the client reads, if this is a response.
+    reader: Option<Arc<WriteState>>,
     evicted: bool,
     waker: Option<Waker>,
 }
 
+impl Entry {
+    /// Returns for how long the entry has made no progress; none if it is not to be evicted.
+    fn stall(&self, now: Instant) -> Option<Duration> {
+        match &self.reader {
+            _ if self.evicted => None,
+            _ if self.receiving => Some(now.saturating_duration_since(self.moved_at)),
+            Some(reader) => Some(reader.blocked_for(now)).filter(|t| *t >= UNREAD_TIME),
+            None => None,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     /// Bytes of all accounts but the evicted ones.
@@ -133,6 +208,7 @@
     /// None until something is charged.
     id: Option<u64>,
     receiving: bool,
+    reader: Option<Arc<WriteState>>,
 }
 
 impl Account {
@@ -143,6 +219,7 @@
             budget: Arc::clone(budget),
             id: None,
             receiving: true,
+            reader: None,
         }
     }
 
@@ -153,9 +230,18 @@
             budget: Arc::clone(budget),
             id: None,
             receiving: false,
+            reader: None,
         }
     }
 
+    /// Sets the connection of the client that reads the response; it may be closed while memory is
+    /// short if the client does not read.
+    #[must_use]
+    pub fn with_reader(mut self, reader: Option<Arc<WriteState>>) -> Self {
+        self.reader = reader;
+        self
+    }
+
     /// Sets the number of bytes held.
     ///
     /// # Errors
@@ -180,12 +266,12 @@
             state.next_id += 1;
             state.next_id
         });
-        let receiving = self.receiving;
         let entry = state.entries.entry(id).or_insert_with(|| Entry {
             held: 0,
             moved_at: now,
             moved: 0,
-            receiving,
+            receiving: self.receiving,
+            reader: self.reader.clone(),
             evicted: false,
             waker: None,
         });
@@ -232,9 +318,10 @@
 
     /// Returns the bytes of a complete body; the account lasts as long as they do.
     #[must_use]
-    pub fn into_bytes(self, bytes: Vec<u8>) -> Bytes {
+    pub fn into_bytes(self, bytes: impl Into<Bytes>) -> Bytes {
+        let bytes = bytes.into();
         let Some(id) = self.id else {
-            return bytes.into();
+            return bytes;
         };
         if let Some(entry) = self.budget.lock().entries.get_mut(&id) {
             entry.receiving = false;
@@ -266,11 +353,13 @@
     let candidates = state
         .entries
         .iter()
-        .filter(|(id, e)| e.receiving && !e.evicted && Some(**id) != asking)
-        .map(|(id, e)| Candidate {
-            id: *id,
-            held: e.held,
-            idle: now.saturating_duration_since(e.moved_at),
+        .filter(|(id, _)| Some(**id) != asking)
+        .filter_map(|(id, e)| {
+            Some(Candidate {
+                id: *id,
+                held: e.held,
+                idle: e.stall(now)?,
+            })
         })
         .collect();
     let Decision::Evict(ids) = decide(candidates, missing) else {
@@ -286,13 +375,16 @@
         if let Some(waker) = entry.waker.take() {
             waker.wake();
         }
+        if let Some(reader) = &entry.reader {
+            reader.evict();
+        }
     }
     Ok(())
 }
 
 /// Bytes that are charged until they are dropped.
 struct Charged {
-    bytes: Vec<u8>,
+    bytes: Bytes,
     /// Releases the charge.
     #[allow(dead_code, reason = "held for its drop")]
     account: Account,
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -28,6 +28,7 @@
 use crate::event_loop;
 use crate::head_timer::{HeadTimer, SharedTimeout};
 use crate::linger::LingerQueue;
+use crate::memory::WriteState;
 use crate::poller::Watched;
 use crate::socket::SocketStream;
 use crate::stall::WriteTimeout;
@@ -509,7 +510,10 @@
     };
     let admitted = Cell::new(opened.admitted);
     let tracing = Rc::clone(&trace);
+    let writing: Arc<WriteState> = Arc::default();
+    let state = Arc::clone(&writing);
     let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(Arc::clone(&writing));
         // Only the first request on the connection was judged.
         if admitted.take() {
             request.extensions_mut().insert(Admitted);
@@ -521,7 +525,7 @@
         async move { Ok::<_, Infallible>(response.await.map(|body| trace.respond(body))) }
     });
     let stream = Traced::new(
-        WriteTimeout::new(stream, limits.write_timeout),
+        WriteTimeout::new(stream, limits.write_timeout).with_state(state),
         Rc::clone(&trace),
     );
     let mut serving = http1::Builder::new()
--- a/crates/net/src/sse.rs
+++ b/crates/net/src/sse.rs
@@ -33,6 +33,23 @@
         Self::default()
     }
 
+    /// Returns the bytes of memory that the splitter holds.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Returns the bytes of memory that the splitter holds once `count` bytes are appended.
+    #[must_use]
+    pub fn capacity_with(&self, count: usize) -> usize {
+        let needed = self.buffer.len() + count;
+        if needed <= self.capacity() {
+            self.capacity()
+        } else {
+            needed.max(2 * self.capacity())
+        }
+    }
+
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
--- a/crates/net/src/stall.rs
+++ b/crates/net/src/stall.rs
@@ -6,18 +6,22 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use hyper::rt::{Read, ReadBufCursor, Write};
 
+use crate::memory::WriteState;
+
 /// A connection whose writes time out if they make no progress.
 pub struct WriteTimeout<S> {
     inner: S,
     limit: Duration,
     timer: Option<LocalBoxFuture<'static, ()>>,
+    state: Arc<WriteState>,
 }
 
 impl<S> std::fmt::Debug for WriteTimeout<S> {
@@ -36,9 +40,17 @@
             inner,
             limit,
             timer: None,
+            state: Arc::default(),
         }
     }
 
+    /// Sets where progress is recorded, and which may have the connection closed earlier.
+    #[must_use]
+    pub fn with_state(mut self, state: Arc<WriteState>) -> Self {
+        self.state = state;
+        self
+    }
+
     /// Returns the wrapped connection.
     #[must_use]
     pub fn get_ref(&self) -> &S {
@@ -52,9 +64,17 @@
         polled: Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
         if polled.is_ready() {
-            self.timer = None;
+            if self.timer.take().is_some() {
+                self.state.advance();
+            }
             return polled;
         }
+        if self.state.poll_blocked(Instant::now(), cx) {
+            return Poll::Ready(Err(io::Error::new(
+                io::ErrorKind::TimedOut,
+                "memory is short and the peer does not read",
+            )));
+        }
         let limit = self.limit;
         let timer = self
             .timer
--- a/crates/net/tests/memory.rs
+++ b/crates/net/tests/memory.rs
@@ -1,9 +1,13 @@
 //! Who gives way while memory is short.
 
 use std::sync::Arc;
+use std::task::Context;
 use std::time::{Duration, Instant};
 
-use hibiscusrail_net::memory::{Account, Budget, Candidate, Decision, MemoryShort, decide};
+use futures_util::task::noop_waker_ref;
+use hibiscusrail_net::memory::{
+    Account, Budget, Candidate, Decision, MemoryShort, WriteState, decide,
+};
 
 fn candidate(id: u64, held: usize, idle_ms: u64) -> Candidate {
     let idle = Duration::from_millis(idle_ms);
@@ -58,3 +62,32 @@
     let later = start + Duration::from_secs(9);
     assert_eq!(second.resize(later, 300), Err(MemoryShort));
 }
+
+/// Guards against responses that their clients don't read and that keep all others out, and against
+/// the eviction of one whose client reads.
+#[test]
+fn account_unread_response_gives_way_after_some_seconds() {
+    let (budget, start) = (Arc::new(Budget::new(1_000)), Instant::now());
+    let cx = Context::from_waker(noop_waker_ref());
+    let [unread, read] = [(); 2].map(|()| Arc::<WriteState>::default());
+    let response = |reader: &Arc<WriteState>| {
+        let account = Account::for_response(&budget).with_reader(Some(Arc::clone(reader)));
+        let mut account = account;
+        assert_eq!(account.resize(start, 400), Ok(()));
+        account.into_bytes(vec![1; 400])
+    };
+    let (_first, _second) = (response(&unread), response(&read));
+    for reader in [&unread, &read] {
+        assert!(!reader.poll_blocked(start, &cx));
+    }
+    let soon = start + Duration::from_secs(2);
+    let mut other = Account::for_request(&budget);
+    assert_eq!(other.resize(soon, 500), Err(MemoryShort));
+    read.advance();
+    assert!(!read.poll_blocked(soon, &cx));
+    let later = start + Duration::from_secs(4);
+    assert_eq!(other.resize(later, 500), Ok(()));
+    assert!(unread.poll_blocked(later, &cx));
+    assert!(!read.poll_blocked(later, &cx));
+    assert_eq!((budget.held(), budget.evictions()), (900, 1));
+}
--- a/crates/net/tests/turns.rs
+++ b/crates/net/tests/turns.rs
@@ -252,3 +252,22 @@
         ));
     });
 }
+
+/// Guards against an announced oversize body that is read up to the limit before it is refused.
+#[test]
+fn collect_refuses_announced_oversize_at_head() {
+    run(async {
+        let head = b"HTTP/1.1 200 OK\r\ncontent-length: 50001\r\n\r\n";
+        // No byte of the body ever arrives.
+        let peer = Peer::start(head, b"");
+        let mut connection = peer.connect().await;
+        let response = peer.call(&mut connection, std::future::ready).await;
+        let incoming = response.expect("the head is complete").into_body();
+        let reading = connection.wait(body::collect(incoming, 50_000));
+        let collected = hibiscusrail_net::timeout(TIMEOUT, reading).await;
+        assert!(matches!(
+            collected,
+            Ok(Err(CollectError::TooLarge { limit: 50_000 }))
+        ));
+    });
+}
--- a/crates/settings/src/front.rs
+++ b/crates/settings/src/front.rs
@@ -57,6 +57,9 @@
 /// for servers, routers, the store and files.
 const CALLER_FD_FRACTION: f64 = 0.8;
 
+/// Memory of the host for each connection from a caller, which bounds their number: a small body that
+/// has not arrived in full, and the buffers of the connection and of that to the server.
+const CONNECTION_BYTES: usize = 48 << 10;
 /// Default of the host's memory in megabytes, which no router reaches.
 const DEFAULT_MEMORY_MB: u32 = 1_000_000;
 /// Bytes in a megabyte.
@@ -67,7 +70,8 @@
     #[must_use]
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn max_caller_connections(&self) -> usize {
-        (f64::from(self.max_open_files) * CALLER_FD_FRACTION) as usize
+        let by_files = (f64::from(self.max_open_files) * CALLER_FD_FRACTION) as usize;
+        by_files.min(self.memory_bytes() / CONNECTION_BYTES)
     }
 
     /// Returns the memory of the host in bytes.
