process-tests: test random faults of real processes and of their connections

A seeded run pauses, kills, stops and restarts three to five routers, restores the store from a copy, and delays, cuts, silences and resets the connections to it and to the servers. Checked are responses, runs, refusals and events as clients and servers see them, and that a revoked key and a departed server are out of use.

--- a/crates/process-tests/src/http.rs
+++ b/crates/process-tests/src/http.rs
@@ -34,6 +34,37 @@
         self.text.split_whitespace().nth(1).unwrap_or_default()
     }
 
+    /// Reads the rest of a body; returns it and whether it is complete.
+    pub fn read_bytes(&self, stream: &mut TcpStream) -> (Vec<u8>, bool) {
+        let is_chunked = self
+            .header("transfer-encoding")
+            .is_some_and(|t| t.eq_ignore_ascii_case("chunked"));
+        let length = self.header("content-length").and_then(|l| l.parse().ok());
+        let mut received = self.rest.clone();
+        let mut buffer = vec![0; READ_BYTES];
+        loop {
+            let (body, complete) = if is_chunked {
+                join_chunks(&received)
+            } else {
+                let end = length.unwrap_or(0usize).min(received.len());
+                (received[..end].to_vec(), end == length.unwrap_or(0))
+            };
+            if complete {
+                return (body, true);
+            }
+            match stream.read(&mut buffer) {
+                Ok(count) if count > 0 => received.extend_from_slice(&buffer[..count]),
+                _ => return (body, false),
+            }
+        }
+    }
+
+    /// Reads the rest of a body of text; returns it and whether it is complete.
+    pub fn read_text(&self, stream: &mut TcpStream) -> (String, bool) {
+        let (bytes, complete) = self.read_bytes(stream);
+        (String::from_utf8_lossy(&bytes).into_owned(), complete)
+    }
+
     /// Reads and drops the rest of a body with a length.
     ///
     /// # Errors
@@ -55,6 +86,29 @@
     }
 }
 
+/// Returns the content of the chunks in `bytes`, and whether the last one is there.
+fn join_chunks(mut bytes: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    loop {
+        let Some(end) = bytes.windows(2).position(|w| w == b"\r\n") else {
+            return (body, false);
+        };
+        let size = std::str::from_utf8(&bytes[..end]).unwrap_or_default();
+        let Ok(size) = usize::from_str_radix(size, 16) else {
+            return (body, false);
+        };
+        let rest = &bytes[end + 2..];
+        body.extend_from_slice(&rest[..size.min(rest.len())]);
+        if rest.len() < size + 2 {
+            return (body, false);
+        }
+        if size == 0 {
+            return (body, true);
+        }
+        bytes = &rest[size + 2..];
+    }
+}
+
 /// Opens a connection whose reads and writes time out.
 ///
 /// # Errors
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -3,6 +3,10 @@
 
 pub mod http;
 pub mod process;
+pub mod proxy;
 
 #[path = "../../../platform/process_standin.rs"]
 pub mod standin;
+
+#[path = "../../../platform/fault_standin.rs"]
+pub mod faults;
--- a/crates/process-tests/src/process.rs
+++ b/crates/process-tests/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -25,6 +25,17 @@
     listener.local_addr().expect("the listener is bound")
 }
 
+/// Signal to a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    /// Stops it in an orderly way.
+    Terminate,
+    /// Pauses it.
+    Pause,
+    /// Has it go on.
+    Resume,
+}
+
 /// A running router; it is killed when dropped.
 #[derive(Debug)]
 pub struct Router {
@@ -42,33 +53,69 @@
     /// If the program is not built, which `cargo test --workspace` does, or does not start.
     #[must_use]
     pub fn start(store: SocketAddr, memory_mb: u32) -> Self {
-        let test = std::env::current_exe().expect("the test has a path");
-        let folder = test.ancestors().nth(2).expect("tests are in target/*/deps");
-        let program = folder.join("hibiscusrail-front");
+        Self::start_named("r1", store, memory_mb)
+    }
+
+    /// Starts a router with a name, like [`Self::start`].
+    ///
+    /// # Panics
+    ///
+    /// If the program is not built or does not start.
+    #[must_use]
+    pub fn start_named(name: &str, store: SocketAddr, memory_mb: u32) -> Self {
         let address = free_address();
         let [ready, peer, metrics] = [(); 3].map(|()| free_address());
         let text = format!(
-            "[front]\nname = r1\nzone = z1\nlisten = {address}\nready_listen = {ready}\n\
+            "[front]\nname = {name}\nzone = z1\nlisten = {address}\nready_listen = {ready}\n\
              peer_listen = {peer}\nmetrics_listen = {metrics}\nlog_level = warn\n\
              memory = {memory_mb}\n[store]\naddress = {store}\n"
         );
-        let name = format!("hibiscusrail-{}-{}.ini", std::process::id(), address.port());
-        let settings = std::env::temp_dir().join(name);
+        let file = format!("hibiscusrail-{}-{}.ini", std::process::id(), address.port());
+        let settings = std::env::temp_dir().join(file);
         fs::write(&settings, text).expect("the folder for temporary files is writable");
-        let child = Command::new(&program)
-            .arg("--config")
-            .arg(&settings)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .unwrap_or_else(|e| panic!("{}: {e}", program.display()));
         Self {
             address,
-            child,
+            child: spawn(&settings),
             settings,
         }
     }
 
+    /// Kills the process if it runs, and starts it again with the same settings.
+    ///
+    /// # Panics
+    ///
+    /// If the program does not start.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = spawn(&self.settings);
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        // Both fail only if the process has ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends a signal to the process if it runs.
+    ///
+    /// # Panics
+    ///
+    /// If the system has no program `kill`.
+    pub fn signal(&mut self, signal: Signal) {
+        if !self.is_alive() {
+            return;
+        }
+        let name = match signal {
+            Signal::Terminate => "-TERM",
+            Signal::Pause => "-STOP",
+            Signal::Resume => "-CONT",
+        };
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([name, &id]).status();
+        sent.expect("the system sends signals");
+    }
+
     /// Returns whether the process runs.
     pub fn is_alive(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
@@ -105,9 +152,22 @@
 
 impl Drop for Router {
     fn drop(&mut self) {
-        // Both fail only if the process has ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
+        // A file that is left behind does no harm.
         let _ = fs::remove_file(&self.settings);
     }
 }
+
+/// Starts the router's program, which is beside the test's folder.
+fn spawn(settings: &Path) -> Child {
+    let test = std::env::current_exe().expect("the test has a path");
+    let folder = test.ancestors().nth(2).expect("tests are in target/*/deps");
+    let program = folder.join("hibiscusrail-front");
+    let child = Command::new(&program)
+        .arg("--config")
+        .arg(settings)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn();
+    child.unwrap_or_else(|e| panic!("{}: {e}", program.display()))
+}
--- /dev/null
+++ b/crates/process-tests/tests/faults.rs
@@ -0,0 +1,377 @@
+//! Random faults of real processes: routers that are paused, killed, stopped and restarted, and
+//! connections to the store and to the servers that are delayed, cut in one direction, silenced and
+//! reset, one after another and at the same time.
+//!
+//! Checked is what clients and servers see. The environment variable `FAULT_SEEDS` gives the seeds of
+//! a longer run, separated by commas, and `FAULT_SECONDS` the time of the faults for each.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hibiscusrail_process_tests::faults::{Answer, Client, EVENTS, KEY, REVOKED_KEY, Server, Store};
+use hibiscusrail_process_tests::process::{Router, Signal, lock};
+use hibiscusrail_process_tests::proxy::{Disturbance, Proxy};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+/// Seed of the short run.
+const SEED: u64 = 1;
+/// Time of the faults in a run, in seconds.
+const FAULT_SECONDS: u64 = 15;
+/// Memory of each router's host in megabytes.
+const MEMORY_MB: u32 = 200;
+/// Number of clients.
+const CLIENTS: u64 = 6;
+/// Time in which a calm deployment has to know of a change: the default bounds on drain and
+/// configuration (2 s), with the time for routers that were paused or have started to catch up.
+const SETTLE_TIME: Duration = Duration::from_secs(8);
+/// Time after the restore of the store in which the operator and the platform write again.
+const REWRITE_TIME: Duration = Duration::from_millis(800);
+/// Longest wait for a deployment that serves.
+const START_TIME: Duration = Duration::from_secs(30);
+
+/// A request and what its client got.
+#[derive(Debug)]
+struct Call {
+    id: String,
+    route: &'static str,
+    answer: Answer,
+}
+
+/// Routers, servers and the store, with proxies between them.
+struct Deployment {
+    store: Arc<Store>,
+    routers: Vec<Router>,
+    servers: Vec<Server>,
+    proxies: Vec<Proxy>,
+    keys: Vec<&'static str>,
+    version: u64,
+    /// Servers that have left, by index.
+    gone: BTreeSet<usize>,
+}
+
+impl Deployment {
+    fn start(random: &mut SmallRng) -> Self {
+        let (store, address) = Store::start();
+        let keys = vec![KEY, REVOKED_KEY];
+        store.configure(1, &keys);
+        let mut proxies = Vec::new();
+        let servers: Vec<Server> = (0..3).map(|n| Server::start(&format!("s{n}"))).collect();
+        for server in &servers {
+            let proxy = Proxy::start(server.address);
+            server.register(&store, proxy.address);
+            proxies.push(proxy);
+        }
+        let count = random.random_range(3..=5);
+        let routers = (0..count).map(|n| {
+            let proxy = Proxy::start(address);
+            let router = Router::start_named(&format!("r{n}"), proxy.address, MEMORY_MB);
+            proxies.push(proxy);
+            router
+        });
+        let routers = routers.collect();
+        Self {
+            store,
+            routers,
+            servers,
+            proxies,
+            keys,
+            version: 1,
+            gone: BTreeSet::new(),
+        }
+    }
+
+    /// Waits until each router serves.
+    fn await_service(&self, name: &str) {
+        let until = Instant::now() + START_TIME;
+        for (number, router) in self.routers.iter().enumerate() {
+            for attempt in 0.. {
+                let id = format!("{name}-{number}-{attempt}");
+                let answer = Client::new(router.address).call("/again/", &id, KEY);
+                if matches!(answer, Answer::Complete(200, _)) {
+                    break;
+                }
+                assert!(Instant::now() < until, "router {number}: {answer:?}");
+                thread::sleep(Duration::from_millis(200));
+            }
+        }
+    }
+
+    /// Causes one fault.
+    fn disturb(&mut self, random: &mut SmallRng) -> String {
+        let router = random.random_range(0..self.routers.len());
+        let proxy = random.random_range(0..self.proxies.len());
+        match random.random_range(0..13) {
+            0 => {
+                self.routers[router].kill();
+                format!("kill router {router}")
+            }
+            1 => {
+                self.routers[router].signal(Signal::Pause);
+                format!("pause router {router}")
+            }
+            2 => {
+                self.routers[router].signal(Signal::Terminate);
+                format!("stop router {router}")
+            }
+            3 | 4 => {
+                self.routers[router].restart();
+                format!("restart router {router}")
+            }
+            5 => {
+                self.routers[router].signal(Signal::Resume);
+                format!("resume router {router}")
+            }
+            6 => {
+                self.proxies[proxy].reset();
+                format!("reset the connections of proxy {proxy}")
+            }
+            7 => {
+                self.store.copy();
+                "copy the store".to_owned()
+            }
+            8 => {
+                self.restore();
+                "restore the store".to_owned()
+            }
+            9 if self.gone.is_empty() => {
+                self.servers[2].leave(&self.store);
+                self.gone.insert(2);
+                "server 2 leaves".to_owned()
+            }
+            10 if self.version == 1 => {
+                self.keys.retain(|k| *k != REVOKED_KEY);
+                self.version += 1;
+                self.store.configure(self.version, &self.keys);
+                "revoke a key".to_owned()
+            }
+            _ => {
+                let delay = Duration::from_millis(random.random_range(5..200));
+                let choices = [
+                    Disturbance::Calm,
+                    Disturbance::Calm,
+                    Disturbance::Delayed(delay),
+                    Disturbance::CutThere,
+                    Disturbance::CutBack,
+                    Disturbance::Silent,
+                ];
+                let choice = *choices.choose(random).expect("there are choices");
+                self.proxies[proxy].disturb(choice);
+                format!("proxy {proxy}: {choice:?}")
+            }
+        }
+    }
+
+    /// Restores the store from its last copy; the operator and the platform write again what it lacks.
+    fn restore(&self) {
+        self.store.restore();
+        thread::sleep(REWRITE_TIME);
+        self.write_again();
+    }
+
+    fn write_again(&self) {
+        self.store.configure(self.version, &self.keys);
+        for server in &self.gone {
+            self.servers[*server].leave(&self.store);
+        }
+    }
+
+    /// Ends all faults, has the changes made that were not, and waits until they have to be known.
+    fn settle(&mut self) {
+        for proxy in &self.proxies {
+            proxy.disturb(Disturbance::Calm);
+        }
+        for router in &mut self.routers {
+            router.signal(Signal::Resume);
+            if !router.is_alive() {
+                router.restart();
+            }
+        }
+        self.gone.insert(2);
+        self.keys.retain(|k| *k != REVOKED_KEY);
+        self.version += 1;
+        self.write_again();
+        thread::sleep(SETTLE_TIME);
+        for router in &mut self.routers {
+            if !router.is_alive() {
+                // It had been told to stop.
+                router.restart();
+            }
+        }
+    }
+}
+
+/// Sends requests to random routers until `ended`, and keeps its connections as long as it can.
+fn run_client(
+    number: u64,
+    seed: u64,
+    routers: &[std::net::SocketAddr],
+    ended: &AtomicBool,
+) -> Vec<Call> {
+    let mut random = SmallRng::seed_from_u64(seed * 1_000 + number);
+    let mut clients: Vec<Client> = routers.iter().map(|a| Client::new(*a)).collect();
+    let mut calls = Vec::new();
+    while !ended.load(Ordering::Relaxed) {
+        let client = random.random_range(0..clients.len());
+        let route = *["again", "once", "once", "stream"]
+            .choose(&mut random)
+            .expect("there are routes");
+        let id = format!("c{number}-{}", calls.len());
+        let key = if random.random_bool(0.3) {
+            REVOKED_KEY
+        } else {
+            KEY
+        };
+        let answer = clients[client].call(&format!("/{route}/"), &id, key);
+        calls.push(Call { id, route, answer });
+        thread::sleep(Duration::from_millis(random.random_range(0..30)));
+    }
+    calls
+}
+
+/// Returns what is wrong with a response.
+fn check_answer(call: &Call, runs: usize) -> Option<String> {
+    let Call { id, route, answer } = call;
+    if *route == "once" && runs > 1 {
+        return Some(format!("{id} ran {runs} times"));
+    }
+    if answer.is_refusal() && runs > 0 {
+        return Some(format!("{id} was refused and ran {runs} times: {answer:?}"));
+    }
+    let (Answer::Complete(status, body) | Answer::Broken(status, body)) = answer else {
+        return None;
+    };
+    if *status == 0 {
+        return Some(format!("{id} got the response of another request"));
+    }
+    if *status != 200 {
+        return None;
+    }
+    let is_complete = matches!(answer, Answer::Complete(..));
+    if *route == "stream" {
+        return check_events(id, body, is_complete);
+    }
+    let expected = format!("response to {id}\n");
+    let is_right = if is_complete {
+        *body == expected
+    } else {
+        expected.starts_with(body.as_str())
+    };
+    (!is_right).then(|| format!("{id} got {body:?}"))
+}
+
+/// Returns what is wrong with the events of a stream, which may break off if it is not complete.
+fn check_events(id: &str, body: &str, is_complete: bool) -> Option<String> {
+    let events: Vec<&str> = body.split("\n\n").collect();
+    // What follows the last blank line is not an event.
+    let (rest, events) = events.split_last()?;
+    let mut next = 1;
+    let mut is_done = false;
+    for event in events {
+        if *event == "data: [DONE]" {
+            is_done = true;
+            continue;
+        }
+        if is_done || *event != format!("id: {next}\ndata: {id}") {
+            return Some(format!("{id} got {event:?} in place of event {next}"));
+        }
+        next += 1;
+    }
+    let ended = is_done && next == EVENTS + 1 && rest.is_empty();
+    (is_complete && !ended).then(|| format!("{id} ended before event {next}: {body:?}"))
+}
+
+/// Runs faults for some time and returns everything that went wrong.
+fn run_seed(seed: u64, time: Duration) -> Vec<String> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut deployment = Deployment::start(&mut random);
+    deployment.await_service("first");
+    let routers: Vec<_> = deployment.routers.iter().map(|r| r.address).collect();
+    let ended = AtomicBool::new(false);
+    let calls = Mutex::new(Vec::new());
+    let started = Instant::now();
+    thread::scope(|scope| {
+        for number in 0..CLIENTS {
+            let (routers, ended, calls) = (&routers, &ended, &calls);
+            scope.spawn(move || {
+                let own = run_client(number, seed, routers, ended);
+                calls
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .extend(own);
+            });
+        }
+        while started.elapsed() < time {
+            let fault = deployment.disturb(&mut random);
+            println!("{:6} ms: {fault}", started.elapsed().as_millis());
+            thread::sleep(Duration::from_millis(random.random_range(0..700)));
+        }
+        ended.store(true, Ordering::Relaxed);
+        // Paused processes keep their clients waiting.
+        for router in &mut deployment.routers {
+            router.signal(Signal::Resume);
+        }
+    });
+    deployment.settle();
+    deployment.await_service("last");
+    let mut wrong = check_gone(&deployment);
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for arrival in deployment.servers.iter().flat_map(Server::arrivals) {
+        *runs.entry(arrival.id).or_default() += 1;
+    }
+    let calls = calls.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let served = |c: &&Call| matches!(c.answer, Answer::Complete(200, _));
+    println!(
+        "seed {seed}: {} requests, {} served",
+        calls.len(),
+        calls.iter().filter(served).count()
+    );
+    wrong.extend(
+        calls
+            .iter()
+            .filter_map(|call| check_answer(call, runs.get(&call.id).copied().unwrap_or(0))),
+    );
+    wrong
+}
+
+/// Returns which routers of a calm deployment use the revoked key or the server that has left.
+fn check_gone(deployment: &Deployment) -> Vec<String> {
+    let mut wrong = Vec::new();
+    let checked_at = Instant::now();
+    for (number, router) in deployment.routers.iter().enumerate() {
+        for attempt in 0..10 {
+            let mut client = Client::new(router.address);
+            let id = format!("revoked-{number}-{attempt}");
+            let answer = client.call("/again/", &id, REVOKED_KEY);
+            if matches!(answer, Answer::Complete(200, _)) {
+                wrong.push(format!("router {number} served a revoked key"));
+            }
+            client.call("/again/", &format!("kept-{number}-{attempt}"), KEY);
+        }
+    }
+    for arrival in deployment.servers[2].arrivals() {
+        if arrival.at > checked_at {
+            wrong.push(format!("{} reached a server that had left", arrival.id));
+        }
+    }
+    wrong
+}
+
+#[test]
+fn random_faults_keep_guarantees() {
+    let _guard = lock();
+    let read = |name: &str| std::env::var(name).ok();
+    let seeds = read("FAULT_SEEDS").unwrap_or_else(|| SEED.to_string());
+    let seconds = read("FAULT_SECONDS").and_then(|s| s.parse().ok());
+    let time = Duration::from_secs(seconds.unwrap_or(FAULT_SECONDS));
+    let mut wrong = Vec::new();
+    for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
+        let found = run_seed(seed, time);
+        wrong.extend(found.into_iter().map(|w| format!("seed {seed}: {w}")));
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
