net, front, settings: test evictions, the bound on connections and the end of a stalled stream

The test of a stalled stream ended at the deadline of its request, five seconds, so it also passed without the bound that it is for; its deadline is now 25 seconds.

--- a/crates/front/tests/all/streams.rs
+++ b/crates/front/tests/all/streams.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use compio::BufResult;
+use compio::io::AsyncWriteExt;
+use compio::net::TcpStream;
 use hibiscusrail_net::sse::MAX_EVENT_BYTES;
 
 use super::support::{
     Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, count_turns, event, full_response, header,
-    run, status, wait_until,
+    read_all, run, status, wait_until,
 };
 
 /// Parts of a response that a router may read before other tasks have a turn.
@@ -319,6 +322,20 @@
     });
 }
 
+/// Sends a request with a deadline far beyond the time for which [`Front::call`] waits.
+async fn call_patiently(front: &Front, path: &str) -> String {
+    let text = format!(
+        "POST {path} HTTP/1.1\r\nhost: host\r\nauthorization: Bearer key\r\nx-id: r1\r\n\
+         x-wait-ms: 25000\r\nconnection: close\r\n\r\n"
+    );
+    let mut stream = TcpStream::connect(front.address).await.expect("it listens");
+    let BufResult(written, _) = stream.write_all(text.into_bytes()).await;
+    written.expect("the router reads the request");
+    compio::time::timeout(Duration::from_secs(30), read_all(&mut stream))
+        .await
+        .expect("the stream ends by its deadline")
+}
+
 /// Guards against a stalled stream that a byte or a comment now and then keeps open: its caller has
 /// given it up after eight seconds.
 #[test]
@@ -337,7 +354,7 @@
                     route.max_pause = Some(Duration::from_millis(500));
                 }
             });
-            let response = front.call("/stream/x", "").await;
+            let response = call_patiently(&front, "/stream/x").await;
             assert!(response.contains(&event(1)), "{response}");
             assert!(!response.contains(&event(2)), "{response}");
         });
--- a/crates/net/tests/stall.rs
+++ b/crates/net/tests/stall.rs
@@ -2,9 +2,11 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use hibiscusrail_net::memory::{Account, Budget, WriteState};
 use hibiscusrail_net::stall::WriteTimeout;
 use hyper::rt::Write;
 
@@ -49,3 +51,27 @@
         assert_eq!(error.kind(), io::ErrorKind::TimedOut);
     });
 }
+
+/// Guards against a connection that goes on to hold a response which was evicted, until its timeout.
+#[test]
+fn write_fails_once_response_is_evicted() {
+    let runtime = compio::runtime::Runtime::new().expect("the event loop is created");
+    runtime.block_on(async {
+        let (budget, state) = (Arc::new(Budget::new(500)), Arc::<WriteState>::default());
+        let reader = Some(Arc::clone(&state));
+        let mut held = Account::for_response(&budget).with_reader(reader);
+        held.resize(Instant::now(), 400)
+            .expect("the budget suffices");
+        let limited = WriteTimeout::new(Full { writes: 0 }, Duration::from_secs(600));
+        let mut limited = limited.with_state(state);
+        let write = std::future::poll_fn(|cx| Pin::new(&mut limited).poll_write(cx, b"x"));
+        let evict = async {
+            let later = Instant::now() + Duration::from_secs(4);
+            let mut other = Account::for_request(&budget);
+            other.resize(later, 500).expect("the peer has not read");
+        };
+        let (written, ()) = futures_util::join!(write, evict);
+        let error = written.expect_err("the connection is to be closed");
+        assert_eq!(error.kind(), io::ErrorKind::TimedOut);
+    });
+}
--- a/crates/net/tests/turns.rs
+++ b/crates/net/tests/turns.rs
@@ -257,11 +257,19 @@
 #[test]
 fn collect_refuses_announced_oversize_at_head() {
     run(async {
-        let head = b"HTTP/1.1 200 OK\r\ncontent-length: 50001\r\n\r\n";
         // No byte of the body ever arrives.
-        let peer = Peer::start(head, b"");
-        let mut connection = peer.connect().await;
-        let response = peer.call(&mut connection, std::future::ready).await;
+        let head = b"HTTP/1.1 200 OK\r\ncontent-length: 50001\r\n\r\n";
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback is up");
+        let address = listener.local_addr().expect("the listener is bound");
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("the caller connects");
+            stream.write_all(head).expect("the head fits");
+            // Until the caller closes the connection.
+            while stream.read(&mut [0; 4_096]).is_ok_and(|count| count > 0) {}
+        });
+        let opened = connect_owned(address, TIMEOUT).await;
+        let mut connection = opened.expect("the peer listens");
+        let response = connection.try_send(request()).await.ok();
         let incoming = response.expect("the head is complete").into_body();
         let reading = connection.wait(body::collect(incoming, 50_000));
         let collected = hibiscusrail_net::timeout(TIMEOUT, reading).await;
--- a/crates/settings/src/front.rs
+++ b/crates/settings/src/front.rs
@@ -59,7 +59,7 @@
 
 /// Memory of the host for each connection from a caller, which bounds their number: a small body that
 /// has not arrived in full, and the buffers of the connection and of that to the server.
-const CONNECTION_BYTES: usize = 48 << 10;
+const CONNECTION_BYTES: usize = 40 << 10;
 /// Default of the host's memory in megabytes, which no router reaches.
 const DEFAULT_MEMORY_MB: u32 = 1_000_000;
 /// Bytes in a megabyte.
--- a/crates/settings/tests/front.rs
+++ b/crates/settings/tests/front.rs
@@ -59,3 +59,20 @@
     let errors = FrontSettings::parse("s.ini", &text).unwrap_err();
     assert!(errors.to_string().contains("[rollout] slack: missing"));
 }
+
+/// Guards against more connections than the host's memory can hold, and against a bound that a host of
+/// the documented sizes would meet before that of its descriptors.
+#[test]
+fn max_caller_connections_is_bounded_by_memory() {
+    let connections = |descriptors: u32, memory: u32| {
+        let text = MINIMAL.replace(
+            "[front]\n",
+            &format!("[front]\ndescriptors = {descriptors}\nmemory = {memory}\n"),
+        );
+        let settings = FrontSettings::parse("s.ini", &text).expect("the settings are valid");
+        settings.max_caller_connections()
+    };
+    assert_eq!(connections(3_075, 120), 2_460);
+    assert_eq!(connections(10_250, 512), 8_200);
+    assert_eq!(connections(10_250, 20), 488);
+}
