--- a/crates/fuzzing/tests/config.rs
+++ b/crates/fuzzing/tests/config.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hibiscusrail_core::RouterId;
+use hibiscusrail_core::configuration::Version;
 use hibiscusrail_core::configuration::exchange::NotReady;
 use hibiscusrail_core::membership::MemberState;
 use hibiscusrail_fuzzing::config::{Action, Fleet, ROUTERS, action};
@@ -101,6 +102,7 @@
     fleet.apply(&Action::Partition(1 << 1 | 1 << 2));
     fleet.restart(2);
     fleet.advance(Duration::from_secs(1));
+    assert_eq!(fleet.router(2).config().head(), Version(1));
     fleet.apply(&Action::Partition(0));
     fleet.advance(Duration::from_secs(5));
     fleet.check_converged();
