fleet: keep versions of replaced orders out after restarts

Found by the fuzzing target: a router that started after an order was replaced, or that never read the replaced one, sent requests to its version. The status row names these versions, each router reads it once for an order, and a version first seen with another one's order counts as old only if there is no other.

--- a/crates/fleet/src/fleet/rollouts.rs
+++ b/crates/fleet/src/fleet/rollouts.rs
@@ -35,6 +35,17 @@
         self.rollouts.proposals(now, epoch_ms, rank)
     }
 
+    /// Returns the status to write for a proposal, now that the status row was read; none if it is
+    /// not right any more.
+    pub fn confirm_rollout(
+        &mut self,
+        now: Instant,
+        proposal: &Proposal,
+        read: Option<&Status>,
+    ) -> Option<Status> {
+        self.rollouts.confirm(now, proposal, read)
+    }
+
     pub(super) fn apply_rollout_orders(&mut self, now: Instant, revision: Revision, first: bool) {
         let learner = Learner {
             router: self.own_hash.0,
--- a/crates/fleet/src/rollout/mod.rs
+++ b/crates/fleet/src/rollout/mod.rs
@@ -155,7 +155,14 @@
     }
 
     /// Puts a new order of a service in force.
-    fn replace(&mut self, service: &str, rollout: Rollout) {
+    fn replace(&mut self, service: &str, mut rollout: Rollout) {
+        let before = self.services.get(service);
+        for version in self.present.get(service).into_iter().flatten().map(|p| p.0) {
+            let was_unordered = before.is_some_and(|b| b.to != *version && !b.is_old(version));
+            if was_unordered || !self.admits_unordered(service, version) {
+                rollout.observe_unordered(version);
+            }
+        }
         let detail = format!(
             "order={} to={} duration_ms={} credit={:.2} status_known={}",
             rollout.version,
@@ -209,6 +216,13 @@
         for server in servers {
             let is_old = is_first && oldest.as_ref() == Some(&server.backend.version);
             let first = (!is_old).then_some(now);
+            let rollout = self.services.get_mut(service);
+            if first.is_some()
+                && !present.contains_key(&server.backend.version)
+                && let Some(rollout) = rollout
+            {
+                rollout.observe_unordered(&server.backend.version);
+            }
             present.entry(version(server)).or_insert(first);
         }
     }
@@ -256,12 +270,12 @@
         let is_new = version == rollout.to;
         match rollout.state {
             State::Completed => is_new || !present.is_some_and(|p| p.contains_key(&rollout.to)),
-            State::Reverted => !is_new,
+            State::Reverted => rollout.is_old(version),
             State::InProgress if !rollout.saw_others => true,
             State::InProgress => match turn {
                 Some(Turn::New) => is_new && rollout.has_focus(server.hash, now),
                 Some(Turn::Resume) => is_new,
-                Some(Turn::Old) | None => !is_new,
+                Some(Turn::Old) | None => rollout.is_old(version),
             },
         }
     }
@@ -396,12 +410,40 @@
         proposals
     }
 
-    /// Returns whether a proposal that was made before is still right, so that its status may be
-    /// written; the calls before the write may take longer than a fault takes to be found.
-    #[must_use]
-    pub fn is_wanted(&self, now: Instant, proposal: &Proposal) -> bool {
-        let rollout = self.services.get(&proposal.service);
-        rollout.is_some_and(|r| r.is_wanted(now, proposal))
+    /// Returns the status to write for a proposal, now that the status row was read; none if it is
+    /// not right any more, as the calls before the write may take longer than a fault takes to be
+    /// found.
+    pub fn confirm(
+        &mut self,
+        now: Instant,
+        proposal: &Proposal,
+        read: Option<&Status>,
+    ) -> Option<Status> {
+        self.learn_barred(&proposal.service, read);
+        let rollout = self.services.get(&proposal.service)?;
+        let status = proposal.status.as_ref();
+        let status = status.filter(|s| rollout.is_wanted(now, s))?;
+        let barred = self.barred.get(&proposal.service);
+        Some(Status {
+            barred: barred.cloned().unwrap_or_default(),
+            ..status.clone()
+        })
+    }
+
+    /// Adds the versions whose rollout was replaced, as far as the status row tells.
+    fn learn_barred(&mut self, service: &str, status: Option<&Status>) {
+        let (Some(status), Some(rollout)) = (status, self.services.get(service)) else {
+            return;
+        };
+        let barred = self.barred.entry(service.to_owned()).or_default();
+        barred.extend(status.barred.iter().cloned());
+        if status.state == State::Completed {
+            // It was completed before this router heard of that.
+            barred.remove(&status.to);
+        } else {
+            barred.insert(status.to.clone());
+        }
+        barred.remove(&rollout.to);
     }
 
     /// Applies the status row of a service, as read at `epoch_ms`.
@@ -412,21 +454,10 @@
         service: &str,
         status: Option<&Status>,
     ) {
+        self.learn_barred(service, status);
         let Some(rollout) = self.services.get_mut(service) else {
             return;
         };
-        if let Some(other) = status.filter(|s| s.to != rollout.to)
-            && other.state != State::Completed
-        {
-            let barred = self.barred.entry(service.to_owned()).or_default();
-            barred.insert(other.to.clone());
-        }
-        if let Some(other) = status.filter(|s| s.state == State::Completed)
-            && let Some(barred) = self.barred.get_mut(service)
-        {
-            // It was completed before this router heard of that.
-            barred.remove(&other.to);
-        }
         if let Some(line) = rollout.apply_status(now, epoch_ms, status) {
             self.lines.push((line.0, service.to_owned(), line.1));
         }
--- a/crates/fleet/src/rollout/order.rs
+++ b/crates/fleet/src/rollout/order.rs
@@ -1,5 +1,6 @@
 //! Orders of the operator to roll out a version, and the status that the routers record.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hibiscusrail_macros::{id, record, value};
@@ -73,6 +74,9 @@
     pub reason: String,
     /// When the order was first known, in milliseconds since the Unix epoch.
     pub started: u64,
+    /// Versions whose rollout was replaced before it was completed, so that a router that starts
+    /// later sends them nothing either.
+    pub barred: BTreeSet<String>,
 }
 
 /// Call to the store that a router should make for a rollout.
--- a/crates/fleet/src/rollout/progress.rs
+++ b/crates/fleet/src/rollout/progress.rs
@@ -7,7 +7,7 @@
 use crate::placement::{self, name_hash};
 
 use super::exposure::Exposure;
-use super::order::{Bounds, Order, Proposal, State, Status};
+use super::order::{Bounds, Order, State, Status};
 use super::report::{RolloutReport, ZoneEvidence, decode_state, encode_state};
 use super::verdict::{Tally, Verdict};
 use super::{Learner, VersionCounts};
@@ -73,6 +73,11 @@
     pub(super) stopped: Option<String>,
     /// Whether this router has seen servers of another version since it knew the order.
     pub(super) saw_others: bool,
+    /// Versions that were first seen with the order or while it was in progress, and have none
+    /// themselves: that of an order may have been replaced before this router read it.
+    unordered: BTreeSet<String>,
+    /// Whether another version has servers, which is neither unordered nor barred.
+    has_established: bool,
     /// New servers that get requests while the part grows, by hash.
     focus: Vec<u32>,
     /// Number of new servers that are open.
@@ -88,6 +93,9 @@
     pub(super) withdrawn: bool,
     /// Whether this router saw the order appear, so that it knows its age.
     is_witness: bool,
+    /// Whether this router has read the status row since it knew the order: the row names versions
+    /// that get no requests, of orders that this router may not have seen.
+    has_read: bool,
     /// When this router last called the store for the order.
     asked: Option<Instant>,
     /// State that is to be recorded, and since when.
@@ -123,6 +131,8 @@
             exposure: Exposure::new(credit, draw * MAX_OFFSET),
             stopped: None,
             saw_others: false,
+            unordered: BTreeSet::new(),
+            has_established: false,
             focus: Vec::new(),
             new_servers: 0,
             new_slots: 0.0,
@@ -132,6 +142,7 @@
             verdict: Verdict::default(),
             withdrawn: false,
             is_witness,
+            has_read: false,
             asked: None,
             due: None,
             router: learner.router,
@@ -199,6 +210,8 @@
             .collect();
         let is_barred = |s: &&&Server| barred.contains(&s.backend.version);
         let old = servers.iter().filter(|s| !is_new(s) && !is_barred(s));
+        let is_unordered = |s: &&Server| self.unordered.contains(&s.backend.version);
+        self.has_established = old.clone().any(|s| !is_unordered(s));
         let old = old.count();
         self.saw_others |= old > 0;
         self.new_servers = new.len();
@@ -213,6 +226,19 @@
         self.focus = ranked;
     }
 
+    /// Records that a version was seen which no order or configuration is known to allow.
+    pub(super) fn observe_unordered(&mut self, version: &str) {
+        if self.state == State::InProgress && version != self.to {
+            self.unordered.insert(version.to_owned());
+        }
+    }
+
+    /// Returns whether a version other than the new one was in service before the order, as far as
+    /// this router knows.
+    pub(super) fn is_old(&self, version: &str) -> bool {
+        version != self.to && !(self.has_established && self.unordered.contains(version))
+    }
+
     /// Counts a response in this router's evidence.
     pub(super) fn count(&mut self, zone: u32, version: &str, record: impl Fn(&mut Tally)) {
         let is_new = version == self.to;
@@ -288,7 +314,7 @@
         let (state, reason) = self.wanted(now);
         if self.recorded.is_some_and(|r| r == state || r.is_final()) {
             self.due = None;
-            return None;
+            return self.proposal_to_read(now, rank);
         }
         let reason = reason.to_owned();
         let since = match self.due {
@@ -307,14 +333,22 @@
             state,
             reason,
             started: epoch_ms.saturating_sub(age),
+            barred: BTreeSet::new(),
         }))
     }
 
+    fn proposal_to_read(&mut self, now: Instant, rank: usize) -> Option<Option<Status>> {
+        if self.has_read || self.age(now) < self.delay(rank) {
+            return None;
+        }
+        self.asked = Some(now);
+        Some(None)
+    }
+
     /// Returns whether a proposed status is still the one that the store should have.
-    pub(super) fn is_wanted(&self, now: Instant, proposal: &Proposal) -> bool {
-        let is_own = |s: &Status| s.order == self.version && s.to == self.to;
-        let status = proposal.status.as_ref().filter(|s| is_own(s));
-        !self.withdrawn && status.is_some_and(|s| s.state == self.wanted(now).0)
+    pub(super) fn is_wanted(&self, now: Instant, status: &Status) -> bool {
+        let is_own = status.order == self.version && status.to == self.to;
+        is_own && !self.withdrawn && status.state == self.wanted(now).0
     }
 
     fn delay(&self, rank: usize) -> Duration {
@@ -335,6 +369,7 @@
         status: Option<&Status>,
     ) -> Option<Line> {
         self.is_known = true;
+        self.has_read = true;
         let own = status.filter(|s| s.order == self.version && s.to == self.to);
         let Some(status) = own else {
             self.recorded = None;
--- a/crates/fleet/tests/all/rollouts.rs
+++ b/crates/fleet/tests/all/rollouts.rs
@@ -370,10 +370,12 @@
         if let Some(mut call) = router.slow_call.take_if(|c| c.due <= self.now) {
             let (row, order) = (self.row.as_ref(), call.proposal.order);
             let is_final = row.is_some_and(|(_, s)| s.order == order && s.state.is_final());
-            let is_done = is_final
-                || call.read.is_some()
-                || call.proposal.status.is_none()
-                || !router.fleet.rollouts().is_wanted(self.now, &call.proposal);
+            let is_done = is_final || call.read.is_some() || {
+                let read = row.map(|(_, status)| status);
+                let fleet = &mut router.fleet;
+                call.proposal.status = fleet.confirm_rollout(self.now, &call.proposal, read);
+                call.proposal.status.is_none()
+            };
             let ver = row.map_or(0, |(ver, _)| *ver);
             if call.read == Some(ver) {
                 self.execute(&call.proposal);
--- a/crates/front/src/rollouts.rs
+++ b/crates/front/src/rollouts.rs
@@ -69,10 +69,12 @@
         return Ok(rows.status);
     }
     // The read may have taken seconds.
-    if !shell.with_fleet(|f| f.rollouts().is_wanted(shell.now(), proposal)) {
+    let (now, read) = (shell.now(), rows.status.as_ref());
+    let confirmed = shell.with_fleet_mut(|f| f.confirm_rollout(now, proposal, read));
+    let Some(status) = confirmed else {
         return Ok(rows.status);
-    }
-    let written = store.write_rollout(&proposal.service, status, &rows);
+    };
+    let written = store.write_rollout(&proposal.service, &status, &rows);
     if limited(written).await? {
         log::info!(
             service = proposal.service.as_str(),
@@ -82,7 +84,7 @@
             reason = status.reason.as_str();
             "rollout_written"
         );
-        return Ok(Some(status.clone()));
+        return Ok(Some(status));
     }
     log::info!(service = proposal.service.as_str(), order = status.order; "rollout_write_refused");
     Ok(limited(store.rollout(&proposal.service)).await?.status)
--- a/crates/front/tests/all/rollouts.rs
+++ b/crates/front/tests/all/rollouts.rs
@@ -1,5 +1,6 @@
 //! Rollouts of a version, from the operator's order to the status row in the store.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -190,6 +191,7 @@
             state: State::Reverted,
             reason: "failures".to_owned(),
             started: front.shell.epoch_ms(),
+            barred: BTreeSet::new(),
         }));
         order(&front, &tables);
         serve(&front).await;
