fleet: send to an ordered version at once

Requests that no other router can take up wait no longer for 3 s. Reports of a zone's routers count as contact with it, so that refusals in a zone without other traffic are evidence; the fuzzing target gets fixed cases.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -802,7 +802,7 @@
         }
         attempt.began = true;
         self.rollouts
-            .record_zone_answer(now, attempt.zone, attempt.sent_at);
+            .record_zone_contact(now, attempt.zone, attempt.sent_at);
         let pending = attempt.load.pending_prefill;
         let took = now.saturating_duration_since(attempt.sent_at);
         let prefill_tokens = std::mem::take(&mut attempt.prefill_tokens);
@@ -868,7 +868,7 @@
             Outcome::Answered | Outcome::Failed | Outcome::NotRun
         ) {
             let (zone, sent_at) = (attempt.zone, attempt.sent_at);
-            self.rollouts.record_zone_answer(now, zone, sent_at);
+            self.rollouts.record_zone_contact(now, zone, sent_at);
         }
         match outcome {
             Outcome::Expired => self.judge_expiry(now, key, &attempt),
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -323,7 +323,7 @@
             late: self.list_is_late(now),
             learns: self.learns(&request.submission.service),
             turn,
-            new_versions: self.versions.too_new(now, &request.submission.service),
+            new_versions: self.too_new_versions(now, request),
             routers,
             demand: self.quota.requested_rate(now) / self.pressure.mean_charge().max(1.0),
             silent: routers.saturating_sub(u32::try_from(self.reporting + 1).unwrap_or(u32::MAX)),
--- a/crates/fleet/src/fleet/rollouts.rs
+++ b/crates/fleet/src/fleet/rollouts.rs
@@ -14,6 +14,9 @@
 
 /// Expected time to first byte that times are related to; shorter ones say little.
 const MIN_EXPECTED: Duration = Duration::from_millis(20);
+/// Longest time that a report is under way, so that one that arrives later than this after a failure
+/// was sent after it.
+const REPORT_DELAY: Duration = Duration::from_millis(100);
 /// Time to first byte that a server counts with which was silent until its request was replaced.
 const SILENT_TIME: Duration = Duration::from_secs(10);
 
@@ -74,6 +77,9 @@
     pub(super) fn apply_rollout_reports(&mut self, now: Instant, report: &Report) {
         let sender = (report.sender, report.incarnation);
         self.rollouts.apply_reports(now, sender, &report.rollouts);
+        if let Some(sent_at) = now.checked_sub(REPORT_DELAY) {
+            self.rollouts.record_zone_contact(now, report.zone, sent_at);
+        }
         self.log_rollouts();
     }
 
@@ -97,6 +103,16 @@
         self.rollouts.turn(now, service, version, is_repeat)
     }
 
+    /// Returns the versions that a new request may not be sent to yet. An order names its version to
+    /// all routers, so only a stream that may be taken up waits: a router that has neither the order
+    /// nor the servers would take it for one of the old version.
+    pub(super) fn too_new_versions(&self, now: Instant, request: &Request) -> Vec<&str> {
+        let service = &request.submission.service;
+        let ordered = self.rollouts.ordered_version(service);
+        let known = ordered.filter(|_| !request.submission.resumable);
+        self.versions.too_new(now, service, known)
+    }
+
     /// Counts the time to first byte of an attempt for the rollout of its service.
     pub(super) fn record_rollout_time(&mut self, now: Instant, key: RequestKey) {
         let Some(request) = self.requests.get(&key) else {
--- a/crates/fleet/src/rollout/mod.rs
+++ b/crates/fleet/src/rollout/mod.rs
@@ -333,12 +333,13 @@
         }
     }
 
-    /// Records that a server of a zone answered a request that was sent at `sent_at`.
-    pub fn record_zone_answer(&mut self, now: Instant, zone: u32, sent_at: Instant) {
+    /// Records that a server of a zone answered a request that was sent at `sent_at`, or that a router
+    /// there sent a report then.
+    pub fn record_zone_contact(&mut self, now: Instant, zone: u32, sent_at: Instant) {
         if self.bounds.is_none() {
             return;
         }
-        for failure in self.zone_paths.record_answer(now, zone, sent_at) {
+        for failure in self.zone_paths.record_contact(now, zone, sent_at) {
             self.count_failure(&failure);
         }
     }
@@ -468,6 +469,13 @@
         std::mem::take(&mut self.lines)
     }
 
+    /// Returns the version that a service's order names; none if the rollout was reverted.
+    #[must_use]
+    pub fn ordered_version(&self, service: &str) -> Option<&str> {
+        let rollout = self.services.get(service)?;
+        (rollout.state != State::Reverted).then_some(rollout.to.as_str())
+    }
+
     /// Returns the state in force of a service's order.
     #[must_use]
     pub fn state(&self, service: &str) -> Option<State> {
--- a/crates/fleet/src/rollout/zone_paths.rs
+++ b/crates/fleet/src/rollout/zone_paths.rs
@@ -2,17 +2,17 @@
 //!
 //! Such a failure is the server's or that of the network between two zones. It counts as a response
 //! of the server's version once any server of the same zone has answered a request that was sent
-//! after it, if the zone has answered without a longer pause since before the connection was opened:
-//! then the network was not cut. All other failures are dropped.
+//! after it, or a router there has reported, if the zone was heard without a longer pause since
+//! before the connection was opened: then the network was not cut. All other failures are dropped.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use hibiscusrail_macros::{record, value};
 
-/// Longest pause between two answers of a zone in which the network is taken to be up. A shorter cut
+/// Longest pause between two messages of a zone in which the network is taken to be up. A shorter cut
 /// fails requests of the old version in that zone too, with which the new one is compared.
-const MAX_PAUSE: Duration = Duration::from_secs(1);
+const MAX_PAUSE: Duration = Duration::from_secs(2);
 /// Time after which a failure is dropped: the next answer came after a pause, or there is none.
 const MAX_AGE: Duration = Duration::from_secs(3);
 /// Greatest number of failures that are kept, which bounds the memory.
@@ -33,7 +33,7 @@
     pub at: Instant,
 }
 
-/// Answers of a zone without a longer pause.
+/// Answers and reports of a zone without a longer pause.
 #[value]
 struct Run {
     first: Instant,
@@ -56,9 +56,9 @@
         self.failures.push_back(failure);
     }
 
-    /// Records that a server of a zone answered a request that was sent at `sent_at`; returns the
-    /// failures that were not the network's.
-    pub fn record_answer(&mut self, now: Instant, zone: u32, sent_at: Instant) -> Vec<Failure> {
+    /// Records that a server of a zone answered a request that was sent at `sent_at`, or that a router
+    /// there sent a report then; returns the failures that were not the network's.
+    pub fn record_contact(&mut self, now: Instant, zone: u32, sent_at: Instant) -> Vec<Failure> {
         let first = Run {
             first: now,
             last: now,
--- a/crates/fleet/src/versions.rs
+++ b/crates/fleet/src/versions.rs
@@ -198,9 +198,10 @@
         })
     }
 
-    /// Returns the versions that receive no new streams yet.
+    /// Returns the versions that receive no new streams yet, other than `known`, which an order names
+    /// for requests that no other router can take up.
     #[must_use]
-    pub fn too_new(&self, now: Instant, service: &str) -> Vec<&str> {
+    pub fn too_new(&self, now: Instant, service: &str, known: Option<&str>) -> Vec<&str> {
         let Some(history) = self.services.get(service) else {
             return Vec::new();
         };
@@ -213,7 +214,7 @@
             return Vec::new();
         }
         present()
-            .filter(|(_, seen)| is_new(seen))
+            .filter(|(version, seen)| is_new(seen) && known != Some(version.as_str()))
             .map(|(version, _)| version.as_str())
             .collect()
     }
--- a/crates/fleet/tests/all/rollouts.rs
+++ b/crates/fleet/tests/all/rollouts.rs
@@ -12,7 +12,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::support::{self, PLAIN, backend};
+use super::support::{self, ENGINES, PLAIN, backend};
 
 /// Step of the simulation.
 const STEP: Duration = Duration::from_millis(10);
@@ -477,6 +477,63 @@
     assert!(play.sent_new >= before);
 }
 
+// Guards against an order that loses the first 3 s of its time, in which a version that no order
+// names gets no requests.
+#[test]
+fn ordered_version_gets_requests_at_once() {
+    let mut play = Play::new(4, Box::new(good));
+    play.order();
+    play.run(Duration::from_secs(1));
+    assert!(play.sent_new > 0);
+    play.assert_exposure();
+}
+
+// Guards against streams of a new version that a router without its servers takes up as those of the
+// old one: those that may be taken up wait also with an order.
+#[test]
+fn ordered_version_gets_resumable_streams_later() {
+    let start = Instant::now();
+    let mut params = support::params();
+    params.rollout = Some(BOUNDS);
+    let mut fleet = Fleet::new("r", 1, params, start);
+    fleet.handle(start, Event::Members(vec!["r".to_owned()]));
+    let mut config = support::config(&[]);
+    let mut servers = Servers::from([("old".to_owned(), backend(ENGINES, 0))]);
+    let confirm = |fleet: &mut Fleet, now, revision| {
+        let confirmation = Confirmation {
+            revision,
+            complete: revision,
+            at: now,
+            source: Source::Store,
+        };
+        fleet.handle(now, Event::ConfigConfirmed(confirmation));
+    };
+    fleet.handle(start, Event::Config(Revision(1), config.clone()));
+    confirm(&mut fleet, start, Revision(1));
+    fleet.handle(start, Event::Servers(Revision(1), servers.clone()));
+    let mut new = backend(ENGINES, 1);
+    "v2".clone_into(&mut new.version);
+    servers.insert("new".to_owned(), new);
+    config
+        .rollouts
+        .insert(ENGINES.to_owned(), order(ORDER, "v2"));
+    fleet.handle(start, Event::Config(Revision(ORDER), config));
+    confirm(&mut fleet, start, Revision(ORDER));
+    fleet.handle(start, Event::Servers(Revision(ORDER), servers));
+    let mut to_new = [0, 0];
+    for step in 0..60_u64 {
+        let now = start + Duration::from_millis(100 * step);
+        let prompt = support::prompt(step, 100);
+        let submission = support::submission(step, 1, prompt, now);
+        let decisions = fleet.handle(now, Event::Submit(submission));
+        let is_new = support::sent_to(&decisions) == Some("new");
+        to_new[usize::from(step >= 30)] += u32::from(is_new);
+        fleet.handle(now, Event::FirstByte(RequestKey(step)));
+        fleet.handle(now, Event::Ended(RequestKey(step), Outcome::Answered));
+    }
+    assert!(to_new[0] == 0 && to_new[1] > 0, "{to_new:?}");
+}
+
 // Guards against EXPOSURE: a bad version that is found late or never.
 #[test]
 fn rollout_bad_version_is_reverted() {
@@ -667,8 +724,14 @@
             play.set_new_zones(zones);
             play.run(LIMIT + Duration::from_secs(3));
             play.assert_exposure();
-            assert_eq!(play.state(), Some(State::Reverted), "{failure:?} {zones:?}");
-            assert!(["failures", "peer"].contains(&play.reason()));
+            assert_eq!(
+                play.state(),
+                Some(State::Reverted),
+                "{failure:?} {zones:?} {}",
+                play.reason()
+            );
+            let reason = play.reason();
+            assert!(["failures", "peer"].contains(&reason), "{reason}");
         }
     }
 }
--- a/crates/front/tests/all/rollouts.rs
+++ b/crates/front/tests/all/rollouts.rs
@@ -16,7 +16,7 @@
 const SERVICE: &str = "plain";
 /// Version of the order's row.
 const ORDER: u64 = 2;
-/// Time limit of the order: above the 3 s in which a version that was just seen gets no requests.
+/// Time limit of the order.
 const LIMIT: Duration = Duration::from_secs(4);
 /// Time by which a rollout ends whatever the store does: four slow calls and the limit.
 const END: Duration = Duration::from_secs(20);
--- a/crates/fuzzing/src/rollouts/world.rs
+++ b/crates/fuzzing/src/rollouts/world.rs
@@ -484,24 +484,25 @@
     /// Passes the answer of a call to its router, which writes after a read as the daemon does.
     fn answer(&mut self, call: Call) {
         let index = call.router;
-        let proposal = &call.proposal;
+        let mut proposal = call.proposal;
         let order = proposal.order;
-        let is_final = |s: &Status| s.order == order && s.state.is_final();
-        let is_kept = self.store.status.as_ref().is_some_and(is_final);
-        let fleet = self.routers[index].fleet.as_ref();
-        let is_wanted = fleet.is_some_and(|f| f.rollouts().is_wanted(self.now, proposal));
-        let is_write = call.expected.is_none()
-            && is_wanted
-            && !is_kept
-            && self.store.order == Some(order)
-            && self.routers[index].link != Link::Refused;
-        if is_write {
-            return self.send_call(index, call.proposal, true);
+        let read = self.store.status.as_ref();
+        let is_kept = read.is_some_and(|s| s.order == order && s.state.is_final());
+        let is_refused = self.routers[index].link == Link::Refused;
+        let is_write = call.expected.is_none() && !is_kept && self.store.order == Some(order);
+        if let Some(fleet) = &mut self.routers[index].fleet
+            && is_write
+            && !is_refused
+        {
+            proposal.status = fleet.confirm_rollout(self.now, &proposal, read);
+            if proposal.status.is_some() {
+                return self.send_call(index, proposal, true);
+            }
         }
         self.routers[index].waits = None;
         let event = Event::RolloutStatus {
             epoch_ms: self.epoch(),
-            service: call.proposal.service,
+            service: proposal.service,
             status: self.store.status.clone(),
         };
         self.handle(index, event);
--- a/crates/fuzzing/tests/rollouts.rs
+++ b/crates/fuzzing/tests/rollouts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hibiscusrail_fleet::rollout::order::State;
-use hibiscusrail_fuzzing::rollouts::{Step, World, step};
+use hibiscusrail_fuzzing::rollouts::{Link, Step, World, step};
 use proptest::prelude::any;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -57,3 +57,59 @@
         assert_eq!(world.oracle().state(), Some(state));
     }
 }
+
+fn order_of(version: usize, failures: u8) -> Step {
+    Step::Order {
+        version,
+        failures,
+        refuses: false,
+    }
+}
+
+fn advance(ms: u64) -> Step {
+    Step::Advance(Duration::from_millis(ms))
+}
+
+fn run_steps(steps: &[Step]) {
+    let mut world = World::new(0);
+    for step in steps {
+        world.step(step);
+    }
+    world.settle();
+}
+
+// Guards against requests to the version of a replaced order by routers that started after that.
+#[test]
+fn replaced_version_is_known_after_restart() {
+    run_steps(&[
+        order_of(1, 30),
+        advance(3_000),
+        order_of(2, 0),
+        advance(5_600),
+        Step::Kill(1),
+        Step::Kill(2),
+        advance(2_700),
+        order_of(2, 50),
+    ]);
+}
+
+// Guards against requests to the version of a replaced order by routers that never read that order.
+#[test]
+fn replaced_version_is_known_to_router_that_missed_order() {
+    run_steps(&[
+        advance(1_300),
+        order_of(0, 0),
+        Step::Store(0b1100, Link::ResponsesLost),
+        advance(2_240),
+        order_of(0, 50),
+        Step::Kill(0),
+        advance(2_145),
+        order_of(2, 50),
+    ]);
+}
+
+// Guards against requests to the version of an order that was replaced before any router read it.
+#[test]
+fn replaced_version_is_known_if_no_router_read_its_order() {
+    run_steps(&[advance(3_400), order_of(2, 0), order_of(0, 100)]);
+}
