--- a/crates/front/tests/all/rollouts.rs
+++ b/crates/front/tests/all/rollouts.rs
@@ -1,5 +1,6 @@
 //! Rollouts of a version, from the operator's order to the status row in the store.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -15,7 +16,7 @@
 const SERVICE: &str = "plain";
 /// Version of the order's row.
 const ORDER: u64 = 2;
-/// Time limit of the order: above the 3 s in which a version that was just seen gets no requests.
+/// Time limit of the order.
 const LIMIT: Duration = Duration::from_secs(4);
 /// Time by which a rollout ends whatever the store does: four slow calls and the limit.
 const END: Duration = Duration::from_secs(20);
@@ -190,6 +191,7 @@
             state: State::Reverted,
             reason: "failures".to_owned(),
             started: front.shell.epoch_ms(),
+            barred: BTreeSet::new(),
         }));
         order(&front, &tables);
         serve(&front).await;
