--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -79,6 +79,7 @@
                 body_bytes: 4 << 20,
                 idle: Duration::from_secs(15),
                 throughput: 3_000_000.0,
+                head_timeout: None,
             },
         }),
         evacuated: Default::default(),
--- a/crates/fleet/src/objects.rs
+++ b/crates/fleet/src/objects.rs
@@ -178,6 +178,9 @@
     pub idle: Duration,
     /// Guaranteed tokens per second of all engines together; zero without a guarantee.
     pub throughput: f64,
+    /// Timeout of a request's head as the operator configured it; routers apply `idle` instead.
+    #[serde(default)]
+    pub head_timeout: Option<Duration>,
 }
 
 /// Complete configuration of a deployment.
--- a/crates/fleet/src/rollout/mod.rs
+++ b/crates/fleet/src/rollout/mod.rs
@@ -174,6 +174,12 @@
         }
     }
 
+    /// Returns the services whose rollout has ended.
+    pub fn ended(&self) -> impl Iterator<Item = &str> {
+        let ended = self.services.iter().filter(|(_, r)| r.state.is_final());
+        ended.map(|(service, _)| service.as_str())
+    }
+
     /// Records the servers of a list.
     pub fn observe_servers<'a>(&mut self, now: Instant, servers: impl Iterator<Item = &'a Server>) {
         if self.bounds.is_none() {
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -113,6 +113,7 @@
             body_bytes: 4 << 20,
             idle: Duration::from_secs(15),
             throughput: THROUGHPUT,
+            head_timeout: None,
         },
     };
     OperatorConfig {
--- a/crates/front/benches/support/mod.rs
+++ b/crates/front/benches/support/mod.rs
@@ -113,6 +113,7 @@
             body_bytes: 4 << 20,
             idle: Duration::from_secs(15),
             throughput: 3_000_000.0,
+            head_timeout: None,
         },
     }
 }
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -305,6 +305,7 @@
             body_bytes: 1_000,
             idle: Duration::from_secs(15),
             throughput: 0.0,
+            head_timeout: None,
         },
     }
 }
