--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -69,6 +69,7 @@
     loop_lag: Gauge,
     list_age: Histogram,
     config_age: Gauge,
+    config_findings: IntGauge,
     rollouts: IntGaugeVec,
     work: WorkMetrics,
 }
@@ -154,6 +155,14 @@
     register(registry, gauge)
 }
 
+fn findings_gauge(registry: &Registry) -> IntGauge {
+    gauge(
+        registry,
+        "hibiscusrail_config_findings",
+        "Findings of the last check of the operator configuration.",
+    )
+}
+
 fn register<C: prometheus::core::Collector + Clone + 'static>(
     registry: &Registry,
     collector: C,
@@ -282,6 +291,7 @@
                 "hibiscusrail_config_age_seconds",
                 "Time since the store confirmed the operator configuration in force.",
             ),
+            config_findings: findings_gauge(&r),
             rollouts: rollout_gauges(&r),
             list_age: list_age_histogram(&r),
             registry: r,
@@ -401,6 +411,12 @@
         self.config_age.set(age.as_secs_f64());
     }
 
+    /// Sets the number of findings of the operator configuration.
+    pub fn set_config_findings(&self, count: usize) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.config_findings.set(count);
+    }
+
     /// Sets the counts of rollouts.
     pub fn set_rollouts(&self, rollouts: &Rollouts) {
         for (service, counts) in rollouts.counts() {
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -10,9 +10,11 @@
 use futures_channel::{mpsc, oneshot};
 use futures_util::FutureExt;
 use futures_util::future::Shared;
+use hibiscusrail_check::{Known, Reported};
 use hibiscusrail_core::Clock;
 use hibiscusrail_fleet::event::{Execution, Inputs, Reason, RefusalInputs};
 use hibiscusrail_fleet::freshness::Confirmation;
+use hibiscusrail_fleet::objects::Revision;
 use hibiscusrail_fleet::registry::ServerKey;
 use hibiscusrail_fleet::{Decision, Event, Fleet, RequestKey};
 use hibiscusrail_net::memory::Budget;
@@ -29,9 +31,6 @@
 
 /// Maximum idle time of reused connections; servers close theirs after a whole number of seconds.
 const MAX_IDLE: Duration = Duration::from_millis(900);
-/// Part of the host's memory for bodies and parts of streams, in percent. The rest is for the
-/// process at rest, its connections with their buffers, and what the allocator keeps.
-const BUDGET_PERCENT: usize = 33;
 
 /// The server that an attempt is sent to.
 #[derive(Debug, Clone)]
@@ -82,6 +81,8 @@
     budget: Arc<Budget>,
     work: Work,
     origins: Origins,
+    /// Findings of the operator configuration that were logged.
+    reported: RefCell<Reported>,
     next_key: Cell<u64>,
     /// Signals that an incremental report is due.
     report_tx: RefCell<mpsc::Sender<()>>,
@@ -111,7 +112,7 @@
             .with_refusal(Rc::new(refuse))
             .with_id_header(protocol.request_id.clone())
             .with_on_accept(Rc::new(metrics.accept_counter()));
-        let budget = Budget::new(settings.memory_bytes() / 100 * BUDGET_PERCENT);
+        let budget = Budget::new(settings.memory_budget());
         let work = Work::new(clock.now());
         let (report_tx, report_rx) = mpsc::channel(0);
         let (running, exiting) = oneshot::channel();
@@ -127,6 +128,7 @@
             budget: Arc::new(budget),
             work,
             origins: Origins::default(),
+            reported: RefCell::default(),
             next_key: Cell::new(0),
             report_tx: RefCell::new(report_tx),
             report_rx: Cell::new(Some(report_rx)),
@@ -295,11 +297,50 @@
         }
     }
 
+    /// Applies the operator configuration in force to the connections and logs its new findings, unless
+    /// it still is the one of revision `before`.
+    fn apply_config(&self, before: Revision) {
+        let fleet = self.fleet.borrow();
+        if let Some(deployment) = &fleet.config().deployment {
+            self.connections.set_head_timeout(deployment.limits.idle);
+        }
+        if fleet.config_revision() == before {
+            return;
+        }
+        let mut known = Known::new().with_budget(self.budget.limit());
+        let servers = fleet.registry();
+        // Before the first list, the servers are unknown.
+        if servers.revision() != Revision::default() {
+            let backends = servers.all().map(|s| &s.backend);
+            known = known.with_servers(backends.map(|b| (b.service.as_str(), b.zone.as_str())));
+        }
+        for service in fleet.rollouts().ended() {
+            known = known.with_ended(service);
+        }
+        let findings = hibiscusrail_check::check(fleet.config(), &known);
+        let count = findings.len();
+        let selected = self.reported.borrow_mut().select(findings);
+        for finding in &selected {
+            log::warn!(
+                kind:? = finding.kind,
+                place:% = finding.place,
+                detail = finding.text.as_str();
+                "config_finding"
+            );
+        }
+        if !selected.is_empty() {
+            let revision = fleet.config_revision().0;
+            log::info!(revision = revision, findings = count, logged = selected.len(); "config_checked");
+        }
+        self.metrics.set_config_findings(count);
+    }
+
     fn decide(&self, now: Instant, event: Event) -> Option<NextStep> {
         let is_config = matches!(event, Event::Config(..));
+        let revision = self.fleet.borrow().config_revision();
         let decisions = self.fleet.borrow_mut().handle(now, event);
-        if is_config && let Some(deployment) = &self.fleet.borrow().config().deployment {
-            self.connections.set_head_timeout(deployment.limits.idle);
+        if is_config {
+            self.apply_config(revision);
         }
         if self.fleet.borrow().has_incremental_report() {
             // If the channel is full, a report is already due.
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -109,6 +109,12 @@
         }
     }
 
+    /// Returns the greatest number of bytes that may be charged.
+    #[must_use]
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Returns the bytes charged to all accounts.
     #[must_use]
     pub fn held(&self) -> usize {
--- a/crates/settings/src/front.rs
+++ b/crates/settings/src/front.rs
@@ -61,6 +61,22 @@
 const DEFAULT_MEMORY_MB: u32 = 1_000_000;
 /// Bytes in a megabyte.
 const MEGABYTE: usize = 1_000_000;
+/// Part of the host's memory for bodies and parts of streams, in percent. The rest is for the
+/// process at rest, its connections with their buffers, and what the allocator keeps.
+const BUDGET_PERCENT: usize = 33;
+
+/// Returns how many bytes a host with this memory, in megabytes, holds for bodies and parts of
+/// streams.
+#[must_use]
+pub fn memory_budget(memory_mb: u32) -> usize {
+    bytes(memory_mb) / 100 * BUDGET_PERCENT
+}
+
+fn bytes(megabytes: u32) -> usize {
+    usize::try_from(megabytes)
+        .unwrap_or(usize::MAX)
+        .saturating_mul(MEGABYTE)
+}
 
 impl FrontSettings {
     /// Returns the maximum number of open connections from callers.
@@ -73,9 +89,13 @@
     /// Returns the memory of the host in bytes.
     #[must_use]
     pub fn memory_bytes(&self) -> usize {
-        usize::try_from(self.memory_mb)
-            .unwrap_or(usize::MAX)
-            .saturating_mul(MEGABYTE)
+        bytes(self.memory_mb)
+    }
+
+    /// Returns how many bytes are held for bodies and parts of streams.
+    #[must_use]
+    pub fn memory_budget(&self) -> usize {
+        memory_budget(self.memory_mb)
     }
 
     /// Loads and checks the settings file at `path`.
