--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -30,6 +30,14 @@
         /// Error of the operating system.
         source: io::Error,
     },
+    /// A configuration is not JSON, or the one in force has values that routers reject.
+    #[snafu(display("reading {}: {reason}", path.display()))]
+    Unreadable {
+        /// Path of the file.
+        path: PathBuf,
+        /// Why it can't be read.
+        reason: String,
+    },
     /// Connecting to the router or the platform failed, so no request was sent.
     #[snafu(display("{step}: {source}"))]
     Connect {
@@ -101,7 +109,7 @@
     #[must_use]
     pub fn exit(&self) -> Exit {
         match self {
-            Self::Flag { .. } | Self::File { .. } => Exit::Usage,
+            Self::Flag { .. } | Self::File { .. } | Self::Unreadable { .. } => Exit::Usage,
             Self::Connect { .. } | Self::Status { .. } | Self::Rpc { .. } | Self::Plan { .. } => {
                 Exit::Failed
             }
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -17,6 +17,8 @@
     Rejected,
     /// The requested ticket does not exist.
     NotFound,
+    /// The check of a configuration has findings.
+    Findings,
     /// The outcome is unknown: the request may or may not have taken effect.
     Unknown,
 }
@@ -27,7 +29,7 @@
     pub fn code(self) -> u8 {
         match self {
             Self::Done => 0,
-            Self::Failed => 1,
+            Self::Failed | Self::Findings => 1,
             Self::Usage => 2,
             Self::Rejected => 3,
             Self::NotFound => 4,
--- a/crates/ctl/src/flags.rs
+++ b/crates/ctl/src/flags.rs
@@ -9,7 +9,8 @@
     /// Operates a hibiscusrail fleet.
     ///
     /// Exit codes: 0 done, 1 failed, 2 wrong usage, 3 rejected or not ready,
-    /// 4 not found, 5 outcome unknown.
+    /// 4 not found, 5 outcome unknown. Of `check`: 0 no findings, 1 findings,
+    /// 2 unreadable.
     cmd hibiscusrail-ctl {
         /// Admin address of a router, an IP address and a port.
         optional --router address: SocketAddr
@@ -31,6 +32,20 @@
             optional --patience time: String
         }
 
+        /// Check an operator configuration, in the JSON form that routers
+        /// exchange, and compare it with the version in force.
+        cmd config-check check {
+            /// File with the configuration; `-`, the default, is standard input.
+            optional file: PathBuf
+            /// File with the configuration in force.
+            optional --in-force file: PathBuf
+            /// Address of a router for other routers, from which the configuration
+            /// in force and the servers are read.
+            optional --peer address: SocketAddr
+            /// Memory of the smallest host in megabytes.
+            optional --memory megabytes: u32
+        }
+
         /// Check, submit and show change tickets.
         cmd ticket {
             /// Check a ticket file against the table without writing anything.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,9 +1,10 @@
-//! The operators' command line: status, change tickets, audit trail and drain.
+//! The operators' command line: status, configuration check, change tickets, audit trail and drain.
 //!
 //! Each command is a function that prints a report, as text or with `--json` as
 //! one JSON document, and returns the [`Exit`] that determines the exit code.
 
 pub mod audit;
+pub mod check;
 pub mod context;
 pub mod drain;
 pub mod error;
@@ -50,6 +51,7 @@
         HibiscusrailCtlCmd::Status(_) => status::run(&context).await,
         HibiscusrailCtlCmd::Drain(drain) => drain::run(&context, &drain).await,
         HibiscusrailCtlCmd::Audit(audit) => audit::run(&context, &audit).await,
+        HibiscusrailCtlCmd::ConfigCheck(check) => Ok(check::run(&context, &check).await),
         HibiscusrailCtlCmd::Ticket(ticket) => match ticket.subcommand {
             TicketCmd::Check(check) => ticket::check(&context, &check).await,
             TicketCmd::Submit(submit) => ticket::submit(&context, &submit).await,
