--- a/crates/router/src/platform/poll.rs
+++ b/crates/router/src/platform/poll.rs
@@ -16,6 +16,7 @@
 
 use super::pacer::Pacer;
 use super::{PlatformError, call, get};
+use crate::findings::FindingLog;
 use crate::shell::Shell;
 
 /// Maximum number of configuration rows that one scan reads.
@@ -39,12 +40,14 @@
 pub async fn poll(shell: Rc<Shell>) {
     let mut pacer = Pacer::new(shell.settings().platform_poll);
     let mut position = Position::default();
+    let mut findings = FindingLog::default();
     loop {
         let result = round(&shell, &pacer, &mut position).await;
         if let Err(error) = &result {
             log::warn!(step = "poll", error:% = error; "platform_unreachable");
         }
         pacer.record(result.is_ok());
+        shell.with_router(|r| findings.update(r.config()));
         compio::time::sleep(pacer.pause(rand::random())).await;
     }
 }
