--- a/crates/fleet/src/rollout/mod.rs
+++ b/crates/fleet/src/rollout/mod.rs
@@ -437,6 +437,7 @@
             return;
         };
         let barred = self.barred.entry(service.to_owned()).or_default();
+        let before = barred.clone();
         barred.extend(status.barred.iter().cloned());
         if status.state == State::Completed {
             // It was completed before this router heard of that.
@@ -445,6 +446,11 @@
             barred.insert(status.to.clone());
         }
         barred.remove(&rollout.to);
+        for version in barred.difference(&before) {
+            let detail = format!("version={version} row_order={}", status.order);
+            self.lines
+                .push(("rollout_barred", service.to_owned(), detail));
+        }
     }
 
     /// Applies the status row of a service, as read at `epoch_ms`.
--- a/crates/fuzzing/src/rollouts/oracle.rs
+++ b/crates/fuzzing/src/rollouts/oracle.rs
@@ -124,7 +124,7 @@
         let is_bounded = current.is_bad || state != Some(State::Completed);
         if age <= self.duration && is_bounded {
             current.sent += 1;
-            current.sent_new += u64::from(is_new && !(is_in_service && !current.is_bad));
+            current.sent_new += u64::from(is_new && (current.is_bad || !is_in_service));
             let bound = current.sent as f64 * self.bounds.share + self.bounds.slack;
             assert!(current.sent_new as f64 <= bound, "exposure: {current:?}");
         }
