--- a/crates/fuzzing/src/rollouts/world.rs
+++ b/crates/fuzzing/src/rollouts/world.rs
@@ -585,6 +585,7 @@
                 body_bytes: 4 << 20,
                 idle: Duration::from_secs(15),
                 throughput: 20_000.0,
+                head_timeout: None,
             },
         }),
         evacuated: BTreeSet::new(),
