front: let rollout tests wait for the first state

A version whose order is known gets requests at once, so a bad one is found before in_progress is written. The tests still check both writes.

--- a/crates/front/tests/all/rollouts.rs
+++ b/crates/front/tests/all/rollouts.rs
@@ -111,6 +111,8 @@
             assert_eq!(status(&front.call("/again/x", "").await), 200);
             assert!(server.received().is_empty() && tables.rollouts.borrow().is_empty());
             order(&front, &tables);
+            // The bad version is found at once, and the first state is not written after the final one.
+            wait_until(|| !tables.rollout_states.borrow().is_empty()).await;
             let responses = serve(&front).await;
             let rows = tables.rollouts.borrow();
             let written = rows[SERVICE].status.as_ref().expect("it was written");
@@ -135,6 +137,7 @@
         let front = start(&tables, &server);
         tables.lost_answers.set(2);
         order(&front, &tables);
+        wait_until(|| !tables.rollout_states.borrow().is_empty()).await;
         serve(&front).await;
         assert_eq!(tables.lost_answers.get(), 0);
         assert_eq!(state(&front), Some(State::Reverted));
