--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -110,6 +110,10 @@
         // Its charge was given to another body.
         return Err(MemoryShort.into());
     }
+    if joined.capacity() > FREE_BYTES {
+        // The buffers of the connection serve its next message.
+        account.resize(Instant::now(), joined.capacity())?;
+    }
     Ok(account.into_bytes(joined))
 }
 
