--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -22,6 +22,7 @@
         "tainted-again" => tainted_again(world, trouble),
         "tainted-after-rest" => tainted_after_rest(world, trouble),
         "resume-after-split" => resume_after_split(world, trouble),
+        "resume-plain" => resume_plain(world, trouble),
         "upgrade-in-place" => upgrade_in_place(world, trouble),
         "crowd" => crowd(world, trouble),
         _ => Verdict::NotRun,
@@ -507,6 +508,31 @@
             world.add_server(setup);
         }
     }
+    take_up(world, || {
+        if trouble {
+            config(5, 1, 9);
+        }
+    })
+}
+
+/// Streams of a service without engines, of which two versions serve, are taken up at other routers.
+fn resume_plain(world: &World, trouble: bool) -> Verdict {
+    world.configure(
+        1,
+        &[route("draft", "streaming", &json!("events"), 12_000, 1_000)],
+        &[plain_service("events")],
+    );
+    for number in 0..4 {
+        let mut setup = engine_setup(number, &nothing_crashes(), 0.1, 0.15, 50);
+        setup.service = "events".to_owned();
+        setup.version = if number < 2 || !trouble { "v1" } else { "v2" }.to_owned();
+        world.add_server(setup);
+    }
+    take_up(world, || {})
+}
+
+/// Has channels reset after `change`, and compares the streams that are taken up with new ones.
+fn take_up(world: &World, change: impl FnOnce()) -> Verdict {
     if !world.start_routers() {
         return Verdict::NotRun;
     }
@@ -551,9 +577,7 @@
         }));
     }
     thread::sleep(secs(2.5));
-    if trouble {
-        config(5, 1, 9);
-    }
+    change();
     // `config-apply-ms` is 2 s.
     thread::sleep(secs(2.3));
     let fresh: Vec<_> = (0..STREAMS)
