--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -8,7 +8,7 @@
 cd ../.. || exit 2
 program=target/review-2/release/review-case
 [ -x "$program" ] && [ -x target/release/hibiscusrail-front ] || exit 2
-"$program" deadly-same-id "$folder" &
+"$program" tainted-after-rest "$folder" &
 pid=$!
 trap 'kill "$pid" $(cat "${TMPDIR:-/tmp}/review-case-$pid/pids") 2>/dev/null; exit 2' TERM INT HUP
 wait "$pid"
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -8,7 +8,7 @@
 cd ../.. || exit 2
 program=target/review-2/release/review-case
 [ -x "$program" ] && [ -x target/release/hibiscusrail-front ] || exit 2
-"$program" tainted-after-rest "$folder" &
+"$program" resume-after-split "$folder" &
 pid=$!
 trap 'kill "$pid" $(cat "${TMPDIR:-/tmp}/review-case-$pid/pids") 2>/dev/null; exit 2' TERM INT HUP
 wait "$pid"
