--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -23,7 +23,8 @@
         "tainted-after-rest" => tainted_after_rest(world, trouble),
         "resume-after-split" => resume_after_split(world, trouble),
         "resume-plain" => resume_plain(world, trouble),
-        "upgrade-in-place" => upgrade_in_place(world, trouble),
+        "upgrade-in-place" => upgrade_in_place(world, trouble, false),
+        "upgrade-store-away" => upgrade_in_place(world, trouble, true),
         "crowd" => crowd(world, trouble),
         _ => Verdict::NotRun,
     }
@@ -788,8 +789,8 @@
 const CHECK_IN: Duration = Duration::from_millis(800);
 
 /// Model servers start again one after the other, under the ids that they had, with a newer version
-/// of their software.
-fn upgrade_in_place(world: &World, trouble: bool) -> Verdict {
+/// of their software. With `away` they check in at once, but the store is silent for 4.5 s.
+fn upgrade_in_place(world: &World, trouble: bool, away: bool) -> Verdict {
     world.configure(
         1,
         &[route("draft", "streaming", &json!("model"), 12_000, 1_000)],
@@ -816,14 +817,25 @@
             own.send("stream", number % 3, &id, &call);
         },
     );
-    thread::sleep(secs(5.0));
+    thread::sleep(secs(4.0));
+    let own = world.clone();
+    let silence = thread::spawn(move || {
+        if trouble && away {
+            own.store.is_silent.store(true, Ordering::Relaxed);
+            own.record.add("the store falls silent");
+            thread::sleep(secs(4.5));
+            own.store.is_silent.store(false, Ordering::Relaxed);
+            own.record.add("the store answers again");
+        }
+    });
+    thread::sleep(SECOND);
     for server in &servers {
         if trouble {
-            server.upgrade("v2", CHECK_IN);
+            server.upgrade("v2", if away { Duration::ZERO } else { CHECK_IN });
         }
         thread::sleep(SECOND);
     }
-    let _ = streams.join();
+    join(vec![streams, silence]);
     let outcomes = world.outcomes();
     let mut mixed = 0;
     for outcome in outcomes.iter().filter(|o| o.kind == "stream") {
--- a/review/harness-2/src/store.rs
+++ b/review/harness-2/src/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -29,6 +30,8 @@
     pub address: SocketAddr,
     content: Mutex<Content>,
     changed: Condvar,
+    /// Whether calls get no answer.
+    pub is_silent: AtomicBool,
     started: Instant,
 }
 
@@ -36,6 +39,8 @@
 const PAGE: usize = 500;
 /// Time that a call takes.
 const CALL_TIME: Duration = Duration::from_millis(4);
+/// Time for which a channel without an answer stays open.
+const SILENCE: Duration = Duration::from_secs(20);
 
 impl Store {
     pub fn start() -> Arc<Self> {
@@ -44,6 +49,7 @@
             address: listener.local_addr().expect("the listener is bound"),
             content: Mutex::default(),
             changed: Condvar::new(),
+            is_silent: AtomicBool::default(),
             started: Instant::now(),
         });
         let own = Arc::clone(&store);
@@ -73,6 +79,11 @@
         let mut reader = BufReader::new(clone);
         while let Ok((head, body)) = read_request(&mut reader) {
             thread::sleep(CALL_TIME);
+            if self.is_silent.load(Ordering::Relaxed) {
+                // No answer comes on this channel any more.
+                thread::sleep(SILENCE);
+                return;
+            }
             let (status, answer) = self.answer(head.word(1), &body);
             let text = answer.to_string();
             let sent = write!(
--- a/review/harness-2/src/world.rs
+++ b/review/harness-2/src/world.rs
@@ -85,18 +85,30 @@
         let mut routers = self.routers.lock().expect("no panic");
         for (number, zone) in ZONES.iter().enumerate() {
             let name = format!("front-{zone}-{number}");
-            routers.push(Router::start(
-                &self.folder,
-                &name,
-                zone,
-                self.store.address,
-                host,
-            ));
+            // A free port may be taken by another connection before the process has it.
+            let mut tries = 0;
+            let router = loop {
+                let mut router = Router::start(&self.folder, &name, zone, self.store.address, host);
+                thread::sleep(Duration::from_millis(200));
+                tries += 1;
+                if router.is_alive() || tries == 5 {
+                    break router;
+                }
+            };
+            routers.push(router);
         }
         let pids: Vec<String> = routers.iter().map(|r| r.pid().to_string()).collect();
         // So that the script can end them if this program is ended.
         let _ = fs::write(self.folder.join("pids"), pids.join("\n"));
         let ready = routers.iter().all(|r| r.await_ready(began + LEAD));
+        if !ready {
+            for router in routers.iter() {
+                for line in router.log_lines("").iter().rev().take(3) {
+                    self.record
+                        .add(format!("not ready: {}: {line}", router.name));
+                }
+            }
+        }
         drop(routers);
         thread::sleep(LEAD.saturating_sub(began.elapsed()));
         self.record.add("the routers are ready; traffic begins");
