--- a/crates/process-tests/src/process.rs
+++ b/crates/process-tests/src/process.rs
@@ -34,6 +34,8 @@
     Pause,
     /// Has it go on.
     Resume,
+    /// Has it read its settings again.
+    Reload,
 }
 
 /// A running router; it is killed when dropped.
@@ -110,6 +112,7 @@
             Signal::Terminate => "-TERM",
             Signal::Pause => "-STOP",
             Signal::Resume => "-CONT",
+            Signal::Reload => "-HUP",
         };
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([name, &id]).status();
--- a/crates/process-tests/src/proxy.rs
+++ b/crates/process-tests/src/proxy.rs
@@ -51,6 +51,8 @@
     disturbance: Disturbance,
     /// Both ends of the open connections.
     open: Vec<(TcpStream, TcpStream)>,
+    /// Connections that were opened before this number of calls of [`Proxy::silence_open`] pass nothing.
+    silenced: u64,
 }
 
 /// A proxy in front of one address; it runs until the test process ends.
@@ -74,6 +76,7 @@
         let state = State {
             disturbance: Disturbance::Calm,
             open: Vec::new(),
+            silenced: 0,
         };
         let proxy = Self {
             address,
@@ -107,6 +110,11 @@
         }
     }
 
+    /// Silences all open connections for good, while new ones work.
+    pub fn silence_open(&self) {
+        self.with(|s| s.silenced += 1);
+    }
+
     fn with<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
         change(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -117,27 +125,34 @@
             let _ = end.set_nodelay(true);
         }
         let clone = |s: &TcpStream| s.try_clone().expect("descriptors are left");
-        self.with(|s| {
+        let opened = self.with(|s| {
             s.open
                 .retain(|(near, far)| near.peer_addr().is_ok() && far.peer_addr().is_ok());
             s.open.push((clone(near), clone(far)));
+            s.silenced
         });
         for (from, to, way) in [(near, far, Way::There), (far, near, Way::Back)] {
             let (own, from, to) = (self.clone(), clone(from), clone(to));
-            thread::spawn(move || own.copy(from, to, way));
+            thread::spawn(move || own.copy(from, to, way, opened));
         }
     }
 
-    fn copy(&self, mut from: TcpStream, mut to: TcpStream, way: Way) {
+    fn copy(&self, mut from: TcpStream, mut to: TcpStream, way: Way, opened: u64) {
         let mut piece = vec![0; PIECE_BYTES];
         loop {
             let read = from.read(&mut piece);
             if let Disturbance::Delayed(time) = self.with(|s| s.disturbance) {
                 thread::sleep(time);
             }
-            while self.with(|s| s.disturbance.holds(way)) {
+            while self.with(|s| s.disturbance.holds(way) && s.silenced == opened) {
                 thread::sleep(LOOK_INTERVAL);
             }
+            if self.with(|s| s.silenced > opened) {
+                if matches!(read, Ok(1..)) {
+                    continue;
+                }
+                return;
+            }
             match read {
                 Ok(count) if count > 0 => {
                     if to.write_all(&piece[..count]).is_err() {
--- a/crates/process-tests/tests/faults.rs
+++ b/crates/process-tests/tests/faults.rs
@@ -5,13 +5,16 @@
 //! Checked is what clients and servers see. The environment variable `FAULT_SEEDS` gives the seeds of
 //! a longer run, separated by commas, and `FAULT_SECONDS` the time of the faults for each.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use hibiscusrail_process_tests::faults::{Answer, Client, EVENTS, KEY, REVOKED_KEY, Server, Store};
+use hibiscusrail_process_tests::calls::{Call, check_answer, count_runs, print_summary};
+use hibiscusrail_process_tests::faults::{
+    Answer, Client, KEY, REVOKED_KEY, Server, Store, Unanswered,
+};
 use hibiscusrail_process_tests::process::{Router, Signal, lock};
 use hibiscusrail_process_tests::proxy::{Disturbance, Proxy};
 use rand::rngs::SmallRng;
@@ -31,17 +34,11 @@
 const SETTLE_TIME: Duration = Duration::from_secs(8);
 /// Time after the restore of the store in which the operator and the platform write again.
 const REWRITE_TIME: Duration = Duration::from_millis(800);
+/// Longest time from a stop signal to the end of the process, by default.
+const STOP_TIME: Duration = Duration::from_secs(8);
 /// Longest wait for a deployment that serves.
 const START_TIME: Duration = Duration::from_secs(30);
 
-/// A request and what its client got.
-#[derive(Debug)]
-struct Call {
-    id: String,
-    route: &'static str,
-    answer: Answer,
-}
-
 /// Routers, servers and the store, with proxies between them.
 struct Deployment {
     store: Arc<Store>,
@@ -52,6 +49,8 @@
     version: u64,
     /// Servers that have left, by index.
     gone: BTreeSet<usize>,
+    /// Signals and restarts that end a router's process, with its number.
+    stops: Vec<(usize, Instant)>,
 }
 
 impl Deployment {
@@ -82,6 +81,7 @@
             keys,
             version: 1,
             gone: BTreeSet::new(),
+            stops: Vec::new(),
         }
     }
 
@@ -105,23 +105,21 @@
     fn disturb(&mut self, random: &mut SmallRng) -> String {
         let router = random.random_range(0..self.routers.len());
         let proxy = random.random_range(0..self.proxies.len());
-        match random.random_range(0..13) {
-            0 => {
-                self.routers[router].kill();
-                format!("kill router {router}")
+        match random.random_range(0..15) {
+            kind @ (0 | 2..=4) => {
+                self.stops.push((router, Instant::now()));
+                match kind {
+                    0 => self.routers[router].kill(),
+                    2 => self.routers[router].signal(Signal::Terminate),
+                    _ => self.routers[router].restart(),
+                }
+                let kind = ["kill", "", "stop", "restart", "restart"][kind];
+                format!("{kind} router {router}")
             }
             1 => {
                 self.routers[router].signal(Signal::Pause);
                 format!("pause router {router}")
             }
-            2 => {
-                self.routers[router].signal(Signal::Terminate);
-                format!("stop router {router}")
-            }
-            3 | 4 => {
-                self.routers[router].restart();
-                format!("restart router {router}")
-            }
             5 => {
                 self.routers[router].signal(Signal::Resume);
                 format!("resume router {router}")
@@ -149,6 +147,16 @@
                 self.store.configure(self.version, &self.keys);
                 "revoke a key".to_owned()
             }
+            kind @ (11 | 12) => {
+                let server = random.random_range(0..self.servers.len());
+                self.servers[server].restart();
+                if kind == 11 {
+                    self.proxies[server].reset();
+                    return format!("server {server} starts again");
+                }
+                self.proxies[server].silence_open();
+                format!("server {server} starts again, its connections fall silent")
+            }
             _ => {
                 let delay = Duration::from_millis(random.random_range(5..200));
                 let choices = [
@@ -226,65 +234,12 @@
         } else {
             KEY
         };
-        let answer = clients[client].call(&format!("/{route}/"), &id, key);
-        calls.push(Call { id, route, answer });
+        calls.push(Call::send(&mut clients[client], client, route, id, key));
         thread::sleep(Duration::from_millis(random.random_range(0..30)));
     }
     calls
 }
 
-/// Returns what is wrong with a response.
-fn check_answer(call: &Call, runs: usize) -> Option<String> {
-    let Call { id, route, answer } = call;
-    if *route == "once" && runs > 1 {
-        return Some(format!("{id} ran {runs} times"));
-    }
-    if answer.is_refusal() && runs > 0 {
-        return Some(format!("{id} was refused and ran {runs} times: {answer:?}"));
-    }
-    let (Answer::Complete(status, body) | Answer::Broken(status, body)) = answer else {
-        return None;
-    };
-    if *status == 0 {
-        return Some(format!("{id} got the response of another request"));
-    }
-    if *status != 200 {
-        return None;
-    }
-    let is_complete = matches!(answer, Answer::Complete(..));
-    if *route == "stream" {
-        return check_events(id, body, is_complete);
-    }
-    let expected = format!("response to {id}\n");
-    let is_right = if is_complete {
-        *body == expected
-    } else {
-        expected.starts_with(body.as_str())
-    };
-    (!is_right).then(|| format!("{id} got {body:?}"))
-}
-
-/// Returns what is wrong with the events of a stream, which may break off if it is not complete.
-fn check_events(id: &str, body: &str, is_complete: bool) -> Option<String> {
-    let events: Vec<&str> = body.split("\n\n").collect();
-    // What follows the last blank line is not an event.
-    let (rest, events) = events.split_last()?;
-    let mut next = 1;
-    let mut is_done = false;
-    for event in events {
-        if *event == "data: [DONE]" {
-            is_done = true;
-            continue;
-        }
-        if is_done || *event != format!("id: {next}\ndata: {id}") {
-            return Some(format!("{id} got {event:?} in place of event {next}"));
-        }
-        next += 1;
-    }
-    let ended = is_done && next == EVENTS + 1 && rest.is_empty();
-    (is_complete && !ended).then(|| format!("{id} ended before event {next}: {body:?}"))
-}
-
 /// Runs faults for some time and returns everything that went wrong.
 fn run_seed(seed: u64, time: Duration) -> Vec<String> {
     let mut random = SmallRng::seed_from_u64(seed);
@@ -319,25 +274,14 @@
     deployment.settle();
     deployment.await_service("last");
     let mut wrong = check_gone(&deployment);
-    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
-    for arrival in deployment.servers.iter().flat_map(Server::arrivals) {
-        *runs.entry(arrival.id).or_default() += 1;
-    }
+    let runs = count_runs(&deployment.servers);
     let calls = calls.into_inner().unwrap_or_else(PoisonError::into_inner);
-    for route in ["again", "once", "stream"] {
-        let sent = || calls.iter().filter(|c| c.route == route);
-        let served = |c: &&Call| matches!(c.answer, Answer::Complete(200, _));
-        let broken = |c: &&Call| matches!(c.answer, Answer::Broken(..));
-        let repeated = |c: &&Call| runs.get(&c.id).is_some_and(|count| *count > 1);
-        println!(
-            "seed {seed}: {route}: {} requests, {} served, {} refused, {} broken off, {} sent again",
-            sent().count(),
-            sent().filter(served).count(),
-            sent().filter(|c| c.answer.is_refusal()).count(),
-            sent().filter(broken).count(),
-            sent().filter(repeated).count(),
-        );
-    }
+    print_summary(&format!("seed {seed}"), &calls, &runs);
+    wrong.extend(
+        calls
+            .iter()
+            .filter_map(|call| check_end(call, &deployment.stops)),
+    );
     wrong.extend(
         calls
             .iter()
@@ -346,6 +290,24 @@
     wrong
 }
 
+/// Returns what is wrong with the end of a connection: only a process that ends closes one whose
+/// request has no response.
+fn check_end(call: &Call, stops: &[(usize, Instant)]) -> Option<String> {
+    let Answer::None(Unanswered::Closed(after)) = call.answer else {
+        return None;
+    };
+    let is_stopped = stops
+        .iter()
+        .any(|(router, at)| *router == call.router && (call.opened..=call.ended).contains(at));
+    // A process that was told to stop lives on for its grace period.
+    let stops_still = stops.iter().any(|(router, at)| {
+        *router == call.router && *at < call.opened && call.opened < *at + STOP_TIME
+    });
+    let Call { id, router, .. } = call;
+    (!is_stopped && !stops_still)
+        .then(|| format!("router {router} closed the connection of {id} after {after:?}"))
+}
+
 /// Returns which routers of a calm deployment use the revoked key or the server that has left.
 fn check_gone(deployment: &Deployment) -> Vec<String> {
     let mut wrong = Vec::new();
