fleet, front: log how recently a router has heard from the server it chooses

No line told on which evidence, of which age, a request went to it as to a warm server.

request_placed now has `cold`, whether the rate of requests to the server is limited, and `heard_ms`, the time since this router last received a part of a response of it. What responses tell of a server's life moves from fleet.rs to a module of its own. No decision changes.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -178,6 +178,8 @@
     pub withdrawn: Option<Revision>,
     /// When the newest request was sent whose answer did not say that the server leaves.
     pub proven_at: Option<Instant>,
+    /// When this router last received a part of a response.
+    pub heard_at: Option<Instant>,
     /// Prompt tokens that this router sent for prefill since its start.
     pub sent_tokens: u64,
     /// Requests that this router sent since its start.
@@ -220,6 +222,7 @@
             expired_at: None,
             withdrawn: None,
             proven_at: None,
+            heard_at: None,
             sent_tokens: 0,
             sent_requests: 0,
             arrivals: Arrivals::default(),
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -160,6 +160,8 @@
     pub share: ShareStatus,
     /// The limit on requests to the server if it is cold or being probed.
     pub cold: Option<ColdShare>,
+    /// Time since this router last received a part of a response of the server.
+    pub heard: Option<Duration>,
     /// Revision of the server list.
     pub revision: Revision,
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod homes;
 mod learning;
+mod life;
 mod limits;
 mod overload;
 mod quarantine;
@@ -832,23 +833,8 @@
         if !was_silent {
             server.observe_prefill(prefill_tokens, took, rate);
         }
-        if server.health.record_success() {
-            let deployment = self.config.deployment.as_ref();
-            let cold = deployment
-                .and_then(|d| d.services.get(&request.submission.service))
-                .map_or(Duration::ZERO, |s| s.cold_time);
-            // The server may have restarted while it was unreachable, so it counts as cold until
-            // its next registration says whether it is; not one that only was silent.
-            if !was_silent || attempt.probe {
-                server.recover(now, (!cold.is_zero()).then(|| now + cold));
-            }
-            let id = server.id.clone();
-            self.log(
-                "server_back",
-                &id,
-                format!("first_byte_ms={}", took.as_millis()),
-            );
-        }
+        let (key, may_be_new) = (attempt.server, !was_silent || attempt.probe);
+        self.server_answered(now, key, may_be_new, took);
         if !was_silent {
             self.learn_first_byte(now, &first_byte, prefill_tokens, pending);
         }
@@ -861,8 +847,9 @@
             return;
         };
         attempt.progress += 1;
-        let server = self.registry.get_mut(attempt.server);
         let key = attempt.server;
+        self.server_heard(now, key);
+        let server = self.registry.get_mut(key);
         if let Some(server) = server.filter(|_| !was_silent) {
             server.observe_interval(now, gap, tokens);
             self.learn_tokens(now, key, gap, tokens);
@@ -883,6 +870,7 @@
         ) {
             let (zone, sent_at) = (attempt.zone, attempt.sent_at);
             self.rollouts.record_zone_contact(now, zone, sent_at);
+            self.server_heard(now, attempt.server);
         }
         match outcome {
             Outcome::Expired => self.judge_expiry(now, key, &attempt),
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -649,6 +649,9 @@
                 rate: self.cold_rate(ctx.now, ctx.service, server),
                 routers: ctx.routers,
             }),
+            heard: server
+                .heard_at
+                .map(|at| ctx.now.saturating_duration_since(at)),
             revision: self.registry.revision(),
         }
     }
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -432,6 +432,8 @@
         home = inputs.preferred,
         copied = inputs.transferred,
         standing:? = inputs.share,
+        cold = inputs.cold.is_some(),
+        heard_ms = inputs.heard.map(millis),
         revision = inputs.revision.0,
         age_ms = list.map(|(_, age)| millis(age)),
         source = list.map(|(list, _)| list.source.to_string());
