fleet: show that routers flood a server that starts again under its id

The views are: the registration read 0.4 s late, no store, a third of the routers restarted while the servers were down, and zones that do not hear of each other; each with connections refused and with hosts that answer nothing, for 0.4 and 1.2 s.

--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -26,6 +26,7 @@
 mod registry;
 mod replacements;
 mod reports;
+mod restarted_server;
 mod retries;
 mod rollout_verdict;
 mod rollouts;
