fleet, front: use a server as a warm one only while it is heard

Cause: no router asked how old its belief was that a server is warm. What one router finds out about a server stays with it, and the streams that break make the server look idle to all others, so the routers flood it in the time from its start to its registration. Class: state of another party that is believed without an age.

Evidence: 12 requests to one server after its return as to a warm one; their routers had last heard from it 1.2 s before or earlier, never, or from its new life.

Change: evidence of a server's life has a time and a life (id and start time), travels in the reports, and counts for 250 ms, in which no server restarts. After a longer gap the server gets the rate of a cold one from all routers together, until evidence is unbroken for its cold time or since before the store's last list less a check-in interval, or until it answers a health check. That one bound holds for any view of any router: who has heard nothing sends at the cold rate, whatever it believes. A server that was silent and goes on with a response, or that others heard all the time, is used at once.

Tests that take servers for warm say so now (hear_servers), simulated servers answer health checks, and the play of routers with late reports sets restart_time to fit; their bounds are unchanged. may_send takes whether the server was chosen as a warm one.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -12,6 +12,7 @@
 use crate::arrivals::Arrivals;
 use crate::cold::ColdBucket;
 use crate::health::Health;
+use crate::liveness::{Liveness, life_hash};
 use crate::model::Model;
 use crate::notice::Notice;
 use crate::objects::{Backend, Revision};
@@ -178,8 +179,12 @@
     pub withdrawn: Option<Revision>,
     /// When the newest request was sent whose answer did not say that the server leaves.
     pub proven_at: Option<Instant>,
-    /// When this router last received a part of a response.
+    /// When this router itself last heard the server.
     pub heard_at: Option<Instant>,
+    /// What all routers have heard of the server's present life.
+    pub liveness: Liveness,
+    /// When this router last sent a health check.
+    pub checked_at: Option<Instant>,
     /// Prompt tokens that this router sent for prefill since its start.
     pub sent_tokens: u64,
     /// Requests that this router sent since its start.
@@ -223,6 +228,8 @@
             withdrawn: None,
             proven_at: None,
             heard_at: None,
+            liveness: Liveness::default(),
+            checked_at: None,
             sent_tokens: 0,
             sent_requests: 0,
             arrivals: Arrivals::default(),
@@ -236,6 +243,12 @@
         }
     }
 
+    /// Returns the hash that tells the server's present life from others.
+    #[must_use]
+    pub fn life(&self) -> u32 {
+        life_hash(self.hash, self.backend.born)
+    }
+
     /// Returns whether the server is cold.
     #[must_use]
     pub fn is_cold(&self, now: Instant) -> bool {
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -160,7 +160,7 @@
     pub share: ShareStatus,
     /// The limit on requests to the server if it is cold or being probed.
     pub cold: Option<ColdShare>,
-    /// Time since this router last received a part of a response of the server.
+    /// Time since any router was last known to have heard the server.
     pub heard: Option<Duration>,
     /// Revision of the server list.
     pub revision: Revision,
@@ -231,6 +231,19 @@
     },
 }
 
+/// Health check of a server; [`Event::ServerChecked`] tells the result.
+#[record]
+pub struct HealthCheck {
+    /// Key of the server.
+    pub server: ServerKey,
+    /// Id of the server, which it has to confirm.
+    pub id: String,
+    /// Address of the server.
+    pub address: SocketAddr,
+    /// Path of the service's health checks.
+    pub path: String,
+}
+
 /// Action that the daemon has to carry out.
 #[record]
 pub enum Decision {
@@ -273,6 +286,8 @@
         /// Why it is not sent to another server.
         reason: Reason,
     },
+    /// Ask a server for how long it stays cold.
+    Check(HealthCheck),
     /// Write a log line about a changed state.
     Log {
         /// Name of the log event.
@@ -321,6 +336,9 @@
         /// Whether the request was sent to the other server, which may have begun to run it.
         sent: bool,
     },
+    /// A server answered a health check that was sent at this time, with the time for which it stays
+    /// cold.
+    ServerChecked(ServerKey, Instant, Duration),
     /// A server's response says that it is leaving.
     ServerLeaving(ServerKey),
     /// A server's response names the requests per second that it accepts from all routers together,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,8 +5,8 @@
 mod choice;
 mod homes;
 mod learning;
-mod life;
 mod limits;
+mod liveness;
 mod overload;
 mod quarantine;
 mod rollouts;
@@ -94,8 +94,8 @@
     prefill_tokens: u64,
     /// Number of times that the stream went on after its first events.
     progress: u32,
-    /// Whether the response began.
-    began: bool,
+    /// When the first part of the response arrived.
+    began_at: Option<Instant>,
     /// Whether the server has been silent for longer than expected.
     silent: bool,
     /// Why the request was last kept at its silent server.
@@ -501,6 +501,9 @@
             Event::Stalled(key) => self.attempt_stalled(now, key),
             Event::Replaced(key) => self.attempt_replaced(now, key),
             Event::Resumed { key, sent } => self.attempt_resumed(now, key, sent),
+            Event::ServerChecked(server, asked_at, cold) => {
+                self.server_checked(now, server, asked_at, cold);
+            }
             Event::ServerLeaving(server) => self.server_leaving(server),
             Event::ServerRate(server, rate) => self.server_rate(now, server, rate),
             Event::ServerThrottled(server, pause) => self.server_throttled(now, server, pause),
@@ -617,6 +620,7 @@
             totals,
             plain_uses: self.room.report(now),
             learned,
+            heard: self.heard(now, scope),
             departed: self.departures.recent(now),
             restored: self.restored_notice(),
             rates: self.rate_notices(now, max_age),
@@ -815,7 +819,7 @@
                 .version
                 .get_or_insert_with(|| attempt.version.clone());
         }
-        attempt.began = true;
+        attempt.began_at = Some(now);
         self.rollouts
             .record_zone_contact(now, attempt.zone, attempt.sent_at);
         let pending = attempt.load.pending_prefill;
@@ -847,8 +851,8 @@
             return;
         };
         attempt.progress += 1;
-        let key = attempt.server;
-        self.server_heard(now, key);
+        let (key, began_at) = (attempt.server, attempt.began_at);
+        self.response_heard(now, key, began_at);
         let server = self.registry.get_mut(key);
         if let Some(server) = server.filter(|_| !was_silent) {
             server.observe_interval(now, gap, tokens);
@@ -870,7 +874,7 @@
         ) {
             let (zone, sent_at) = (attempt.zone, attempt.sent_at);
             self.rollouts.record_zone_contact(now, zone, sent_at);
-            self.server_heard(now, attempt.server);
+            self.server_heard(now, &attempt);
         }
         match outcome {
             Outcome::Expired => self.judge_expiry(now, key, &attempt),
@@ -929,12 +933,14 @@
         }
     }
 
-    /// Returns whether a request may still be sent to a server for which it was placed.
+    /// Returns whether a request may still be sent to a server for which it was placed; `as_warm` tells
+    /// whether the rate of requests to the server was not limited then.
     #[must_use]
-    pub fn may_send(&self, now: Instant, key: ServerKey) -> bool {
+    pub fn may_send(&self, now: Instant, key: ServerKey, as_warm: bool) -> bool {
         self.registry.get(key).is_some_and(|s| {
             self.is_open(now, s, self.list_is_late(now))
                 && !self.config.evacuated.contains(&s.backend.zone)
+                && (!as_warm || self.is_warm_still(now, s))
                 && self
                     .rollouts
                     .may_send(&s.backend.service, &s.backend.version)
@@ -1292,6 +1298,7 @@
                 .apply_report(now, sender, report.zone, &report.plain_uses);
         }
         self.apply_learned(now, report, change.joined);
+        self.apply_heard(now, report);
         self.subtract_peer_loads(&change.old_loads);
         for (hash, load) in &change.new_loads {
             if let Some(server) = self.registry.by_hash_mut(*hash) {
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -248,8 +248,16 @@
             );
         }
         match self.choose(now, key, share) {
-            Ok(candidate) => self.send(now, key, candidate),
-            Err(refusal) => self.refuse(now, key, *refusal),
+            Ok(candidate) => {
+                if candidate.inputs.cold.is_some() {
+                    self.check_server(now, candidate.key, false);
+                }
+                self.send(now, key, candidate);
+            }
+            Err(refusal) => {
+                self.check_servers(now, key);
+                self.refuse(now, key, *refusal);
+            }
         }
     }
 
@@ -544,10 +552,12 @@
         used < LATE_RATE_FRACTION && is_drawn
     }
 
-    /// Returns whether the rate of requests to a server is limited, as it is cold, being probed or
-    /// has just started or recovered.
+    /// Returns whether the rate of requests to a server is limited, as it is or may be cold, is being
+    /// probed or has just started or recovered.
     fn is_rate_limited(&self, now: Instant, server: &Server) -> bool {
-        server.is_limited(now) || self.pace_of(now, server).is_some()
+        server.is_limited(now)
+            || self.pace_of(now, server).is_some()
+            || self.may_be_cold(now, server)
     }
 
     /// Returns the fleet's limit on the requests per second to a server that has just started or
@@ -588,13 +598,13 @@
 
     /// Returns the part that is used of the fleet's limit on the requests per second to a cold server;
     /// none if the service has no limit.
-    fn cold_limit(&self, service: &Service) -> Option<f64> {
+    pub(super) fn cold_limit(&self, service: &Service) -> Option<f64> {
         let rate = Some(service.cold_rate).filter(|rate| *rate > 0.0)?;
         Some(self.params.cold_bound(rate) * COLD_LIMIT_FRACTION)
     }
 
     /// Returns this router's part, in requests per second, of a bound on all routers.
-    fn part_of(&self, bound: f64, server: &Server) -> f64 {
+    pub(super) fn part_of(&self, bound: f64, server: &Server) -> f64 {
         #[allow(
             clippy::cast_precision_loss,
             clippy::cast_possible_truncation,
@@ -650,7 +660,8 @@
                 routers: ctx.routers,
             }),
             heard: server
-                .heard_at
+                .liveness
+                .heard_at()
                 .map(|at| ctx.now.saturating_duration_since(at)),
             revision: self.registry.revision(),
         }
@@ -834,7 +845,7 @@
             load,
             prefill_tokens: candidate.inputs.pending_prefill + load.pending_prefill,
             progress: 0,
-            began: false,
+            began_at: None,
             silent: false,
             kept_for: None,
             queued,
--- a/crates/fleet/src/fleet/rollouts.rs
+++ b/crates/fleet/src/fleet/rollouts.rs
@@ -146,7 +146,7 @@
         let service = &request.submission.service;
         let failed = match outcome {
             Outcome::Answered => false,
-            Outcome::Broken if !attempt.began => {
+            Outcome::Broken if attempt.began_at.is_none() => {
                 return self.record_rollout_connection(now, key, attempt);
             }
             Outcome::Failed
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 //! * [`model`]: learned speed of a server;
 //! * [`pace`]: rate of requests to a server that has started or recovered;
 //! * [`lateness`]: lateness of this router's event loop;
+//! * [`liveness`]: whether a server may have restarted;
 //! * [`health`]: circuit breaker and error rate of a server;
 //! * [`notice`]: what a server announced in its responses;
 //! * [`pressure`]: overload of this router's event loop;
@@ -37,6 +38,7 @@
 pub mod freshness;
 pub mod health;
 pub mod lateness;
+pub mod liveness;
 pub mod members;
 pub mod model;
 pub mod notice;
--- a/crates/fleet/src/params.rs
+++ b/crates/fleet/src/params.rs
@@ -43,8 +43,14 @@
     pub step_each: Duration,
     /// Whether the speed and pace learned from servers' responses are used.
     pub learn: Learn,
+    /// Time in which no server restarts: one that is not heard for so long may have started again, cold,
+    /// before its new registration is read.
+    pub restart_time: Duration,
     /// Number of routers assumed until other routers are known.
     pub routers: usize,
+    /// Longest time from the start of a server to its registration: servers write to the store at this
+    /// interval.
+    pub check_in: Duration,
     /// Time after a store outage for which servers are kept whose registrations expired.
     pub lapse_grace: Duration,
     /// Age of the store's last answer from which a router no longer reads the store for its zone.
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -12,6 +12,7 @@
 use prost::Message;
 
 use crate::engine::Load;
+use crate::liveness::Heard;
 use crate::model::{LearnedSpeed, SlowdownNotice};
 use crate::pace::PaceNotice;
 use crate::rollout::report::RolloutReport;
@@ -213,6 +214,9 @@
     /// was never restored from a copy.
     #[prost(message, optional, boxed, tag = "70")]
     pub restored: Option<Box<Restored>>,
+    /// Servers that were heard of late; none in incremental reports.
+    #[prost(message, optional, boxed, tag = "80")]
+    pub heard: Option<Box<Heard>>,
 }
 
 /// State from the reports of one router.
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -53,6 +53,7 @@
     servers: SlotMap<ServerKey, Server>,
     by_id: BTreeMap<String, ServerKey>,
     by_hash: BTreeMap<u32, ServerKey>,
+    by_life: BTreeMap<u32, ServerKey>,
     by_service: BTreeMap<String, BTreeSet<ServerKey>>,
     revision: Revision,
     /// When the store was last restored from an older copy.
@@ -84,6 +85,17 @@
         self.servers.get_mut(*self.by_hash.get(&hash)?)
     }
 
+    /// Returns the server of which a life has the given hash, if that is its present one.
+    #[must_use]
+    pub fn by_life(&self, life: u32) -> Option<&Server> {
+        self.servers.get(*self.by_life.get(&life)?)
+    }
+
+    /// Returns the server of which a life has the given hash, for modification.
+    pub fn by_life_mut(&mut self, life: u32) -> Option<&mut Server> {
+        self.servers.get_mut(*self.by_life.get(&life)?)
+    }
+
     /// Returns the servers of a service.
     pub fn of_service<'a>(
         &'a self,
@@ -100,6 +112,12 @@
         self.servers.values()
     }
 
+    /// Returns the keys of all servers.
+    #[must_use]
+    pub fn keys(&self) -> Vec<ServerKey> {
+        self.servers.keys().collect()
+    }
+
     /// Returns all servers for modification.
     pub fn all_mut(&mut self) -> impl Iterator<Item = &mut Server> {
         self.servers.values_mut()
@@ -269,8 +287,15 @@
     ///
     /// At other times a lower start time is that of a restart after the server's clock was set back.
     fn is_earlier_life(&self, now: Instant, born: u64, backend: &Backend) -> bool {
+        backend.born != 0 && backend.born < born && self.was_restored(now)
+    }
+
+    /// Returns whether the store was restored from an older copy so short a time ago that servers may
+    /// not have registered again.
+    #[must_use]
+    pub fn was_restored(&self, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < RESTORE_GRACE;
-        backend.born != 0 && backend.born < born && self.restored_at.is_some_and(is_recent)
+        self.restored_at.is_some_and(is_recent)
     }
 
     /// Removes a server that is no longer registered.
@@ -298,7 +323,9 @@
         if let Some(departed) = departed.filter(|d| server.backend.is_same_life(d.born)) {
             server.notice = departed.notice;
         }
+        let life = server.life();
         let key = self.servers.insert(server);
+        self.by_life.insert(life, key);
         self.by_id.insert(id.to_owned(), key);
         self.by_hash.insert(hash, key);
         self.by_service.entry(service).or_default().insert(key);
@@ -310,6 +337,7 @@
         };
         self.by_id.remove(&server.id);
         self.by_hash.remove(&server.hash);
+        self.by_life.remove(&server.life());
         if let Some(keys) = self.by_service.get_mut(&server.backend.service) {
             keys.remove(&key);
         }
--- a/crates/fleet/tests/all/connections.rs
+++ b/crates/fleet/tests/all/connections.rs
@@ -96,5 +96,6 @@
     let mut fleet = router(ROUTERS - 1, 0, now);
     let later = now + Duration::from_secs(2);
     fleet.handle(later, Event::Tick);
+    support::hear_servers(&mut fleet, later);
     assert_eq!(sent(&mut fleet, later), CONNECTIONS / ROUTERS);
 }
--- a/crates/fleet/tests/all/crowded_router.rs
+++ b/crates/fleet/tests/all/crowded_router.rs
@@ -145,6 +145,7 @@
     assert!(fleet.sheds());
     let now = add_lag(&mut fleet, now, Duration::ZERO, Duration::from_secs(3));
     assert!(!fleet.sheds());
+    support::hear_servers(&mut fleet, now);
     // The wave comes back with the router's next connections.
     for key in 50..70 {
         let request = submission(key, 1, prompt(key, 20_000), now);
--- a/crates/fleet/tests/all/departures.rs
+++ b/crates/fleet/tests/all/departures.rs
@@ -67,11 +67,11 @@
         .find(|(_, server)| server.id == "e0")
         .map(|(key, _)| key)
         .expect("it is registered");
-    assert!(follower.may_send(now, key));
+    assert!(follower.may_send(now, key, false));
     reader.handle(now, Event::Servers(Revision(2), leaving()));
     let report = reader.report(now, Scope::Zone);
     follower.handle(now, Event::Report(report));
-    assert!(!follower.may_send(now, key));
+    assert!(!follower.may_send(now, key, false));
 }
 
 #[test]
--- a/crates/fleet/tests/all/freshness.rs
+++ b/crates/fleet/tests/all/freshness.rs
@@ -161,8 +161,8 @@
     confirm(&mut fleet, 1, start);
     let key = fleet.registry().of_service(support::ENGINES).next();
     let key = key.map(|(key, _)| key).expect("one is registered");
-    assert!(fleet.may_send(start, key));
-    assert!(!fleet.may_send(start + TOO_OLD, key));
+    assert!(fleet.may_send(start, key, false));
+    assert!(!fleet.may_send(start + TOO_OLD, key, false));
 }
 
 #[test]
--- a/crates/fleet/tests/all/kv_transfers.rs
+++ b/crates/fleet/tests/all/kv_transfers.rs
@@ -79,6 +79,7 @@
         servers.insert(format!("e{number}"), engine);
     }
     fleet.handle(now, Event::Servers(Revision(1), servers.clone()));
+    support::hear_servers(&mut fleet, now);
     // Each engine receives one long prompt, until every zone has the prefix cached.
     let mut holders: Vec<(String, SocketAddr)> = Vec::new();
     for key in 0..6 {
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod incremental_reports;
 mod kv_transfers;
 mod learning;
+mod liveness;
 mod lopsided_wave;
 mod lost_work;
 mod notices;
--- a/crates/fleet/tests/all/notices.rs
+++ b/crates/fleet/tests/all/notices.rs
@@ -50,9 +50,9 @@
     let now = Instant::now();
     let mut fleet = router(support::servers(0), now);
     let leaving = place(&mut fleet, 0, now);
-    assert!(fleet.may_send(now, leaving));
+    assert!(fleet.may_send(now, leaving, false));
     fleet.handle(now, Event::ServerLeaving(leaving));
-    assert!(!fleet.may_send(now, leaving));
+    assert!(!fleet.may_send(now, leaving, false));
     for key in 1..50 {
         assert_ne!(place(&mut fleet, key, now), leaving);
         fleet.handle(now, Event::Ended(RequestKey(key), Outcome::Answered));
@@ -151,7 +151,7 @@
     let server = place(&mut fleet, 0, now);
     fleet.handle(now, Event::ServerThrottled(server, Duration::from_secs(2)));
     fleet.handle(now, Event::ServerThrottled(server, Duration::ZERO));
-    assert!(!fleet.may_send(now + Duration::from_secs(1), server));
+    assert!(!fleet.may_send(now + Duration::from_secs(1), server, false));
 }
 
 #[test]
@@ -174,6 +174,6 @@
     let mut fleet = router(one_server(5, 9), now);
     let server = place(&mut fleet, 0, now);
     fleet.handle(now, Event::ServerThrottled(server, Duration::MAX));
-    assert!(!fleet.may_send(now + Duration::from_secs(59), server));
-    assert!(fleet.may_send(now + Duration::from_secs(60), server));
+    assert!(!fleet.may_send(now + Duration::from_secs(59), server, false));
+    assert!(fleet.may_send(now + Duration::from_secs(60), server, false));
 }
--- a/crates/fleet/tests/all/outcomes.rs
+++ b/crates/fleet/tests/all/outcomes.rs
@@ -131,6 +131,7 @@
     let first = fleet.handle(now, Event::Submit(submission(1, 1, prompt(1, 10), now)));
     let first = sent_to(&first).expect("an engine is free").to_owned();
     let late = now + Duration::from_millis(1_200);
+    support::hear_servers(&mut fleet, late);
     for key in 10..60 {
         fleet.handle(
             late,
--- a/crates/fleet/tests/all/overload.rs
+++ b/crates/fleet/tests/all/overload.rs
@@ -120,6 +120,7 @@
             now,
             Event::Submit(submission(step, step, prompt(1, 3_000), now)),
         );
+        support::answer_checks(&mut fleet, now, &decisions);
         if sent_to(&decisions).is_some() {
             admitted += 3_000.0;
             fleet.handle(now, Event::FirstByte(RequestKey(step)));
@@ -191,6 +192,7 @@
         };
         let request = submission(step, workspace, prompt(step % 8, 2_000), now);
         let decisions = fleet.handle(now, Event::Submit(request));
+        support::answer_checks(&mut fleet, now, &decisions);
         if sent_to(&decisions).is_some() {
             if step > 2_400 {
                 admitted[usize::try_from(workspace).expect("there are three")] += 1;
--- a/crates/fleet/tests/all/pace.rs
+++ b/crates/fleet/tests/all/pace.rs
@@ -53,7 +53,11 @@
             }
             let key = RequestKey(u64::from(step));
             let request = submission(key.0, 1, prompt(1, 10), now);
-            if sent_to(&fleet.handle(now, Event::Submit(request))).is_none() {
+            let decisions = fleet.handle(now, Event::Submit(request));
+            if now >= start + COLD {
+                support::answer_checks(fleet, now, &decisions);
+            }
+            if sent_to(&decisions).is_none() {
                 continue;
             }
             sent[step as usize / 50] += 1.0;
--- a/crates/fleet/tests/all/replacements.rs
+++ b/crates/fleet/tests/all/replacements.rs
@@ -28,6 +28,7 @@
     request.max_attempts = 4;
     fleet.handle(now, Event::Submit(request));
     let late = now + SILENCE;
+    support::hear_servers(&mut fleet, late);
     crowd(&mut fleet, late);
     assert!(sent_to(&fleet.handle(late, Event::Stalled(KEY))).is_some());
     fleet.handle(late, Event::Replaced(KEY));
@@ -44,6 +45,7 @@
     let mut fleet = support::router("r", 2, now);
     fleet.handle(now, Event::Submit(submission(1, 1, prompt(1, 10), now)));
     let late = now + SILENCE;
+    support::hear_servers(&mut fleet, late);
     crowd(&mut fleet, late);
     let decisions = fleet.handle(late, Event::Ended(KEY, Outcome::Broken));
     assert_eq!(failure_reason(&decisions), None, "{decisions:?}");
--- a/crates/fleet/tests/all/server_rates.rs
+++ b/crates/fleet/tests/all/server_rates.rs
@@ -34,7 +34,9 @@
 /// Returns whether a request is sent; it is answered at once.
 fn is_sent(fleet: &mut Fleet, now: Instant, key: u64) -> bool {
     let request = submission(key, key, prompt(1, 10), now);
-    let sent = sent_to(&fleet.handle(now, Event::Submit(request))).is_some();
+    let decisions = fleet.handle(now, Event::Submit(request));
+    support::answer_checks(fleet, now, &decisions);
+    let sent = sent_to(&decisions).is_some();
     if sent {
         fleet.handle(now, Event::FirstByte(RequestKey(key)));
         let ended = Event::Ended(RequestKey(key), Outcome::Answered);
@@ -122,6 +124,7 @@
             fleet.handle(start, Event::Config(Revision(1), support::config(&[])));
             fleet.handle(start, Event::Servers(Revision(1), servers(1)));
             fleet.handle(start, Event::Members(names.clone()));
+            support::hear_servers(&mut fleet, start);
             // A first report of a server tells no change.
             assert!(is_sent(&mut fleet, start, 0));
             fleet
@@ -289,6 +292,7 @@
     name_rate(&mut other, start, Some(0.0));
     name_rate(&mut fleet, now, None);
     fleet.handle(now, Event::Report(other.report(now, Scope::All)));
+    support::hear_servers(&mut fleet, now);
     let sent = (0..20).filter(|key| is_sent(&mut fleet, now, *key)).count();
     assert_eq!(sent, 20);
 }
@@ -303,6 +307,7 @@
         backend.born += 1;
     }
     fleet.handle(now, Event::Servers(Revision(2), list));
+    support::hear_servers(&mut fleet, now);
     let sent = (0..20).filter(|key| is_sent(&mut fleet, now, *key)).count();
     assert_eq!(sent, 20);
 }
--- a/crates/fleet/tests/all/stalls.rs
+++ b/crates/fleet/tests/all/stalls.rs
@@ -55,6 +55,7 @@
     let mut fleet = support::router("r", 2, now);
     let server = submit(&mut fleet, submission(1, 1, prompt(1, 10), now), now);
     let late = now + SILENCE;
+    support::hear_servers(&mut fleet, late);
     // Both engines have prompts to prefill, so a new request would start late.
     for key in 10..60 {
         fleet.handle(
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -43,7 +43,9 @@
         step_time: Duration::from_micros(2_900),
         step_each: Duration::from_micros(100),
         learn: Learn::Auto,
+        restart_time: Duration::from_millis(250),
         routers: 8,
+        check_in: Duration::from_millis(1_200),
         lapse_grace: Duration::from_millis(2_500),
         store_ttl: Duration::from_millis(1_500),
         store_silence: Duration::from_millis(1_000),
@@ -162,9 +164,26 @@
     fleet.handle(earlier, Event::Members(vec![name.to_owned()]));
     fleet.handle(now, Event::Config(Revision(1), config(&[])));
     fleet.handle(now, Event::Servers(Revision(1), servers(engines)));
+    hear_servers(&mut fleet, now);
     fleet
 }
 
+/// Answers the health checks among the decisions of a router by warm servers.
+pub fn answer_checks(fleet: &mut Fleet, now: Instant, decisions: &[Decision]) {
+    for decision in decisions {
+        if let Decision::Check(check) = decision {
+            fleet.handle(now, Event::ServerChecked(check.server, now, Duration::ZERO));
+        }
+    }
+}
+
+/// Has a router hear of all its servers that they are warm.
+pub fn hear_servers(fleet: &mut Fleet, now: Instant) {
+    for key in fleet.registry().keys() {
+        fleet.handle(now, Event::ServerChecked(key, now, Duration::ZERO));
+    }
+}
+
 /// Returns a prompt whose shared part `shared` has 5,000 tokens.
 pub fn prompt(shared: u64, own: u32) -> Prompt {
     Prompt {
--- a/crates/fleet/tests/all/uneven_servers.rs
+++ b/crates/fleet/tests/all/uneven_servers.rs
@@ -74,6 +74,8 @@
     let new = |name: &String| {
         let params = Params {
             learn,
+            // All that routers hear of servers is as late as the reports.
+            restart_time: REPORT_DELAY + Duration::from_secs(1),
             ..support::params()
         };
         let mut fleet = Fleet::new(name, 1, params, start);
@@ -86,6 +88,7 @@
         let servers = support::servers(SERVERS);
         fleet.handle(start, Event::Servers(Revision(1), servers));
         fleet.handle(start, Event::Members(names.clone()));
+        support::hear_servers(&mut fleet, start);
         fleet
     };
     names.iter().map(new).collect()
@@ -159,7 +162,9 @@
             let router = usize::try_from(hash(u64::from(step))).unwrap_or(0) % ROUTERS;
             let key = RequestKey(u64::from(step));
             let request = submission(key.0, 1, PROMPT, now);
-            for decision in fleets[router].handle(now, Event::Submit(request)) {
+            let decisions = fleets[router].handle(now, Event::Submit(request));
+            support::answer_checks(&mut fleets[router], now, &decisions);
+            for decision in decisions {
                 let Decision::Send { server, id, .. } = decision else {
                     continue;
                 };
--- a/crates/fleet/tests/all/versions.rs
+++ b/crates/fleet/tests/all/versions.rs
@@ -29,6 +29,7 @@
 fn router(versions: &[&str], now: Instant) -> Fleet {
     let mut fleet = support::router("r", 0, now);
     fleet.handle(now, Event::Servers(Revision(2), engines(versions)));
+    support::hear_servers(&mut fleet, now);
     fleet.handle(now, Event::Versions(0, Vec::new()));
     fleet
 }
@@ -115,12 +116,14 @@
     let mut fleet = router(&["v1"], start);
     let now = start + Duration::from_secs(10);
     fleet.handle(now, Event::Servers(Revision(3), engines(&["v1", "v2"])));
+    support::hear_servers(&mut fleet, now);
     for key in 0..5 {
         let sent = fleet.handle(now, Event::Submit(submission(key, 1, prompt(key, 10), now)));
         assert_eq!(version_sent_to(&sent), Some("v1"));
     }
     let now = now + Duration::from_secs(4);
     fleet.handle(now, Event::Servers(Revision(4), engines(&["v1", "v2"])));
+    support::hear_servers(&mut fleet, now);
     let versions: BTreeSet<String> = (10..60)
         .filter_map(|key| {
             let request = submission(key, 1, prompt(key, 10), now);
--- a/crates/front/benches/support/mod.rs
+++ b/crates/front/benches/support/mod.rs
@@ -60,6 +60,8 @@
         not_run: HeaderName::from_static("x-not-run"),
         leaving: HeaderName::from_static("x-leaving"),
         rate: HeaderName::from_static("x-rate"),
+        server: HeaderName::from_static("x-answered-by"),
+        cold: HeaderName::from_static("x-cold"),
         reserved: Vec::new(),
         ready_path: "/ready",
         load: |_| Ok(None),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod answer;
 pub mod caller;
 pub mod fingerprint;
+pub mod health;
 pub mod metrics;
 pub mod origins;
 pub mod outgoing;
--- a/crates/front/src/protocol.rs
+++ b/crates/front/src/protocol.rs
@@ -36,6 +36,10 @@
     pub leaving: HeaderName,
     /// Requests per second that a server accepts from all routers together, as a decimal number.
     pub rate: HeaderName,
+    /// Id of the server that answers a health check.
+    pub server: HeaderName,
+    /// Milliseconds for which a server that answers a health check stays cold; absent if it is not.
+    pub cold: HeaderName,
     /// Headers that only the router may set; a caller's are dropped.
     pub reserved: Vec<HeaderName>,
     /// Path of the readiness probe.
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -12,7 +12,7 @@
 use futures_util::future::Shared;
 use hibiscusrail_check::{Known, Reported};
 use hibiscusrail_core::Clock;
-use hibiscusrail_fleet::event::{Execution, Inputs, Reason, RefusalInputs};
+use hibiscusrail_fleet::event::{Execution, HealthCheck, Inputs, Reason, RefusalInputs};
 use hibiscusrail_fleet::freshness::Confirmation;
 use hibiscusrail_fleet::objects::Revision;
 use hibiscusrail_fleet::registry::ServerKey;
@@ -47,6 +47,8 @@
     pub source: Option<SocketAddr>,
     /// Expected time to first byte, from the decision on.
     pub expected: Duration,
+    /// Whether the server was taken for a warm one.
+    pub as_warm: bool,
 }
 
 /// Final failure of a request.
@@ -87,6 +89,8 @@
     /// Signals that an incremental report is due.
     report_tx: RefCell<mpsc::Sender<()>>,
     report_rx: Cell<Option<mpsc::Receiver<()>>>,
+    check_tx: mpsc::UnboundedSender<HealthCheck>,
+    check_rx: Cell<Option<mpsc::UnboundedReceiver<HealthCheck>>>,
     stopping: Cell<Option<Instant>>,
     /// Dropped when the process is about to exit.
     running: Cell<Option<oneshot::Sender<()>>>,
@@ -115,6 +119,7 @@
         let budget = Budget::new(settings.memory_budget());
         let work = Work::new(clock.now());
         let (report_tx, report_rx) = mpsc::channel(0);
+        let (check_tx, check_rx) = mpsc::unbounded();
         let (running, exiting) = oneshot::channel();
         let fleet = Fleet::new(&settings.name, clock.epoch_ms(), params, clock.now());
         Self {
@@ -132,6 +137,8 @@
             next_key: Cell::new(0),
             report_tx: RefCell::new(report_tx),
             report_rx: Cell::new(Some(report_rx)),
+            check_tx,
+            check_rx: Cell::new(Some(check_rx)),
             stopping: Cell::new(None),
             running: Cell::new(Some(running)),
             exiting: exiting.shared(),
@@ -260,6 +267,12 @@
         self.report_rx.take()
     }
 
+    /// Returns the receiver of the health checks that are due; only once.
+    #[must_use]
+    pub fn checks(&self) -> Option<mpsc::UnboundedReceiver<HealthCheck>> {
+        self.check_rx.take()
+    }
+
     /// Calls `look` with the reducer's state.
     pub fn with_fleet<T>(&self, look: impl FnOnce(&Fleet) -> T) -> T {
         look(&self.fleet.borrow())
@@ -373,6 +386,7 @@
                         address,
                         source,
                         expected,
+                        as_warm: inputs.cold.is_none(),
                     }));
                 }
                 Decision::Fail {
@@ -399,6 +413,10 @@
                 Decision::Wait { request, reason } => {
                     log::info!(call = request.0, reason:? = reason; "request_waits");
                 }
+                Decision::Check(check) => {
+                    // Nothing receives them before the daemon's tasks run.
+                    let _ = self.check_tx.unbounded_send(check);
+                }
                 Decision::Log {
                     event,
                     subject,
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -23,7 +23,7 @@
 use crate::protocol::Protocol;
 use crate::shell::Shell;
 use crate::watch::{self, Store};
-use crate::{caller, overload, refusal, rollouts, state, stop};
+use crate::{caller, health, overload, refusal, rollouts, state, stop};
 
 /// Exit code if requests were still running when the stop timeout expired.
 const EXIT_ABORTED: u8 = 3;
@@ -175,6 +175,7 @@
         event_loop::spawn(rollouts::follow_rollouts(Rc::clone(&shell), store));
     }
     event_loop::spawn(measure_loop_lag(Rc::clone(&shell)));
+    event_loop::spawn(health::check_servers(Rc::clone(&shell)));
     let incremental = peers::send_incremental_reports(Rc::clone(&shell), Rc::clone(&peers));
     spawn_urgent(incremental);
     spawn_urgent(peers::send_reports(shell, peers));
--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -450,7 +450,7 @@
 }
 
 fn may_send(shell: &Shell, target: &Target) -> bool {
-    shell.with_fleet(|f| f.may_send(shell.now(), target.server))
+    shell.with_fleet(|f| f.may_send(shell.now(), target.server, target.as_warm))
 }
 
 async fn send(shell: &Rc<Shell>, plan: &Plan, target: &Target, resume: Option<u64>) -> Exchange {
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -69,6 +69,7 @@
             | Event::Stalled(_)
             | Event::Replaced(_)
             | Event::Resumed { .. }
+            | Event::ServerChecked(..)
             | Event::ServerLeaving(_)
             | Event::ServerRate(..)
             | Event::ServerThrottled(..)
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod config_changes;
 mod fingerprint;
 mod followers;
+mod health;
 mod metrics;
 mod notices;
 mod overload;
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -209,7 +209,7 @@
 /// Last chunk of a complete stream.
 pub const STREAM_END: &str = "0\r\n\r\n";
 
-fn protocol() -> Protocol {
+pub fn protocol() -> Protocol {
     Protocol {
         request_id: HeaderName::from_static("x-id"),
         deadline: HeaderName::from_static("x-wait-ms"),
@@ -222,6 +222,8 @@
         not_run: HeaderName::from_static("x-not-run"),
         leaving: HeaderName::from_static("x-leaving"),
         rate: HeaderName::from_static("x-rate"),
+        server: HeaderName::from_static("x-answered-by"),
+        cold: HeaderName::from_static("x-cold"),
         reserved: vec![HeaderName::from_static("x-internal")],
         ready_path: "/ready",
         prompt: |_| Some(Prompt::default()),
--- a/crates/fuzzing/src/rollouts/world.rs
+++ b/crates/fuzzing/src/rollouts/world.rs
@@ -542,6 +542,8 @@
         step_each: Duration::from_micros(100),
         learn: Learn::Auto,
         routers: ROUTERS,
+        check_in: Duration::from_millis(1_200),
+        restart_time: Duration::from_millis(250),
         lapse_grace: Duration::from_millis(2_500),
         store_ttl: Duration::from_millis(1_500),
         store_silence: Duration::from_millis(1_000),
