platform: fill in the check-in interval in a section of its own

So the interval is filled in by a section, which the platform renders where it has the value, and stands with the other facts of servers ([engines]).

--- a/crates/settings/src/front.rs
+++ b/crates/settings/src/front.rs
@@ -202,7 +202,7 @@
         learn: r.optional(ENGINES, "learn", Learn::Auto),
         restart_time: r.optional(ENGINES, "restart_time", Duration::from_millis(250)),
         routers: r.optional::<u32>(ENGINES, "routers", 8) as usize,
-        check_in: r.optional(STORE, "check_in", Duration::from_millis(1_200)),
+        check_in: r.optional(ENGINES, "check_in", Duration::from_millis(1_200)),
         lapse_grace: r.optional(STORE, "lapse_grace", Duration::from_millis(2_500)),
         store_ttl: r.optional(STORE, "watch_life", Duration::from_millis(1_500)),
         store_silence: r.optional(STORE, "silence", Duration::from_millis(1_000)),
