fleet: count each life of a server that a request crashes

Failures on a suspect were counted by the id of the server, so one server could fail any number of times and count once, at each router and in the reports. They are counted by its life now, and a server that starts again is judged like one that left: a request that was given up at it in silence may have crashed it.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -80,6 +80,8 @@
     server: ServerKey,
     /// Hash of the server's id; the server may have gone when the attempt ends.
     server_hash: u32,
+    /// Life of the server.
+    life: u32,
     /// Software version of the server.
     version: String,
     /// Hash of the server's availability zone.
@@ -1212,7 +1214,7 @@
         for id in changes.draining.iter().chain(&changes.removed) {
             self.departures.record(now, name_hash(id));
         }
-        for id in &changes.removed {
+        for id in changes.removed.iter().chain(&changes.started) {
             self.judge_departure(now, name_hash(id));
         }
         let lists = [
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -837,6 +837,7 @@
         request.attempt = Some(Attempt {
             server: candidate.key,
             server_hash: server.hash,
+            life: server.life(),
             version: server.backend.version.clone(),
             zone: placement::name_hash(&server.backend.zone),
             cold: server.is_cold(now),
--- a/crates/fleet/src/fleet/quarantine.rs
+++ b/crates/fleet/src/fleet/quarantine.rs
@@ -87,8 +87,7 @@
                 let has_parts = attempt.progress == 0;
                 let number = if has_parts { usize::MAX } else { 1 };
                 let keys = suspects(submission).take(number);
-                let server = attempt.server_hash;
-                let quarantined = self.suspects.record_failure(now, server, keys);
+                let quarantined = self.suspects.record_failure(now, attempt.life, keys);
                 self.log_suspected(key, attempt);
                 self.log_quarantined(now, &quarantined, self.own_hash.0);
             }
@@ -100,19 +99,19 @@
         }
     }
 
-    /// Suspects a request that is given up at a silent server, if that leaves the list.
+    /// Suspects a request that is given up at a silent server, if that leaves the list or starts again.
     ///
     /// A host may crash without closing its connections.
     pub(super) fn judge_silence(&mut self, now: Instant, fingerprint: u64, attempt: &Attempt) {
         let server = attempt.server_hash;
         let key = SuspectKey::Request(fingerprint);
-        self.suspects.record_silence(now, server, key);
+        self.suspects.record_silence(now, server, attempt.life, key);
         if self.registry.get(attempt.server).is_none() {
             self.judge_departure(now, server);
         }
     }
 
-    /// Suspects the requests that were given up at a server which has left the list.
+    /// Suspects the requests that were given up at a server which has left the list or started again.
     pub(super) fn judge_departure(&mut self, now: Instant, server: u32) {
         let quarantined = self.suspects.server_gone(now, server);
         self.log_quarantined(now, &quarantined, self.own_hash.0);
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -80,8 +80,8 @@
     /// Id of the part or fingerprint of the request.
     #[prost(fixed64, tag = "1")]
     pub hash: u64,
-    /// Hashes of the ids of the servers that failed: those of the sender, and all that it knows of
-    /// once the suspect is quarantined.
+    /// Lives of the servers that failed, by [`life_hash`](crate::liveness::life_hash): those of the
+    /// sender, and all that it knows of once the suspect is quarantined.
     #[prost(fixed32, repeated, tag = "2")]
     pub servers: Vec<u32>,
     /// Milliseconds since each of these failures; without them the failures are new.
@@ -119,7 +119,8 @@
     own: bool,
 }
 
-/// Failures of servers on one suspect, by the hash of the server's id.
+/// Failures of servers on one suspect, by the life of the server: one that crashed and started again under
+/// its id counts again.
 #[derive(Debug, Default)]
 struct Failures(BTreeMap<u32, Failure>);
 
@@ -142,7 +143,9 @@
 #[value]
 struct Silence {
     at: Instant,
+    /// Hash of the server's id.
     server: u32,
+    life: u32,
     key: SuspectKey,
 }
 
@@ -247,39 +250,44 @@
 }
 
 impl Suspects {
-    /// Records that a server failed; returns the suspects quarantined by it.
+    /// Records that a server failed in one of its lives; returns the suspects quarantined by it.
     pub fn record_failure(
         &mut self,
         now: Instant,
-        server: u32,
+        life: u32,
         keys: impl Iterator<Item = SuspectKey>,
     ) -> Vec<SuspectKey> {
         let failure = Failure { at: now, own: true };
-        keys.filter(|key| self.add(now, *key, server, failure))
+        keys.filter(|key| self.add(now, *key, life, failure))
             .collect()
     }
 
     /// Records that a request was given up at a silent server, which may have crashed on it.
-    pub fn record_silence(&mut self, now: Instant, server: u32, key: SuspectKey) {
+    pub fn record_silence(&mut self, now: Instant, server: u32, life: u32, key: SuspectKey) {
         if self.silences.len() >= MAX_SILENCES {
             self.silences.pop_front();
         }
         let silence = Silence {
             at: now,
             server,
+            life,
             key,
         };
         self.silences.push_back(silence);
     }
 
-    /// Records that a server left the list, so that its silence was a crash; returns the suspects
-    /// quarantined by it.
+    /// Records that a server left the list or started again, so that its silence was a crash; returns
+    /// the suspects quarantined by it.
     pub fn server_gone(&mut self, now: Instant, server: u32) -> Vec<SuspectKey> {
         self.silences
             .retain(|silence| is_recent(now, silence.at, SILENCE_TTL));
         let silences = self.silences.iter().filter(|s| s.server == server);
-        let keys: Vec<SuspectKey> = silences.map(|s| s.key).collect();
-        self.record_failure(now, server, keys.into_iter())
+        let silences: Vec<(u32, SuspectKey)> = silences.map(|s| (s.life, s.key)).collect();
+        let failure = Failure { at: now, own: true };
+        let quarantined = silences
+            .into_iter()
+            .filter(|(life, key)| self.add(now, *key, *life, failure));
+        quarantined.map(|(_, key)| key).collect()
     }
 
     /// Records a complete answer, which clears the request and the parts of its prompt.
--- a/crates/fleet/tests/all/deadly.rs
+++ b/crates/fleet/tests/all/deadly.rs
@@ -31,6 +31,8 @@
     next: (u16, u64, u64),
     /// Numbers the reports, of which some are lost.
     reports: u32,
+    /// Whether servers start again under their ids.
+    keeps_ids: bool,
 }
 
 /// Returns the names of the routers.
@@ -61,6 +63,7 @@
             servers,
             next: (1_000, 3, 0),
             reports: 0,
+            keeps_ids: false,
         }
     }
 
@@ -78,15 +81,20 @@
         request
     }
 
-    /// Replaces a server by one with another id, at all routers.
+    /// Starts a server again, mostly under another id, at all routers.
     fn replace_server(&mut self, id: &str, now: Instant) {
-        let Some(backend) = self.servers.remove(id) else {
+        let Some(mut backend) = self.servers.remove(id) else {
             return;
         };
         let (number, revision, _) = &mut self.next;
         *number += 1;
         *revision += 1;
-        self.servers.insert(format!("n{number}"), backend);
+        if self.keeps_ids {
+            backend.born += 1;
+            self.servers.insert(id.to_owned(), backend);
+        } else {
+            self.servers.insert(format!("n{number}"), backend);
+        }
         for fleet in &mut self.routers {
             let list = Event::Servers(Revision(*revision), self.servers.clone());
             fleet.handle(now, list);
@@ -199,6 +207,41 @@
     assert!(sent_to(&sound).is_some(), "{sound:?}");
 }
 
+// Guards against crashes of a server that starts again under its id and counts as one.
+#[test]
+fn request_that_crashed_server_under_same_id_is_quarantined() {
+    let now = Instant::now();
+    let mut site = Site::new(7, now);
+    site.servers.retain(|id, _| id == "p0");
+    site.keeps_ids = true;
+    site.replace_server("p0", now);
+    let mut crashed = 0;
+    for at in 0..7 {
+        crashed += site.crash(at, DEADLY, now);
+        site.exchange(1, now);
+    }
+    assert_eq!(crashed, MIN_SERVERS);
+    assert!(site.refuses(0, DEADLY, now));
+}
+
+// Guards against crashes of a host that closes no connection and is back under its id.
+#[test]
+fn request_at_silent_server_back_under_same_id_is_quarantined() {
+    let now = Instant::now();
+    let mut site = Site::new(1, now);
+    site.servers.retain(|id, _| id == "p0");
+    site.keeps_ids = true;
+    site.replace_server("p0", now);
+    for _ in 0..MIN_SERVERS {
+        let sent = site.submit(0, DEADLY, now);
+        assert!(sent_to(&sent).is_some(), "{sent:?}");
+        let key = RequestKey(site.next.2);
+        site.routers[0].handle(now, Event::Ended(key, Outcome::Expired));
+        site.replace_server("p0", now);
+    }
+    assert!(site.refuses(0, DEADLY, now));
+}
+
 // Guards against routers that each see a crash or two and don't add them up.
 #[test]
 fn request_that_crashed_servers_at_several_routers_is_quarantined() {
