process-tests: give a router different ports

The ports of a router were taken one after the other, each closed before the next was opened, so the system could give one out twice: in 18 of 20,000 draws of four. A router with the same port for two listeners ends at once with "Address already in use", shown by one with such settings, and the test then waits for it in vain.

The four listeners are open at the same time now, so the ports differ. Another socket can still take one before the router does.

--- a/crates/process-tests/src/process.rs
+++ b/crates/process-tests/src/process.rs
@@ -14,15 +14,17 @@
     LOCK.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Returns a loopback address that is free at present.
+/// Returns different loopback addresses that are free at present.
 ///
 /// # Panics
 ///
 /// If loopback is not available.
 #[must_use]
-pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("loopback is available");
-    listener.local_addr().expect("the listener is bound")
+pub fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    // One that is closed before the next is opened may be given out twice.
+    let bind = |()| TcpListener::bind(("127.0.0.1", 0)).expect("loopback is available");
+    let listeners = [(); N].map(bind);
+    listeners.map(|l| l.local_addr().expect("the listener is bound"))
 }
 
 /// Signal to a process.
@@ -65,8 +67,7 @@
     /// If the program is not built or does not start.
     #[must_use]
     pub fn start_named(name: &str, store: SocketAddr, memory_mb: u32) -> Self {
-        let address = free_address();
-        let [ready, peer, metrics] = [(); 3].map(|()| free_address());
+        let [address, ready, peer, metrics] = free_addresses();
         let text = format!(
             "[front]\nname = {name}\nzone = z1\nlisten = {address}\nready_listen = {ready}\n\
              peer_listen = {peer}\nmetrics_listen = {metrics}\nlog_level = warn\n\
