fleet: record evidence of a server's life in one place

Responses, health checks and reports each looked up the server, its rules and the server again; one function does it now, and the registry returns a key for a life like elsewhere. Evidence was never older than the warm time beside which it was compared, so that comparison goes. A refusal looks at a server's warmth first, which rules most servers out, before its other state. A crash at a silent server is recorded by the function that records the others.

No decision changes.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -876,7 +876,7 @@
         ) {
             let (zone, sent_at) = (attempt.zone, attempt.sent_at);
             self.rollouts.record_zone_contact(now, zone, sent_at);
-            self.server_heard(now, &attempt);
+            self.response_heard(now, attempt.server, attempt.began_at);
         }
         match outcome {
             Outcome::Expired => self.judge_expiry(now, key, &attempt),
--- a/crates/fleet/src/fleet/liveness.rs
+++ b/crates/fleet/src/fleet/liveness.rs
@@ -8,7 +8,7 @@
 use crate::peers::{Report, Scope};
 use crate::registry::ServerKey;
 
-use super::{Attempt, Fleet};
+use super::Fleet;
 
 /// Upper bound on the time of a report on its way between two routers' event loops.
 const REPORT_DELAY: Duration = Duration::from_millis(5);
@@ -37,9 +37,19 @@
         now.checked_sub(late).unwrap_or(now)
     }
 
-    /// Records that a part of the response to an attempt arrived.
-    pub(super) fn server_heard(&mut self, now: Instant, attempt: &Attempt) {
-        self.response_heard(now, attempt.server, attempt.began_at);
+    /// Records evidence of a server's life by `record`, with the rules by which it counts.
+    fn record_evidence(
+        &mut self,
+        now: Instant,
+        key: ServerKey,
+        record: impl FnOnce(&mut Server, Rules),
+    ) {
+        let Some(rules) = self.registry.get(key).map(|s| self.rules(now, s)) else {
+            return;
+        };
+        if let Some(server) = self.registry.get_mut(key) {
+            record(server, rules);
+        }
     }
 
     /// Records that a part of a response arrived, the first one of which arrived at `began_at`.
@@ -50,15 +60,11 @@
         began_at: Option<Instant>,
     ) {
         let at = self.read_until(now);
-        let Some(server) = self.registry.get(key) else {
-            return;
-        };
-        let rules = self.rules(now, server);
-        if let Some(server) = self.registry.get_mut(key) {
+        let since = began_at.unwrap_or(at).min(at);
+        self.record_evidence(now, key, |server, rules| {
             server.heard_at = Some(at);
-            let since = began_at.unwrap_or(at).min(at);
             server.liveness.observe(since, at, rules);
-        }
+        });
     }
 
     /// Records the first byte of a response, which took `took`; `may_be_new` tells whether the server
@@ -131,10 +137,11 @@
     /// Returns whether a server may be cold as far as this router knows, and may be used if it is not.
     fn is_worth_check(&self, now: Instant, server: &Server) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < CHECK_INTERVAL;
-        !server.is_limited(now)
+        // In a busy fleet most servers are warm, so that is looked at first.
+        self.may_be_cold(now, server)
+            && !server.is_limited(now)
             && server.is_open(now)
             && !self.config.evacuated.contains(&server.backend.zone)
-            && self.may_be_cold(now, server)
             && !server.checked_at.is_some_and(is_recent)
     }
 
@@ -178,21 +185,18 @@
         asked_at: Instant,
         cold: Duration,
     ) {
-        let Some(server) = self.registry.get(key) else {
-            return;
-        };
-        let rules = self.rules(now, server);
-        let Some(server) = self.registry.get_mut(key) else {
+        self.record_evidence(now, key, |server, rules| {
+            server.heard_at = server.heard_at.max(Some(asked_at));
+            if cold.is_zero() {
+                server.liveness.confirm(asked_at, rules);
+            } else {
+                server.liveness.observe(asked_at, asked_at, rules);
+                server.set_cold(now, Some(now + cold));
+            }
+        });
+        let Some(id) = self.registry.get(key).map(|s| s.id.clone()) else {
             return;
         };
-        server.heard_at = server.heard_at.max(Some(asked_at));
-        if cold.is_zero() {
-            server.liveness.confirm(asked_at, rules);
-        } else {
-            server.liveness.observe(asked_at, asked_at, rules);
-            server.set_cold(now, Some(now + cold));
-        }
-        let id = server.id.clone();
         let took = now.saturating_duration_since(asked_at);
         let detail = format!("cold_ms={} took_ms={}", cold.as_millis(), took.as_millis());
         self.log("server_checked", &id, detail);
@@ -210,7 +214,7 @@
             let is_near = relays && server.backend.zone == self.params.zone;
             let liveness = &server.liveness;
             let at = if is_near {
-                liveness.heard_at().max(liveness.warm_at())
+                liveness.heard_at()
             } else {
                 server.heard_at
             };
@@ -231,19 +235,16 @@
         let read_until = self.read_until(now);
         for (life, age, is_warm) in heard.entries() {
             let at = read_until.checked_sub(age + REPORT_DELAY);
-            let server = self.registry.by_life(life);
-            let Some((at, server)) = at.zip(server) else {
-                continue;
-            };
-            let rules = self.rules(now, server);
-            let Some(server) = self.registry.by_life_mut(life) else {
+            let Some((at, key)) = at.zip(self.registry.by_life(life)) else {
                 continue;
             };
-            if is_warm {
-                server.liveness.confirm(at, rules);
-            } else {
-                server.liveness.observe(at, at, rules);
-            }
+            self.record_evidence(now, key, |server, rules| {
+                if is_warm {
+                    server.liveness.confirm(at, rules);
+                } else {
+                    server.liveness.observe(at, at, rules);
+                }
+            });
         }
     }
 }
--- a/crates/fleet/src/liveness.rs
+++ b/crates/fleet/src/liveness.rs
@@ -72,7 +72,7 @@
     pub fn confirm(&mut self, at: Instant, rules: Rules) {
         self.observe(at, at, rules);
         let run = self.run.filter(|r| r.since <= at + rules.restart_time);
-        let until = run.map_or(at, |r| r.until.max(at));
+        let until = run.map_or(at, |r| r.until);
         self.warm_at = self.warm_at.max(Some(until));
     }
 
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -85,15 +85,10 @@
         self.servers.get_mut(*self.by_hash.get(&hash)?)
     }
 
-    /// Returns the server of which a life has the given hash, if that is its present one.
+    /// Returns the key of the server of which a life has the given hash, if that is its present one.
     #[must_use]
-    pub fn by_life(&self, life: u32) -> Option<&Server> {
-        self.servers.get(*self.by_life.get(&life)?)
-    }
-
-    /// Returns the server of which a life has the given hash, for modification.
-    pub fn by_life_mut(&mut self, life: u32) -> Option<&mut Server> {
-        self.servers.get_mut(*self.by_life.get(&life)?)
+    pub fn by_life(&self, life: u32) -> Option<ServerKey> {
+        self.by_life.get(&life).copied()
     }
 
     /// Returns the servers of a service.
@@ -112,12 +107,6 @@
         self.servers.values()
     }
 
-    /// Returns the keys of all servers.
-    #[must_use]
-    pub fn keys(&self) -> Vec<ServerKey> {
-        self.servers.keys().collect()
-    }
-
     /// Returns all servers for modification.
     pub fn all_mut(&mut self) -> impl Iterator<Item = &mut Server> {
         self.servers.values_mut()
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -283,11 +283,10 @@
             .retain(|silence| is_recent(now, silence.at, SILENCE_TTL));
         let silences = self.silences.iter().filter(|s| s.server == server);
         let silences: Vec<(u32, SuspectKey)> = silences.map(|s| (s.life, s.key)).collect();
-        let failure = Failure { at: now, own: true };
         let quarantined = silences
             .into_iter()
-            .filter(|(life, key)| self.add(now, *key, *life, failure));
-        quarantined.map(|(_, key)| key).collect()
+            .flat_map(|(life, key)| self.record_failure(now, life, std::iter::once(key)));
+        quarantined.collect()
     }
 
     /// Records a complete answer, which clears the request and the parts of its prompt.
--- a/crates/fleet/tests/all/deadly.rs
+++ b/crates/fleet/tests/all/deadly.rs
@@ -67,6 +67,15 @@
         }
     }
 
+    /// Creates a site whose only plain server starts again under its id.
+    fn with_same_id(count: usize, now: Instant) -> Self {
+        let mut site = Self::new(count, now);
+        site.servers.retain(|id, _| id == "p0");
+        site.keeps_ids = true;
+        site.replace_server("p0", now);
+        site
+    }
+
     /// Replaces a router by one that has just started.
     fn restart(&mut self, number: usize, now: Instant) {
         let count = self.routers.len();
@@ -211,10 +220,7 @@
 #[test]
 fn request_that_crashed_server_under_same_id_is_quarantined() {
     let now = Instant::now();
-    let mut site = Site::new(7, now);
-    site.servers.retain(|id, _| id == "p0");
-    site.keeps_ids = true;
-    site.replace_server("p0", now);
+    let mut site = Site::with_same_id(7, now);
     let mut crashed = 0;
     for at in 0..7 {
         crashed += site.crash(at, DEADLY, now);
@@ -228,10 +234,7 @@
 #[test]
 fn request_at_silent_server_back_under_same_id_is_quarantined() {
     let now = Instant::now();
-    let mut site = Site::new(1, now);
-    site.servers.retain(|id, _| id == "p0");
-    site.keeps_ids = true;
-    site.replace_server("p0", now);
+    let mut site = Site::with_same_id(1, now);
     for _ in 0..MIN_SERVERS {
         let sent = site.submit(0, DEADLY, now);
         assert!(sent_to(&sent).is_some(), "{sent:?}");
--- a/crates/fleet/tests/all/liveness.rs
+++ b/crates/fleet/tests/all/liveness.rs
@@ -9,7 +9,7 @@
 use hibiscusrail_fleet::placement::name_hash;
 use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey};
 
-use super::support::{self, ENGINES, answer_checks, backend, prompt, sent_to, submission};
+use super::support::{self, ENGINES, answer_checks, backend, key_of, prompt, sent_to, submission};
 
 const GAP: Duration = Duration::from_millis(250);
 const COLD: Duration = Duration::from_secs(3);
@@ -264,7 +264,7 @@
 fn server_that_tells_its_cold_time_stays_limited() {
     let start = Instant::now();
     let mut fleet = router("r", 1, start);
-    let key = fleet.registry().keys()[0];
+    let key = key_of(&fleet, ENGINES);
     let now = start + ms(100);
     fleet.handle(now, Event::ServerChecked(key, now, COLD));
     assert!(burst(&mut fleet, 0, now) < 10);
@@ -275,7 +275,7 @@
 fn may_send_as_to_warm_server_ends_with_evidence() {
     let start = Instant::now();
     let fleet = router("r", 1, start);
-    let key = fleet.registry().keys()[0];
+    let key = key_of(&fleet, ENGINES);
     assert!(fleet.may_send(start + ms(290), key, true));
     assert!(!fleet.may_send(start + ms(310), key, true));
     assert!(fleet.may_send(start + ms(310), key, false));
--- a/crates/fleet/tests/all/server_rates.rs
+++ b/crates/fleet/tests/all/server_rates.rs
@@ -10,7 +10,7 @@
 use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, Params, RequestKey};
 
 use super::support::{
-    self, ENGINES, PLAIN, failure_reason, plain, prompt, sent_to, servers, submission,
+    self, ENGINES, PLAIN, failure_reason, key_of, plain, prompt, sent_to, servers, submission,
 };
 
 const RATE: f64 = 6.0;
@@ -21,11 +21,6 @@
 const LENGTH: Duration = Duration::from_secs(12);
 const RULE_WINDOW: Duration = Duration::from_secs(4);
 
-fn key_of(fleet: &Fleet, service: &str) -> ServerKey {
-    let mut keys = fleet.registry().of_service(service);
-    keys.next().expect("there is a server").0
-}
-
 fn name_rate(fleet: &mut Fleet, now: Instant, rate: Option<f64>) {
     let key = key_of(fleet, ENGINES);
     fleet.handle(now, Event::ServerRate(key, rate));
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -12,6 +12,7 @@
     Service, Target, TransferFacts, Workspace,
 };
 use hibiscusrail_fleet::quota::WorkspaceHash;
+use hibiscusrail_fleet::registry::ServerKey;
 use hibiscusrail_fleet::retry::RetryBound;
 use hibiscusrail_fleet::{Decision, Event, Fleet, Params, RequestKey, Submission};
 
@@ -177,9 +178,17 @@
     }
 }
 
-/// Has a router hear of all its servers that they are warm.
+/// Returns the key of the first server of a service.
+pub fn key_of(fleet: &Fleet, service: &str) -> ServerKey {
+    let mut keys = fleet.registry().of_service(service);
+    keys.next().expect("there is a server").0
+}
+
+/// Has a router hear of all its engines that they are warm.
 pub fn hear_servers(fleet: &mut Fleet, now: Instant) {
-    for key in fleet.registry().keys() {
+    let engines = fleet.registry().of_service(ENGINES);
+    let keys: Vec<ServerKey> = engines.map(|(key, _)| key).collect();
+    for key in keys {
         fleet.handle(now, Event::ServerChecked(key, now, Duration::ZERO));
     }
 }
