process-tests: share the seeds and the wait for service of the randomized tests

faults and planned_work each read their seeds and time from the environment, joined what their runs found and waited for routers that serve, in the same lines. Both call one module now. Names, seeds, times and checks are the same.

--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod process;
 pub mod proxy;
+pub mod runs;
 
 #[path = "../../../platform/process_standin.rs"]
 pub mod standin;
--- a/crates/process-tests/tests/faults.rs
+++ b/crates/process-tests/tests/faults.rs
@@ -15,8 +15,9 @@
 use hibiscusrail_process_tests::faults::{
     Answer, Client, KEY, REVOKED_KEY, Server, Store, Unanswered,
 };
-use hibiscusrail_process_tests::process::{Router, Signal, lock};
+use hibiscusrail_process_tests::process::{Router, Signal};
 use hibiscusrail_process_tests::proxy::{Disturbance, Proxy};
+use hibiscusrail_process_tests::runs::{await_service, check_seeds};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -34,8 +35,6 @@
 const SETTLE_TIME: Duration = Duration::from_secs(8);
 /// Time after the restore of the store in which the operator and the platform write again.
 const REWRITE_TIME: Duration = Duration::from_millis(800);
-/// Longest wait for a deployment that serves.
-const START_TIME: Duration = Duration::from_secs(30);
 
 /// How a router's process is made to end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -93,22 +92,6 @@
         }
     }
 
-    /// Waits until each router serves.
-    fn await_service(&self, name: &str) {
-        let until = Instant::now() + START_TIME;
-        for (number, router) in self.routers.iter().enumerate() {
-            for attempt in 0.. {
-                let id = format!("{name}-{number}-{attempt}");
-                let answer = Client::new(router.address).call("/again/", &id, KEY);
-                if matches!(answer, Answer::Complete(200, _)) {
-                    break;
-                }
-                assert!(Instant::now() < until, "router {number}: {answer:?}");
-                thread::sleep(Duration::from_millis(200));
-            }
-        }
-    }
-
     /// Causes one fault.
     fn disturb(&mut self, random: &mut SmallRng) -> String {
         let router = random.random_range(0..self.routers.len());
@@ -258,7 +241,7 @@
 fn run_seed(seed: u64, time: Duration) -> Vec<String> {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut deployment = Deployment::start(&mut random);
-    deployment.await_service("first");
+    await_service(&deployment.routers, "first");
     let routers: Vec<_> = deployment.routers.iter().map(|r| r.address).collect();
     let ended = AtomicBool::new(false);
     let calls = Mutex::new(Vec::new());
@@ -286,7 +269,7 @@
         }
     });
     deployment.settle();
-    deployment.await_service("last");
+    await_service(&deployment.routers, "last");
     let mut wrong = check_gone(&deployment);
     let runs = count_runs(&deployment.servers);
     let calls = calls.into_inner().unwrap_or_else(PoisonError::into_inner);
@@ -347,15 +330,5 @@
 
 #[test]
 fn random_faults_keep_guarantees() {
-    let _guard = lock();
-    let read = |name: &str| std::env::var(name).ok();
-    let seeds = read("FAULT_SEEDS").unwrap_or_else(|| SEED.to_string());
-    let seconds = read("FAULT_SECONDS").and_then(|s| s.parse().ok());
-    let time = Duration::from_secs(seconds.unwrap_or(FAULT_SECONDS));
-    let mut wrong = Vec::new();
-    for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
-        let found = run_seed(seed, time);
-        wrong.extend(found.into_iter().map(|w| format!("seed {seed}: {w}")));
-    }
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_seeds("FAULT", (SEED, FAULT_SECONDS), run_seed);
 }
--- a/crates/process-tests/tests/planned_work.rs
+++ b/crates/process-tests/tests/planned_work.rs
@@ -14,9 +14,10 @@
 
 use hibiscusrail_process_tests::calls::{Call, ROUTES, check_answer, count_runs, print_summary};
 use hibiscusrail_process_tests::faults::{
-    Answer, Client, KEY, REVOKED_KEY, Server, Store, long_request_id,
+    Client, KEY, REVOKED_KEY, Server, Store, long_request_id,
 };
 use hibiscusrail_process_tests::process::{Router, Signal, lock};
+use hibiscusrail_process_tests::runs::{await_service, check_seeds};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -36,8 +37,6 @@
 const IDLE_LIMITS: [Duration; 2] = [Duration::from_millis(1_500), Duration::from_secs(4)];
 /// Time from the stop signal after which the platform kills a process, by the default settings.
 const GRACE: Duration = Duration::from_secs(8);
-/// Longest wait for a deployment that serves.
-const START_TIME: Duration = Duration::from_secs(30);
 
 /// Routers, servers and the store.
 struct Deployment {
@@ -71,21 +70,6 @@
         }
     }
 
-    fn await_service(&self) {
-        let until = Instant::now() + START_TIME;
-        for (number, router) in self.routers.iter().enumerate() {
-            for attempt in 0.. {
-                let id = format!("first-{number}-{attempt}");
-                let answer = Client::new(router.address).call("/again/", &id, KEY);
-                if matches!(answer, Answer::Complete(200, _)) {
-                    break;
-                }
-                assert!(Instant::now() < until, "router {number}: {answer:?}");
-                thread::sleep(Duration::from_millis(200));
-            }
-        }
-    }
-
     /// Does one piece of planned work.
     fn work(&mut self, random: &mut SmallRng) -> String {
         let router = random.random_range(0..self.routers.len());
@@ -154,7 +138,7 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let clients = *CLIENTS.choose(&mut random).expect("there are numbers");
     let mut deployment = Deployment::start(&mut random);
-    deployment.await_service();
+    await_service(&deployment.routers, "first");
     let routers: Vec<SocketAddr> = deployment.routers.iter().map(|r| r.address).collect();
     let ended = AtomicBool::new(false);
     let calls = Mutex::new(Vec::new());
@@ -203,17 +187,7 @@
 /// or the router had read them.
 #[test]
 fn planned_work_answers_accepted_requests() {
-    let _guard = lock();
-    let read = |name: &str| std::env::var(name).ok();
-    let seeds = read("PLANNED_SEEDS").unwrap_or_else(|| SEED.to_string());
-    let seconds = read("PLANNED_SECONDS").and_then(|s| s.parse().ok());
-    let time = Duration::from_secs(seconds.unwrap_or(WORK_SECONDS));
-    let mut wrong = Vec::new();
-    for seed in seeds.split(',').filter_map(|s| s.trim().parse().ok()) {
-        let found = run_seed(seed, time);
-        wrong.extend(found.into_iter().map(|w| format!("seed {seed}: {w}")));
-    }
-    assert!(wrong.is_empty(), "{wrong:#?}");
+    check_seeds("PLANNED", (SEED, WORK_SECONDS), run_seed);
 }
 
 /// Guards against requests that a router accepts late in its stop and lets go without an answer when the
@@ -222,7 +196,7 @@
 fn stop_answers_requests_that_outlast_it() {
     let _guard = lock();
     let mut deployment = Deployment::start(&mut SmallRng::seed_from_u64(SEED));
-    deployment.await_service();
+    await_service(&deployment.routers, "first");
     let address = deployment.routers[0].address;
     deployment.routers[0].signal(Signal::Terminate);
     let stopped = Instant::now();
