process-tests: take routers' ports from a range that the system gives to nobody

The ports were those that the system gives to sockets which name none; between their draw and the start of a router, and while one is down, a proxy, another router's draw or a connection could get one, and the router ends with "Address already in use".

--- a/crates/process-tests/src/process.rs
+++ b/crates/process-tests/src/process.rs
@@ -2,8 +2,10 @@
 
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Serialises the tests: each needs memory and processor time for a crowd of clients.
@@ -14,17 +16,34 @@
     LOCK.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Returns different loopback addresses that are free at present.
+/// Ports for routers: below those that the system gives to sockets which name none, by default. It could
+/// give one of those to another socket before the router listens, or while it is down.
+const PORTS: Range<u16> = 10_000..32_000;
+/// Distance of the first ports of processes with successive ids.
+const PROCESS_PORTS: u32 = 97;
+
+/// Returns different loopback addresses that are free at present, and that this process has not returned
+/// before.
 ///
 /// # Panics
 ///
-/// If loopback is not available.
+/// If no port is free.
 #[must_use]
 pub fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    // One that is closed before the next is opened may be given out twice.
-    let bind = |()| TcpListener::bind(("127.0.0.1", 0)).expect("loopback is available");
-    let listeners = [(); N].map(bind);
-    listeners.map(|l| l.local_addr().expect("the listener is bound"))
+    static USED: AtomicU32 = AtomicU32::new(0);
+    let count = u32::from(PORTS.end - PORTS.start);
+    let first = std::process::id().wrapping_mul(PROCESS_PORTS) % count;
+    [(); N].map(|()| {
+        loop {
+            let used = USED.fetch_add(1, Ordering::Relaxed);
+            assert!(used < count, "a port is free");
+            let offset = u16::try_from((first + used) % count).unwrap_or(0);
+            let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + offset));
+            if TcpListener::bind(address).is_ok() {
+                return address;
+            }
+        }
+    })
 }
 
 /// Signal to a process.
