front: record the version that began a stream for services without engines too

Cause: a router recorded the origins of streams in the store only for services with engines, while a router at which a stream is taken up asks for the record whatever the service is. The filter was no use: origins are remembered for resumable streams alone, so a service without such streams has none to record.

--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -306,9 +306,9 @@
 /// Returns the services whose streams may be of several versions.
 fn uncertain_services(fleet: &Fleet, now: Instant) -> BTreeSet<String> {
     let deployment = fleet.config().deployment.as_ref();
-    let services = deployment.into_iter().flat_map(|d| d.services.iter());
+    let services = deployment.into_iter().flat_map(|d| d.services.keys());
     services
-        .filter(|(name, service)| service.engine.is_some() && fleet.has_several_versions(now, name))
-        .map(|(name, _)| name.clone())
+        .filter(|name| fleet.has_several_versions(now, name))
+        .cloned()
         .collect()
 }
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -249,15 +249,20 @@
 max_skew = 6s
 ";
 
+/// Returns a destination of a route.
+pub fn target(service: &str, weight: u32) -> Target {
+    Target {
+        service: service.to_owned(),
+        weight,
+    }
+}
+
 fn route(name: &str, repeat: Repeat, stream: bool, resumable: bool) -> Route {
     Route {
         name: name.to_owned(),
         host: "host".to_owned(),
         prefix: format!("/{name}/"),
-        targets: vec![Target {
-            service: if stream { "engines" } else { "plain" }.to_owned(),
-            weight: 1,
-        }],
+        targets: vec![target(if stream { "engines" } else { "plain" }, 1)],
         repeat,
         stream,
         resumable,
@@ -292,6 +297,10 @@
             route("public", Repeat::Once, false, false),
             route("stream", Repeat::Once, true, false),
             route("resume", Repeat::Once, true, true),
+            Route {
+                targets: vec![target("plain", 1)],
+                ..route("resume-plain", Repeat::Once, true, true)
+            },
         ],
         services: BTreeMap::from([
             ("plain".to_owned(), service(None)),
--- a/crates/front/tests/all/versions.rs
+++ b/crates/front/tests/all/versions.rs
@@ -106,6 +106,28 @@
     });
 }
 
+// Guards against LOST: no router recorded the versions that began streams of a service without engines.
+#[test]
+fn stream_of_plain_service_goes_on_at_its_version() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let server = Server::start(vec![broken(), rest()]);
+        let start = || {
+            let front = Front::start(&[&server, &server]);
+            front.set_service_versions("plain", &["v1", "v2"]);
+            follow(&front, &tables);
+            front
+        };
+        start().call("/resume-plain/x", "").await;
+        wait_until(|| tables.streams.borrow().contains_key("r1")).await;
+        let response = start().call("/resume-plain/x", &resumes("r1")).await;
+        assert!(response.contains(&event(4)), "{response}");
+        let named = |head: &String| header(head, "x-server");
+        let servers: Vec<_> = server.received().iter().map(named).collect();
+        assert_eq!(servers[0], servers[1]);
+    });
+}
+
 #[test]
 fn stream_without_usable_record_is_refused() {
     run(async {
