fleet, front: take a stream up at the service that began it after weights change

Cause: the service of a stream was derived from the id of the request that began it and the weights in force now, and a record that named another service was taken for none. On a related path nothing was refused and the stream went on at the wrong service: with one version each, no record was written or read.

The record decides now, if its service is still one of the route's. When a route with several services changes its targets, the routers record the streams of those that stay, for as long as streams of before may be taken up, and read records of streams taken up there. Nothing is recorded or read without such a change.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -11,6 +11,7 @@
 mod quarantine;
 mod rollouts;
 mod stalls;
+mod streams;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -25,7 +26,7 @@
 use crate::freshness::{Confirmation, Freshness, Source};
 use crate::members::{Members, REPORTED_TTL};
 use crate::notice::Rate;
-use crate::objects::{OperatorConfig, Repeat, Revision, Servers, Service};
+use crate::objects::{Deployment, OperatorConfig, Repeat, Revision, Servers, Service};
 use crate::params::Params;
 use crate::peers::{
     Peers, Placement, RateNotice, Report, Restored, RouterHash, Scope, ServerLoad, Total,
@@ -37,8 +38,9 @@
 use crate::retry::RetryWindow;
 use crate::rollout::Rollouts;
 use crate::room::Room;
+use crate::splits::Splits;
 use crate::suspects::{News, SuspectKey, Suspects};
-use crate::versions::{VersionSet, Versions};
+use crate::versions::Versions;
 
 use learning::{FirstByte, Learning};
 use overload::Shortfalls;
@@ -177,6 +179,7 @@
     kept_evacuations: BTreeMap<String, Instant>,
     registry: Registry,
     versions: Versions,
+    splits: Splits,
     rollouts: Rollouts,
     /// Freshness of the server list.
     freshness: Freshness,
@@ -243,6 +246,7 @@
             kept_evacuations: BTreeMap::new(),
             registry: Registry::default(),
             versions: Versions::new(now),
+            splits: Splits::default(),
             rollouts: Rollouts::new(params.rollout),
             freshness: Freshness::default(),
             config_freshness: Freshness::default(),
@@ -364,53 +368,12 @@
         server.is_open(now) && (!late || server.is_proven(now, self.params.max_list_age()))
     }
 
-    /// Returns the longest time for which a stream may run and be taken up again.
-    #[must_use]
-    pub fn stream_lifetime(&self) -> Duration {
-        /// Callers keep to a route's timeout over all their tries, and the operator may change it.
-        const TIMEOUT_FACTOR: u32 = 2;
-        let deployment = self.config.deployment.as_ref();
-        let routes = deployment.map_or(&[][..], |d| &d.routes);
-        let longest = routes.iter().filter(|r| r.resumable).map(|r| r.timeout);
-        longest.max().unwrap_or_default() * TIMEOUT_FACTOR
-    }
-
-    /// Returns the only software version of a service that can have begun a stream which may still be
-    /// taken up; none if there may be several.
-    #[must_use]
-    pub fn only_version(&self, now: Instant, service: &str) -> Option<&str> {
-        if self.list_is_late(now) {
-            return None;
-        }
-        self.versions.only(now, service, self.stream_lifetime())
-    }
-
-    /// Returns whether streams of several software versions of a service may be taken up.
-    #[must_use]
-    pub fn has_several_versions(&self, now: Instant, service: &str) -> bool {
-        self.versions
-            .has_several(now, service, self.stream_lifetime())
-    }
-
-    /// Returns the known software versions of services.
-    #[must_use]
-    pub fn versions(&self) -> &Versions {
-        &self.versions
-    }
-
     /// Returns the number of routers that this one knows, with itself.
     #[must_use]
     pub fn known_routers(&self) -> usize {
         self.members.all().len()
     }
 
-    fn versions_saved(&mut self, row: &VersionSet) {
-        self.versions.saved(row);
-        let versions: Vec<&str> = row.versions.iter().map(String::as_str).collect();
-        let detail = format!("versions={}", versions.join(","));
-        self.log("versions_saved", &row.service, detail);
-    }
-
     /// Replaces the parameters.
     pub fn set_params(&mut self, params: Params) {
         self.params = params;
@@ -1092,7 +1055,7 @@
 
     fn apply_config(&mut self, now: Instant, revision: Revision, mut config: OperatorConfig) {
         if revision <= self.config_revision {
-            return self.adopt_deployment(revision, config);
+            return self.adopt_deployment(now, revision, config);
         }
         let version = deployment_version;
         let restored = revision.era() > self.config_revision.era();
@@ -1130,7 +1093,7 @@
         let before = self.config.deployment.take();
         self.config = config;
         match (&self.config.deployment, before) {
-            (Some(_), Some(before)) => self.retire_services(before.services),
+            (Some(_), Some(before)) => self.retire_deployment(now, before),
             (None, before) => self.config.deployment = before,
             (Some(_), None) => {}
         }
@@ -1143,14 +1106,14 @@
 
     /// Takes over a deployment configuration that another router had before the store was restored
     /// from a copy without it.
-    fn adopt_deployment(&mut self, revision: Revision, config: OperatorConfig) {
+    fn adopt_deployment(&mut self, now: Instant, revision: Revision, config: OperatorConfig) {
         let was = deployment_version(&self.config);
         if !self.lacks_deployment(revision, deployment_version(&config)) {
             return;
         }
         let before = std::mem::replace(&mut self.config.deployment, config.deployment);
         if let Some(before) = before {
-            self.retire_services(before.services);
+            self.retire_deployment(now, before);
         }
         let detail = format!(
             "revision={} version={} was={was} restored=true",
@@ -1170,9 +1133,10 @@
         era > 0 && revision.era() == era && version > deployment_version(&self.config)
     }
 
-    /// Keeps the services of the configuration before that requests in progress still use.
-    fn retire_services(&mut self, before: BTreeMap<String, Service>) {
-        self.retired_services.extend(before);
+    /// Keeps what requests in progress, and streams that are taken up, need of the configuration before.
+    fn retire_deployment(&mut self, now: Instant, before: Deployment) {
+        self.record_splits(now, &before);
+        self.retired_services.extend(before.services);
         self.drop_retired_services();
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 //! * [`pressure`]: overload of this router's event loop;
 //! * [`peers`]: reports from the other routers;
 //! * [`members`]: the routers that share each limit;
+//! * [`splits`]: services among which the requests of a route were moved;
 //! * [`rollout`]: rollouts of software versions;
 //! * [`versions`]: software versions of the servers, and which can have begun a stream.
 
@@ -53,6 +54,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod room;
+pub mod splits;
 pub mod suspects;
 pub mod versions;
 pub mod window;
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -33,6 +33,7 @@
 mod rollouts;
 mod room;
 mod server_rates;
+mod splits;
 mod stalls;
 mod store_restored;
 mod support;
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -306,24 +306,20 @@
     };
     let protocol = shell.protocol();
     let began = header_text(&parts.headers, &protocol.resumes);
-    // A stream goes on at the service that began it.
+    // A stream goes on at the service that began it, which is this one unless the weights have changed.
     let id = if began.is_empty() {
         header_text(&parts.headers, &protocol.request_id)
     } else {
         began
     };
     let service = pick_service(route, id);
-    let engine = deployment
-        .services
-        .get(service)
-        .and_then(|s| s.engine.as_ref());
     Ok(Found {
         route,
         service,
         workspace: workspace.map(|w| w.name.as_str()),
         rank: workspace.and_then(|w| w.rank).or(route.rank).unwrap_or(0),
         max_body: deployment.limits.body_bytes,
-        engine,
+        engine: engine_facts(deployment, service),
     })
 }
 
@@ -382,28 +378,43 @@
 ) -> Response<Body> {
     let Routed {
         route,
-        service,
+        mut service,
         workspace,
         rank,
-        engine,
+        mut engine,
         ..
     } = routed;
     let deadline = started + caller_timeout(shell, &parts.headers).min(route.timeout);
-    let prompt = engine
-        .is_some()
-        .then(|| (shell.protocol().prompt)(&parts.headers))
-        .flatten();
     let request = header_text(&parts.headers, &shell.protocol().request_id);
     let takes_up = route.resumable && parts.headers.contains_key(&shell.protocol().last_event_id);
     let version = if takes_up {
         let began = header_text(&parts.headers, &shell.protocol().resumes);
-        match origins::resolve(shell, &service, began).await {
-            Ok(version) => Some(version),
+        let origin = match origins::resolve(shell, &route, &service, began).await {
+            Ok(origin) => origin,
             Err(reason) => return refuse_resume(shell, parts, deadline, reason),
+        };
+        if origin.service != service {
+            log::info!(
+                request = request,
+                resumes = began,
+                service = &origin.service,
+                assigned = service;
+                "resume_moved"
+            );
+            engine = shell.with_fleet(|f| {
+                let deployment = f.config().deployment.as_ref();
+                deployment.and_then(|d| engine_facts(d, &origin.service).cloned())
+            });
+            service = origin.service;
         }
+        Some(origin.version)
     } else {
         None
     };
+    let prompt = engine
+        .is_some()
+        .then(|| (shell.protocol().prompt)(&parts.headers))
+        .flatten();
     let key = shell.new_request_key();
     let name = workspace.as_deref().unwrap_or_default();
     let mut tracker = RequestTracker::new(shell, key, request, name, &service, started);
@@ -465,6 +476,11 @@
     run_attempts(shell, plan, tracker, target).await
 }
 
+/// Returns the facts of a service's engines; none for plain services.
+fn engine_facts<'a>(deployment: &'a Deployment, service: &str) -> Option<&'a EngineFacts> {
+    deployment.services.get(service)?.engine.as_ref()
+}
+
 /// Returns the pause between two events after which a caller has given a stream up; none if the route
 /// does not say which pauses it allows.
 fn abandon_time(route: &Route) -> Option<Duration> {
--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -1,8 +1,9 @@
-//! Which software version began each stream, for callers that take a stream up at another router.
+//! Which service and software version began each stream, for callers that take a stream up at another router.
 //!
 //! A router remembers the streams that it began. While a service may have streams of several
-//! versions, it also records them in the store, in batches beside the events, since a caller may
-//! come back to any router after all of them were killed. A service of one version needs no record.
+//! versions, or a route's weights have changed since they began, it also records them in the store, in
+//! batches beside the events, since a caller may come back to any router after all of them were
+//! killed. Otherwise streams need no record.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -12,7 +13,7 @@
 use futures_channel::{mpsc, oneshot};
 use futures_util::StreamExt;
 use hibiscusrail_fleet::event::Reason;
-use hibiscusrail_fleet::objects::Revision;
+use hibiscusrail_fleet::objects::{Revision, Route};
 use hibiscusrail_fleet::{Event, Fleet};
 use serde::{Deserialize, Serialize};
 
@@ -157,21 +158,43 @@
     }
 }
 
-/// Returns the version of a service at which a stream has to go on that the request `began` began.
+/// Returns where a stream of a route has to go on that the request `began` began; `assigned` is the service
+/// to which the route's weights assign it now.
 ///
 /// # Errors
 ///
 /// Fails if it is not known, and may never be.
-pub async fn resolve(shell: &Shell, service: &str, began: &str) -> Result<String, Reason> {
+pub async fn resolve(
+    shell: &Shell,
+    route: &Route,
+    assigned: &str,
+    began: &str,
+) -> Result<Origin, Reason> {
     if let Some(origin) = shell.origins().find(began) {
-        return check(&origin, service);
+        return check(origin, route);
     }
-    let only = shell.with_fleet(|f| f.only_version(shell.now(), service).map(str::to_owned));
-    if let Some(version) = only {
-        return Ok(version);
+    let now = shell.now();
+    let (only, is_moved) = shell.with_fleet(|f| {
+        let only = f.only_version(now, assigned).map(str::to_owned);
+        (only, f.is_moved(now, route))
+    });
+    let only = only.map(|version| Origin {
+        service: assigned.to_owned(),
+        version,
+    });
+    match only {
+        Some(only) if !is_moved => Ok(only),
+        only => match read_record(shell, began).await {
+            Some(origin) => check(origin, route),
+            None => only.ok_or(Reason::VersionUnknown),
+        },
     }
+}
+
+/// Returns the store's record of the stream that a request began.
+async fn read_record(shell: &Shell, began: &str) -> Option<Origin> {
     if began.is_empty() {
-        return Err(Reason::VersionUnknown);
+        return None;
     }
     let (result, found) = oneshot::channel();
     let lookup = Lookup {
@@ -179,20 +202,15 @@
         result,
     };
     // Without a task that reads the store there is no record.
-    let asked = shell.origins().lookups.unbounded_send(lookup);
-    asked.map_err(|_| Reason::VersionUnknown)?;
-    match hibiscusrail_net::timeout(RESPONSE_TIMEOUT * 2, found).await {
-        Ok(Ok(Some(origin))) => check(&origin, service),
-        Ok(Ok(None) | Err(_)) | Err(_) => Err(Reason::VersionUnknown),
-    }
+    shell.origins().lookups.unbounded_send(lookup).ok()?;
+    let found = hibiscusrail_net::timeout(RESPONSE_TIMEOUT * 2, found).await;
+    found.ok()?.ok()?
 }
 
-fn check(origin: &Origin, service: &str) -> Result<String, Reason> {
-    if origin.service == service {
-        Ok(origin.version.clone())
-    } else {
-        Err(Reason::VersionUnknown)
-    }
+/// Returns the origin of a stream if its service is still one of its route's.
+fn check(origin: Origin, route: &Route) -> Result<Origin, Reason> {
+    let is_target = route.targets.iter().any(|t| t.service == origin.service);
+    is_target.then_some(origin).ok_or(Reason::VersionUnknown)
 }
 
 /// Reads records that requests wait for until the task is dropped.
@@ -303,12 +321,12 @@
     is_full
 }
 
-/// Returns the services whose streams may be of several versions.
+/// Returns the services whose streams need records.
 fn uncertain_services(fleet: &Fleet, now: Instant) -> BTreeSet<String> {
     let deployment = fleet.config().deployment.as_ref();
     let services = deployment.into_iter().flat_map(|d| d.services.keys());
     services
-        .filter(|name| fleet.has_several_versions(now, name))
+        .filter(|name| fleet.needs_records(now, name))
         .cloned()
         .collect()
 }
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -301,6 +301,10 @@
                 targets: vec![target("plain", 1)],
                 ..route("resume-plain", Repeat::Once, true, true)
             },
+            Route {
+                targets: vec![target("engines", 1), target("plain", 0)],
+                ..route("split", Repeat::Once, true, true)
+            },
         ],
         services: BTreeMap::from([
             ("plain".to_owned(), service(None)),
@@ -426,6 +430,16 @@
         });
     }
 
+    /// Moves all new requests of the route that is split between the services to one of them.
+    pub fn move_split(&self, service: &str) {
+        self.configure(|deployment| {
+            let split = deployment.routes.iter_mut().filter(|r| r.targets.len() > 1);
+            for target in split.flat_map(|r| &mut r.targets) {
+                target.weight = u32::from(target.service == service);
+            }
+        });
+    }
+
     /// Evacuates the availability zone of all servers.
     pub fn evacuate(&self) {
         self.change_config(|config| {
--- a/crates/front/tests/all/versions.rs
+++ b/crates/front/tests/all/versions.rs
@@ -128,6 +128,76 @@
     });
 }
 
+/// Has a stream begin at the engines and taken up, at the same router and at another, after new requests of
+/// its route were moved to the plain service; returns the service of each attempt.
+async fn take_up_after_move(versions: &[&str]) -> Vec<String> {
+    let tables = Rc::new(Tables::default());
+    let server = Server::start(vec![broken(), rest()]);
+    let fronts = [0, 1].map(|_| {
+        let front = start(&server, versions, &tables);
+        front.set_service_versions("plain", versions);
+        front
+    });
+    fronts[0].call("/split/x", "").await;
+    for front in &fronts {
+        front.move_split("plain");
+    }
+    wait_until(|| tables.streams.borrow().contains_key("r1")).await;
+    for front in &fronts {
+        let response = front.call("/split/x", &resumes("r1")).await;
+        assert!(response.contains(&event(4)), "{response}");
+    }
+    fronts[1].call("/split/x", "").await;
+    let named = |head: &String| {
+        let server = header(head, "x-server").unwrap_or_default();
+        server.trim_end_matches(char::is_numeric).to_owned()
+    };
+    server.received().iter().map(named).collect()
+}
+
+// Guards against LOST: after a change of a route's weights, a stream was looked for at the service that a new
+// one would go to, and refused.
+#[test]
+fn stream_taken_up_after_change_of_weights_goes_on_at_its_service() {
+    run(async {
+        let services = take_up_after_move(&["v1", "v2"]).await;
+        assert_eq!(services, ["engines", "engines", "engines", "plain"]);
+    });
+}
+
+// Guards against streams joined from two services: with one version each, nothing told them apart.
+#[test]
+fn stream_of_only_version_goes_on_at_its_service_after_change_of_weights() {
+    run(async {
+        let services = take_up_after_move(&["v1", "v1", "v1"]).await;
+        assert_eq!(
+            services,
+            ["engines", "engines", "engines", "engines", "plain"]
+        );
+    });
+}
+
+// A service that the operator took from the route receives nothing more.
+#[test]
+fn stream_of_service_that_left_its_route_is_not_sent_there() {
+    run(async {
+        let tables = Rc::new(Tables::default());
+        let server = Server::start(vec![broken(), rest()]);
+        let front = start(&server, &["v1", "v2"], &tables);
+        front.call("/split/x", "").await;
+        let before = server.received().len();
+        front.configure(|deployment| {
+            for route in &mut deployment.routes {
+                route.targets.retain(|t| t.service == "plain");
+            }
+            deployment.routes.retain(|r| !r.targets.is_empty());
+        });
+        let response = front.call("/split/x", &resumes("r1")).await;
+        assert_eq!(status(&response), 503, "{response}");
+        assert_eq!(server.received().len(), before);
+    });
+}
+
 #[test]
 fn stream_without_usable_record_is_refused() {
     run(async {
