fleet: excuse a part that was answered before by a suspect that never was

Cause: a crash accuses all shared parts of a request alike, and only an answer of the last 10 s cleared a sound part. Once it was quarantined nothing was sent that could be answered.

A part that was answered at some time is now held against a request only if that has every suspect which was never answered and explains the failures: one that all servers failed on which failed on the part. The deadly part stays quarantined, and a part that servers crash on alone is so as well, from the first such crash on.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -82,7 +82,7 @@
     }
 
     /// Returns the ids of the parts in the shared prefix.
-    pub fn shared_ids(&self) -> impl Iterator<Item = u64> {
+    pub fn shared_ids(&self) -> impl Iterator<Item = u64> + Clone {
         self.shared_parts().iter().map(|p| p.id)
     }
 
--- a/crates/fleet/src/fleet/overload.rs
+++ b/crates/fleet/src/fleet/overload.rs
@@ -42,10 +42,8 @@
         self.record_demand(now, workspace, prompt);
         let prompt = prompt?;
         // Its refusal has a reason and a retry delay of its own.
-        if prompt.shared_ids().any(|id| {
-            let key = SuspectKey::Part(id);
-            self.suspects.quarantine(now, key, false).is_some()
-        }) {
+        let parts = prompt.shared_ids().map(SuspectKey::Part);
+        if self.suspects.part_quarantine(now, &parts).is_some() {
             return None;
         }
         let shortfall = self.recent_shortfall(now, workspace);
--- a/crates/fleet/src/fleet/quarantine.rs
+++ b/crates/fleet/src/fleet/quarantine.rs
@@ -14,12 +14,12 @@
 const LIMITED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Returns the suspects that a request consists of.
-fn suspects(submission: &Submission) -> impl Iterator<Item = SuspectKey> {
+fn suspects(submission: &Submission) -> impl Iterator<Item = SuspectKey> + Clone {
     std::iter::once(SuspectKey::Request(submission.fingerprint)).chain(parts(submission))
 }
 
 /// Returns the shared parts of a request's prompt.
-fn parts(submission: &Submission) -> impl Iterator<Item = SuspectKey> {
+fn parts(submission: &Submission) -> impl Iterator<Item = SuspectKey> + Clone {
     let prompt = submission.prompt.iter();
     prompt.flat_map(|p| p.shared_ids().map(SuspectKey::Part))
 }
@@ -28,9 +28,8 @@
     /// Returns the time until the request may be sent again, if it is quarantined.
     pub(super) fn quarantine(&self, now: Instant, request: &Request) -> Option<Duration> {
         let submission = &request.submission;
-        let parts = parts(submission).filter_map(|key| self.suspects.quarantine(now, key, false));
-        let whole = self.whole_quarantine(now, submission);
-        parts.chain(whole).max()
+        let parts = self.suspects.part_quarantine(now, &suspects(submission));
+        parts.max(self.whole_quarantine(now, submission))
     }
 
     fn whole_quarantine(&self, now: Instant, submission: &Submission) -> Option<Duration> {
@@ -153,9 +152,10 @@
             };
             let left = self.suspects.quarantine(now, *key, false);
             let detail = format!(
-                "reported_by={router:08x} servers={} left_ms={}",
+                "reported_by={router:08x} servers={} left_ms={} proven={}",
                 self.suspects.servers(*key),
                 left.unwrap_or_default().as_millis(),
+                self.suspects.is_proven(*key),
             );
             self.log(event, &format!("{:x}", key.hash()), detail);
         }
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -5,6 +5,10 @@
 //! clears the request and its parts. A suspect that several servers failed on and none answered is
 //! quarantined at all routers.
 //!
+//! Sound parts fail beside the one that crashes servers. So a part that was answered at some time is
+//! not held against a request without a suspect that never was and that each of those servers failed on
+//! too: that suspect explains the failures. Once a server fails on the part alone, it explains them no longer.
+//!
 //! Requests that share a part differ, so the part is tried again after a while. A request is the
 //! same each time and costs a server, so its quarantine grows with each, and one router tries first.
 
@@ -46,6 +50,8 @@
 const MAX_SERVERS: usize = 16;
 /// Number of answers that are remembered for sure; bounds the memory at twice as many.
 const MAX_ANSWERS: usize = 4_096;
+/// Number of answered parts that are remembered for sure; bounds the memory at twice as many.
+const MAX_PROVEN: usize = 4_096;
 /// Maximum number of suspects in a report; bounds its size.
 const MAX_REPORTED: usize = 64;
 /// Maximum number of cleared suspects in a report; bounds its size.
@@ -124,11 +130,11 @@
 #[derive(Debug, Default)]
 struct Failures(BTreeMap<u32, Failure>);
 
-/// Answered suspects in two generations, of which the older is dropped as a whole.
-#[derive(Debug, Default)]
-struct Answers {
-    recent: FxHashMap<SuspectKey, Answer>,
-    older: FxHashMap<SuspectKey, Answer>,
+/// Bounded map of suspects in two generations, of which the older is dropped as a whole.
+#[derive(Debug)]
+struct Generations<V> {
+    recent: FxHashMap<SuspectKey, V>,
+    older: FxHashMap<SuspectKey, V>,
 }
 
 /// Complete answer to a request.
@@ -155,7 +161,9 @@
     failures: BTreeMap<SuspectKey, Failures>,
     /// The oldest first.
     silences: VecDeque<Silence>,
-    answers: Answers,
+    answers: Generations<Answer>,
+    /// Parts of prompts that were answered at some time.
+    proven: Generations<()>,
     /// Answered suspects that other routers may suspect.
     cleared: BTreeMap<SuspectKey, Instant>,
     /// Numbers of suspects that reports of each scope have gone past.
@@ -233,19 +241,27 @@
     }
 }
 
-impl Answers {
-    fn add(&mut self, key: SuspectKey, answer: Answer) {
-        if self.recent.len() >= MAX_ANSWERS {
+impl<V> Default for Generations<V> {
+    fn default() -> Self {
+        Self {
+            recent: FxHashMap::default(),
+            older: FxHashMap::default(),
+        }
+    }
+}
+
+impl<V: Copy> Generations<V> {
+    /// Inserts a value; `limit` is the size of a generation.
+    fn insert(&mut self, key: SuspectKey, value: V, limit: usize) {
+        if self.recent.len() >= limit && !self.recent.contains_key(&key) {
             self.older = std::mem::take(&mut self.recent);
         }
-        let known = self.get(answer.at, key);
-        let own = answer.own || known.is_some_and(|a| a.own);
-        self.recent.insert(key, Answer { own, ..answer });
+        self.recent.insert(key, value);
     }
 
-    fn get(&self, now: Instant, key: SuspectKey) -> Option<Answer> {
-        let answer = self.recent.get(&key).or_else(|| self.older.get(&key));
-        answer.copied().filter(|a| is_recent(now, a.at, ANSWER_TTL))
+    fn get(&self, key: SuspectKey) -> Option<V> {
+        let value = self.recent.get(&key).or_else(|| self.older.get(&key));
+        value.copied()
     }
 }
 
@@ -292,7 +308,7 @@
     /// Records a complete answer, which clears the request and the parts of its prompt.
     pub fn record_answer(&mut self, now: Instant, keys: impl Iterator<Item = SuspectKey>) {
         for key in keys {
-            self.answers.add(key, Answer { at: now, own: true });
+            self.add_answer(key, Answer { at: now, own: true });
             if self.failures.remove(&key).is_some() {
                 self.tell_cleared(now, key);
             }
@@ -306,13 +322,13 @@
                 at: now,
                 own: false,
             };
-            self.answers.add(*key, answer);
+            self.add_answer(*key, answer);
             self.failures.remove(key);
         }
         let mut quarantined = Vec::new();
         for suspect in &news.suspects {
             let key = suspect.key();
-            let answer = self.answers.get(now, key);
+            let answer = self.answer(now, key);
             if answer.is_some_and(|a| a.own) {
                 self.tell_cleared(now, key);
             }
@@ -365,6 +381,47 @@
         self.failures.get(&key)?.quarantine(now, key, waits)
     }
 
+    /// Returns the time until a request that consists of `keys` may be sent again, if one of its parts is
+    /// quarantined for it.
+    #[must_use]
+    pub fn part_quarantine(
+        &self,
+        now: Instant,
+        keys: &(impl Iterator<Item = SuspectKey> + Clone),
+    ) -> Option<Duration> {
+        let parts = keys.clone().filter(|key| !key.is_request());
+        let held = parts.filter_map(|key| {
+            let left = self.quarantine(now, key, false)?;
+            let is_excused = self.is_proven(key) && self.is_explained(key, keys);
+            (!is_excused).then_some(left)
+        });
+        held.max()
+    }
+
+    /// Returns whether a part was answered at some time, as far as this router remembers.
+    #[must_use]
+    pub fn is_proven(&self, key: SuspectKey) -> bool {
+        self.proven.get(key).is_some()
+    }
+
+    /// Returns whether each server that failed on a part also failed on a suspect that was never answered
+    /// and is not among `keys`.
+    fn is_explained(
+        &self,
+        part: SuspectKey,
+        keys: &(impl Iterator<Item = SuspectKey> + Clone),
+    ) -> bool {
+        let Some(servers) = self.failures.get(&part) else {
+            return false;
+        };
+        self.failures.iter().any(|(other, failures)| {
+            let mut servers = servers.0.keys();
+            !self.is_proven(*other)
+                && keys.clone().all(|key| key != *other)
+                && servers.all(|server| failures.0.contains_key(server))
+        })
+    }
+
     /// Returns the number of servers that failed on a suspect.
     #[must_use]
     pub fn servers(&self, key: SuspectKey) -> usize {
@@ -377,9 +434,25 @@
         self.servers(key) >= LIMITED_SERVERS
     }
 
+    /// Returns the recent answer to a suspect.
+    fn answer(&self, now: Instant, key: SuspectKey) -> Option<Answer> {
+        let answer = self.answers.get(key);
+        answer.filter(|a| is_recent(now, a.at, ANSWER_TTL))
+    }
+
+    fn add_answer(&mut self, key: SuspectKey, answer: Answer) {
+        let known = self.answer(answer.at, key);
+        let own = answer.own || known.is_some_and(|a| a.own);
+        self.answers
+            .insert(key, Answer { own, ..answer }, MAX_ANSWERS);
+        if !key.is_request() {
+            self.proven.insert(key, (), MAX_PROVEN);
+        }
+    }
+
     /// Adds a failure; returns whether it quarantines the suspect.
     fn add(&mut self, now: Instant, key: SuspectKey, server: u32, failure: Failure) -> bool {
-        if self.answers.get(now, key).is_some() {
+        if self.answer(now, key).is_some() {
             return false;
         }
         if self.failures.len() >= MAX_SUSPECTS && !self.failures.contains_key(&key) {
--- a/crates/fleet/tests/all/suspects.rs
+++ b/crates/fleet/tests/all/suspects.rs
@@ -43,7 +43,21 @@
 
 /// Submits a request whose engine crashes, and removes that engine; returns whether it was sent.
 fn crash(fleet: &mut Fleet, key: u64, shared: &[u64], now: Instant) -> bool {
-    let decisions = submit(fleet, key, shared, now);
+    crash_request(fleet, key, key, shared, now)
+}
+
+/// Like [`crash`], for a request with the fingerprint.
+fn crash_request(
+    fleet: &mut Fleet,
+    key: u64,
+    fingerprint: u64,
+    shared: &[u64],
+    now: Instant,
+) -> bool {
+    let mut request = submission(key, 1, prompt(shared), now);
+    request.resumable = false;
+    request.fingerprint = fingerprint;
+    let decisions = fleet.handle(now, Event::Submit(request));
     let Some(engine) = sent_to(&decisions).map(str::to_owned) else {
         return false;
     };
@@ -120,6 +134,100 @@
     assert!(sent_to(&sound).is_some(), "{sound:?}");
 }
 
+// Guards against LOST: a workspace that came back with a deadly part had its sound parts quarantined too, as
+// its last answers were too long ago to clear them.
+#[test]
+fn parts_beside_deadly_part_stay_in_use_after_rest() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 16, start);
+    answer(&mut fleet, 1, &[1, 2], start);
+    let now = start + Duration::from_secs(60);
+    support::hear_servers(&mut fleet, now);
+    for key in 10..13 {
+        assert!(crash(&mut fleet, key, &[1, 2, DEADLY], now));
+    }
+    let sound = submit(&mut fleet, 100, &[1, 2], now);
+    assert!(sent_to(&sound).is_some(), "{sound:?}");
+    for (key, shared) in [(101, &[1, 2, DEADLY][..]), (102, &[9, DEADLY])] {
+        let refused = submit(&mut fleet, key, shared, now);
+        assert_eq!(failure_reason(&refused), Some(Reason::Quarantined));
+    }
+}
+
+// Guards against LOST: the same where one request crashes engines each time that it comes again.
+#[test]
+fn parts_of_deadly_request_stay_in_use_after_rest() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 16, start);
+    answer(&mut fleet, 1, &[1, 2], start);
+    let now = start + Duration::from_secs(60);
+    support::hear_servers(&mut fleet, now);
+    for key in 10..13 {
+        let sent = crash_request(&mut fleet, key, 7, &[1, 2], now);
+        assert!(sent, "request {key} is refused");
+    }
+    let sound = submit(&mut fleet, 100, &[1, 2], now);
+    assert!(sent_to(&sound).is_some(), "{sound:?}");
+    assert!(!crash_request(&mut fleet, 101, 7, &[1, 2], now));
+}
+
+// Guards against BUDGET: answers of long ago must not protect a part that crashes engines by now.
+#[test]
+fn part_answered_long_ago_that_crashes_engines_is_quarantined() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 16, start);
+    answer(&mut fleet, 1, &[1, 2], start);
+    let now = start + Duration::from_secs(60);
+    support::hear_servers(&mut fleet, now);
+    let crashes = (10..20).filter(|key| crash(&mut fleet, *key, &[1, 100 + key], now));
+    assert_eq!(crashes.count(), 3);
+    let refused = submit(&mut fleet, 100, &[1, 2], now);
+    assert_eq!(failure_reason(&refused), Some(Reason::Quarantined));
+}
+
+// Guards against BUDGET: the part that a request does not have explains its failures no longer once an engine
+// crashes on the request.
+#[test]
+fn part_beside_innocent_new_part_is_quarantined_at_next_crash() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 16, start);
+    answer(&mut fleet, 1, &[1, 2], start);
+    let now = start + Duration::from_secs(60);
+    support::hear_servers(&mut fleet, now);
+    for key in 10..13 {
+        assert!(crash(&mut fleet, key, &[1, 5], now));
+    }
+    let crashes = (20..30).filter(|key| crash(&mut fleet, *key, &[1, 2], now));
+    assert_eq!(crashes.count(), 1);
+}
+
+// Guards against LOST: a router that never saw the sound parts answered follows one that did.
+#[test]
+fn parts_beside_deadly_part_are_cleared_by_router_that_knows_them() {
+    let start = Instant::now();
+    let mut fleet = support::router("r", 16, start);
+    let mut other = support::router("other", 16, start);
+    answer(&mut other, 1, &[1, 2], start);
+    let now = start + Duration::from_secs(60);
+    for router in [&mut fleet, &mut other] {
+        support::hear_servers(router, now);
+    }
+    for key in 10..13 {
+        assert!(crash(&mut fleet, key, &[1, 2, DEADLY], now));
+    }
+    let report = fleet.report(now, Scope::All);
+    other.handle(now, Event::Report(report));
+    answer(&mut other, 20, &[1, 2], now);
+    let report = other.report(now, Scope::All);
+    fleet.handle(now, Event::Report(report));
+    let sound = submit(&mut fleet, 100, &[1, 2], now);
+    assert!(sent_to(&sound).is_some(), "{sound:?}");
+    for router in [&mut fleet, &mut other] {
+        let refused = submit(router, 101, &[1, 2, DEADLY], now);
+        assert_eq!(failure_reason(&refused), Some(Reason::Quarantined));
+    }
+}
+
 #[test]
 fn part_answered_at_another_router_is_cleared() {
     let now = Instant::now();
