fleet: resume no stream at a server that may have become another version

Servers started again in place as a newer version and registered 0.8 s later; the streams of the last one went on at the one before, by the list.

Cause: the version of a server was read from its registration alone, though the router had seen connections to it fail, which is how a restart looks.

While several versions may have streams, none goes on at a server whose connection failed or fell silent, until it registers anew, its registration is still listed after four check-in intervals, or it is heard on without the gap of a restart. version_uncertain logs the beginning.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -841,6 +841,9 @@
             self.rollouts.record_zone_contact(now, zone, sent_at);
             self.response_heard(now, attempt.server, attempt.began_at);
         }
+        if matches!(outcome, Outcome::Broken | Outcome::Unreachable) {
+            self.connection_failed(now, attempt.server);
+        }
         match outcome {
             Outcome::Expired => self.judge_expiry(now, key, &attempt),
             _ => self.record_outcome(now, attempt.server, outcome),
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -503,7 +503,7 @@
     ) -> bool {
         let version = server.backend.version.as_str();
         let fits = match &request.version {
-            Some(began) => began == version,
+            Some(began) => began == version && !self.may_be_other_version(ctx.now, server),
             None => !ctx.new_versions.contains(&version),
         };
         fits && self.rollouts.admits(ctx.now, ctx.turn, server)
--- a/crates/fleet/src/fleet/liveness.rs
+++ b/crates/fleet/src/fleet/liveness.rs
@@ -15,6 +15,9 @@
 /// Time in which a connection to a server is opened; evidence that was fresh when a request was placed
 /// may be older by it when the request leaves.
 const CONNECT_ALLOWANCE: Duration = Duration::from_millis(50);
+/// Check-in intervals after which the registration of a server that has gone is no longer listed: the store
+/// removes it after three without one.
+const LAPSE_INTERVALS: u32 = 4;
 /// Least time between two health checks of a server by one router.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -28,6 +31,7 @@
             restart_time: self.params.restart_time,
             cold_time: service.map_or(Duration::ZERO, |s| s.cold_time),
             known_until: known_until.filter(|_| is_listed),
+            lapse_time: self.params.check_in * LAPSE_INTERVALS,
         }
     }
 
@@ -110,6 +114,36 @@
         service.is_some_and(|s| s.cold_rate > 0.0 && !s.cold_time.is_zero())
     }
 
+    /// Records that a connection to a server failed or fell silent, as it does if the server restarts.
+    pub(super) fn connection_failed(&mut self, now: Instant, key: ServerKey) {
+        let was_uncertain = self.version_is_uncertain(now, key);
+        if let Some(server) = self.registry.get_mut(key) {
+            server.liveness.connection_failed(now);
+        }
+        if was_uncertain || !self.version_is_uncertain(now, key) {
+            return;
+        }
+        if let Some(server) = self.registry.get(key) {
+            let (id, version) = (server.id.clone(), &server.backend.version);
+            let detail = format!("registered={version}");
+            self.log("version_uncertain", &id, detail);
+        }
+    }
+
+    fn version_is_uncertain(&self, now: Instant, key: ServerKey) -> bool {
+        let server = self.registry.get(key);
+        server.is_some_and(|server| self.may_be_other_version(now, server))
+    }
+
+    /// Returns whether a server may run another software version than it registered, as it may have
+    /// started again in place.
+    pub(super) fn may_be_other_version(&self, now: Instant, server: &Server) -> bool {
+        let service = &server.backend.service;
+        let lifetime = self.stream_lifetime();
+        server.liveness.may_be_new(self.rules(now, server))
+            && self.versions.has_several(now, service, lifetime)
+    }
+
     /// Returns whether a server may be cold, so that it is to be used like a cold one.
     pub(super) fn may_be_cold(&self, now: Instant, server: &Server) -> bool {
         self.may_have_restarted(now, server, self.params.restart_time)
--- a/crates/fleet/src/fleet/quarantine.rs
+++ b/crates/fleet/src/fleet/quarantine.rs
@@ -105,6 +105,7 @@
         let server = attempt.server_hash;
         let key = SuspectKey::Request(fingerprint);
         self.suspects.record_silence(now, server, attempt.life, key);
+        self.connection_failed(now, attempt.server);
         if self.registry.get(attempt.server).is_none() {
             self.judge_departure(now, server);
         }
--- a/crates/fleet/src/liveness.rs
+++ b/crates/fleet/src/liveness.rs
@@ -25,6 +25,8 @@
     warm_at: Option<Instant>,
     /// Newest time without a gap.
     run: Option<Run>,
+    /// When a connection to the server last failed, unless it is known not to have restarted then.
+    failed_at: Option<Instant>,
 }
 
 /// Rules by which evidence counts.
@@ -36,6 +38,8 @@
     pub cold_time: Duration,
     /// Time up to which each restart is known by its registration; none if the store does not tell.
     pub known_until: Option<Instant>,
+    /// Time after which the registration of a server that has gone is no longer listed.
+    pub lapse_time: Duration,
 }
 
 impl Liveness {
@@ -61,6 +65,8 @@
             _ => Run { since, until },
         };
         self.run = Some(run);
+        let lasts = |at: Instant| run.since <= at && at + rules.restart_time <= run.until;
+        self.failed_at = self.failed_at.filter(|at| !lasts(*at));
         // Whenever it started before the run, its cold time has passed, or the start would be known.
         let has_warmed = run.until.saturating_duration_since(run.since) >= rules.cold_time;
         if has_warmed || rules.known_until >= Some(run.since) {
@@ -76,6 +82,20 @@
         self.warm_at = self.warm_at.max(Some(until));
     }
 
+    /// Records that a connection to the server failed or fell silent, as it does if the server restarts.
+    pub fn connection_failed(&mut self, now: Instant) {
+        self.failed_at = Some(now);
+    }
+
+    /// Returns whether the server may have restarted since a connection to it failed, and its registration
+    /// would not tell.
+    #[must_use]
+    pub fn may_be_new(&self, rules: Rules) -> bool {
+        // One that went then and has not registered again is not listed for longer than this.
+        let tells = |at: Instant| rules.known_until >= Some(at + rules.lapse_time);
+        self.failed_at.is_some_and(|at| !tells(at))
+    }
+
     /// Returns the newest time at which the server was known to be warm.
     #[must_use]
     pub fn warm_at(&self) -> Option<Instant> {
--- a/crates/fleet/tests/all/liveness.rs
+++ b/crates/fleet/tests/all/liveness.rs
@@ -13,6 +13,7 @@
 
 const GAP: Duration = Duration::from_millis(250);
 const COLD: Duration = Duration::from_secs(3);
+const LAPSE: Duration = Duration::from_secs(5);
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -23,6 +24,7 @@
         restart_time: GAP,
         cold_time: COLD,
         known_until,
+        lapse_time: LAPSE,
     }
 }
 
@@ -71,6 +73,35 @@
     checks.count()
 }
 
+/// Guards against streams joined from two versions: a failed connection is how a restart looks.
+#[test]
+fn may_be_new_lasts_until_registration_tells() {
+    let start = Instant::now();
+    let mut liveness = warm(start);
+    assert!(!liveness.may_be_new(rules(None)));
+    liveness.connection_failed(start + ms(100));
+    for (known, expected) in [(None, true), (Some(5_099), true), (Some(5_100), false)] {
+        let known = known.map(|time| start + ms(time));
+        assert_eq!(liveness.may_be_new(rules(known)), expected, "{known:?}");
+    }
+}
+
+#[test]
+fn may_be_new_ends_with_evidence_without_gap() {
+    let start = Instant::now();
+    for (times, expected) in [
+        (&[200, 300, 349][..], true),
+        (&[200, 300, 350], false),
+        // A new life may have sent what came after the gap.
+        (&[400, 600, 800], true),
+    ] {
+        let mut liveness = warm(start);
+        liveness.connection_failed(start + ms(100));
+        hear(&mut liveness, start, times.iter().copied());
+        assert_eq!(liveness.may_be_new(rules(None)), expected, "{times:?}");
+    }
+}
+
 /// Guards against a belief that has no age.
 #[test]
 fn is_warm_ends_without_evidence() {
--- a/crates/fleet/tests/all/versions.rs
+++ b/crates/fleet/tests/all/versions.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::event::{Execution, Reason};
+use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::{Revision, Servers};
 use hibiscusrail_fleet::versions::{VersionSet, Versions};
 use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey, Submission};
@@ -81,6 +82,101 @@
     assert_eq!(sent_to(&stalled), None);
 }
 
+/// Sends streams, with keys from `first` on, until one begins at the engine, and returns that one.
+fn begin_stream_at(fleet: &mut Fleet, engine: &str, first: u64, now: Instant) -> RequestKey {
+    for number in first..first + 100 {
+        let key = RequestKey(number);
+        let request = submission(number, 1, prompt(number, 10), now);
+        let sent = fleet.handle(now, Event::Submit(request));
+        fleet.handle(now, Event::FirstByte(key));
+        if sent_to(&sent) == Some(engine) {
+            return key;
+        }
+        fleet.handle(now, Event::Ended(key, Outcome::Answered));
+    }
+    panic!("no stream was sent to {engine}");
+}
+
+/// Has the connection of a stream break at the engine.
+fn break_stream_at(fleet: &mut Fleet, engine: &str, first: u64, now: Instant) -> Vec<Decision> {
+    let key = begin_stream_at(fleet, engine, first, now);
+    fleet.handle(now, Event::Ended(key, Outcome::Broken))
+}
+
+/// Returns a router of whose two engines of the first version one broke a stream, and then the other.
+fn router_after_breaks(versions: &[&str], now: Instant) -> (Fleet, Vec<Decision>) {
+    let mut fleet = router(versions, now);
+    break_stream_at(&mut fleet, "v1-0", 0, now);
+    let broken = break_stream_at(&mut fleet, "v1-1", 100, now);
+    (fleet, broken)
+}
+
+/// Has the store confirm the router's list of servers.
+fn confirm_list(fleet: &mut Fleet, at: Instant) {
+    let revision = fleet.registry().revision();
+    let confirmation = Confirmation {
+        revision,
+        complete: revision,
+        at,
+        source: Source::Store,
+    };
+    fleet.handle(at, Event::ServersConfirmed(confirmation));
+}
+
+// Guards against ORDER: a stream went on at a server that had started again in place as another version and
+// had not registered yet.
+#[test]
+fn stream_is_not_resumed_at_server_that_may_run_another_version() {
+    let now = Instant::now();
+    let (mut fleet, broken) = router_after_breaks(&["v1", "v1", "v2"], now);
+    assert_eq!(sent_to(&broken), None);
+    let refused = fleet.handle(now, Event::Submit(take_up(500, "v1", now)));
+    assert_eq!(sent_to(&refused), None, "{refused:?}");
+    // Other streams may begin there, and those of the second version go on.
+    let sent = fleet.handle(now, Event::Submit(take_up(501, "v2", now)));
+    assert_eq!(version_sent_to(&sent), Some("v2"));
+}
+
+#[test]
+fn stream_of_only_version_is_resumed_after_broken_connections() {
+    let now = Instant::now();
+    let (_, broken) = router_after_breaks(&["v1", "v1"], now);
+    assert_eq!(sent_to(&broken), Some("v1-0"));
+}
+
+// A server that had started again would have registered anew, or its registration would have lapsed.
+#[test]
+fn stream_is_resumed_once_registration_outlasts_broken_connection() {
+    let now = Instant::now();
+    let (mut fleet, _) = router_after_breaks(&["v1", "v1", "v2"], now);
+    for (after, expected) in [(4_500, None), (6_500, Some("v1"))] {
+        let at = now + Duration::from_millis(after);
+        confirm_list(&mut fleet, at);
+        support::hear_servers(&mut fleet, at);
+        let sent = fleet.handle(at, Event::Submit(take_up(500 + after, "v1", at)));
+        assert_eq!(version_sent_to(&sent), expected, "after {after} ms");
+    }
+}
+
+// A connection alone may break: what the server goes on to send elsewhere shows that it did not restart.
+#[test]
+fn stream_is_resumed_at_server_that_goes_on_sending() {
+    let now = Instant::now();
+    let mut fleet = router(&["v1", "v1", "v2"], now);
+    let key = begin_stream_at(&mut fleet, "v1-0", 0, now);
+    break_stream_at(&mut fleet, "v1-0", 100, now);
+    break_stream_at(&mut fleet, "v1-1", 200, now);
+    let gap = Duration::from_millis(100);
+    for step in 1..5 {
+        let tokens = 7;
+        fleet.handle(now + gap * step, Event::StreamProgress { key, gap, tokens });
+    }
+    let at = now + gap * 5;
+    support::hear_servers(&mut fleet, at);
+    let sent = fleet.handle(at, Event::Submit(take_up(500, "v1", at)));
+    assert_eq!(sent_to(&sent), Some("v1-0"));
+}
+
 #[test]
 fn take_up_goes_on_at_its_version() {
     let now = Instant::now();
