--- a/crates/fleet/tests/all/liveness.rs
+++ b/crates/fleet/tests/all/liveness.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::liveness::{Liveness, Rules, life_hash};
 use hibiscusrail_fleet::objects::{Revision, Servers};
 use hibiscusrail_fleet::peers::Scope;
@@ -243,16 +242,6 @@
 fn list_confirmed_before_check_in_is_no_evidence() {
     let start = Instant::now();
     let mut fleet = router("r", 1, start);
-    let confirm = |fleet: &mut Fleet, at: Instant| {
-        let revision = Revision(2);
-        let confirmation = Confirmation {
-            revision,
-            complete: revision,
-            at,
-            source: Source::Store,
-        };
-        fleet.handle(at, Event::ServersConfirmed(confirmation));
-    };
     let answered = |fleet: &mut Fleet, key: u64, now: Instant| {
         let request = submission(key, 1, prompt(1, 10), now);
         let sent = fleet.handle(now, Event::Submit(request));
@@ -266,7 +255,7 @@
     for step in 1..=15 {
         let now = began + ms(step * 100);
         let (gap, tokens) = (ms(100), 7);
-        confirm(&mut fleet, now - ms(50));
+        support::confirm_list(&mut fleet, now - ms(50));
         fleet.handle(now, Event::StreamProgress { key, gap, tokens });
         let is_known = now - ms(50) >= began + ms(1_200);
         let is_warm = fleet.registry().all().all(|s| s.liveness.is_warm(now, GAP));
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -6,6 +6,7 @@
 
 use hibiscusrail_fleet::engine::{Part, Prompt};
 use hibiscusrail_fleet::event::Reason;
+use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::model::Learn;
 use hibiscusrail_fleet::objects::{
     Backend, Deployment, EngineFacts, Limits, OperatorConfig, Repeat, Revision, Route, Servers,
@@ -193,6 +194,18 @@
     }
 }
 
+/// Has the store confirm a router's list of servers.
+pub fn confirm_list(fleet: &mut Fleet, at: Instant) {
+    let revision = fleet.registry().revision();
+    let confirmation = Confirmation {
+        revision,
+        complete: revision,
+        at,
+        source: Source::Store,
+    };
+    fleet.handle(at, Event::ServersConfirmed(confirmation));
+}
+
 /// Returns a prompt whose shared part `shared` has 5,000 tokens.
 pub fn prompt(shared: u64, own: u32) -> Prompt {
     Prompt {
--- a/crates/fleet/tests/all/suspects.rs
+++ b/crates/fleet/tests/all/suspects.rs
@@ -77,6 +77,16 @@
     fleet.handle(now, Event::Ended(RequestKey(key), Outcome::Answered));
 }
 
+/// Returns a router that last answered a request, with these shared parts, a minute ago.
+fn rested_router(name: &str, shared: &[u64], now: Instant) -> Fleet {
+    let earlier = now.checked_sub(Duration::from_secs(60));
+    let earlier = earlier.expect("the clock has run for a minute");
+    let mut fleet = support::router(name, 16, earlier);
+    answer(&mut fleet, 1, shared, earlier);
+    support::hear_servers(&mut fleet, now);
+    fleet
+}
+
 #[test]
 fn part_that_crashed_three_engines_is_quarantined() {
     let now = Instant::now();
@@ -134,15 +144,12 @@
     assert!(sent_to(&sound).is_some(), "{sound:?}");
 }
 
-// Guards against LOST: a workspace that came back with a deadly part had its sound parts quarantined too, as
-// its last answers were too long ago to clear them.
+// Guards against LOST: a workspace that came back with a deadly part had its sound parts
+// quarantined too, as its last answers were too long ago to clear them.
 #[test]
 fn parts_beside_deadly_part_stay_in_use_after_rest() {
-    let start = Instant::now();
-    let mut fleet = support::router("r", 16, start);
-    answer(&mut fleet, 1, &[1, 2], start);
-    let now = start + Duration::from_secs(60);
-    support::hear_servers(&mut fleet, now);
+    let now = Instant::now();
+    let mut fleet = rested_router("r", &[1, 2], now);
     for key in 10..13 {
         assert!(crash(&mut fleet, key, &[1, 2, DEADLY], now));
     }
@@ -157,11 +164,8 @@
 // Guards against LOST: the same where one request crashes engines each time that it comes again.
 #[test]
 fn parts_of_deadly_request_stay_in_use_after_rest() {
-    let start = Instant::now();
-    let mut fleet = support::router("r", 16, start);
-    answer(&mut fleet, 1, &[1, 2], start);
-    let now = start + Duration::from_secs(60);
-    support::hear_servers(&mut fleet, now);
+    let now = Instant::now();
+    let mut fleet = rested_router("r", &[1, 2], now);
     for key in 10..13 {
         let sent = crash_request(&mut fleet, key, 7, &[1, 2], now);
         assert!(sent, "request {key} is refused");
@@ -174,26 +178,20 @@
 // Guards against BUDGET: answers of long ago must not protect a part that crashes engines by now.
 #[test]
 fn part_answered_long_ago_that_crashes_engines_is_quarantined() {
-    let start = Instant::now();
-    let mut fleet = support::router("r", 16, start);
-    answer(&mut fleet, 1, &[1, 2], start);
-    let now = start + Duration::from_secs(60);
-    support::hear_servers(&mut fleet, now);
+    let now = Instant::now();
+    let mut fleet = rested_router("r", &[1, 2], now);
     let crashes = (10..20).filter(|key| crash(&mut fleet, *key, &[1, 100 + key], now));
     assert_eq!(crashes.count(), 3);
     let refused = submit(&mut fleet, 100, &[1, 2], now);
     assert_eq!(failure_reason(&refused), Some(Reason::Quarantined));
 }
 
-// Guards against BUDGET: the part that a request does not have explains its failures no longer once an engine
-// crashes on the request.
+// Guards against BUDGET: the part that a request does not have explains its failures no longer once
+// an engine crashes on the request.
 #[test]
 fn part_beside_innocent_new_part_is_quarantined_at_next_crash() {
-    let start = Instant::now();
-    let mut fleet = support::router("r", 16, start);
-    answer(&mut fleet, 1, &[1, 2], start);
-    let now = start + Duration::from_secs(60);
-    support::hear_servers(&mut fleet, now);
+    let now = Instant::now();
+    let mut fleet = rested_router("r", &[1, 2], now);
     for key in 10..13 {
         assert!(crash(&mut fleet, key, &[1, 5], now));
     }
@@ -204,14 +202,9 @@
 // Guards against LOST: a router that never saw the sound parts answered follows one that did.
 #[test]
 fn parts_beside_deadly_part_are_cleared_by_router_that_knows_them() {
-    let start = Instant::now();
-    let mut fleet = support::router("r", 16, start);
-    let mut other = support::router("other", 16, start);
-    answer(&mut other, 1, &[1, 2], start);
-    let now = start + Duration::from_secs(60);
-    for router in [&mut fleet, &mut other] {
-        support::hear_servers(router, now);
-    }
+    let now = Instant::now();
+    let mut fleet = rested_router("r", &[], now);
+    let mut other = rested_router("other", &[1, 2], now);
     for key in 10..13 {
         assert!(crash(&mut fleet, key, &[1, 2, DEADLY], now));
     }
--- a/crates/fleet/tests/all/versions.rs
+++ b/crates/fleet/tests/all/versions.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::event::{Execution, Reason};
-use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::{Revision, Servers};
 use hibiscusrail_fleet::versions::{VersionSet, Versions};
 use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey, Submission};
@@ -103,7 +102,8 @@
     fleet.handle(now, Event::Ended(key, Outcome::Broken))
 }
 
-/// Returns a router of whose two engines of the first version one broke a stream, and then the other.
+/// Returns a router of whose two engines of the first version one broke a stream, and then the
+/// other.
 fn router_after_breaks(versions: &[&str], now: Instant) -> (Fleet, Vec<Decision>) {
     let mut fleet = router(versions, now);
     break_stream_at(&mut fleet, "v1-0", 0, now);
@@ -111,20 +111,8 @@
     (fleet, broken)
 }
 
-/// Has the store confirm the router's list of servers.
-fn confirm_list(fleet: &mut Fleet, at: Instant) {
-    let revision = fleet.registry().revision();
-    let confirmation = Confirmation {
-        revision,
-        complete: revision,
-        at,
-        source: Source::Store,
-    };
-    fleet.handle(at, Event::ServersConfirmed(confirmation));
-}
-
-// Guards against ORDER: a stream went on at a server that had started again in place as another version and
-// had not registered yet.
+// Guards against ORDER: a stream went on at a server that had started again in place as another
+// version and had not registered yet.
 #[test]
 fn stream_is_not_resumed_at_server_that_may_run_another_version() {
     let now = Instant::now();
@@ -144,21 +132,23 @@
     assert_eq!(sent_to(&broken), Some("v1-0"));
 }
 
-// A server that had started again would have registered anew, or its registration would have lapsed.
+// A server that had started again would have registered anew, or its registration would have
+// lapsed.
 #[test]
 fn stream_is_resumed_once_registration_outlasts_broken_connection() {
     let now = Instant::now();
     let (mut fleet, _) = router_after_breaks(&["v1", "v1", "v2"], now);
     for (after, expected) in [(4_500, None), (6_500, Some("v1"))] {
         let at = now + Duration::from_millis(after);
-        confirm_list(&mut fleet, at);
+        support::confirm_list(&mut fleet, at);
         support::hear_servers(&mut fleet, at);
         let sent = fleet.handle(at, Event::Submit(take_up(500 + after, "v1", at)));
         assert_eq!(version_sent_to(&sent), expected, "after {after} ms");
     }
 }
 
-// A connection alone may break: what the server goes on to send elsewhere shows that it did not restart.
+// A connection alone may break: what the server goes on to send elsewhere shows that it did not
+// restart.
 #[test]
 fn stream_is_resumed_at_server_that_goes_on_sending() {
     let now = Instant::now();
--- a/crates/front/tests/all/versions.rs
+++ b/crates/front/tests/all/versions.rs
@@ -71,6 +71,13 @@
     compio::runtime::spawn(following).detach();
 }
 
+/// Returns the ids of the servers that the requests were sent to, in order.
+fn servers_used(server: &Server) -> Vec<String> {
+    let received = server.received();
+    let named = received.iter().map(|head| header(head, "x-server"));
+    named.map(Option::unwrap_or_default).collect()
+}
+
 /// Returns the headers of a request that takes up the stream which `began` began.
 fn resumes(began: &str) -> String {
     format!("last-event-id: 2\r\nx-resumes: {began}\r\n")
@@ -92,8 +99,7 @@
             let response = other.call("/resume/x", &resumes("r1")).await;
             assert!(response.contains(&event(4)), "{response}");
         }
-        let named = |head: &String| header(head, "x-server");
-        let servers: Vec<_> = server.received().iter().map(named).collect();
+        let servers = servers_used(&server);
         assert_eq!(servers[0], servers[1], "{began}");
         assert_eq!(servers[0], servers[2], "{began}");
         // The servers of its version are gone.
@@ -106,7 +112,8 @@
     });
 }
 
-// Guards against LOST: no router recorded the versions that began streams of a service without engines.
+// Guards against LOST: no router recorded the versions that began streams of a service without
+// engines.
 #[test]
 fn stream_of_plain_service_goes_on_at_its_version() {
     run(async {
@@ -122,14 +129,13 @@
         wait_until(|| tables.streams.borrow().contains_key("r1")).await;
         let response = start().call("/resume-plain/x", &resumes("r1")).await;
         assert!(response.contains(&event(4)), "{response}");
-        let named = |head: &String| header(head, "x-server");
-        let servers: Vec<_> = server.received().iter().map(named).collect();
+        let servers = servers_used(&server);
         assert_eq!(servers[0], servers[1]);
     });
 }
 
-/// Has a stream begin at the engines and taken up, at the same router and at another, after new requests of
-/// its route were moved to the plain service; returns the service of each attempt.
+/// Has a stream begin at the engines and taken up, at the same router and at another, after new
+/// requests of its route were moved to the plain service; returns the service of each attempt.
 async fn take_up_after_move(versions: &[&str]) -> Vec<String> {
     let tables = Rc::new(Tables::default());
     let server = Server::start(vec![broken(), rest()]);
@@ -148,20 +154,21 @@
         assert!(response.contains(&event(4)), "{response}");
     }
     fronts[1].call("/split/x", "").await;
-    let named = |head: &String| {
-        let server = header(head, "x-server").unwrap_or_default();
-        server.trim_end_matches(char::is_numeric).to_owned()
-    };
-    server.received().iter().map(named).collect()
+    let service_of = |id: &String| id.trim_end_matches(char::is_numeric).to_owned();
+    servers_used(&server).iter().map(service_of).collect()
 }
 
-// Guards against LOST: after a change of a route's weights, a stream was looked for at the service that a new
-// one would go to, and refused.
+// Guards against LOST: after a change of a route's weights, a stream was looked for at the service
+// that a new one would go to, and refused.
 #[test]
 fn stream_taken_up_after_change_of_weights_goes_on_at_its_service() {
     run(async {
-        let services = take_up_after_move(&["v1", "v2"]).await;
-        assert_eq!(services, ["engines", "engines", "engines", "plain"]);
+        // The router that saw the connection break resumes at the other server of the version.
+        let services = take_up_after_move(&["v1", "v1", "v2", "v2"]).await;
+        assert_eq!(
+            services,
+            ["engines", "engines", "engines", "engines", "plain"]
+        );
     });
 }
 
@@ -350,8 +357,7 @@
         wait_until(|| tables.streams.borrow().contains_key("r1")).await;
         let response = restarted.call("/resume/x", &resumes("r1")).await;
         assert!(response.contains(&event(4)), "{response}");
-        let named = |head: &String| header(head, "x-server");
-        let servers: Vec<_> = server.received().iter().map(named).collect();
+        let servers = servers_used(&server);
         assert_eq!(servers[0], servers[1]);
     });
 }
