net: charge small bodies whose rest does not arrive

Cause: bodies up to 16 KiB and the read buffers of their connections, 55 kB together, were in no budget, so that small requests are never refused for memory.

A small body is charged, with 32 KiB for its connection, from when it has begun and its next part has not arrived. Like a larger one it is given up once it stalls and others need the memory, or refused with 503. Bodies that arrive at once are free as before.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1136,7 +1136,8 @@
         era > 0 && revision.era() == era && version > deployment_version(&self.config)
     }
 
-    /// Keeps what requests in progress, and streams that are taken up, need of the configuration before.
+    /// Keeps what requests in progress, and streams that are taken up, need of the configuration
+    /// before.
     fn retire_deployment(&mut self, now: Instant, before: Deployment) {
         self.record_splits(now, &before);
         self.retired_services.extend(before.services);
--- a/crates/fleet/src/fleet/liveness.rs
+++ b/crates/fleet/src/fleet/liveness.rs
@@ -15,8 +15,8 @@
 /// Time in which a connection to a server is opened; evidence that was fresh when a request was placed
 /// may be older by it when the request leaves.
 const CONNECT_ALLOWANCE: Duration = Duration::from_millis(50);
-/// Check-in intervals after which the registration of a server that has gone is no longer listed: the store
-/// removes it after three without one.
+/// Check-in intervals after which the registration of a server that has gone is no longer listed:
+/// the store removes it after three without one.
 const LAPSE_INTERVALS: u32 = 4;
 /// Least time between two health checks of a server by one router.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -114,7 +114,8 @@
         service.is_some_and(|s| s.cold_rate > 0.0 && !s.cold_time.is_zero())
     }
 
-    /// Records that a connection to a server failed or fell silent, as it does if the server restarts.
+    /// Records that a connection to a server failed or fell silent, as it does if the server
+    /// restarts.
     pub(super) fn connection_failed(&mut self, now: Instant, key: ServerKey) {
         let was_uncertain = self.version_is_uncertain(now, key);
         if let Some(server) = self.registry.get_mut(key) {
--- a/crates/fleet/src/fleet/streams.rs
+++ b/crates/fleet/src/fleet/streams.rs
@@ -19,8 +19,8 @@
         longest.max().unwrap_or_default() * TIMEOUT_FACTOR
     }
 
-    /// Returns the only software version of a service that can have begun a stream which may still be
-    /// taken up; none if there may be several.
+    /// Returns the only software version of a service that can have begun a stream which may still
+    /// be taken up; none if there may be several.
     #[must_use]
     pub fn only_version(&self, now: Instant, service: &str) -> Option<&str> {
         if self.list_is_late(now) {
@@ -29,15 +29,16 @@
         self.versions.only(now, service, self.stream_lifetime())
     }
 
-    /// Returns whether a stream of a route that is taken up may have begun at another of its services than
-    /// the one to which its weights assign it now.
+    /// Returns whether a stream of a route that is taken up may have begun at another of its
+    /// services than the one to which its weights assign it now.
     #[must_use]
     pub fn is_moved(&self, now: Instant, route: &Route) -> bool {
         let mut services = route.targets.iter().map(|t| t.service.as_str());
         route.targets.len() > 1 && services.any(|s| self.splits.is_moved(now, s))
     }
 
-    /// Returns whether another router can't tell, without a record, where a stream of a service began.
+    /// Returns whether another router can't tell, without a record, where a stream of a service
+    /// began.
     #[must_use]
     pub fn needs_records(&self, now: Instant, service: &str) -> bool {
         let lifetime = self.stream_lifetime();
--- a/crates/fleet/src/liveness.rs
+++ b/crates/fleet/src/liveness.rs
@@ -82,13 +82,14 @@
         self.warm_at = self.warm_at.max(Some(until));
     }
 
-    /// Records that a connection to the server failed or fell silent, as it does if the server restarts.
+    /// Records that a connection to the server failed or fell silent, as it does if the server
+    /// restarts.
     pub fn connection_failed(&mut self, now: Instant) {
         self.failed_at = Some(now);
     }
 
-    /// Returns whether the server may have restarted since a connection to it failed, and its registration
-    /// would not tell.
+    /// Returns whether the server may have restarted since a connection to it failed, and its
+    /// registration would not tell.
     #[must_use]
     pub fn may_be_new(&self, rules: Rules) -> bool {
         // One that went then and has not registered again is not listed for longer than this.
--- a/crates/fleet/src/splits.rs
+++ b/crates/fleet/src/splits.rs
@@ -1,8 +1,8 @@
 //! Services among which the operator moved the requests of a route.
 //!
-//! A stream goes on at the service that began it. While a route's weights stay, the id of the request that
-//! began a stream tells the service. After a change it does not, for as long as streams of before may run
-//! or be taken up.
+//! A stream goes on at the service that began it. While a route's weights stay, the id of the
+//! request that began a stream tells the service. After a change it does not, for as long as
+//! streams of before may run or be taken up.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
--- a/crates/fleet/src/suspects.rs
+++ b/crates/fleet/src/suspects.rs
@@ -5,9 +5,10 @@
 //! clears the request and its parts. A suspect that several servers failed on and none answered is
 //! quarantined at all routers.
 //!
-//! Sound parts fail beside the one that crashes servers. So a part that was answered at some time is
-//! not held against a request without a suspect that never was and that each of those servers failed on
-//! too: that suspect explains the failures. Once a server fails on the part alone, it explains them no longer.
+//! Sound parts fail beside the one that crashes servers. So a part that was answered at some time
+//! is not held against a request without a suspect that never was and that each of those servers
+//! failed on too: that suspect explains the failures. Once a server fails on the part alone, it
+//! explains them no longer.
 //!
 //! Requests that share a part differ, so the part is tried again after a while. A request is the
 //! same each time and costs a server, so its quarantine grows with each, and one router tries first.
@@ -381,8 +382,8 @@
         self.failures.get(&key)?.quarantine(now, key, waits)
     }
 
-    /// Returns the time until a request that consists of `keys` may be sent again, if one of its parts is
-    /// quarantined for it.
+    /// Returns the time until a request that consists of `keys` may be sent again, if one of its
+    /// parts is quarantined for it.
     #[must_use]
     pub fn part_quarantine(
         &self,
@@ -404,8 +405,8 @@
         self.proven.get(key).is_some()
     }
 
-    /// Returns whether each server that failed on a part also failed on a suspect that was never answered
-    /// and is not among `keys`.
+    /// Returns whether each server that failed on a part also failed on a suspect that was never
+    /// answered and is not among `keys`.
     fn is_explained(
         &self,
         part: SuspectKey,
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -306,7 +306,8 @@
     };
     let protocol = shell.protocol();
     let began = header_text(&parts.headers, &protocol.resumes);
-    // A stream goes on at the service that began it, which is this one unless the weights have changed.
+    // A stream goes on at the service that began it, which is this one unless the weights have
+    // changed.
     let id = if began.is_empty() {
         header_text(&parts.headers, &protocol.request_id)
     } else {
--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -1,8 +1,9 @@
-//! Which service and software version began each stream, for callers that take a stream up at another router.
+//! Which service and software version began each stream, for callers that take a stream up at
+//! another router.
 //!
 //! A router remembers the streams that it began. While a service may have streams of several
-//! versions, or a route's weights have changed since they began, it also records them in the store, in
-//! batches beside the events, since a caller may come back to any router after all of them were
+//! versions, or a route's weights have changed since they began, it also records them in the store,
+//! in batches beside the events, since a caller may come back to any router after all of them were
 //! killed. Otherwise streams need no record.
 
 use std::cell::RefCell;
@@ -158,8 +159,8 @@
     }
 }
 
-/// Returns where a stream of a route has to go on that the request `began` began; `assigned` is the service
-/// to which the route's weights assign it now.
+/// Returns where a stream of a route has to go on that the request `began` began; `assigned` is the
+/// service to which the route's weights assign it now.
 ///
 /// # Errors
 ///
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use snafu::{ResultExt, Snafu};
 
-use crate::memory::{Account, BUFFER_BYTES, Budget, FREE_BYTES, MemoryShort};
+use crate::memory::{Account, BUFFER_BYTES, Budget, FREE_BYTES, MemoryShort, SMALL_BUFFER_BYTES};
 
 /// A body of any type; it is not `Send`.
 pub type Body = Pin<Box<dyn http_body::Body<Data = Bytes, Error = io::Error>>>;
@@ -79,7 +79,7 @@
     }
     charge(announced, &mut account)?;
     let mut joined = Vec::new();
-    while let Some(frame) = next_frame(&mut body, &account).await? {
+    while let Some(frame) = next_frame(&mut body, &joined, &mut account).await? {
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -110,10 +110,11 @@
         // Its charge was given to another body.
         return Err(MemoryShort.into());
     }
-    if joined.capacity() > FREE_BYTES {
-        // The buffers of the connection serve its next message.
-        account.resize(Instant::now(), joined.capacity())?;
+    // The buffers of the connection serve its next message.
+    if joined.capacity() <= FREE_BYTES {
+        return Ok(joined.into());
     }
+    account.resize(Instant::now(), joined.capacity())?;
     Ok(account.into_bytes(joined))
 }
 
@@ -125,16 +126,26 @@
     Ok(())
 }
 
-/// Waits for the next part of a body, as long as its account is not evicted.
+/// Waits for the part of a body after those that are joined, as long as its account is not evicted.
+///
+/// A small body is charged from when it has begun and its next part has not arrived.
 async fn next_frame(
     body: &mut Incoming,
-    account: &Account,
+    joined: &Vec<u8>,
+    account: &mut Account,
 ) -> Result<Option<Frame<Bytes>>, CollectError> {
     let mut next = body.frame();
-    let frame = poll_fn(|cx| match Pin::new(&mut next).poll(cx) {
-        Poll::Ready(frame) => Poll::Ready(Ok(frame)),
-        Poll::Pending if account.poll_evicted(cx) => Poll::Ready(Err(MemoryShort)),
-        Poll::Pending => Poll::Pending,
+    let frame = poll_fn(|cx| {
+        if let Poll::Ready(frame) = Pin::new(&mut next).poll(cx) {
+            return Poll::Ready(Ok(frame));
+        }
+        if !joined.is_empty() && joined.capacity() <= FREE_BYTES {
+            account.resize(Instant::now(), joined.capacity() + SMALL_BUFFER_BYTES)?;
+        }
+        if account.poll_evicted(cx) {
+            return Poll::Ready(Err(MemoryShort));
+        }
+        Poll::Pending
     })
     .await?;
     frame.transpose().context(BrokenSnafu)
--- a/crates/net/src/memory.rs
+++ b/crates/net/src/memory.rs
@@ -1,9 +1,9 @@
 //! A budget for the memory that a process holds for its clients and servers.
 //!
 //! Bodies and parts of streams above [`FREE_BYTES`] are charged to an [`Account`] with the capacity
-//! that is allocated for them. When the budget is short, [`decide`] says which are evicted: first the
-//! bodies that no longer arrive and the responses that their clients do not read, then the request
-//! that asks.
+//! that is allocated for them, and smaller bodies while their rest does not arrive. When the budget
+//! is short, [`decide`] says which are evicted: first the bodies that no longer arrive and the
+//! responses that their clients do not read, then the request that asks.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -13,8 +13,12 @@
 use bytes::Bytes;
 use snafu::Snafu;
 
-/// Size up to which a body is not charged, so that small bodies are always accepted.
+/// Size up to which a body is not charged once it is complete, so that small bodies which arrive at
+/// once are always accepted.
 pub const FREE_BYTES: usize = 16 << 10;
+/// Bytes charged with a smaller body whose rest does not arrive, for the read buffer of its
+/// connection.
+pub const SMALL_BUFFER_BYTES: usize = 32 << 10;
 /// Bytes charged with each body or event above [`FREE_BYTES`] for the buffers of its connection: a
 /// parser that receives large bodies keeps one of 32 KiB while another one is in use.
 pub const BUFFER_BYTES: usize = 64 << 10;
--- a/crates/process-tests/tests/untrusted_clients.rs
+++ b/crates/process-tests/tests/untrusted_clients.rs
@@ -19,10 +19,14 @@
 const STREAM_MEMORY_MB: u32 = 20;
 /// Memory of the host in the test of one-byte chunks, which take long to read.
 const CHUNK_MEMORY_MB: u32 = 14;
+/// Memory of the host in the test of small bodies, of which the router holds less.
+const SMALL_MEMORY_MB: u32 = 20;
 /// Clients that hold their connections at the same time.
 const CROWD: usize = 16;
 /// Clients that send one-byte chunks.
 const CHUNK_CROWD: usize = 48;
+/// Clients that send small bodies.
+const SMALL_CROWD: usize = 400;
 /// Time for which the resident memory does not grow once all bytes have been read.
 const SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Longest wait for that.
@@ -171,6 +175,21 @@
     );
 }
 
+#[test]
+fn small_bodies_that_stop_short_stay_within_memory() {
+    let mut body = chunks(4, 4_000);
+    body.truncate(body.len() - SHORT);
+    check_crowd(
+        SMALL_MEMORY_MB,
+        SMALL_CROWD,
+        &Sending {
+            head: head("transfer-encoding: chunked"),
+            before: body,
+            after: Vec::new(),
+        },
+    );
+}
+
 #[test]
 fn announced_oversize_stays_within_memory() {
     check_crowd(
