process-tests: do not take a connection to a dying router for one that it closed

Cause, in the test: the end of a process was recorded before its signal was sent. A connection opened in between reaches the process that is killed, and counted as one of the new process.

The end lasts until the killed process is gone, and a connection that overlaps it is not a finding; one opened after it is, as before.

--- a/crates/process-tests/tests/faults.rs
+++ b/crates/process-tests/tests/faults.rs
@@ -6,6 +6,7 @@
 //! a longer run, separated by commas, and `FAULT_SECONDS` the time of the faults for each.
 
 use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -46,6 +47,15 @@
     Restart,
 }
 
+/// A process of a router that was made to end.
+struct Ended {
+    /// Number of the router.
+    router: usize,
+    /// Time of the signal, until the process was gone if it was killed.
+    time: RangeInclusive<Instant>,
+    end: End,
+}
+
 /// Routers, servers and the store, with proxies between them.
 struct Deployment {
     store: Arc<Store>,
@@ -56,8 +66,8 @@
     version: u64,
     /// Servers that have left, by index.
     gone: BTreeSet<usize>,
-    /// What made processes of routers end, with the router's number; the oldest first.
-    ends: Vec<(usize, Instant, End)>,
+    /// Processes that were made to end; the oldest first.
+    ends: Vec<Ended>,
 }
 
 impl Deployment {
@@ -162,11 +172,15 @@
 
     /// Makes the process of a router end.
     fn end(&mut self, router: usize, end: End) -> String {
-        self.ends.push((router, Instant::now(), end));
+        let at = Instant::now();
         match end {
-            End::Kill => self.routers[router].kill(),
+            End::Kill | End::Restart => self.routers[router].kill(),
             End::Stop => self.routers[router].signal(Signal::Terminate),
-            End::Restart => self.routers[router].restart(),
+        }
+        let time = at..=Instant::now();
+        self.ends.push(Ended { router, time, end });
+        if end == End::Restart {
+            self.routers[router].restart();
         }
         format!("{end:?} router {router}")
     }
@@ -289,20 +303,25 @@
 
 /// Returns what is wrong with the end of a connection: only a process that ends closes one whose
 /// request has no response.
-fn check_end(call: &Call, ends: &[(usize, Instant, End)]) -> Option<String> {
+fn check_end(call: &Call, ends: &[Ended]) -> Option<String> {
     let Answer::None(Unanswered::Closed(after)) = call.answer else {
         return None;
     };
-    let mut of_router = ends.iter().filter(|(router, ..)| *router == call.router);
-    let is_ended = of_router
-        .clone()
-        .any(|(_, at, _)| (call.opened..=call.ended).contains(at));
+    let mut of_router = ends.iter().filter(|e| e.router == call.router);
+    // A connection may still be opened while the process is killed.
+    let is_during = |e: &Ended| *e.time.start() <= call.ended && *e.time.end() >= call.opened;
+    let is_ended = of_router.clone().any(is_during);
     // One that was told to stop may be paused meanwhile, and end any time later.
-    let last = of_router.rfind(|(_, at, _)| *at < call.opened);
-    let is_stopping = last.is_some_and(|(.., end)| *end != End::Restart);
+    let last = of_router.rfind(|e| *e.time.start() < call.opened);
+    let is_stopping = last.is_some_and(|e| e.end != End::Restart);
     let Call { id, router, .. } = call;
-    (!is_ended && !is_stopping)
-        .then(|| format!("router {router} closed the connection of {id} after {after:?}"))
+    (!is_ended && !is_stopping).then(|| {
+        let last = last.map_or_else(String::new, |e| {
+            let since = call.opened.saturating_duration_since(*e.time.end());
+            format!(", opened {since:?} after {:?}", e.end)
+        });
+        format!("router {router} closed the connection of {id} after {after:?}{last}")
+    })
 }
 
 /// Returns which routers of a calm deployment use the revoked key or the server that has left.
