--- a/crates/fleet/src/fleet/liveness.rs
+++ b/crates/fleet/src/fleet/liveness.rs
@@ -139,10 +139,8 @@
     /// Returns whether a server may run another software version than it registered, as it may have
     /// started again in place.
     pub(super) fn may_be_other_version(&self, now: Instant, server: &Server) -> bool {
-        let service = &server.backend.service;
-        let lifetime = self.stream_lifetime();
         server.liveness.may_be_new(self.rules(now, server))
-            && self.versions.has_several(now, service, lifetime)
+            && self.has_several_versions(now, &server.backend.service)
     }
 
     /// Returns whether a server may be cold, so that it is to be used like a cold one.
--- a/crates/fleet/src/fleet/quarantine.rs
+++ b/crates/fleet/src/fleet/quarantine.rs
@@ -98,7 +98,8 @@
         }
     }
 
-    /// Suspects a request that is given up at a silent server, if that leaves the list or starts again.
+    /// Suspects a request that is given up at a silent server, if that leaves the list or starts again,
+    /// and the server of having started again.
     ///
     /// A host may crash without closing its connections.
     pub(super) fn judge_silence(&mut self, now: Instant, fingerprint: u64, attempt: &Attempt) {
--- a/crates/fleet/src/fleet/streams.rs
+++ b/crates/fleet/src/fleet/streams.rs
@@ -29,6 +29,12 @@
         self.versions.only(now, service, self.stream_lifetime())
     }
 
+    /// Returns whether streams of several software versions of a service may be taken up.
+    pub(super) fn has_several_versions(&self, now: Instant, service: &str) -> bool {
+        self.versions
+            .has_several(now, service, self.stream_lifetime())
+    }
+
     /// Returns whether a stream of a route that is taken up may have begun at another of its
     /// services than the one to which its weights assign it now.
     #[must_use]
@@ -41,8 +47,7 @@
     /// began.
     #[must_use]
     pub fn needs_records(&self, now: Instant, service: &str) -> bool {
-        let lifetime = self.stream_lifetime();
-        self.versions.has_several(now, service, lifetime) || self.splits.is_moved(now, service)
+        self.has_several_versions(now, service) || self.splits.is_moved(now, service)
     }
 
     /// Returns the known software versions of services.
