--- a/crates/fleet/tests/all/freshness.rs
+++ b/crates/fleet/tests/all/freshness.rs
@@ -2,23 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use hibiscusrail_fleet::freshness::{Confirmation, Source};
+use hibiscusrail_fleet::freshness::Source;
 use hibiscusrail_fleet::objects::{Repeat, Revision};
 use hibiscusrail_fleet::peers::Scope;
 use hibiscusrail_fleet::{Event, Fleet, Outcome, RequestKey};
 
-use super::support::{self, prompt, sent_to, submission};
-
-/// Records that the store confirmed the list of a revision to a router.
-fn confirm(fleet: &mut Fleet, revision: u64, at: Instant) {
-    let confirmation = Confirmation {
-        revision: Revision(revision),
-        complete: Revision(revision),
-        at,
-        source: Source::Store,
-    };
-    fleet.handle(at, Event::ServersConfirmed(confirmation));
-}
+use super::support::{self, confirm_list, prompt, sent_to, submission};
 
 fn age(fleet: &Fleet, now: Instant) -> Option<Duration> {
     fleet.freshness().age(now)
@@ -35,8 +24,8 @@
     let start = Instant::now();
     let mut fleet = support::router("r", 1, start);
     let later = start + Duration::from_millis(300);
-    confirm(&mut fleet, 1, later);
-    confirm(&mut fleet, 1, start);
+    confirm_list(&mut fleet, 1, later);
+    confirm_list(&mut fleet, 1, start);
     let now = start + Duration::from_millis(500);
     assert_eq!(age(&fleet, now), Some(Duration::from_millis(200)));
 }
@@ -45,9 +34,9 @@
 fn age_of_newer_list_counts_once_it_is_applied() {
     let start = Instant::now();
     let mut fleet = support::router("r", 1, start);
-    confirm(&mut fleet, 1, start);
+    confirm_list(&mut fleet, 1, start);
     let later = start + Duration::from_millis(300);
-    confirm(&mut fleet, 2, later);
+    confirm_list(&mut fleet, 2, later);
     assert_eq!(age(&fleet, later), Some(Duration::from_millis(300)));
     fleet.handle(later, Event::Servers(Revision(2), support::servers(2)));
     assert_eq!(age(&fleet, later), Some(Duration::ZERO));
@@ -58,7 +47,7 @@
     let start = Instant::now();
     let mut reader = support::router("reader", 1, start);
     let mut follower = support::router("follower", 1, start);
-    confirm(&mut reader, 1, start);
+    confirm_list(&mut reader, 1, start);
     let sent = start + Duration::from_millis(200);
     let mut report = reader.report(sent, Scope::All);
     // The daemon adds the time in which the datagram may have waited.
@@ -75,7 +64,7 @@
     let now = Instant::now();
     let mut reader = support::router("reader", 1, now);
     let mut follower = support::router("follower", 1, now);
-    confirm(&mut reader, 1, now);
+    confirm_list(&mut reader, 1, now);
     let mut report = reader.report(now, Scope::All);
     report.list_age = None;
     follower.handle(now, Event::Report(report));
@@ -87,10 +76,10 @@
     let start = Instant::now();
     let mut reader = support::router("reader", 1, start);
     let mut follower = support::router("follower", 1, start);
-    confirm(&mut reader, 1, start);
+    confirm_list(&mut reader, 1, start);
     let report = reader.report(start, Scope::All);
     follower.handle(start, Event::Report(report));
-    confirm(&mut reader, 1, start + Duration::from_millis(900));
+    confirm_list(&mut reader, 1, start + Duration::from_millis(900));
     let now = start + Duration::from_secs(1);
     assert_eq!(age(&follower, now), Some(Duration::from_secs(1)));
 }
@@ -129,7 +118,7 @@
     let start = Instant::now();
     let mut fleet = support::router("r", 2, start);
     fleet.handle(start, Event::StoreAnswered);
-    confirm(&mut fleet, 1, start);
+    confirm_list(&mut fleet, 1, start);
     let sent = start + Duration::from_millis(400);
     answer_by_first_engine(&mut fleet, sent, start + TOO_OLD);
     assert!(uses_first_engine(&mut fleet, start + TOO_OLD));
@@ -143,7 +132,7 @@
     let start = Instant::now();
     let mut fleet = support::router("r", 2, start);
     fleet.handle(start, Event::StoreAnswered);
-    confirm(&mut fleet, 1, start);
+    confirm_list(&mut fleet, 1, start);
     answer_by_first_engine(&mut fleet, start, start);
     let mut servers = fleet.registry().of_service(support::ENGINES);
     let first = servers.find(|(_, s)| s.id == "e0").map(|(key, _)| key);
@@ -158,7 +147,7 @@
     let start = Instant::now();
     let mut fleet = support::router("r", 2, start);
     fleet.handle(start, Event::StoreAnswered);
-    confirm(&mut fleet, 1, start);
+    confirm_list(&mut fleet, 1, start);
     let key = fleet.registry().of_service(support::ENGINES).next();
     let key = key.map(|(key, _)| key).expect("one is registered");
     assert!(fleet.may_send(start, key, false));
@@ -170,10 +159,10 @@
     let start = Instant::now();
     let mut fleet = support::router("r", 2, start);
     fleet.handle(start, Event::StoreAnswered);
-    confirm(&mut fleet, 1, start);
+    confirm_list(&mut fleet, 1, start);
     let now = start + TOO_OLD;
     assert!(!uses_first_engine(&mut fleet, now));
-    confirm(&mut fleet, 1, now);
+    confirm_list(&mut fleet, 1, now);
     assert!(uses_first_engine(&mut fleet, now));
 }
 
@@ -182,7 +171,7 @@
     let start = Instant::now();
     let mut fleet = support::router("r", 2, start);
     fleet.handle(start, Event::StoreAnswered);
-    confirm(&mut fleet, 1, start);
+    confirm_list(&mut fleet, 1, start);
     fleet.handle(start + Duration::from_secs(1), Event::StoreFailed);
     assert!(uses_first_engine(
         &mut fleet,
@@ -196,8 +185,8 @@
     let mut reader = support::router("reader", 2, start);
     let mut follower = support::router("follower", 2, start);
     reader.handle(start, Event::StoreAnswered);
-    confirm(&mut reader, 1, start);
-    confirm(&mut follower, 1, start);
+    confirm_list(&mut reader, 1, start);
+    confirm_list(&mut follower, 1, start);
     let now = start + Duration::from_secs(9);
     reader.handle(now, Event::StoreFailed);
     let report = reader.report(now, Scope::All);
@@ -210,12 +199,12 @@
     let start = Instant::now();
     let mut reader = support::router("reader", 2, start);
     let mut follower = support::router("follower", 2, start);
-    confirm(&mut follower, 1, start);
+    confirm_list(&mut follower, 1, start);
     let now = start + TOO_OLD;
     // It is cut off from the store, but not from the reader.
     follower.handle(now, Event::StoreFailed);
     reader.handle(now, Event::Servers(Revision(2), support::servers(2)));
-    confirm(&mut reader, 2, now);
+    confirm_list(&mut reader, 2, now);
     let report = reader.report(now, Scope::All);
     follower.handle(now, Event::Report(report));
     assert!(!uses_first_engine(&mut follower, now));
@@ -227,7 +216,7 @@
 fn old_list_of_overloaded_router_is_late_though_its_calls_fail() {
     let start = Instant::now();
     let mut fleet = support::router("r", 2, start);
-    confirm(&mut fleet, 1, start);
+    confirm_list(&mut fleet, 1, start);
     let now = start + TOO_OLD;
     for turn in 0..20 {
         let at = start + Duration::from_millis(turn * 80);
@@ -242,7 +231,7 @@
     let start = Instant::now();
     let mut fleet = support::router("follower", 2, start);
     assert!(fleet.list_is_due(start), "its age is unknown");
-    confirm(&mut fleet, 1, start);
+    confirm_list(&mut fleet, 1, start);
     assert!(!fleet.list_is_due(start + Duration::from_secs(1)));
     let due = start + Duration::from_millis(1_400);
     assert!(fleet.list_is_due(due));
@@ -259,7 +248,7 @@
     let start = Instant::now();
     let mut fleet = support::router("flooded", 2, start);
     fleet.handle(start, Event::StoreAnswered);
-    confirm(&mut fleet, 1, start);
+    confirm_list(&mut fleet, 1, start);
     // The store lists e0 as leaving right after; what tells so waits in the router's sockets.
     let left = start + Duration::from_millis(10);
     let bound = left + Duration::from_secs(2);
@@ -287,7 +276,7 @@
     let start = Instant::now();
     let mut fleet = support::router("r", 2, start);
     fleet.handle(start, Event::StoreAnswered);
-    confirm(&mut fleet, 1, start);
+    confirm_list(&mut fleet, 1, start);
     let sent = start + Duration::from_millis(400);
     let request = support::plain(1, Repeat::Idempotent, sent);
     let decisions = fleet.handle(sent, Event::Submit(request));
--- a/crates/fleet/tests/all/liveness.rs
+++ b/crates/fleet/tests/all/liveness.rs
@@ -255,7 +255,7 @@
     for step in 1..=15 {
         let now = began + ms(step * 100);
         let (gap, tokens) = (ms(100), 7);
-        support::confirm_list(&mut fleet, now - ms(50));
+        support::confirm_list(&mut fleet, 2, now - ms(50));
         fleet.handle(now, Event::StreamProgress { key, gap, tokens });
         let is_known = now - ms(50) >= began + ms(1_200);
         let is_warm = fleet.registry().all().all(|s| s.liveness.is_warm(now, GAP));
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -194,12 +194,11 @@
     }
 }
 
-/// Has the store confirm a router's list of servers.
-pub fn confirm_list(fleet: &mut Fleet, at: Instant) {
-    let revision = fleet.registry().revision();
+/// Records that the store confirmed the list of a revision to a router.
+pub fn confirm_list(fleet: &mut Fleet, revision: u64, at: Instant) {
     let confirmation = Confirmation {
-        revision,
-        complete: revision,
+        revision: Revision(revision),
+        complete: Revision(revision),
         at,
         source: Source::Store,
     };
--- a/crates/fleet/tests/all/versions.rs
+++ b/crates/fleet/tests/all/versions.rs
@@ -140,7 +140,7 @@
     let (mut fleet, _) = router_after_breaks(&["v1", "v1", "v2"], now);
     for (after, expected) in [(4_500, None), (6_500, Some("v1"))] {
         let at = now + Duration::from_millis(after);
-        support::confirm_list(&mut fleet, at);
+        support::confirm_list(&mut fleet, 2, at);
         support::hear_servers(&mut fleet, at);
         let sent = fleet.handle(at, Event::Submit(take_up(500 + after, "v1", at)));
         assert_eq!(version_sent_to(&sent), expected, "after {after} ms");
