front: log and count what tells the version of a stream that is taken up

Cause: a request that takes a stream up was told from others only when it was refused (resume_refused), so the share of streams that go on could not be read from logs or metrics. Change: resume_resolved names the version and what told it (memory, only_version, record), the line request_ended of the same request has its end, and hibiscusrail_resumes_total counts both with the refused ones. No decision changes.

--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -10,6 +10,7 @@
 use hibiscusrail_net::Body;
 use http_body::Frame;
 
+use crate::origins::Evidence;
 use crate::shell::{NextStep, RequestError, Shell, millis};
 use crate::upstream::{
     self, AttemptError, EventStream, Hop, Interruption, OpenStream, Plan, Reply, StreamItem,
@@ -33,6 +34,8 @@
     attempts: u32,
     events: u32,
     server: String,
+    /// What told which version began the stream that the request takes up; none for other requests.
+    resumed: Option<Evidence>,
     active: bool,
 }
 
@@ -57,10 +60,18 @@
             attempts: 0,
             events: 0,
             server: String::new(),
+            resumed: None,
             active: true,
         }
     }
 
+    /// Marks the request as one that takes a stream up.
+    #[must_use]
+    pub fn with_resumed(mut self, evidence: Option<Evidence>) -> Self {
+        self.resumed = evidence;
+        self
+    }
+
     /// Returns the request's key in the reducer.
     #[must_use]
     pub fn key(&self) -> RequestKey {
@@ -188,6 +199,11 @@
         self.shell
             .metrics()
             .workspace_request_ended(&self.workspace, outcome, reason);
+        if let Some(evidence) = self.resumed {
+            self.shell
+                .metrics()
+                .resume_ended(evidence.name(), outcome, reason);
+        }
         log::info!(
             request = self.request.as_str(),
             call = self.key.0,
@@ -198,6 +214,7 @@
             attempts = self.attempts,
             events = self.events,
             server = self.server.as_str(),
+            resumed = self.resumed.map(Evidence::name),
             total_ms = millis(total);
             "request_ended"
         );
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -21,7 +21,7 @@
 
 use crate::answer::{self, RequestTracker};
 use crate::fingerprint::{Identity, fingerprint};
-use crate::origins::{self, Origin};
+use crate::origins::{self, Origin, Resolved};
 use crate::outgoing::Outgoing;
 use crate::overload::{StreamDemand, workspace_hash};
 use crate::refusal;
@@ -375,50 +375,32 @@
     started: Instant,
     parts: &Parts,
     body: Bytes,
-    (routed, admitted): (Routed, bool),
+    (mut routed, admitted): (Routed, bool),
 ) -> Response<Body> {
+    let deadline = started + caller_timeout(shell, &parts.headers).min(routed.route.timeout);
+    let request = header_text(&parts.headers, &shell.protocol().request_id);
+    let resumed = match resolve_resume(shell, &mut routed, parts, started).await {
+        Ok(resumed) => resumed,
+        Err(reason) => return refuse_resume(shell, parts, deadline, reason),
+    };
+    let evidence = resumed.as_ref().map(|r| r.evidence);
+    let version = resumed.map(|r| r.origin.version);
     let Routed {
         route,
-        mut service,
+        service,
         workspace,
         rank,
-        mut engine,
+        engine,
         ..
     } = routed;
-    let deadline = started + caller_timeout(shell, &parts.headers).min(route.timeout);
-    let request = header_text(&parts.headers, &shell.protocol().request_id);
-    let takes_up = route.resumable && parts.headers.contains_key(&shell.protocol().last_event_id);
-    let version = if takes_up {
-        let began = header_text(&parts.headers, &shell.protocol().resumes);
-        let origin = match origins::resolve(shell, &route, &service, began).await {
-            Ok(origin) => origin,
-            Err(reason) => return refuse_resume(shell, parts, deadline, reason),
-        };
-        if origin.service != service {
-            log::info!(
-                request = request,
-                resumes = began,
-                service = &origin.service,
-                assigned = service;
-                "resume_moved"
-            );
-            engine = shell.with_fleet(|f| {
-                let deployment = f.config().deployment.as_ref();
-                deployment.and_then(|d| engine_facts(d, &origin.service).cloned())
-            });
-            service = origin.service;
-        }
-        Some(origin.version)
-    } else {
-        None
-    };
     let prompt = engine
         .is_some()
         .then(|| (shell.protocol().prompt)(&parts.headers))
         .flatten();
     let key = shell.new_request_key();
     let name = workspace.as_deref().unwrap_or_default();
-    let mut tracker = RequestTracker::new(shell, key, request, name, &service, started);
+    let mut tracker =
+        RequestTracker::new(shell, key, request, name, &service, started).with_resumed(evidence);
     let submission = Submission {
         key,
         workspace: workspace.as_deref().map(workspace_hash),
@@ -469,7 +451,7 @@
         stream: route.stream,
         event_tokens: engine.map_or(0, |e| e.event_tokens),
         retryable,
-        begins: route.stream && route.resumable && !takes_up,
+        begins: route.stream && route.resumable && evidence.is_none(),
         read_timeout: retryable.then_some(read_timeout),
         abandon_time: abandon_time(&route),
         reader: parts.extensions.get().cloned(),
@@ -477,6 +459,52 @@
     run_attempts(shell, plan, tracker, target).await
 }
 
+/// Returns where the stream that a request takes up goes on, and moves the request there; none for a
+/// request that begins a new one.
+///
+/// # Errors
+///
+/// Fails if it is not known, and may never be.
+async fn resolve_resume(
+    shell: &Shell,
+    routed: &mut Routed,
+    parts: &Parts,
+    started: Instant,
+) -> Result<Option<Resolved>, event::Reason> {
+    let protocol = shell.protocol();
+    if !routed.route.resumable || !parts.headers.contains_key(&protocol.last_event_id) {
+        return Ok(None);
+    }
+    let request = header_text(&parts.headers, &protocol.request_id);
+    let began = header_text(&parts.headers, &protocol.resumes);
+    let resolved = origins::resolve(shell, &routed.route, &routed.service, began).await?;
+    let origin = &resolved.origin;
+    log::info!(
+        request = request,
+        resumes = began,
+        service = &origin.service,
+        version = &origin.version,
+        evidence = resolved.evidence.name(),
+        took_ms = millis(shell.now().saturating_duration_since(started));
+        "resume_resolved"
+    );
+    if origin.service != routed.service {
+        log::info!(
+            request = request,
+            resumes = began,
+            service = &origin.service,
+            assigned = &routed.service;
+            "resume_moved"
+        );
+        routed.engine = shell.with_fleet(|f| {
+            let deployment = f.config().deployment.as_ref();
+            deployment.and_then(|d| engine_facts(d, &origin.service).cloned())
+        });
+        routed.service.clone_from(&origin.service);
+    }
+    Ok(Some(resolved))
+}
+
 /// Returns the facts of a service's engines; none for plain services.
 fn engine_facts<'a>(deployment: &'a Deployment, service: &str) -> Option<&'a EngineFacts> {
     deployment.services.get(service)?.engine.as_ref()
@@ -507,6 +535,9 @@
     shell
         .metrics()
         .request_ended("", "NotRun", &format!("{reason:?}"), Duration::ZERO);
+    shell
+        .metrics()
+        .resume_ended("none", "NotRun", &format!("{reason:?}"));
     let error = RequestError {
         reason,
         execution: event::Execution::NotRun,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -58,6 +58,7 @@
     store_errors: IntCounterVec,
     /// Counters of refused streams, by workspace and service.
     refusals: RefCell<BTreeMap<String, BTreeMap<String, Rc<RefusalCounters>>>>,
+    resumes: IntCounterVec,
     accepted: IntCounterVec,
     full_batches: IntCounter,
     running: IntGauge,
@@ -182,6 +183,15 @@
     register(registry, gauges.expect("the name is valid"))
 }
 
+fn resume_counters(registry: &Registry) -> IntCounterVec {
+    counters(
+        registry,
+        "hibiscusrail_resumes_total",
+        "Requests ended that take a stream up, by what told its version, outcome and reason.",
+        &["evidence", "outcome", "reason"],
+    )
+}
+
 fn list_age_histogram(r: &Registry) -> Histogram {
     let options = HistogramOpts::new(
         "hibiscusrail_server_list_age_seconds",
@@ -247,6 +257,7 @@
                 "Calls to the store that failed, by step.",
                 &["step"],
             ),
+            resumes: resume_counters(&r),
             accepted: counters(
                 &r,
                 "hibiscusrail_connections_total",
@@ -344,6 +355,12 @@
             .observe(total.as_secs_f64());
     }
 
+    /// Counts an ended request that takes a stream up.
+    pub fn resume_ended(&self, evidence: &str, outcome: &str, reason: &str) {
+        let labels = [evidence, outcome, reason];
+        self.resumes.with_label_values(&labels).inc();
+    }
+
     /// Returns the counters of a workspace's refused streams at a service.
     pub fn refusal_counters(&self, workspace: &str, service: &str) -> Rc<RefusalCounters> {
         let mut known = self.refusals.borrow_mut();
--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -16,6 +16,7 @@
 use hibiscusrail_fleet::event::Reason;
 use hibiscusrail_fleet::objects::{Revision, Route};
 use hibiscusrail_fleet::{Event, Fleet};
+use hibiscusrail_macros::id;
 use serde::{Deserialize, Serialize};
 
 use crate::shell::Shell;
@@ -51,6 +52,38 @@
     pub version: String,
 }
 
+/// What tells which version began a stream.
+#[id]
+pub enum Evidence {
+    /// This router began it.
+    Memory,
+    /// No other version can have begun a stream that still runs.
+    OnlyVersion,
+    /// The store has a record of it.
+    Record,
+}
+
+impl Evidence {
+    /// Returns the name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Memory => "memory",
+            Self::OnlyVersion => "only_version",
+            Self::Record => "record",
+        }
+    }
+}
+
+/// Where a stream that a caller takes up goes on.
+#[derive(Debug)]
+pub struct Resolved {
+    /// The server side of the stream's first event.
+    pub origin: Origin,
+    /// What tells it.
+    pub evidence: Evidence,
+}
+
 /// An origin that this router knows.
 #[derive(Debug)]
 struct Known {
@@ -170,23 +203,26 @@
     route: &Route,
     assigned: &str,
     began: &str,
-) -> Result<Origin, Reason> {
+) -> Result<Resolved, Reason> {
     if let Some(origin) = shell.origins().find(began) {
-        return check(origin, route);
+        return check(origin, Evidence::Memory, route);
     }
     let now = shell.now();
     let (only, is_moved) = shell.with_fleet(|f| {
         let only = f.only_version(now, assigned).map(str::to_owned);
         (only, f.is_moved(now, route))
     });
-    let only = only.map(|version| Origin {
-        service: assigned.to_owned(),
-        version,
+    let only = only.map(|version| Resolved {
+        origin: Origin {
+            service: assigned.to_owned(),
+            version,
+        },
+        evidence: Evidence::OnlyVersion,
     });
     match only {
         Some(only) if !is_moved => Ok(only),
         only => match read_record(shell, began).await {
-            Some(origin) => check(origin, route),
+            Some(origin) => check(origin, Evidence::Record, route),
             None => only.ok_or(Reason::VersionUnknown),
         },
     }
@@ -209,9 +245,11 @@
 }
 
 /// Returns the origin of a stream if its service is still one of its route's.
-fn check(origin: Origin, route: &Route) -> Result<Origin, Reason> {
+fn check(origin: Origin, evidence: Evidence, route: &Route) -> Result<Resolved, Reason> {
     let is_target = route.targets.iter().any(|t| t.service == origin.service);
-    is_target.then_some(origin).ok_or(Reason::VersionUnknown)
+    is_target
+        .then_some(Resolved { origin, evidence })
+        .ok_or(Reason::VersionUnknown)
 }
 
 /// Reads records that requests wait for until the task is dropped.
--- a/crates/front/tests/all/metrics.rs
+++ b/crates/front/tests/all/metrics.rs
@@ -60,6 +60,7 @@
     let metrics = Metrics::new();
     metrics.request_ended("s", "answered", "", Duration::ZERO);
     metrics.workspace_request_ended("w", "answered", "");
+    metrics.resume_ended("record", "answered", "");
     metrics.observe_first_byte("s", Duration::ZERO);
     metrics.servers_excluded(&Exclusions::default());
     metrics.attempt_failed("Broken");
