--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -17,4 +17,5 @@
 mod streams;
 mod support;
 mod tables;
+mod take_ups;
 mod versions;
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -348,17 +348,32 @@
 
     /// Starts a router that has not read the rows of services with several versions.
     pub fn start_without_versions(servers: &[&Server]) -> Self {
-        Self::start_unloaded(SETTINGS, servers, 100)
+        Self::start_unloaded(SETTINGS, servers, &[], 100)
+    }
+
+    /// Starts the router `name` of several, whose first list has engines of these versions, and which
+    /// has not read the rows of services with several versions.
+    pub fn start_member(name: &str, members: &[&str], server: &Server, versions: &[&str]) -> Self {
+        let settings = SETTINGS.replace("name = r\n", &format!("name = {name}\n"));
+        let front = Self::start_unloaded(&settings, &vec![server; versions.len()], versions, 100);
+        let members = members.iter().map(|m| (*m).to_owned()).collect();
+        front.shell.handle(Event::Members(members));
+        front
     }
 
     fn start_from(settings: &str, servers: &[&Server], connections: usize) -> Self {
-        let front = Self::start_unloaded(settings, servers, connections);
+        let front = Self::start_unloaded(settings, servers, &[], connections);
         // The store has no rows of services with several versions.
         front.shell.handle(Event::Versions(0, Vec::new()));
         front
     }
 
-    fn start_unloaded(settings: &str, servers: &[&Server], connections: usize) -> Self {
+    fn start_unloaded(
+        settings: &str,
+        servers: &[&Server],
+        versions: &[&str],
+        connections: usize,
+    ) -> Self {
         let settings = FrontSettings::parse("test", settings).expect("the settings are valid");
         let shell = Rc::new(Shell::new(settings, protocol(), Box::new(SystemClock)));
         let config = OperatorConfig {
@@ -372,11 +387,12 @@
         let mut entries = BTreeMap::new();
         for service in ["plain", "engines"] {
             for (number, server) in servers.iter().enumerate() {
+                let version = versions.get(number).filter(|_| service == "engines");
                 let backend = Backend {
                     service: service.to_owned(),
                     address: server.address,
                     zone: "a".to_owned(),
-                    version: "v1".to_owned(),
+                    version: version.map_or("v1", |v| v).to_owned(),
                     leaving: false,
                     lapsed: false,
                     slots: 8,
--- a/crates/front/tests/all/tables.rs
+++ b/crates/front/tests/all/tables.rs
@@ -38,10 +38,15 @@
     pub delay: Cell<Duration>,
     /// Whether calls for versions and records fail.
     pub away: Cell<bool>,
+    /// Whether such calls get no answer.
+    pub silent: Cell<bool>,
 }
 
 impl Tables {
-    fn check(&self) -> Result<(), StoreError> {
+    async fn check(&self) -> Result<(), StoreError> {
+        if self.silent.get() {
+            std::future::pending::<()>().await;
+        }
         if self.away.get() {
             return Err("the store is away".into());
         }
@@ -82,19 +87,19 @@
     }
 
     async fn versions(&self) -> Result<Vec<VersionSet>, StoreError> {
-        self.check()?;
+        self.check().await?;
         Ok(self.versions.borrow().values().cloned().collect())
     }
 
     async fn save_versions(&self, row: &VersionSet) -> Result<(), StoreError> {
-        self.check()?;
+        self.check().await?;
         let mut versions = self.versions.borrow_mut();
         versions.insert(row.service.clone(), row.clone());
         Ok(())
     }
 
     async fn rollout(&self, service: &str) -> Result<RolloutRows, StoreError> {
-        self.check()?;
+        self.check().await?;
         compio::time::sleep(self.delay.get()).await;
         let rollouts = self.rollouts.borrow();
         Ok(rollouts.get(service).cloned().unwrap_or_default())
@@ -106,7 +111,7 @@
         status: &Status,
         read: &RolloutRows,
     ) -> Result<bool, StoreError> {
-        self.check()?;
+        self.check().await?;
         compio::time::sleep(self.delay.get()).await;
         let mut rollouts = self.rollouts.borrow_mut();
         let rows = rollouts.entry(service.to_owned()).or_default();
@@ -131,7 +136,7 @@
     }
 
     async fn origin(&self, request: &str) -> Result<Option<Origin>, StoreError> {
-        self.check()?;
+        self.check().await?;
         Ok(self.streams.borrow().get(request).cloned())
     }
 
@@ -140,7 +145,7 @@
         begun: &[(String, Origin)],
         expired: &[String],
     ) -> Result<(), StoreError> {
-        self.check()?;
+        self.check().await?;
         let mut streams = self.streams.borrow_mut();
         streams.extend(begun.iter().cloned());
         for request in expired {
