--- a/crates/process-tests/src/process.rs
+++ b/crates/process-tests/src/process.rs
@@ -66,6 +66,8 @@
     pub address: SocketAddr,
     child: Child,
     settings: PathBuf,
+    /// File to which the processes' logs are appended, if they are kept.
+    logs: Option<PathBuf>,
 }
 
 impl Router {
@@ -87,9 +89,11 @@
     #[must_use]
     pub fn start_named(name: &str, store: SocketAddr, memory_mb: u32) -> Self {
         let [address, ready, peer, metrics] = free_addresses();
+        let logs = log_folder().map(|folder| folder.join(format!("{name}.log")));
+        let level = if logs.is_some() { "info" } else { "warn" };
         let text = format!(
             "[front]\nname = {name}\nzone = z1\nlisten = {address}\nready_listen = {ready}\n\
-             peer_listen = {peer}\nmetrics_listen = {metrics}\nlog_level = warn\n\
+             peer_listen = {peer}\nmetrics_listen = {metrics}\nlog_level = {level}\n\
              memory = {memory_mb}\n[store]\naddress = {store}\n"
         );
         let file = format!("hibiscusrail-{}-{}.ini", std::process::id(), address.port());
@@ -97,8 +101,9 @@
         fs::write(&settings, text).expect("the folder for temporary files is writable");
         Self {
             address,
-            child: spawn(&settings),
+            child: spawn(&settings, logs.as_deref()),
             settings,
+            logs,
         }
     }
 
@@ -109,7 +114,7 @@
     /// If the program does not start.
     pub fn restart(&mut self) {
         self.kill();
-        self.child = spawn(&self.settings);
+        self.child = spawn(&self.settings, self.logs.as_deref());
     }
 
     /// Kills the process and waits for its end.
@@ -181,15 +186,24 @@
     }
 }
 
+/// Returns the folder that the environment variable `ROUTER_LOGS` names for the routers' logs.
+fn log_folder() -> Option<PathBuf> {
+    std::env::var_os("ROUTER_LOGS").map(PathBuf::from)
+}
+
 /// Starts the router's program, which is beside the test's folder.
-fn spawn(settings: &Path) -> Child {
+fn spawn(settings: &Path, logs: Option<&Path>) -> Child {
+    let output = logs.map_or_else(Stdio::null, |path| {
+        let file = fs::OpenOptions::new().create(true).append(true).open(path);
+        file.expect("the folder for logs is writable").into()
+    });
     let test = std::env::current_exe().expect("the test has a path");
     let folder = test.ancestors().nth(2).expect("tests are in target/*/deps");
     let program = folder.join("hibiscusrail-front");
     let child = Command::new(&program)
         .arg("--config")
         .arg(settings)
-        .stdout(Stdio::null())
+        .stdout(output)
         .stderr(Stdio::null())
         .spawn();
     child.unwrap_or_else(|e| panic!("{}: {e}", program.display()))
