--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -18,6 +18,7 @@
 use hibiscusrail_fleet::peers::Scope;
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::retry::RetryBound;
+use hibiscusrail_fleet::unrecorded::Shard;
 use hibiscusrail_fleet::{Event, Fleet, Outcome, Params, RequestKey, Submission};
 
 const ENGINES: u16 = 140;
@@ -136,6 +137,7 @@
         resumable: true,
         max_attempts: 2,
         version: None,
+        shard: Shard::default(),
         rank: 0,
         max_pause: None,
     }
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -14,6 +14,7 @@
 use crate::registry::ServerKey;
 use crate::rollout::order::Status;
 use crate::room::Standing;
+use crate::unrecorded::Shard;
 use crate::versions::VersionSet;
 
 /// Id that the daemon gives to a caller's request.
@@ -45,6 +46,8 @@
     pub max_attempts: u32,
     /// Software version that began the stream which the request takes up; none for a new one.
     pub version: Option<String>,
+    /// Shard of the streams to which the one that the request begins belongs.
+    pub shard: Shard,
     /// Rank among the requests of its workspace; 0 is the highest.
     pub rank: u32,
     /// Longest pause between two events of an answer that is on time; none if the route names none.
@@ -120,6 +123,8 @@
     VersionUnknown,
     /// No server of the version that began the stream is registered any more.
     VersionGone,
+    /// The store did not record the version that began the stream, so its events are not passed on.
+    Unrecorded,
 }
 
 /// Limit on this router's requests to a server that is cold or being probed, for the log.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -488,16 +488,7 @@
             Event::ServersUnchanged => self.store_returned_at = None,
             Event::Report(report) => self.apply_report(now, &report),
             Event::Members(names) => self.apply_members(now, &names),
-            Event::Versions(epoch_ms, rows) => {
-                let lifetime = self.stream_lifetime();
-                self.versions.load(now, epoch_ms, &rows, lifetime);
-                let services = rows.len();
-                self.log(
-                    "versions_loaded",
-                    "versions",
-                    format!("services={services}"),
-                );
-            }
+            Event::Versions(epoch_ms, rows) => self.versions_loaded(now, epoch_ms, &rows),
             Event::VersionsSaved(row) => self.versions_saved(&row),
             Event::RolloutStatus {
                 epoch_ms,
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -146,7 +146,7 @@
     /// Whether the learned models of the servers are used.
     learns: bool,
     /// Software versions that receive no new streams yet.
-    new_versions: Vec<&'a str>,
+    closed_versions: Vec<&'a str>,
     /// Which versions the request may go to; none without a rollout.
     turn: Option<Turn>,
     /// Number of routers that share each limit, with this one.
@@ -331,7 +331,7 @@
             late: self.list_is_late(now),
             learns: self.learns(&request.submission.service),
             turn,
-            new_versions: self.too_new_versions(now, request),
+            closed_versions: self.closed_versions(now, request),
             routers,
             demand: self.quota.requested_rate(now) / self.pressure.mean_charge().max(1.0),
             silent: routers.saturating_sub(u32::try_from(self.reporting + 1).unwrap_or(u32::MAX)),
@@ -504,7 +504,7 @@
         let version = server.backend.version.as_str();
         let fits = match &request.version {
             Some(began) => began == version && !self.may_be_other_version(ctx.now, server),
-            None => !ctx.new_versions.contains(&version),
+            None => !ctx.closed_versions.contains(&version),
         };
         fits && self.rollouts.admits(ctx.now, ctx.turn, server)
             && self.is_open(ctx.now, server, ctx.late)
--- a/crates/fleet/src/fleet/rollouts.rs
+++ b/crates/fleet/src/fleet/rollouts.rs
@@ -103,14 +103,16 @@
         self.rollouts.turn(now, service, version, is_repeat)
     }
 
-    /// Returns the versions that a new request may not be sent to yet. An order names its version to
+    /// Returns the versions that a new request may not be sent to now. An order names its version to
     /// all routers, so only a stream that may be taken up waits: a router that has neither the order
     /// nor the servers would take it for one of the old version.
-    pub(super) fn too_new_versions(&self, now: Instant, request: &Request) -> Vec<&str> {
+    pub(super) fn closed_versions(&self, now: Instant, request: &Request) -> Vec<&str> {
         let service = &request.submission.service;
         let ordered = self.rollouts.ordered_version(service);
         let known = ordered.filter(|_| !request.submission.resumable);
-        self.versions.too_new(now, service, known)
+        let mut versions = self.versions.too_new(now, service, known);
+        versions.extend(self.unrecordable_versions(now, request));
+        versions
     }
 
     /// Counts the time to first byte of an attempt for the rollout of its service.
--- a/crates/fleet/src/fleet/streams.rs
+++ b/crates/fleet/src/fleet/streams.rs
@@ -1,11 +1,15 @@
 //! Where streams that callers take up can go on.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use crate::engine::Server;
 use crate::objects::{Deployment, Route};
+use crate::placement::name_hash;
+use crate::unrecorded::{Shard, Table, UnrecordedRow, Usage, assigned_version};
 use crate::versions::{VersionSet, Versions};
 
-use super::Fleet;
+use super::{Fleet, Request};
 
 impl Fleet {
     /// Returns the longest time for which a stream may run and be taken up again.
@@ -56,6 +60,203 @@
         &self.versions
     }
 
+    /// Returns whether a stream that begins has to be recorded before its caller gets an event: without
+    /// a record it would be taken for one of another version.
+    #[must_use]
+    pub fn must_record(&self, now: Instant, request: &str, origin: (&str, &str)) -> bool {
+        let (service, version) = origin;
+        let (unrecorded, shard) = (&self.versions.unrecorded, Shard::of(request));
+        self.has_several_versions(now, service)
+            && unrecorded.must_record(now, service, shard, version)
+            && (unrecorded.takes_records(now) || self.may_take_new(now, service, shard))
+    }
+
+    /// Returns whether the version that a shard is assigned may take new streams. If none of its servers
+    /// is registered, a stream of another version can't be taken for one of it.
+    fn may_take_new(&self, now: Instant, service: &str, shard: Shard) -> bool {
+        let table = self.versions.unrecorded.table(service);
+        let assigned = table.and_then(|t| t.version(shard));
+        let too_new = self.versions.too_new(now, service, None);
+        assigned.is_some_and(|assigned| {
+            let mut present = self.versions.present(service);
+            present.any(|v| v == assigned) && !too_new.contains(&assigned)
+        })
+    }
+
+    /// Returns the versions at which a new stream could neither be recorded nor be known without a
+    /// record, as the store confirms no records in time.
+    pub(super) fn unrecordable_versions(&self, now: Instant, request: &Request) -> Vec<&str> {
+        let unrecorded = &self.versions.unrecorded;
+        let service = &request.submission.service;
+        if unrecorded.takes_records(now)
+            || !request.submission.resumable
+            || !self.has_several_versions(now, service)
+        {
+            return Vec::new();
+        }
+        let shard = request.submission.shard;
+        if !self.may_take_new(now, service, shard) {
+            return Vec::new();
+        }
+        let assigned = unrecorded.table(service).and_then(|t| t.version(shard));
+        let present = self.versions.present(service);
+        present.filter(|v| Some(*v) != assigned).collect()
+    }
+
+    /// Records whether the store confirmed a batch of records in time; it took `took`.
+    pub fn batch_ended(&mut self, now: Instant, is_confirmed: bool, took: Duration) {
+        if self.versions.unrecorded.batch_ended(now, is_confirmed) {
+            let event = if is_confirmed {
+                "records_confirmed"
+            } else {
+                "records_late"
+            };
+            self.log(event, "streams", format!("took_ms={}", took.as_millis()));
+        }
+    }
+
+    /// Returns whether this router lacks the tables by which streams of a service may begin without a
+    /// record.
+    #[must_use]
+    pub fn lacks_tables(&self, now: Instant, service: &str) -> bool {
+        let unrecorded = &self.versions.unrecorded;
+        !unrecorded.is_read()
+            && unrecorded.table(service).is_none()
+            && self.has_several_versions(now, service)
+    }
+
+    /// Returns whether streams from before the start of this router may be taken up.
+    #[must_use]
+    pub fn is_young(&self, now: Instant) -> bool {
+        self.versions.is_younger(now, self.stream_lifetime())
+    }
+
+    /// Returns when the router started, in milliseconds since the Unix epoch.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Returns whether any service needs records because of its versions, so that the row of this
+    /// router has to be kept.
+    #[must_use]
+    pub fn has_any_versions(&self, now: Instant) -> bool {
+        let deployment = self.config.deployment.as_ref();
+        let mut services = deployment.into_iter().flat_map(|d| d.services.keys());
+        services.any(|name| self.has_several_versions(now, name))
+    }
+
+    /// Returns the row of unrecorded versions that the store lacks of router `name`; `begun` are the
+    /// shards and versions of its streams without a record, by service.
+    pub fn unsaved_unrecorded(
+        &mut self,
+        now: Instant,
+        (name, epoch_ms): (&str, u64),
+        begun: &BTreeMap<String, BTreeSet<(Shard, String)>>,
+    ) -> Option<UnrecordedRow> {
+        let usage = self.version_usage(now, begun);
+        let own = (name, self.incarnation);
+        self.versions.unrecorded.unsaved(own, epoch_ms, &usage)
+    }
+
+    fn version_usage(
+        &self,
+        now: Instant,
+        begun: &BTreeMap<String, BTreeSet<(Shard, String)>>,
+    ) -> BTreeMap<String, Usage> {
+        let lifetime = self.stream_lifetime();
+        let is_young = self.is_young(now);
+        let lacks_earlier =
+            is_young && self.members.was_listed() && !self.versions.unrecorded.has_earlier();
+        let deployment = self.config.deployment.as_ref();
+        let services = deployment.into_iter().flat_map(|d| d.services.keys());
+        let several = services.filter(|name| self.has_several_versions(now, name));
+        let usage = several.map(|name| {
+            let mut usage = Usage {
+                servers: BTreeMap::new(),
+                begun: begun.get(name).cloned().unwrap_or_default(),
+                earlier: BTreeSet::new(),
+                is_young,
+            };
+            if lacks_earlier {
+                usage.earlier = self.versions.possible(now, name, lifetime);
+            }
+            let too_new = self.versions.too_new(now, name, None);
+            let takes_streams =
+                |s: &&Server| !s.backend.leaving && !too_new.contains(&s.backend.version.as_str());
+            let servers = self.registry.of_service(name).map(|(_, server)| server);
+            for server in servers.filter(takes_streams) {
+                let version = server.backend.version.clone();
+                *usage.servers.entry(version).or_default() += 1;
+            }
+            (name.clone(), usage)
+        });
+        usage.collect()
+    }
+
+    /// Applies the rows of unrecorded versions, the first time that they are read.
+    pub fn load_unrecorded(&mut self, name: &str, epoch_ms: u64, rows: &[UnrecordedRow]) {
+        if !self.versions.unrecorded.is_read() {
+            self.versions.unrecorded.load(epoch_ms, rows, name);
+            self.log("unrecorded_loaded", name, format!("rows={}", rows.len()));
+        }
+    }
+
+    /// Records that the row of unrecorded versions is being written.
+    pub fn sending_unrecorded(&mut self, row: &UnrecordedRow) {
+        self.versions.unrecorded.sending(row);
+    }
+
+    /// Records that the store has the row of unrecorded versions.
+    pub fn unrecorded_saved(&mut self, row: &UnrecordedRow) {
+        self.versions.unrecorded.saved(row);
+        for (service, tables) in &row.tables {
+            let table = self.versions.unrecorded.table(service);
+            let detail = format!("tables={} in_force={table:?}", tables.len());
+            self.log("unrecorded_saved", service, detail);
+        }
+    }
+
+    /// Takes over the tables of another router, as long as this one can't read the rows.
+    pub fn inherit_tables(&mut self, tables: &BTreeMap<String, Table>) {
+        self.versions.unrecorded.inherit(tables);
+    }
+
+    /// Returns the version of the stream that a request began and that has no record, given the rows of
+    /// all routers in the store's era; none if it is not certain.
+    ///
+    /// A stream that was begun by a router without a row, or whose record a restored store lacks, would
+    /// be taken for one of another version.
+    #[must_use]
+    pub fn unrecorded_version(
+        &self,
+        now: Instant,
+        epoch_ms: u64,
+        (era, rows): (u64, &[UnrecordedRow]),
+        (service, request): (&str, &str),
+    ) -> Option<String> {
+        let has_row = |member: &u32| rows.iter().any(|r| name_hash(&r.router) == *member);
+        let is_complete = self.members.is_read()
+            && self.versions.is_loaded()
+            && era == self.registry.revision().era()
+            && !self
+                .registry
+                .was_restored_within(now, self.stream_lifetime())
+            && self.members.all().iter().all(has_row);
+        if !is_complete {
+            return None;
+        }
+        let shard = Shard::of(request);
+        assigned_version(epoch_ms, rows.iter(), service, shard).map(str::to_owned)
+    }
+
+    pub(super) fn versions_loaded(&mut self, now: Instant, epoch_ms: u64, rows: &[VersionSet]) {
+        let lifetime = self.stream_lifetime();
+        self.versions.load(now, epoch_ms, rows, lifetime);
+        let detail = format!("services={}", rows.len());
+        self.log("versions_loaded", "versions", detail);
+    }
+
     pub(super) fn versions_saved(&mut self, row: &VersionSet) {
         self.versions.saved(row);
         let versions: Vec<&str> = row.versions.iter().map(String::as_str).collect();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 //! * [`members`]: the routers that share each limit;
 //! * [`splits`]: services among which the requests of a route were moved;
 //! * [`rollout`]: rollouts of software versions;
+//! * [`unrecorded`]: versions of streams that have no record;
 //! * [`versions`]: software versions of the servers, and which can have begun a stream.
 
 pub mod arrivals;
@@ -56,6 +57,7 @@
 pub mod room;
 pub mod splits;
 pub mod suspects;
+pub mod unrecorded;
 pub mod versions;
 pub mod window;
 
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -63,6 +63,13 @@
         self.is_new || self.counted_at.is_some()
     }
 
+    /// Returns whether this router was registered before it first read the table, as it is after a
+    /// restart.
+    #[must_use]
+    pub fn was_listed(&self) -> bool {
+        !self.is_new && self.counted_at.is_some()
+    }
+
     /// Returns whether this router may use its part of a shared limit.
     #[must_use]
     pub fn may_share(&self, now: Instant) -> bool {
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -283,7 +283,14 @@
     /// not have registered again.
     #[must_use]
     pub fn was_restored(&self, now: Instant) -> bool {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < RESTORE_GRACE;
+        self.was_restored_within(now, RESTORE_GRACE)
+    }
+
+    /// Returns whether the store was restored from an older copy within a time, as far as this router
+    /// knows; for one that has started since, that is when it first read the servers.
+    #[must_use]
+    pub fn was_restored_within(&self, now: Instant, time: Duration) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < time;
         self.restored_at.is_some_and(is_recent)
     }
 
--- a/crates/fleet/src/unrecorded.rs
+++ b/crates/fleet/src/unrecorded.rs
@@ -1,34 +1,112 @@
-//! Software versions of which routers may have begun streams that have no record.
+//! Which software version streams without a record have.
 //!
-//! While several versions of a service may have streams, a router names one of them as its default
-//! and writes that to the store. Streams of the default may begin without a record; any other is
-//! recorded before its caller gets an event. So a stream without a record is of the default of the
-//! router that began it, and as long as all routers have the same one, no router has to remember
-//! the stream. While the store takes no records, new streams begin at the default alone.
+//! While several versions of a service may have streams, each router writes a table to the store that
+//! assigns every stream a version, by the id of its request. A stream of the assigned version may
+//! begin without a record; any other is recorded before its caller gets an event. So the tables tell
+//! the version of a stream that has no record, as long as all routers assign it the same one, and no
+//! router has to remember the stream. While the store confirms no records, new streams begin at
+//! their assigned versions alone.
 //!
-//! Invariant: the row that the store has, or may yet get from a write in doubt, names the version of
-//! every unrecorded stream that its router began.
+//! Invariant: the row that the store has, or may yet get from a write in doubt, has a table that assigns
+//! every unrecorded stream of its process the version that began it.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
+use crate::placement::name_hash;
+
 /// Age from which a row counts no more; its router died long ago, or has been cut off from the
 /// store for that long.
 const MAX_ROW_AGE: Duration = Duration::from_secs(600);
 /// Age from which a router writes its row again.
 const REFRESH_AGE: Duration = Duration::from_secs(300);
-/// Least share of a service's servers, in percent, with which a version stays the default.
-const MIN_DEFAULT_PERCENT: usize = 40;
-/// The same while streams of the time before the start may be taken up: if routers that started
-/// together changed the default, nothing would tell of which version those without a record are.
-const MIN_EARLIER_PERCENT: usize = 15;
+/// Number of shards of all streams that a table assigns; few, so that the routers' tables seldom change
+/// and seldom differ.
+const SHARDS: usize = 8;
+/// Greatest difference, in shards, between a version's share of the servers and of the table.
+const MAX_DRIFT: f64 = 0.65;
+/// The same while streams of the time before the start may be taken up: they have no version where the
+/// tables of before and after the start differ.
+const MAX_EARLY_DRIFT: f64 = 2.0;
+/// Time without a failed call after which the store confirms records in time again.
+const STEADY_TIME: Duration = Duration::from_secs(2);
+
+/// Part of all streams, by the hash of the id of the request that begins each.
+#[hibiscusrail_macros::id]
+#[derive(Default)]
+pub struct Shard(usize);
 
-/// Versions by the name of the service.
-pub type VersionsByService = BTreeMap<String, BTreeSet<String>>;
+impl Shard {
+    /// Returns the shard of the stream that a request begins.
+    #[must_use]
+    pub fn of(request: &str) -> Self {
+        // Fibonacci hashing; the weights of a route use the low bits.
+        let mixed = name_hash(request).wrapping_mul(0x9e37_79b1);
+        Self((mixed >> 16) as usize % SHARDS)
+    }
+}
 
-/// Row of the store with the versions of which one process may have begun streams without a record.
+/// The version of each shard of the streams.
+#[hibiscusrail_macros::record]
+#[derive(Serialize, Deserialize, Eq, PartialOrd, Ord)]
+#[serde(transparent)]
+pub struct Table(Vec<String>);
+
+impl Table {
+    /// Creates a table with one version.
+    #[must_use]
+    pub fn new(version: &str) -> Self {
+        Self(vec![version.to_owned(); SHARDS])
+    }
+
+    /// Creates a table in which versions have shards as they have servers.
+    #[must_use]
+    pub fn with_shares(servers: &BTreeMap<String, usize>) -> Self {
+        let total: usize = servers.values().sum();
+        let mut shards = Vec::new();
+        let mut before = 0;
+        for (version, count) in servers {
+            before += count;
+            // The bounds between versions are rounded, so that the numbers add up.
+            let end = (before * SHARDS * 2 + total) / (total * 2).max(1);
+            shards.resize(end.max(shards.len()), version.clone());
+        }
+        Self(shards)
+    }
+
+    /// Returns the version that a shard is assigned.
+    #[must_use]
+    pub fn version(&self, shard: Shard) -> Option<&str> {
+        self.0.get(shard.0).map(String::as_str)
+    }
+
+    fn with_shard(mut self, shard: Shard, version: &str) -> Self {
+        if let Some(assigned) = self.0.get_mut(shard.0) {
+            version.clone_into(assigned);
+        }
+        self
+    }
+
+    /// Returns whether every version's share of the table is near to that of the servers.
+    #[allow(clippy::cast_precision_loss)]
+    fn fits(&self, servers: &BTreeMap<String, usize>, max_drift: f64) -> bool {
+        let total: usize = servers.values().sum();
+        let has_servers = |v: &String| servers.get(v).is_some_and(|count| *count > 0);
+        self.0.iter().all(has_servers)
+            && servers.iter().all(|(version, count)| {
+                let shards = self.0.iter().filter(|v| *v == version).count() as f64;
+                let share = *count as f64 * SHARDS as f64 / total.max(1) as f64;
+                (shards - share).abs() <= max_drift
+            })
+    }
+}
+
+/// Tables by the name of the service.
+pub type Tables = BTreeMap<String, BTreeSet<Table>>;
+
+/// Row of the store with the tables by which one process may have begun streams without a record.
 #[hibiscusrail_macros::record]
 #[derive(Serialize, Deserialize)]
 pub struct UnrecordedRow {
@@ -38,8 +116,8 @@
     pub started: u64,
     /// When the row was written, in milliseconds since the Unix epoch.
     pub written: u64,
-    /// The versions of each service that has had several.
-    pub versions: VersionsByService,
+    /// The tables of each service that has had several versions.
+    pub tables: Tables,
 }
 
 impl UnrecordedRow {
@@ -50,45 +128,44 @@
     }
 }
 
-/// Returns the only version of which routers may have begun streams of a service without a record; none
-/// if there may be several, or a row does not say.
+/// Returns the version that all routers' tables assign a stream of a service; none if they differ, or a
+/// row has no table of the service.
 #[must_use]
-pub fn only_default<'a>(
+pub fn assigned_version<'a>(
     epoch_ms: u64,
     rows: impl Iterator<Item = &'a UnrecordedRow>,
     service: &str,
+    shard: Shard,
 ) -> Option<&'a str> {
-    let mut only = None;
+    let mut assigned = None;
     for row in rows.filter(|r| r.is_current(epoch_ms)) {
-        for version in row.versions.get(service)? {
-            if only.is_some_and(|o| o != version) {
+        for table in row.tables.get(service)? {
+            let version = table.version(shard)?;
+            if assigned.is_some_and(|a| a != version) {
                 return None;
             }
-            only = Some(version.as_str());
+            assigned = Some(version);
         }
     }
-    only
+    assigned
 }
 
-/// The default version of a service.
+/// The table of a service.
 #[derive(Debug)]
 struct Chosen {
-    /// Version of which streams may begin without a record, if the row allows it.
-    version: String,
-    /// Version that replaces it once the row names it.
-    next: Option<String>,
+    /// Table in force, if the row allows it.
+    table: Table,
+    /// Table that replaces it once the row has it.
+    next: Option<Table>,
 }
 
 impl Chosen {
-    fn new(version: &str) -> Self {
-        Self {
-            version: version.to_owned(),
-            next: None,
-        }
+    fn new(table: Table) -> Self {
+        Self { table, next: None }
     }
 
-    fn newest(&self) -> &String {
-        self.next.as_ref().unwrap_or(&self.version)
+    fn newest(&self) -> &Table {
+        self.next.as_ref().unwrap_or(&self.table)
     }
 }
 
@@ -97,48 +174,31 @@
 pub struct Usage {
     /// Number of servers that take new streams, by version.
     pub servers: BTreeMap<String, usize>,
-    /// Versions of unrecorded streams that this process began.
-    pub begun: BTreeSet<String>,
+    /// Shards and versions of unrecorded streams that this process began.
+    pub begun: BTreeSet<(Shard, String)>,
     /// Versions of which an earlier process of this router may have begun streams.
     pub earlier: BTreeSet<String>,
     /// Whether streams from before the start of this process may be taken up.
     pub is_young: bool,
 }
 
-impl Usage {
-    fn keeps(&self, version: &String) -> bool {
-        let percent = if self.is_young {
-            MIN_EARLIER_PERCENT
-        } else {
-            MIN_DEFAULT_PERCENT
-        };
-        let count = self.servers.get(version).copied().unwrap_or(0);
-        let total: usize = self.servers.values().sum();
-        count > 0 && count * 100 >= total * percent
-    }
-
-    /// Returns the version with most servers.
-    fn largest(&self) -> Option<&String> {
-        let largest = self.servers.iter().max_by_key(|(_, count)| **count);
-        largest.map(|(version, _)| version)
-    }
-}
-
-/// This router's defaults and the row that tells of them.
+/// This router's tables and the row that tells of them.
 #[derive(Debug, Default)]
 pub struct Unrecorded {
-    defaults: BTreeMap<String, Chosen>,
+    chosen: BTreeMap<String, Chosen>,
     /// Whether the rows of all routers were read.
     is_read: bool,
     /// Whether an earlier process of this router wrote a row.
     has_earlier: bool,
-    /// Versions in the row that the store confirmed, and when that was written.
-    stored: Option<(u64, VersionsByService)>,
-    /// Versions that the router's rows have for sure, whichever writes in doubt the store has made;
+    /// Tables in the row that the store confirmed, and when that was written.
+    stored: Option<(u64, Tables)>,
+    /// Tables that the router's rows have for sure, whichever writes in doubt the store has made;
     /// without a service that no row names yet.
-    allowed: VersionsByService,
-    /// Whether the store does not confirm records of streams in time.
-    is_lost: bool,
+    allowed: Tables,
+    /// Whether the store confirmed the last batch of records.
+    is_confirmed: bool,
+    /// When it last did not confirm one in time.
+    failed_at: Option<Instant>,
 }
 
 impl Unrecorded {
@@ -156,52 +216,60 @@
 
     /// Returns whether the store confirms records of streams in time.
     #[must_use]
-    pub fn takes_records(&self) -> bool {
-        !self.is_lost
+    pub fn takes_records(&self, now: Instant) -> bool {
+        let is_steady = |at: Instant| now.saturating_duration_since(at) >= STEADY_TIME;
+        self.is_confirmed && self.failed_at.is_none_or(is_steady)
     }
 
-    /// Sets whether the store confirms records of streams in time; returns whether that changed.
-    pub fn set_takes_records(&mut self, takes: bool) -> bool {
-        std::mem::replace(&mut self.is_lost, !takes) == takes
+    /// Records whether the store confirmed a batch of records in time; returns whether that differs from
+    /// the last one.
+    pub fn batch_ended(&mut self, now: Instant, is_confirmed: bool) -> bool {
+        if !is_confirmed {
+            self.failed_at = Some(now);
+        }
+        std::mem::replace(&mut self.is_confirmed, is_confirmed) != is_confirmed
     }
 
-    /// Returns the version of a service of which streams may begin without a record; none if any may,
-    /// since no row tells of this router's streams.
+    /// Returns the table of a service by which streams may begin without a record; none if the row
+    /// allows none.
     #[must_use]
-    pub fn default_of(&self, service: &str) -> Option<&str> {
+    pub fn table(&self, service: &str) -> Option<&Table> {
         let allowed = self.allowed.get(service)?;
-        let version = &self.defaults.get(service)?.version;
-        allowed.contains(version).then_some(version)
+        let table = &self.chosen.get(service)?.table;
+        allowed.contains(table).then_some(table)
     }
 
     /// Returns whether a stream has to be recorded before its caller gets an event; the service has
     /// several versions.
     #[must_use]
-    pub fn must_record(&self, service: &str, version: &str) -> bool {
-        if self.allowed.contains_key(service) {
-            return self.default_of(service) != Some(version);
+    pub fn must_record(&self, now: Instant, service: &str, shard: Shard, version: &str) -> bool {
+        match self.table(service) {
+            Some(table) => table.version(shard) != Some(version),
+            // There may be a row of this router; without the store it serves on all the same.
+            None => {
+                self.takes_records(now) && (!self.is_read || self.allowed.contains_key(service))
+            }
         }
-        // There may be a row of an earlier process.
-        !self.is_read && self.takes_records()
     }
 
-    /// Returns the defaults, for a router that can't read the rows.
+    /// Returns the tables, for a router that can't read the rows.
     #[must_use]
-    pub fn defaults(&self) -> BTreeMap<String, String> {
-        let services = self.defaults.keys();
-        let defaults = services.filter_map(|s| Some((s.clone(), self.default_of(s)?.to_owned())));
-        defaults.collect()
+    pub fn tables(&self) -> BTreeMap<String, Table> {
+        let services = self.chosen.keys();
+        let tables = services.filter_map(|s| Some((s.clone(), self.table(s)?.clone())));
+        tables.collect()
     }
 
-    /// Takes over the defaults of another router until the rows are read.
-    pub fn inherit(&mut self, defaults: &BTreeMap<String, String>) {
+    /// Takes over the tables of another router until the rows are read.
+    pub fn inherit(&mut self, tables: &BTreeMap<String, Table>) {
         if self.is_read {
             return;
         }
-        for (service, version) in defaults {
-            let versions = BTreeSet::from([version.clone()]);
-            self.allowed.insert(service.clone(), versions);
-            self.defaults.insert(service.clone(), Chosen::new(version));
+        for (service, table) in tables {
+            let tables = BTreeSet::from([table.clone()]);
+            self.allowed.insert(service.clone(), tables);
+            self.chosen
+                .insert(service.clone(), Chosen::new(table.clone()));
         }
     }
 
@@ -211,37 +279,52 @@
         if std::mem::replace(&mut self.is_read, true) {
             return;
         }
-        let services: BTreeSet<&String> = rows.iter().flat_map(|r| r.versions.keys()).collect();
+        let services: BTreeSet<&String> = rows.iter().flat_map(|r| r.tables.keys()).collect();
         for service in services {
-            if let Some(version) = only_default(epoch_ms, rows.iter(), service) {
-                self.defaults.insert(service.clone(), Chosen::new(version));
+            // Routers that start together choose the same one.
+            if let Some(table) = most_frequent(epoch_ms, rows, service) {
+                let chosen = Chosen::new(table.clone());
+                self.chosen.insert(service.clone(), chosen);
             }
         }
         self.allowed.clear();
-        let earlier = rows.iter().filter(|r| r.router == own);
-        for (service, versions) in earlier.flat_map(|r| &r.versions) {
+        let own = rows.iter().filter(|r| r.router == own);
+        for row in own.filter(|r| r.is_current(epoch_ms)) {
             self.has_earlier = true;
-            let allowed = self.allowed.entry(service.clone()).or_default();
-            allowed.extend(versions.iter().cloned());
+            for (service, tables) in &row.tables {
+                let allowed = self.allowed.entry(service.clone()).or_default();
+                allowed.extend(tables.iter().cloned());
+            }
         }
     }
 
-    /// Chooses the default of a service, and returns the versions that the row has to name.
-    fn choose(&mut self, service: &str, usage: &Usage) -> BTreeSet<String> {
-        let mut versions = &usage.begun | &usage.earlier;
-        let Some(largest) = usage.largest() else {
-            versions.extend(self.defaults.get(service).map(|c| c.newest().clone()));
-            return versions;
+    /// Chooses the table of a service, and returns the tables that the row has to have.
+    fn choose(&mut self, service: &str, usage: &Usage) -> BTreeSet<Table> {
+        let mut tables: BTreeSet<Table> = usage.earlier.iter().map(|v| Table::new(v)).collect();
+        if !usage.servers.is_empty() {
+            let by_servers = || Table::with_shares(&usage.servers);
+            let chosen = self.chosen.entry(service.to_owned());
+            let chosen = chosen.or_insert_with(|| Chosen::new(by_servers()));
+            let max_drift = if usage.is_young {
+                MAX_EARLY_DRIFT
+            } else {
+                MAX_DRIFT
+            };
+            if !chosen.newest().fits(&usage.servers, max_drift) {
+                chosen.next = Some(by_servers()).filter(|next| *next != chosen.table);
+            }
+        }
+        let Some(chosen) = self.chosen.get(service) else {
+            return tables;
         };
-        let chosen = self
-            .defaults
-            .entry(service.to_owned())
-            .or_insert_with(|| Chosen::new(largest));
-        if !usage.keeps(chosen.newest()) && chosen.newest() != largest {
-            chosen.next = Some(largest.clone());
+        tables.insert(chosen.newest().clone());
+        tables.insert(chosen.table.clone());
+        for (shard, version) in &usage.begun {
+            if !tables.iter().any(|t| t.version(*shard) == Some(version)) {
+                tables.insert(chosen.newest().clone().with_shard(*shard, version));
+            }
         }
-        versions.insert(chosen.newest().clone());
-        versions
+        tables
     }
 
     /// Returns the row that the store lacks of the process of router `own` that started at the given
@@ -256,41 +339,41 @@
             return None;
         }
         let stored = self.stored.clone();
-        let mut versions = stored.as_ref().map_or_else(BTreeMap::new, |s| s.1.clone());
+        let mut tables = stored.as_ref().map_or_else(Tables::new, |s| s.1.clone());
         for (service, usage) in usage {
-            versions.insert(service.clone(), self.choose(service, usage));
+            tables.insert(service.clone(), self.choose(service, usage));
         }
         let is_saved = stored.is_some_and(|(written, stored)| {
             let age = Duration::from_millis(epoch_ms.saturating_sub(written));
-            stored == versions && age < REFRESH_AGE
+            stored == tables && age < REFRESH_AGE
         });
         (!is_saved).then(|| UnrecordedRow {
             router: own.0.to_owned(),
             started: own.1,
             written: epoch_ms,
-            versions,
+            tables,
         })
     }
 
     /// Records that a row is being written, which the store may get or not.
     pub fn sending(&mut self, row: &UnrecordedRow) {
-        for (service, versions) in &row.versions {
+        for (service, tables) in &row.tables {
             let allowed = self.allowed.entry(service.clone());
-            let allowed = allowed.or_insert_with(|| versions.clone());
-            *allowed = &*allowed & versions;
+            let allowed = allowed.or_insert_with(|| tables.clone());
+            *allowed = &*allowed & tables;
         }
     }
 
     /// Records that the store has a row.
     pub fn saved(&mut self, row: &UnrecordedRow) {
-        self.stored = Some((row.written, row.versions.clone()));
-        for (service, versions) in &row.versions {
-            self.allowed.insert(service.clone(), versions.clone());
-            let Some(chosen) = self.defaults.get_mut(service) else {
+        self.stored = Some((row.written, row.tables.clone()));
+        for (service, tables) in &row.tables {
+            self.allowed.insert(service.clone(), tables.clone());
+            let Some(chosen) = self.chosen.get_mut(service) else {
                 continue;
             };
-            if let Some(next) = chosen.next.take_if(|next| versions.contains(next)) {
-                chosen.version = next;
+            if let Some(next) = chosen.next.take_if(|next| tables.contains(next)) {
+                chosen.table = next;
             }
         }
     }
@@ -300,3 +383,14 @@
         self.stored = None;
     }
 }
+
+/// Returns the table of a service that most rows have.
+fn most_frequent<'a>(epoch_ms: u64, rows: &'a [UnrecordedRow], service: &str) -> Option<&'a Table> {
+    let current = rows.iter().filter(|r| r.is_current(epoch_ms));
+    let mut counts: BTreeMap<&Table, usize> = BTreeMap::new();
+    for table in current.filter_map(|r| r.tables.get(service)).flatten() {
+        *counts.entry(table).or_default() += 1;
+    }
+    let most = counts.into_iter().max_by_key(|(_, count)| *count);
+    most.map(|(table, _)| table)
+}
--- a/crates/fleet/src/versions.rs
+++ b/crates/fleet/src/versions.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::objects::Backend;
+use crate::unrecorded::Unrecorded;
 
 /// Time after which a new version receives new streams: by then all routers have a server list with
 /// it, so that none takes its streams for those of the only version.
@@ -71,6 +72,8 @@
     started: Instant,
     /// Whether the store's rows were read, so that the time before the start is known.
     loaded: bool,
+    /// Which streams may begin without a record.
+    pub unrecorded: Unrecorded,
 }
 
 impl Versions {
@@ -81,6 +84,7 @@
             services: BTreeMap::new(),
             started: now,
             loaded: false,
+            unrecorded: Unrecorded::default(),
         }
     }
 
@@ -146,6 +150,7 @@
         for history in self.services.values_mut() {
             history.saved = None;
         }
+        self.unrecorded.store_restored();
     }
 
     /// Returns the rows that the store lacks.
@@ -198,6 +203,29 @@
         })
     }
 
+    /// Returns the versions of a service of which streams may still run or be taken up; streams last
+    /// up to `lifetime`.
+    #[must_use]
+    pub fn possible(&self, now: Instant, service: &str, lifetime: Duration) -> BTreeSet<String> {
+        let history = self.services.get(service);
+        let possible = history.into_iter().flat_map(|h| h.possible(now, lifetime));
+        possible.map(str::to_owned).collect()
+    }
+
+    /// Returns the registered versions of a service.
+    pub fn present(&self, service: &str) -> impl Iterator<Item = &str> {
+        let history = self.services.get(service);
+        let versions = history.into_iter().flat_map(|h| &h.versions);
+        let present = versions.filter(|(_, seen)| seen.left.is_none());
+        present.map(|(version, _)| version.as_str())
+    }
+
+    /// Returns whether this router started less than `time` ago.
+    #[must_use]
+    pub fn is_younger(&self, now: Instant, time: Duration) -> bool {
+        now.saturating_duration_since(self.started) < time
+    }
+
     /// Returns the versions that receive no new streams yet, other than `known`, which an order names
     /// for requests that no other router can take up.
     #[must_use]
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -39,4 +39,5 @@
 mod support;
 mod suspects;
 mod uneven_servers;
+mod unrecorded;
 mod versions;
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -15,6 +15,7 @@
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::registry::ServerKey;
 use hibiscusrail_fleet::retry::RetryBound;
+use hibiscusrail_fleet::unrecorded::Shard;
 use hibiscusrail_fleet::{Decision, Event, Fleet, Params, RequestKey, Submission};
 
 /// Name of the service with engines.
@@ -237,6 +238,7 @@
         resumable: true,
         max_attempts: 2,
         version: None,
+        shard: Shard::default(),
         rank: 0,
         max_pause: None,
     }
@@ -256,6 +258,7 @@
         resumable: false,
         max_attempts: 2,
         version: None,
+        shard: Shard::default(),
         rank: 0,
         max_pause: None,
     }
--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -22,6 +22,7 @@
 use hibiscusrail_fleet::objects::Repeat;
 use hibiscusrail_fleet::placement::name_hash;
 use hibiscusrail_fleet::quota::WorkspaceHash;
+use hibiscusrail_fleet::unrecorded::Shard;
 use hibiscusrail_fleet::{Event, RequestKey, Submission};
 use hibiscusrail_front::shell::Shell;
 use hibiscusrail_front::{caller, overload, refusal};
@@ -65,6 +66,7 @@
         resumable: true,
         max_attempts: 2,
         version: None,
+        shard: Shard::default(),
         rank: 0,
         max_pause: None,
     }
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -7,7 +7,8 @@
 use futures_util::FutureExt;
 use hibiscusrail_fleet::objects::{Deployment, EngineFacts, Repeat, Route, without_port};
 use hibiscusrail_fleet::placement::name_hash;
-use hibiscusrail_fleet::{Event, Fleet, Submission, event};
+use hibiscusrail_fleet::unrecorded::Shard;
+use hibiscusrail_fleet::{Event, Fleet, Outcome, Submission, event};
 use hibiscusrail_net::body::{CollectError, collect_charged};
 use hibiscusrail_net::memory::Account;
 use hibiscusrail_net::server::Handler;
@@ -419,6 +420,7 @@
         resumable: route.resumable,
         max_attempts: route.attempts,
         version,
+        shard: Shard::of(request),
         rank,
         max_pause: route.max_pause,
     };
@@ -570,8 +572,12 @@
             Ok(Reply::Stream(open)) => {
                 tracker.record_first_byte();
                 shell.handle(Event::FirstByte(tracker.key()));
-                if plan.begins {
-                    remember_origin(shell, &tracker, version);
+                if plan.begins
+                    && let Err(error) = begin_stream(shell, &plan, &tracker, version).await
+                {
+                    tracker.fail(&error);
+                    let deadline = plan.outgoing.deadline;
+                    return failure_response(shell, tracker.request(), deadline, &error, None);
                 }
                 let mut response = Response::new(full(Bytes::new()));
                 *response.status_mut() = open.status;
@@ -593,16 +599,31 @@
     }
 }
 
-/// Remembers the version that began a stream.
-fn remember_origin(shell: &Shell, tracker: &RequestTracker, version: String) {
+/// Remembers the version that began a stream, and has it recorded first if that is needed.
+///
+/// # Errors
+///
+/// Fails if the stream can't be recorded, so that its events may not be passed on.
+async fn begin_stream(
+    shell: &Shell,
+    plan: &Plan,
+    tracker: &RequestTracker,
+    version: String,
+) -> Result<(), RequestError> {
     let origin = Origin {
         service: tracker.service().to_owned(),
         version,
     };
-    let ttl = shell.with_fleet(Fleet::stream_lifetime);
-    shell
-        .origins()
-        .begin(shell.now(), ttl, tracker.request(), origin);
+    let deadline = plan.outgoing.deadline;
+    let begun = origins::begin_stream(shell, tracker.request(), origin, deadline).await;
+    begun.map_err(|reason| {
+        shell.handle(Event::Ended(tracker.key(), Outcome::Left));
+        RequestError {
+            reason,
+            execution: event::Execution::Unknown,
+            retry_after: Duration::ZERO,
+        }
+    })
 }
 
 fn into_response(received: FullResponse) -> Response<Body> {
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod overload;
 pub mod peers;
 pub mod protocol;
+pub mod records;
 pub mod refusal;
 pub mod rollouts;
 pub mod shell;
--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -3,8 +3,10 @@
 //!
 //! A router remembers the streams that it began. While a service may have streams of several
 //! versions, or a route's weights have changed since they began, it also records them in the store,
-//! in batches beside the events, since a caller may come back to any router after all of them were
-//! killed. Otherwise streams need no record.
+//! since a caller may come back to any router after all of them were killed. Otherwise streams need
+//! no record. The record of a stream of the version that the router's table assigns it is written
+//! beside the events; any other is confirmed before the first event (see
+//! [`hibiscusrail_fleet::unrecorded`]).
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -12,34 +14,24 @@
 use std::time::{Duration, Instant};
 
 use futures_channel::{mpsc, oneshot};
-use futures_util::StreamExt;
+use futures_util::future::{Either, select};
+use hibiscusrail_fleet::Fleet;
 use hibiscusrail_fleet::event::Reason;
-use hibiscusrail_fleet::objects::{Revision, Route};
-use hibiscusrail_fleet::{Event, Fleet};
+use hibiscusrail_fleet::objects::Route;
+use hibiscusrail_fleet::unrecorded::{Shard, UnrecordedRow};
 use hibiscusrail_macros::id;
 use serde::{Deserialize, Serialize};
 
-use crate::shell::Shell;
-use crate::watch::{RESPONSE_TIMEOUT, Store, StoreLink};
-
-/// Minimum time between two batches of records.
-const MIN_RECORD_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between two batches for each router, so that all of them together stay within what the store
-/// writes in one partition.
-const RECORD_INTERVAL_EACH: Duration = Duration::from_millis(8);
-/// Maximum number of changes in one batch, a limit of the store.
-const MAX_BATCH: usize = 100;
-/// Maximum number of batches in a row.
-const MAX_BATCHES: usize = 4;
-/// Number of expired records from which they are removed without new ones to write.
-const REMOVED_TOGETHER: usize = 50;
+use crate::shell::{Shell, millis};
+use crate::watch::RESPONSE_TIMEOUT;
+
 /// Maximum number of streams that a router remembers.
 const MAX_ORIGINS: usize = 20_000;
-/// Maximum number of records that are read at the same time.
-const MAX_LOOKUPS: usize = 8;
-/// Time after the start in which a restored store may lack rows of versions that routers which run
-/// since before the restore are about to write again.
-const REWRITE_TIME: Duration = Duration::from_secs(2);
+/// Longest time for which the first event of a stream is held back until its record is confirmed: two
+/// calls.
+const RECORD_WAIT: Duration = Duration::from_secs(1);
+/// Maximum length of a request's id in bytes, as the key of its record.
+const MAX_ID_BYTES: usize = 200;
 /// Time after which a record that is not found may have been written.
 pub const RECORD_DELAY: Duration = Duration::from_millis(500);
 
@@ -61,6 +53,8 @@
     OnlyVersion,
     /// The store has a record of it.
     Record,
+    /// It has none, and the tables of all routers assign it the same version.
+    Assigned,
 }
 
 impl Evidence {
@@ -71,6 +65,7 @@
             Self::Memory => "memory",
             Self::OnlyVersion => "only_version",
             Self::Record => "record",
+            Self::Assigned => "assigned",
         }
     }
 }
@@ -84,21 +79,47 @@
     pub evidence: Evidence,
 }
 
+/// How far the record of a stream is.
+#[id]
+enum Recording {
+    /// No batch has it.
+    Waiting,
+    /// A batch with it is being written.
+    Sent,
+    /// The store has it.
+    Confirmed,
+}
+
 /// An origin that this router knows.
 #[derive(Debug)]
 struct Known {
     origin: Origin,
-    /// Whether the store has it, or a batch with it is being written.
-    recorded: bool,
+    recording: Recording,
+    /// Who waits for the store's confirmation.
+    waiter: Option<oneshot::Sender<()>>,
 }
 
 /// A request for a record, and where the result goes.
 #[derive(Debug)]
-struct Lookup {
-    request: String,
-    result: oneshot::Sender<Option<Origin>>,
+pub(crate) struct Lookup {
+    /// Id of the request that began the stream.
+    pub(crate) request: String,
+    /// Receives the record, if there is one; dropped if the store does not answer.
+    pub(crate) result: oneshot::Sender<Option<Origin>>,
+}
+
+/// The routers' tables of the versions of streams without a record.
+#[derive(Debug)]
+pub(crate) struct UnrecordedRows {
+    /// Era of the store.
+    pub(crate) era: u64,
+    /// The rows.
+    pub(crate) rows: Vec<UnrecordedRow>,
 }
 
+/// Receives the rows of tables; dropped if the store does not answer.
+pub(crate) type RowsResult = oneshot::Sender<Rc<UnrecordedRows>>;
+
 /// The streams that this router began, and the way to the store's records.
 #[derive(Debug)]
 pub struct Origins {
@@ -109,17 +130,29 @@
     written: RefCell<VecDeque<(Instant, String)>>,
     lookups: mpsc::UnboundedSender<Lookup>,
     waiting: RefCell<Option<mpsc::UnboundedReceiver<Lookup>>>,
+    /// Requests for a read of the rows of tables.
+    reads: mpsc::UnboundedSender<RowsResult>,
+    pending_reads: RefCell<Option<mpsc::UnboundedReceiver<RowsResult>>>,
+    /// Signals that a stream waits for its record.
+    urgent: RefCell<mpsc::Sender<()>>,
+    signals: RefCell<Option<mpsc::Receiver<()>>>,
 }
 
 impl Default for Origins {
     fn default() -> Self {
         let (lookups, waiting) = mpsc::unbounded();
+        let (reads, pending_reads) = mpsc::unbounded();
+        let (urgent, signals) = mpsc::channel(0);
         Self {
             known: RefCell::default(),
             order: RefCell::default(),
             written: RefCell::default(),
             lookups,
             waiting: RefCell::new(Some(waiting)),
+            reads,
+            pending_reads: RefCell::new(Some(pending_reads)),
+            urgent: RefCell::new(urgent),
+            signals: RefCell::new(Some(signals)),
         }
     }
 }
@@ -140,7 +173,8 @@
         }
         let stream = Known {
             origin,
-            recorded: false,
+            recording: Recording::Waiting,
+            waiter: None,
         };
         if known.insert(request.to_owned(), stream).is_none() {
             order.push_back((now, request.to_owned()));
@@ -152,25 +186,94 @@
         self.known.borrow().get(request).map(|k| k.origin.clone())
     }
 
-    /// Takes up to `limit` streams of `services` that have no record.
-    fn take_unrecorded(&self, services: &BTreeSet<String>, limit: usize) -> Vec<(String, Origin)> {
+    /// Forgets a stream of which no caller got an event.
+    fn forget(&self, request: &str) {
+        self.known.borrow_mut().remove(request);
+        self.order.borrow_mut().retain(|(_, id)| id != request);
+    }
+
+    /// Has the stream recorded soon; the result is signalled once the store has confirmed it.
+    fn confirmation(&self, request: &str) -> Option<oneshot::Receiver<()>> {
+        // Without a task that writes records none is confirmed.
+        if self.signals.borrow().is_some() {
+            return None;
+        }
         let mut known = self.known.borrow_mut();
-        let unrecorded = known
-            .iter_mut()
-            .filter(|(_, k)| !k.recorded && services.contains(&k.origin.service));
-        let taken = unrecorded.take(limit).map(|(request, k)| {
-            k.recorded = true;
-            (request.clone(), k.origin.clone())
-        });
-        taken.collect()
+        let stream = known.get_mut(request)?;
+        let (waiter, confirmed) = oneshot::channel();
+        stream.waiter = Some(waiter);
+        // If the channel is full, a batch is already due.
+        let _ = self.urgent.borrow_mut().try_send(());
+        Some(confirmed)
+    }
+
+    /// Returns whether a stream waits for its record.
+    pub(crate) fn has_waiters(&self) -> bool {
+        let known = self.known.borrow();
+        known.values().any(|k| k.waiter.is_some())
     }
 
-    /// Marks streams as unrecorded, as the store did not confirm their batch.
-    fn return_unrecorded(&self, streams: &[(String, Origin)]) {
+    /// Returns the shards and versions of the streams that may have no record, by service, of those
+    /// which began less than `ttl` ago and whose callers may have events.
+    pub(crate) fn unrecorded(
+        &self,
+        now: Instant,
+        ttl: Duration,
+    ) -> BTreeMap<String, BTreeSet<(Shard, String)>> {
+        let known = self.known.borrow();
+        let mut unrecorded: BTreeMap<String, BTreeSet<(Shard, String)>> = BTreeMap::new();
+        let order = self.order.borrow();
+        let recent = order
+            .iter()
+            .rev()
+            .take_while(|(at, _)| now.saturating_duration_since(*at) <= ttl);
+        let streams = recent.filter_map(|(_, request)| Some((request, known.get(request)?)));
+        let may_be_known = |k: &Known| k.recording != Recording::Confirmed && k.waiter.is_none();
+        for (request, stream) in streams.filter(|(_, k)| may_be_known(k)) {
+            let Origin { service, version } = &stream.origin;
+            let of_service = unrecorded.entry(service.clone()).or_default();
+            of_service.insert((Shard::of(request), version.clone()));
+        }
+        unrecorded
+    }
+
+    /// Takes up to `limit` streams of `services` that have no record, first those that wait for it.
+    pub(crate) fn take_unrecorded(
+        &self,
+        services: &BTreeSet<String>,
+        limit: usize,
+    ) -> Vec<(String, Origin)> {
+        let mut known = self.known.borrow_mut();
+        let mut taken = Vec::new();
+        for is_urgent in [true, false] {
+            let unrecorded = known.iter_mut().filter(|(_, k)| {
+                k.recording == Recording::Waiting
+                    && (k.waiter.is_some() == is_urgent)
+                    && services.contains(&k.origin.service)
+            });
+            taken.extend(unrecorded.take(limit - taken.len()).map(|(request, k)| {
+                k.recording = Recording::Sent;
+                (request.clone(), k.origin.clone())
+            }));
+        }
+        taken
+    }
+
+    /// Records whether the store confirmed the records of streams.
+    pub(crate) fn set_recorded(&self, streams: &[(String, Origin)], confirmed: bool) {
         let mut known = self.known.borrow_mut();
         for (request, _) in streams {
-            if let Some(stream) = known.get_mut(request) {
-                stream.recorded = false;
+            let Some(stream) = known.get_mut(request) else {
+                continue;
+            };
+            if !confirmed {
+                stream.recording = Recording::Waiting;
+                continue;
+            }
+            stream.recording = Recording::Confirmed;
+            if let Some(waiter) = stream.waiter.take() {
+                // The caller may have gone.
+                let _ = waiter.send(());
             }
         }
     }
@@ -178,12 +281,38 @@
     /// Marks all streams as unrecorded, as the store came back from an older copy.
     pub fn store_restored(&self) {
         for stream in self.known.borrow_mut().values_mut() {
-            stream.recorded = false;
+            stream.recording = Recording::Waiting;
         }
     }
 
+    /// Returns the receiver of the records to look up; only once.
+    pub(crate) fn take_lookups(&self) -> Option<mpsc::UnboundedReceiver<Lookup>> {
+        self.waiting.borrow_mut().take()
+    }
+
+    /// Returns the receiver of the requests for the rows of tables; only once.
+    pub(crate) fn take_reads(&self) -> Option<mpsc::UnboundedReceiver<RowsResult>> {
+        self.pending_reads.borrow_mut().take()
+    }
+
+    /// Returns the receiver that is signalled when a stream waits for its record; only once.
+    pub(crate) fn take_signals(&self) -> Option<mpsc::Receiver<()>> {
+        self.signals.borrow_mut().take()
+    }
+
+    /// Records that the store has the records of streams, which are to be removed later.
+    pub(crate) fn add_written(&self, now: Instant, streams: Vec<(String, Origin)>) {
+        let mut written = self.written.borrow_mut();
+        written.extend(streams.into_iter().map(|(request, _)| (now, request)));
+    }
+
+    /// Returns the number of records that the store has.
+    pub(crate) fn written(&self) -> usize {
+        self.written.borrow().len()
+    }
+
     /// Takes up to `limit` records that have expired.
-    fn take_expired(&self, now: Instant, ttl: Duration, limit: usize) -> Vec<String> {
+    pub(crate) fn take_expired(&self, now: Instant, ttl: Duration, limit: usize) -> Vec<String> {
         let mut written = self.written.borrow_mut();
         let is_old = |at: Instant| now.saturating_duration_since(at) > ttl;
         let expired = written.iter().take_while(|(at, _)| is_old(*at)).count();
@@ -212,25 +341,76 @@
         let only = f.only_version(now, assigned).map(str::to_owned);
         (only, f.is_moved(now, route))
     });
-    let only = only.map(|version| Resolved {
+    let mut only = only.map(|version| Resolved {
         origin: Origin {
             service: assigned.to_owned(),
             version,
         },
         evidence: Evidence::OnlyVersion,
     });
-    match only {
-        Some(only) if !is_moved => Ok(only),
-        only => match read_record(shell, began).await {
-            Some(origin) => check(origin, Evidence::Record, route),
-            None => only.ok_or(Reason::VersionUnknown),
-        },
+    if let Some(only) = only.take_if(|_| !is_moved) {
+        return Ok(only);
+    }
+    let Some(record) = read_record(shell, began).await else {
+        return only.ok_or(Reason::VersionUnknown);
+    };
+    if let Some(origin) = record {
+        return check(origin, Evidence::Record, route);
+    }
+    if let Some(only) = only {
+        return Ok(only);
+    }
+    // The weights of before the start are not known.
+    let is_split = route.targets.len() > 1;
+    if is_moved || (is_split && shell.with_fleet(|f| f.is_young(now))) {
+        return Err(Reason::VersionUnknown);
+    }
+    resolve_unrecorded(shell, route, assigned, began).await
+}
+
+/// Returns where a stream without a record goes on.
+///
+/// The rows of tables are read before the record is looked for once more: a router that
+/// has recorded the stream meanwhile may have removed its version from its row.
+async fn resolve_unrecorded(
+    shell: &Shell,
+    route: &Route,
+    assigned: &str,
+    began: &str,
+) -> Result<Resolved, Reason> {
+    let rows = read_unrecorded(shell).await;
+    let rows = rows.ok_or(Reason::VersionUnknown)?;
+    let (now, epoch_ms) = (shell.now(), shell.epoch_ms());
+    let rows = (rows.era, rows.rows.as_slice());
+    let stream = (assigned, began);
+    let version = shell.with_fleet(|f| f.unrecorded_version(now, epoch_ms, rows, stream));
+    let version = version.ok_or(Reason::VersionUnknown)?;
+    match read_record(shell, began).await {
+        None => Err(Reason::VersionUnknown),
+        Some(Some(origin)) => check(origin, Evidence::Record, route),
+        Some(None) => Ok(Resolved {
+            origin: Origin {
+                service: assigned.to_owned(),
+                version,
+            },
+            evidence: Evidence::Assigned,
+        }),
     }
 }
 
-/// Returns the store's record of the stream that a request began.
-async fn read_record(shell: &Shell, began: &str) -> Option<Origin> {
-    if began.is_empty() {
+/// Reads the rows of tables, after this call; none if the store does not answer.
+async fn read_unrecorded(shell: &Shell) -> Option<Rc<UnrecordedRows>> {
+    let (result, rows) = oneshot::channel();
+    // Without a task that reads the store there are none.
+    shell.origins().reads.unbounded_send(result).ok()?;
+    let rows = hibiscusrail_net::timeout(RESPONSE_TIMEOUT * 2, rows).await;
+    rows.ok()?.ok()
+}
+
+/// Returns the store's record of the stream that a request began, if there is one; none if the store does
+/// not answer, or the request has no id.
+async fn read_record(shell: &Shell, began: &str) -> Option<Option<Origin>> {
+    if !is_recordable(began) {
         return None;
     }
     let (result, found) = oneshot::channel();
@@ -241,131 +421,71 @@
     // Without a task that reads the store there is no record.
     shell.origins().lookups.unbounded_send(lookup).ok()?;
     let found = hibiscusrail_net::timeout(RESPONSE_TIMEOUT * 2, found).await;
-    found.ok()?.ok()?
-}
-
-/// Returns the origin of a stream if its service is still one of its route's.
-fn check(origin: Origin, evidence: Evidence, route: &Route) -> Result<Resolved, Reason> {
-    let is_target = route.targets.iter().any(|t| t.service == origin.service);
-    is_target
-        .then_some(Resolved { origin, evidence })
-        .ok_or(Reason::VersionUnknown)
-}
-
-/// Reads records that requests wait for until the task is dropped.
-pub async fn follow_lookups(shell: Rc<Shell>, store: Rc<impl Store>) {
-    let waiting = shell.origins().waiting.borrow_mut().take();
-    let Some(waiting) = waiting else {
-        return;
-    };
-    let read = |lookup: Lookup| {
-        let (shell, store) = (&shell, &store);
-        async move {
-            let Lookup { request, result } = lookup;
-            if result.is_canceled() {
-                return;
-            }
-            let call = store.origin(&request);
-            let found = match hibiscusrail_net::timeout(RESPONSE_TIMEOUT, call).await {
-                Ok(Ok(found)) => found,
-                Ok(Err(error)) => {
-                    shell.metrics().store_error("origin");
-                    log::warn!(step = "origin", error:% = error; "store_lost");
-                    None
-                }
-                Err(_) => {
-                    shell.metrics().store_error("origin");
-                    log::warn!(step = "origin", error = "no response in time"; "store_lost");
-                    None
-                }
-            };
-            // The caller may have gone.
-            let _ = result.send(found);
-        }
-    };
-    waiting.for_each_concurrent(MAX_LOOKUPS, read).await;
-}
-
-/// Keeps the store's rows of versions and records of streams until the task is dropped.
-pub async fn follow_versions(shell: Rc<Shell>, store: Rc<impl Store>) {
-    let mut link = StoreLink::new("versions");
-    let started = shell.now();
-    loop {
-        let interval = RECORD_INTERVAL_EACH * routers(&shell);
-        compio::time::sleep(interval.max(MIN_RECORD_INTERVAL)).await;
-        let age = shell.now().saturating_duration_since(started);
-        let is_copy = age < REWRITE_TIME && shell.with_fleet(may_be_copy);
-        if !is_copy && !shell.with_fleet(|f| f.versions().is_loaded()) {
-            let Some(rows) = link.call(&shell, RESPONSE_TIMEOUT, store.versions()).await else {
-                continue;
-            };
-            shell.handle(Event::Versions(shell.epoch_ms(), rows));
-        }
-        let unsaved = shell.with_fleet(|f| {
-            let writes = f.reads_store(shell.now());
-            writes.then(|| f.versions().unsaved(shell.epoch_ms()))
-        });
-        for row in unsaved.into_iter().flatten() {
-            let call = store.save_versions(&row);
-            if link.call(&shell, RESPONSE_TIMEOUT, call).await.is_some() {
-                shell.handle(Event::VersionsSaved(row));
-            }
-        }
-        for _ in 0..MAX_BATCHES {
-            if !record_batch(&shell, &store, &mut link).await {
-                break;
-            }
-        }
-    }
-}
-
-/// Returns whether the store may have been restored from a copy whose rows other routers have not yet
-/// written again.
-fn may_be_copy(fleet: &Fleet) -> bool {
-    let revision = fleet.registry().revision();
-    revision == Revision::default() || revision.era() > 0
-}
-
-fn routers(shell: &Shell) -> u32 {
-    u32::try_from(shell.with_fleet(Fleet::known_routers)).unwrap_or(u32::MAX)
+    found.ok()?.ok()
 }
 
-/// Writes records of streams and removes expired ones; returns whether there may be more to write.
-async fn record_batch(shell: &Rc<Shell>, store: &Rc<impl Store>, link: &mut StoreLink) -> bool {
+/// Remembers the version that began a stream, and waits until the store has recorded it if the caller may
+/// not get an event before.
+///
+/// # Errors
+///
+/// Fails if the store does not confirm the record in time, or the process exits.
+pub async fn begin_stream(
+    shell: &Shell,
+    request: &str,
+    origin: Origin,
+    deadline: Instant,
+) -> Result<(), Reason> {
     let origins = shell.origins();
     let now = shell.now();
-    let (ttl, services) = shell.with_fleet(|f| (f.stream_lifetime(), uncertain_services(f, now)));
-    let begun = if services.is_empty() {
-        Vec::new()
-    } else {
-        origins.take_unrecorded(&services, MAX_BATCH)
-    };
-    let waiting = origins.written.borrow().len();
-    if begun.is_empty() && waiting < REMOVED_TOGETHER {
-        return false;
+    let ttl = shell.with_fleet(Fleet::stream_lifetime);
+    let (service, version) = (origin.service.clone(), origin.version.clone());
+    if shell.with_fleet(|f| f.lacks_tables(now, &service))
+        && let Some(rows) = read_unrecorded(shell).await
+    {
+        let (name, epoch_ms) = (shell.settings().name, shell.epoch_ms());
+        shell.with_fleet_mut(|f| f.load_unrecorded(&name, epoch_ms, &rows.rows));
     }
-    let expired = origins.take_expired(now, ttl, MAX_BATCH - begun.len());
-    if begun.is_empty() && expired.is_empty() {
-        return false;
+    let now = shell.now();
+    origins.begin(now, ttl, request, origin);
+    if !shell.with_fleet(|f| f.must_record(now, request, (&service, &version))) {
+        return Ok(());
     }
-    let call = store.record_origins(&begun, &expired);
-    if link.call(shell, RESPONSE_TIMEOUT, call).await.is_none() {
-        // Expired records are left behind.
-        origins.return_unrecorded(&begun);
-        return false;
+    let Some(confirmed) = origins.confirmation(request) else {
+        return Ok(());
+    };
+    let time = RECORD_WAIT.min(deadline.saturating_duration_since(now));
+    let waiting = std::pin::pin!(hibiscusrail_net::timeout(time, confirmed));
+    let exit = std::pin::pin!(shell.exit_begins());
+    let result = match select(waiting, exit).await {
+        Either::Left((Ok(Ok(())), _)) => Ok(()),
+        Either::Left(_) => Err(Reason::Unrecorded),
+        Either::Right(_) => Err(Reason::Stopping),
+    };
+    log::info!(
+        request = request,
+        version = version.as_str(),
+        confirmed = result.is_ok(),
+        took_ms = millis(shell.now().saturating_duration_since(now));
+        "record_awaited"
+    );
+    if result.is_err() {
+        origins.forget(request);
     }
-    let is_full = begun.len() == MAX_BATCH;
-    let mut written = origins.written.borrow_mut();
-    written.extend(begun.into_iter().map(|(request, _)| (now, request)));
-    is_full
+    result
+}
+
+/// Returns whether a request's id can be the key of a record, and stand in the path of a call.
+#[must_use]
+pub fn is_recordable(request: &str) -> bool {
+    let is_plain = |b: u8| b.is_ascii_alphanumeric() || b == b'-' || b == b'_';
+    !request.is_empty() && request.len() <= MAX_ID_BYTES && request.bytes().all(is_plain)
 }
 
-/// Returns the services whose streams need records.
-fn uncertain_services(fleet: &Fleet, now: Instant) -> BTreeSet<String> {
-    let deployment = fleet.config().deployment.as_ref();
-    let services = deployment.into_iter().flat_map(|d| d.services.keys());
-    services
-        .filter(|name| fleet.needs_records(now, name))
-        .cloned()
-        .collect()
+/// Returns the origin of a stream if its service is still one of its route's.
+fn check(origin: Origin, evidence: Evidence, route: &Route) -> Result<Resolved, Reason> {
+    let is_target = route.targets.iter().any(|t| t.service == origin.service);
+    is_target
+        .then_some(Resolved { origin, evidence })
+        .ok_or(Reason::VersionUnknown)
 }
--- a/crates/front/src/records.rs
+++ b/crates/front/src/records.rs
@@ -1,5 +1,5 @@
 //! Keeps what the store has of streams and their versions: the records of streams, the services with
-//! several versions, and the versions of which this router may begin streams without a record.
+//! several versions, and the tables by which this router may begin streams without a record.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -18,12 +18,15 @@
 
 /// Minimum time between two batches of records for which nothing waits.
 const MIN_RECORD_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a batch that was confirmed late, as a multiple of its time, so that the batches of
+/// all routers do not queue up at a slow store.
+const LATE_PAUSE_FACTOR: u32 = 4;
 /// Minimum time between two batches of records.
 const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between two batches for each router, so that all of them together stay within what the store
 /// writes in one partition.
 const RECORD_INTERVAL_EACH: Duration = Duration::from_millis(8);
-/// Time of a batch from which the store counts as one that confirms no records in time.
+/// Time from which a batch counts as late: callers wait for it.
 const SLOW_BATCH: Duration = Duration::from_millis(250);
 /// Maximum number of changes in one batch, a limit of the store.
 const MAX_BATCH: usize = 100;
@@ -33,7 +36,7 @@
 const REMOVED_TOGETHER: usize = 50;
 /// Maximum number of records that are read at the same time.
 const MAX_LOOKUPS: usize = 8;
-/// Interval of checking whether the row of unrecorded versions has to change.
+/// Interval of checking whether the row of tables has to change.
 const UNRECORDED_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after the start in which a restored store may lack rows of versions that routers which run
 /// since before the restore are about to write again.
@@ -88,7 +91,7 @@
     lookups.for_each_concurrent(MAX_LOOKUPS, read).await;
 }
 
-/// Reads the rows of unrecorded versions for requests that wait for them, until the task is dropped.
+/// Reads the rows of tables for requests that wait for them, until the task is dropped.
 ///
 /// One read serves all requests that came before it.
 async fn follow_reads(shell: Rc<Shell>, store: Rc<impl Store>) {
@@ -115,7 +118,7 @@
     }
 }
 
-/// Keeps this router's row of unrecorded versions until the task is dropped.
+/// Keeps this router's row of tables until the task is dropped.
 async fn follow_unrecorded(shell: Rc<Shell>, store: Rc<impl Store>) {
     let mut link = StoreLink::new("unrecorded");
     let mut has_removed = false;
@@ -168,11 +171,11 @@
     }
 }
 
-/// Returns the row of unrecorded versions that the store lacks.
+/// Returns the row of tables that the store lacks.
 fn unsaved_row(shell: &Shell, name: &str) -> Option<UnrecordedRow> {
     let (now, epoch_ms) = (shell.now(), shell.epoch_ms());
     let ttl = shell.with_fleet(Fleet::stream_lifetime);
-    let begun = shell.origins().unrecorded_versions(now, ttl);
+    let begun = shell.origins().unrecorded(now, ttl);
     shell.with_fleet_mut(|f| f.unsaved_unrecorded(now, (name, epoch_ms), &begun))
 }
 
@@ -252,15 +255,18 @@
         return false;
     }
     let call = async {
-        let call = store.record_origins(&begun, &expired);
-        let answer = hibiscusrail_net::timeout(RESPONSE_TIMEOUT, call).await;
-        let result = answer.unwrap_or_else(|_| Err("no response in time".into()));
-        let took = shell.now().saturating_duration_since(now);
-        let in_time = result.is_ok() && took < SLOW_BATCH;
-        shell.with_fleet_mut(|f| f.set_takes_records(in_time, took));
-        result
+        let mut call = std::pin::pin!(store.record_origins(&begun, &expired));
+        let in_time = hibiscusrail_net::timeout(SLOW_BATCH, call.as_mut()).await;
+        let is_confirmed = matches!(in_time, Ok(Ok(())));
+        let ended = shell.now();
+        let took = ended.saturating_duration_since(now);
+        shell.with_fleet_mut(|f| f.batch_ended(ended, is_confirmed, took));
+        match in_time {
+            Ok(result) => result,
+            Err(_) => call.await,
+        }
     };
-    let is_confirmed = link.call(shell, RESPONSE_TIMEOUT * 2, call).await.is_some();
+    let is_confirmed = link.call(shell, RESPONSE_TIMEOUT, call).await.is_some();
     // Expired records that were not removed are left behind.
     origins.set_recorded(&begun, is_confirmed);
     if !is_confirmed {
@@ -268,6 +274,10 @@
     }
     let is_full = begun.len() == MAX_BATCH;
     origins.add_written(now, begun);
+    let took = shell.now().saturating_duration_since(now);
+    if took >= SLOW_BATCH {
+        compio::time::sleep(took * LATE_PAUSE_FACTOR).await;
+    }
     is_full
 }
 
--- a/crates/front/src/refusal.rs
+++ b/crates/front/src/refusal.rs
@@ -77,7 +77,8 @@
         | Reason::Expired
         | Reason::Throttled
         | Reason::Quarantined
-        | Reason::VersionGone => wait,
+        | Reason::VersionGone
+        | Reason::Unrecorded => wait,
     }
 }
 
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -18,12 +18,11 @@
 use http::{Response, StatusCode};
 use snafu::{ResultExt, Snafu};
 
-use crate::origins;
 use crate::peers::{self, Peers};
 use crate::protocol::Protocol;
 use crate::shell::Shell;
 use crate::watch::{self, Store};
-use crate::{caller, health, overload, refusal, rollouts, state, stop};
+use crate::{caller, health, overload, records, refusal, rollouts, state, stop};
 
 /// Exit code if requests were still running when the stop timeout expired.
 const EXIT_ABORTED: u8 = 3;
@@ -166,10 +165,9 @@
     spawn_urgent(servers);
     let routers = watch::follow_routers(Rc::clone(&shell), Rc::clone(&store), Rc::clone(&peers));
     spawn_urgent(routers);
-    let lookups = origins::follow_lookups(Rc::clone(&shell), Rc::clone(&store));
-    event_loop::spawn(lookups);
-    let versions = origins::follow_versions(Rc::clone(&shell), Rc::clone(&store));
-    event_loop::spawn(versions);
+    for task in records::tasks(&shell, &store) {
+        event_loop::spawn(task);
+    }
     // The bounds are those of the start; without them there is nothing to follow.
     if settings.params.rollout.is_some() {
         event_loop::spawn(rollouts::follow_rollouts(Rc::clone(&shell), store));
--- a/crates/front/src/state.rs
+++ b/crates/front/src/state.rs
@@ -1,6 +1,7 @@
 //! Transfers the operator configuration and the servers over HTTP to routers that don't follow the
 //! store or can't reach it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use hibiscusrail_fleet::Event;
 use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
+use hibiscusrail_fleet::unrecorded::Table;
 use hibiscusrail_net::body::{CollectError, collect};
 use hibiscusrail_net::server::Handler;
 use hibiscusrail_net::{connect_owned, empty, json};
@@ -41,6 +43,10 @@
     /// none from a router of an older version.
     #[serde(default)]
     pub config_age: Option<u64>,
+    /// Tables of the versions of streams without a record, by service; none from a router of an older
+    /// version.
+    #[serde(default)]
+    pub tables: BTreeMap<String, Table>,
 }
 
 /// Why the state of a router could not be fetched.
@@ -118,6 +124,7 @@
             orders: (newest.0 > config).then(|| (newest.0, f.config().clone())),
             age: f.freshness().age(shell.now()).map(millis),
             config_age: f.config_freshness().age(shell.now()).map(millis),
+            tables: f.versions().unrecorded.tables(),
             servers: (newest.1 > servers).then(|| (newest.1, f.registry().entries(shell.now()))),
         }
     })
@@ -136,6 +143,7 @@
     let fetching = fetch(peer, config, servers);
     match hibiscusrail_net::timeout(REQUEST_TIMEOUT, fetching).await {
         Ok(Ok(state)) => {
+            shell.with_fleet_mut(|f| f.inherit_tables(&state.tables));
             let confirmation = |revision, age: Option<u64>| {
                 Some(Confirmation {
                     revision,
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -13,6 +13,7 @@
 use hibiscusrail_fleet::freshness::{Confirmation, Source};
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
 use hibiscusrail_fleet::rollout::order::Status;
+use hibiscusrail_fleet::unrecorded::UnrecordedRow;
 use hibiscusrail_fleet::versions::VersionSet;
 use hibiscusrail_fleet::{Event, Fleet};
 use serde::{Deserialize, Serialize};
@@ -106,6 +107,17 @@
     /// Writes the row of a service that has had several software versions.
     async fn save_versions(&self, row: &VersionSet) -> Result<(), StoreError>;
 
+    /// Returns the routers' tables of the versions of streams without a record, each with the version of
+    /// its row.
+    async fn unrecorded(&self) -> Result<TableRead<Vec<(UnrecordedRow, u64)>>, StoreError>;
+
+    /// Writes a process' row of tables if the row still has this version, zero standing for
+    /// no row; returns whether it had.
+    async fn save_unrecorded(&self, row: &UnrecordedRow, version: u64) -> Result<bool, StoreError>;
+
+    /// Removes rows of tables.
+    async fn remove_unrecorded(&self, rows: &[UnrecordedRow]) -> Result<(), StoreError>;
+
     /// Returns the rows of a service's rollout.
     async fn rollout(&self, service: &str) -> Result<RolloutRows, StoreError>;
 
--- a/crates/front/tests/all/support.rs
+++ b/crates/front/tests/all/support.rs
@@ -348,27 +348,45 @@
 
     /// Starts a router that has not read the rows of services with several versions.
     pub fn start_without_versions(servers: &[&Server]) -> Self {
-        Self::start_unloaded(SETTINGS, servers, &[], 100)
+        Self::start_unloaded(SETTINGS, servers, 100)
     }
 
     /// Starts the router `name` of several, whose first list has engines of these versions, and which
-    /// has not read the rows of services with several versions.
-    pub fn start_member(name: &str, members: &[&str], server: &Server, versions: &[&str]) -> Self {
+    /// has not read the rows of services with several versions. It reads the names of the registered
+    /// routers twice.
+    pub fn start_member(
+        name: &str,
+        members: [&[&str]; 2],
+        server: &Server,
+        versions: &[&str],
+    ) -> Self {
         let settings = SETTINGS.replace("name = r\n", &format!("name = {name}\n"));
-        let front = Self::start_unloaded(&settings, &vec![server; versions.len()], versions, 100);
-        let members = members.iter().map(|m| (*m).to_owned()).collect();
-        front.shell.handle(Event::Members(members));
+        let servers = vec![server; versions.len()];
+        let front = Self::start_unread(&settings, &servers, versions, 100);
+        for members in members {
+            let members = members.iter().map(|m| (*m).to_owned()).collect();
+            front.shell.handle(Event::Members(members));
+        }
         front
     }
 
     fn start_from(settings: &str, servers: &[&Server], connections: usize) -> Self {
-        let front = Self::start_unloaded(settings, servers, &[], connections);
+        let front = Self::start_unloaded(settings, servers, connections);
         // The store has no rows of services with several versions.
         front.shell.handle(Event::Versions(0, Vec::new()));
         front
     }
 
-    fn start_unloaded(
+    fn start_unloaded(settings: &str, servers: &[&Server], connections: usize) -> Self {
+        let front = Self::start_unread(settings, servers, &[], connections);
+        let name = front.shell.settings().name;
+        front.shell.handle(Event::Members(vec![name]));
+        front
+    }
+
+    /// Starts a router that has read neither the routers' rows nor those of services with several
+    /// versions.
+    fn start_unread(
         settings: &str,
         servers: &[&Server],
         versions: &[&str],
@@ -381,8 +399,6 @@
             evacuated: BTreeSet::new(),
             rollouts: BTreeMap::new(),
         };
-        let name = shell.settings().name;
-        shell.handle(Event::Members(vec![name]));
         shell.handle(Event::Config(Revision(1), config));
         let mut entries = BTreeMap::new();
         for service in ["plain", "engines"] {
--- a/crates/front/tests/all/tables.rs
+++ b/crates/front/tests/all/tables.rs
@@ -6,6 +6,7 @@
 
 use hibiscusrail_fleet::objects::{OperatorConfig, Revision, Servers};
 use hibiscusrail_fleet::rollout::order::{State, Status};
+use hibiscusrail_fleet::unrecorded::UnrecordedRow;
 use hibiscusrail_fleet::versions::VersionSet;
 use hibiscusrail_front::origins::Origin;
 use hibiscusrail_front::rollouts::RolloutRows;
@@ -24,6 +25,8 @@
     pub versions: RefCell<BTreeMap<String, VersionSet>>,
     /// Records of streams by the id of the request that began them.
     pub streams: RefCell<BTreeMap<String, Origin>>,
+    /// The routers' tables with the versions of their rows, by the router's name and start.
+    pub unrecorded: RefCell<BTreeMap<(String, u64), (UnrecordedRow, u64)>>,
     /// Versions of the orders' and status rows, and the status, by service.
     pub rollouts: RefCell<BTreeMap<String, RolloutRows>>,
     /// States of rollouts that were written, in order.
@@ -98,6 +101,35 @@
         Ok(())
     }
 
+    async fn unrecorded(&self) -> Result<TableRead<Vec<(UnrecordedRow, u64)>>, StoreError> {
+        self.check().await?;
+        Ok(TableRead {
+            revision: Revision(1),
+            complete: Revision(1),
+            value: Some(self.unrecorded.borrow().values().cloned().collect()),
+        })
+    }
+
+    async fn save_unrecorded(&self, row: &UnrecordedRow, version: u64) -> Result<bool, StoreError> {
+        self.check().await?;
+        let mut rows = self.unrecorded.borrow_mut();
+        let key = (row.router.clone(), row.started);
+        if rows.get(&key).map_or(0, |(_, version)| *version) != version {
+            return Ok(false);
+        }
+        rows.insert(key, (row.clone(), version + 1));
+        Ok(true)
+    }
+
+    async fn remove_unrecorded(&self, rows: &[UnrecordedRow]) -> Result<(), StoreError> {
+        self.check().await?;
+        for row in rows {
+            let key = (row.router.clone(), row.started);
+            self.unrecorded.borrow_mut().remove(&key);
+        }
+        Ok(())
+    }
+
     async fn rollout(&self, service: &str) -> Result<RolloutRows, StoreError> {
         self.check().await?;
         compio::time::sleep(self.delay.get()).await;
--- a/crates/front/tests/all/take_ups.rs
+++ b/crates/front/tests/all/take_ups.rs
@@ -7,7 +7,7 @@
 use compio::io::AsyncWriteExt;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
-use hibiscusrail_front::origins;
+use hibiscusrail_front::records;
 
 use super::support::{
     Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, event, header, read_until, run, status,
@@ -28,27 +28,23 @@
 /// A router and its tasks that call the store, which end with it.
 struct Member {
     front: Front,
-    _tasks: [JoinHandle<()>; 2],
+    _tasks: [JoinHandle<()>; 4],
 }
 
 impl Member {
-    fn start(name: &str, server: &Server, tables: &Rc<Tables>) -> Self {
-        let front = Front::start_member(name, &MEMBERS, server, &VERSIONS);
-        let (shell, store) = (&front.shell, tables);
-        let lookups = origins::follow_lookups(Rc::clone(shell), Rc::clone(store));
-        let versions = origins::follow_versions(Rc::clone(shell), Rc::clone(store));
-        let tasks = [
-            compio::runtime::spawn(lookups),
-            compio::runtime::spawn(versions),
-        ];
+    /// Starts a router of which the others know if it `restarts`.
+    fn start(name: &str, server: &Server, tables: &Rc<Tables>, restarts: bool) -> Self {
+        let first = if restarts { &MEMBERS[..] } else { &[] };
+        let front = Front::start_member(name, [first, &MEMBERS], server, &VERSIONS);
+        let tasks = records::tasks(&front.shell, tables);
         Self {
             front,
-            _tasks: tasks,
+            _tasks: tasks.map(compio::runtime::spawn),
         }
     }
 
-    fn start_all(server: &Server, tables: &Rc<Tables>) -> Vec<Self> {
-        let start = |name: &&str| Self::start(name, server, tables);
+    fn start_all(server: &Server, tables: &Rc<Tables>, restart: bool) -> Vec<Self> {
+        let start = |name: &&str| Self::start(name, server, tables, restart);
         MEMBERS.iter().map(start).collect()
     }
 }
@@ -153,7 +149,7 @@
 /// Restarts all routers while the store is unusable, and has it answer again.
 async fn restart_all(members: Vec<Member>, server: &Server, tables: &Rc<Tables>) -> Vec<Member> {
     drop(members);
-    let members = Member::start_all(server, tables);
+    let members = Member::start_all(server, tables, true);
     compio::time::sleep(Duration::from_millis(300)).await;
     tables.silent.set(false);
     tables.away.set(false);
@@ -169,7 +165,7 @@
         for silent in [true, false] {
             let tables = Rc::new(Tables::default());
             let (before, after) = (hanging_server(), resuming_server());
-            let members = Member::start_all(&before, &tables);
+            let members = Member::start_all(&before, &tables, false);
             compio::time::sleep(SETTLE_TIME).await;
             disturb(&tables, silent);
             compio::time::sleep(NOTICE_TIME).await;
@@ -189,7 +185,7 @@
     run(async {
         let tables = Rc::new(Tables::default());
         let (before, after) = (hanging_server(), resuming_server());
-        let members = Member::start_all(&before, &tables);
+        let members = Member::start_all(&before, &tables, false);
         compio::time::sleep(SETTLE_TIME).await;
         let (ids, _connections) = begin_streams(&members, "s").await;
         assert!(ids.len() > STREAMS, "most are begun: {ids:?}");
--- a/crates/front/tests/all/versions.rs
+++ b/crates/front/tests/all/versions.rs
@@ -5,7 +5,8 @@
 
 use hibiscusrail_fleet::Event;
 use hibiscusrail_fleet::objects::Revision;
-use hibiscusrail_front::origins::{self, Origin};
+use hibiscusrail_front::origins::Origin;
+use hibiscusrail_front::records;
 
 use super::support::{
     Act, Front, STREAM_END, STREAM_HEAD, Server, chunk, event, header, run, status, wait_until,
@@ -64,11 +65,9 @@
 
 /// Makes a router follow the tables.
 fn follow(front: &Front, tables: &Rc<Tables>) {
-    let (shell, store) = (&front.shell, tables);
-    let lookups = origins::follow_lookups(Rc::clone(shell), Rc::clone(store));
-    compio::runtime::spawn(lookups).detach();
-    let following = origins::follow_versions(Rc::clone(shell), Rc::clone(store));
-    compio::runtime::spawn(following).detach();
+    for task in records::tasks(&front.shell, tables) {
+        compio::runtime::spawn(task).detach();
+    }
 }
 
 /// Returns the ids of the servers that the requests were sent to, in order.
--- a/crates/fuzzing/src/rollouts/world.rs
+++ b/crates/fuzzing/src/rollouts/world.rs
@@ -12,6 +12,7 @@
 use hibiscusrail_fleet::peers::Scope;
 use hibiscusrail_fleet::retry::RetryBound;
 use hibiscusrail_fleet::rollout::order::{Bounds, Order, Proposal, State, Status};
+use hibiscusrail_fleet::unrecorded::Shard;
 use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, Params, RequestKey, Submission};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -608,6 +609,7 @@
         resumable: false,
         max_attempts: 2,
         version: None,
+        shard: Shard::default(),
         rank: 0,
         max_pause: None,
     }
