fleet: write no row of versions before the first server list

Found with the take-ups that did not go on; it was not their cause, since no row tells a stream's version. Change: without a list nothing is written. unsaved_rows_wait_for_the_servers failed before.

--- a/crates/fleet/src/versions.rs
+++ b/crates/fleet/src/versions.rs
@@ -72,6 +72,8 @@
     started: Instant,
     /// Whether the store's rows were read, so that the time before the start is known.
     loaded: bool,
+    /// Whether a server list was seen.
+    observed: bool,
     /// Which streams may begin without a record.
     pub unrecorded: Unrecorded,
 }
@@ -84,6 +86,7 @@
             services: BTreeMap::new(),
             started: now,
             loaded: false,
+            observed: false,
             unrecorded: Unrecorded::default(),
         }
     }
@@ -96,6 +99,7 @@
 
     /// Records the versions that a server list has.
     pub fn observe<'a>(&mut self, now: Instant, servers: impl Iterator<Item = &'a Backend>) {
+        self.observed = true;
         let mut listed: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
         for server in servers {
             let versions = listed.entry(server.service.as_str()).or_default();
@@ -153,9 +157,12 @@
         self.unrecorded.store_restored();
     }
 
-    /// Returns the rows that the store lacks.
+    /// Returns the rows that the store lacks; none before the first server list.
     #[must_use]
     pub fn unsaved(&self, epoch_ms: u64) -> Vec<VersionSet> {
+        if !self.observed {
+            return Vec::new();
+        }
         let is_unsaved = |history: &History| match &history.saved {
             Some(saved) => *saved != history.present(),
             None => history.versions.len() > 1,
--- a/crates/fleet/tests/all/versions.rs
+++ b/crates/fleet/tests/all/versions.rs
@@ -343,3 +343,15 @@
     observe(&mut versions, now, &["v2"]);
     assert_eq!(versions.unsaved(9), [row(&["v2"], 9)]);
 }
+
+// Guards against ORDER: a router that had read the rows and no list of servers yet wrote the row with no
+// version, and routers that started next took the versions of before for none.
+#[test]
+fn unsaved_rows_wait_for_the_servers() {
+    let now = Instant::now();
+    let mut versions = Versions::new(now);
+    versions.load(now, 0, &[row(&["v1", "v2"], 0)], LIFETIME);
+    assert!(versions.unsaved(7).is_empty());
+    observe(&mut versions, now, &["v2"]);
+    assert_eq!(versions.unsaved(8), [row(&["v2"], 8)]);
+}
