net: fail a read after a write that found the connection reset

Cause: the system hands out the error of a reset once. If the write of the upload is the call that gets it, the next read returns zero bytes, like that of a connection which the peer has closed, and ends a body without a length. Change: the socket remembers the reset, and a read at the end fails. Servers, callers and the store are read through the same socket.

--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -49,6 +49,9 @@
     look: Option<Arc<AtomicBool>>,
     /// Bytes read since a read last had to wait.
     turn_bytes: usize,
+    /// Whether a write failed as the peer has reset the connection. The system hands that error out once;
+    /// a read after it would end like that of a connection which the peer has closed.
+    reset: Cell<bool>,
 }
 
 impl SocketStream {
@@ -69,6 +72,7 @@
             ended: None,
             look: None,
             turn_bytes: 0,
+            reset: Cell::new(false),
         })
     }
 
@@ -101,6 +105,7 @@
             ended: None,
             look: None,
             turn_bytes: 0,
+            reset: Cell::new(false),
         })
     }
 
@@ -169,6 +174,12 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     std::task::ready!(self.socket.poll_writable(cx))?;
                 }
+                Err(error) => {
+                    if error.kind() == io::ErrorKind::ConnectionReset {
+                        self.reset.set(true);
+                    }
+                    return Poll::Ready(Err(error));
+                }
                 result => return Poll::Ready(result),
             }
         }
@@ -232,6 +243,9 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.readable = false,
                 Err(error) => return Poll::Ready(Err(error)),
+                Ok((0, _)) if self.reset.get() => {
+                    return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+                }
                 Ok((count, full)) => {
                     self.readable = full || !self.short_reads;
                     self.turn_bytes += count;
