front: relay no switch of protocols

Cause: a head was checked for the request's id, the seal of a success and its encoding, not for being a final answer. Change: it counts as an answer that is not the server's, 502.

--- a/crates/front/src/upstream.rs
+++ b/crates/front/src/upstream.rs
@@ -584,7 +584,9 @@
         return Err(Outcome::Misdirected.into());
     }
     let proven = !status.is_success() || headers.contains_key(&protocol.seal);
-    if !echoed || !proven || headers.contains_key(header::CONTENT_ENCODING) {
+    // Interim responses are skipped; this one switches protocols, which no request asks for.
+    let is_switch = status.is_informational();
+    if is_switch || !echoed || !proven || headers.contains_key(header::CONTENT_ENCODING) {
         return Err(Outcome::Invalid.into());
     }
     Ok(())
--- a/crates/front/tests/all/answers.rs
+++ b/crates/front/tests/all/answers.rs
@@ -249,3 +249,34 @@
         assert!(answers[1].ends_with("right"), "{}", answers[1]);
     });
 }
+
+// Guards against an empty answer of a server in trouble: a switch of protocols that nobody asked for was
+// relayed, and the connection is no longer one of HTTP.
+#[test]
+fn response_switching_protocols_is_not_relayed() {
+    run(async {
+        let text = "HTTP/1.1 101 Switching Protocols\r\nx-id: {id}\r\nx-seal: s\r\n\r\n";
+        for upgrade in ["", "connection: upgrade\r\nupgrade: x\r\n"] {
+            let text = text.replace("\r\n\r\n", &format!("\r\n{upgrade}\r\n"));
+            for path in ["/once/x", "/again/x", "/stream/x", "/resume/x"] {
+                let response = response_to(path, Act::Write(text.clone())).await;
+                assert_eq!(status(&response), 502, "{path}: {response}");
+            }
+        }
+    });
+}
+
+#[test]
+fn response_after_informational_ones_is_relayed() {
+    run(async {
+        for code in [100, 102, 103, 199] {
+            for count in [1, 20] {
+                let before = format!("HTTP/1.1 {code} x\r\nx-id: {{id}}\r\n\r\n").repeat(count);
+                let text = before + &full_response("200 OK", "body");
+                let response = response_to("/once/x", Act::Write(text)).await;
+                assert_eq!(status(&response), 200, "{code}: {response}");
+                assert!(response.ends_with("\r\n\r\nbody"), "{code}: {response}");
+            }
+        }
+    });
+}
--- a/tests/all/answers.rs
+++ b/tests/all/answers.rs
@@ -101,3 +101,19 @@
         assert!(left > 0 && left <= asked, "{left} of {asked}");
     });
 }
+
+// Nobody asks for another protocol.
+#[test]
+fn answer_switching_protocols_is_not_delivered() {
+    run(async {
+        let fleet = TestFleet::new().await;
+        replace_plains(
+            &fleet,
+            "HTTP/1.1 101 Switching Protocols\r\nx-request-id: {id}\r\n\r\n",
+            After::KeepOpen,
+        );
+        let operation = fleet.plain(Method::GET, "record");
+        let received = fleet.send(0, "a", operation).await;
+        assert_eq!(received.ending, Ending::Unknown, "{received:?}");
+    });
+}
