fleet: leave versions that came after the start out of the earlier process' row

Cause: a router that had restarted shortly before a release, and whose earlier process had written no row, named every version as one of which that process may have begun streams, also the new one; no stream without a record had a certain version until twice the longest timeout had passed. Change: only versions that it found when it started, or in the store's row, count. row_names_versions_of_earlier_process shows both. A caller that leaves while its stream waits for its record no longer keeps batches at the shorter interval.

--- a/crates/fleet/src/fleet/streams.rs
+++ b/crates/fleet/src/fleet/streams.rs
@@ -179,7 +179,7 @@
                 is_young,
             };
             if lacks_earlier {
-                usage.earlier = self.versions.possible(now, name, lifetime);
+                usage.earlier = self.versions.found(now, name, lifetime);
             }
             let too_new = self.versions.too_new(now, name, None);
             let takes_streams =
--- a/crates/fleet/src/versions.rs
+++ b/crates/fleet/src/versions.rs
@@ -210,13 +210,16 @@
         })
     }
 
-    /// Returns the versions of a service of which streams may still run or be taken up; streams last
-    /// up to `lifetime`.
+    /// Returns the versions of a service that this router found when it first looked, or that the store's
+    /// row named, as far as their streams may still run or be taken up; streams last up to `lifetime`.
     #[must_use]
-    pub fn possible(&self, now: Instant, service: &str, lifetime: Duration) -> BTreeSet<String> {
-        let history = self.services.get(service);
-        let possible = history.into_iter().flat_map(|h| h.possible(now, lifetime));
-        possible.map(str::to_owned).collect()
+    pub fn found(&self, now: Instant, service: &str, lifetime: Duration) -> BTreeSet<String> {
+        let Some(history) = self.services.get(service) else {
+            return BTreeSet::new();
+        };
+        let possible = history.possible(now, lifetime);
+        let is_found = |v: &&str| history.versions.get(*v).is_some_and(|s| s.first.is_none());
+        possible.filter(is_found).map(str::to_owned).collect()
     }
 
     /// Returns the registered versions of a service.
--- a/crates/fleet/tests/all/unrecorded.rs
+++ b/crates/fleet/tests/all/unrecorded.rs
@@ -326,3 +326,28 @@
     let later = now + fleet.stream_lifetime();
     assert!(version(later).is_some());
 }
+
+// An earlier process of the router that wrote no row may have begun streams at any version that was there
+// before this one started, not at one that came later.
+#[test]
+fn row_names_versions_of_earlier_process() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(8);
+    let mut fleet = router(&["v1"], &[], start);
+    fleet.handle(
+        now,
+        Event::Servers(Revision(3), engines(&["v1", "v1", "v2", "v2"])),
+    );
+    let row = fleet.unsaved_unrecorded(now, ("r", EPOCH), &BTreeMap::new());
+    let row = row.expect("there is no row");
+    assert_eq!(row.tables[ENGINES], BTreeSet::from([Table::new("v1")]));
+    let mut fleet = router(&["v1", "v1", "v2", "v2"], &[], start);
+    let row = fleet.unsaved_unrecorded(now, ("r", EPOCH), &BTreeMap::new());
+    let tables = [Table::new("v1"), Table::new("v2"), halves()];
+    let row = row.expect("there is no row");
+    assert_eq!(row.tables[ENGINES], BTreeSet::from(tables));
+    let settled = start + fleet.stream_lifetime();
+    let row = fleet.unsaved_unrecorded(settled, ("r", EPOCH), &BTreeMap::new());
+    let row = row.expect("there is no row");
+    assert_eq!(row.tables[ENGINES], BTreeSet::from([halves()]));
+}
--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -210,7 +210,8 @@
     /// Returns whether a stream waits for its record.
     pub(crate) fn has_waiters(&self) -> bool {
         let known = self.known.borrow();
-        known.values().any(|k| k.waiter.is_some())
+        let waits = |w: &oneshot::Sender<()>| !w.is_canceled();
+        known.values().any(|k| k.waiter.as_ref().is_some_and(waits))
     }
 
     /// Returns the shards and versions of the streams that may have no record, by service, of those
