front: have the stand-in store tell its era in a test of a restored copy

It takes records from the store as a restore from a copy does, and the stand-in store told no era, by which routers tell that a copy may lack records; a store of the deployment does. What it checks is unchanged.

--- a/crates/front/tests/all/tables.rs
+++ b/crates/front/tests/all/tables.rs
@@ -39,6 +39,8 @@
     pub next_order: Cell<Option<u64>>,
     /// Time that each call for a rollout takes.
     pub delay: Cell<Duration>,
+    /// Era of the store, in the answers that tell one.
+    pub era: Cell<u16>,
     /// Whether calls for versions and records fail.
     pub away: Cell<bool>,
     /// Whether such calls get no answer.
@@ -104,8 +106,8 @@
     async fn unrecorded(&self) -> Result<TableRead<Vec<(UnrecordedRow, u64)>>, StoreError> {
         self.check().await?;
         Ok(TableRead {
-            revision: Revision(1),
-            complete: Revision(1),
+            revision: Revision::new(self.era.get(), 1),
+            complete: Revision::new(self.era.get(), 1),
             value: Some(self.unrecorded.borrow().values().cloned().collect()),
         })
     }
--- a/crates/front/tests/all/versions.rs
+++ b/crates/front/tests/all/versions.rs
@@ -348,6 +348,7 @@
         front.call("/resume/x", "").await;
         wait_until(|| tables.streams.borrow().contains_key("r1")).await;
         tables.streams.borrow_mut().clear();
+        tables.era.set(1);
         let restarted = start(&server, &["v1", "v2"], &tables);
         let response = restarted.call("/resume/x", &resumes("r1")).await;
         assert_eq!(status(&response), 503, "{response}");
