fleet, front: do not refuse a stream under way for load like a new one

Cause: a request that takes a stream up went through the limits on new requests; within one answer a stream that breaks is resumed without them. Change: a take-up whose stream is known to have begun, by the router's memory or the store's record, counts as admitted. An id that a caller merely names, without such proof, does not. take_up_of_begun_stream_is_not_refused_for_load failed before.

--- a/crates/fleet/benches/decide.rs
+++ b/crates/fleet/benches/decide.rs
@@ -137,6 +137,7 @@
         resumable: true,
         max_attempts: 2,
         version: None,
+        goes_on: false,
         shard: Shard::default(),
         rank: 0,
         max_pause: None,
--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -46,6 +46,9 @@
     pub max_attempts: u32,
     /// Software version that began the stream which the request takes up; none for a new one.
     pub version: Option<String>,
+    /// Whether the stream which the request takes up is known to have begun, so that it was admitted
+    /// before.
+    pub goes_on: bool,
     /// Shard of the streams to which the one that the request begins belongs.
     pub shard: Shard,
     /// Rank among the requests of its workspace; 0 is the highest.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -145,6 +145,11 @@
         self.started || is_silent || self.execution == Execution::Unknown
     }
 
+    /// Returns whether the limits on new requests do not apply: it may have run, or a server has begun it.
+    fn was_admitted(&self) -> bool {
+        self.may_have_run() || self.submission.goes_on
+    }
+
     /// Returns whether the request may be sent to a further server.
     fn has_attempts(&self) -> bool {
         self.attempts < self.submission.max_attempts && self.tried.len() < MAX_TRIED
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -338,7 +338,7 @@
             standing: None,
         };
         let allowed =
-            limits::start_allowance(now, &request.submission, request.may_have_run(), share);
+            limits::start_allowance(now, &request.submission, request.was_admitted(), share);
         let eligible = self.eligible_servers(&ctx, request);
         ctx.standing = self.plain_standing(&ctx, request, &eligible);
         let mut homes = Homes::new(eligible, ctx.shared);
@@ -424,7 +424,7 @@
         let cached = eligible.preferred || eligible.source.is_some() || ctx.prompt.is_none();
         let may_use = !spills || limits::may_spill(&inputs, ctx.share);
         let exceeded = limits::exceeded(&inputs, cached, ctx.share);
-        if request.may_have_run() || (may_use && !exceeded.any()) {
+        if request.was_admitted() || (may_use && !exceeded.any()) {
             candidates.add(self.score(ctx, eligible, inputs));
             return;
         }
--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -118,10 +118,10 @@
 pub(super) fn start_allowance(
     now: Instant,
     submission: &Submission,
-    may_have_run: bool,
+    was_admitted: bool,
     share: ShareStatus,
 ) -> Duration {
-    if may_have_run {
+    if was_admitted {
         // A late answer is worth more to the caller than none; after part of a stream, any server
         // that can resume it will do.
         return submission.deadline.saturating_duration_since(now);
--- a/crates/fleet/tests/all/versions.rs
+++ b/crates/fleet/tests/all/versions.rs
@@ -177,6 +177,34 @@
     }
 }
 
+// Guards against LOST: streams that were under way were refused for load like new ones.
+#[test]
+fn take_up_of_begun_stream_is_not_refused_for_load() {
+    let now = Instant::now();
+    let mut fleet = router(&["v1", "v2"], now);
+    for key in 0..100 {
+        let request = submission(key, 1, prompt(key, 10), now);
+        fleet.handle(now, Event::Submit(request));
+    }
+    let is_load = |decisions: &[Decision]| {
+        let reason = failure_reason(decisions);
+        matches!(reason, Some(Reason::OverShare | Reason::Busy))
+    };
+    let request = submission(100, 1, prompt(100, 10), now);
+    let new = fleet.handle(now, Event::Submit(request));
+    assert!(is_load(&new), "{new:?}");
+    let mut request = Submission {
+        version: Some("v1".to_owned()),
+        ..submission(200, 1, prompt(200, 10), now)
+    };
+    let unproven = fleet.handle(now, Event::Submit(request.clone()));
+    assert!(is_load(&unproven), "{unproven:?}");
+    request.goes_on = true;
+    request.key = RequestKey(201);
+    let proven = fleet.handle(now, Event::Submit(request));
+    assert_eq!(version_sent_to(&proven), Some("v1"), "{proven:?}");
+}
+
 #[test]
 fn take_up_of_version_that_is_gone_is_refused_at_once() {
     let now = Instant::now();
--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -66,6 +66,7 @@
         resumable: true,
         max_attempts: 2,
         version: None,
+        goes_on: false,
         shard: Shard::default(),
         rank: 0,
         max_pause: None,
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -22,7 +22,7 @@
 
 use crate::answer::{self, RequestTracker};
 use crate::fingerprint::{Identity, fingerprint};
-use crate::origins::{self, Origin, Resolved};
+use crate::origins::{self, Evidence, Origin, Resolved};
 use crate::outgoing::Outgoing;
 use crate::overload::{StreamDemand, workspace_hash};
 use crate::refusal;
@@ -420,6 +420,7 @@
         resumable: route.resumable,
         max_attempts: route.attempts,
         version,
+        goes_on: evidence.is_some_and(Evidence::is_proof),
         shard: Shard::of(request),
         rank,
         max_pause: route.max_pause,
--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -58,6 +58,12 @@
 }
 
 impl Evidence {
+    /// Returns whether it shows that the stream has begun; the others hold for any id that a caller names.
+    #[must_use]
+    pub fn is_proof(self) -> bool {
+        matches!(self, Self::Memory | Self::Record)
+    }
+
     /// Returns the name in logs and metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
