--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -145,7 +145,7 @@
     late: bool,
     /// Whether the learned models of the servers are used.
     learns: bool,
-    /// Software versions that receive no new streams yet.
+    /// Software versions that receive no new streams now.
     closed_versions: Vec<&'a str>,
     /// Which versions the request may go to; none without a rollout.
     turn: Option<Turn>,
--- a/crates/fleet/src/fleet/streams.rs
+++ b/crates/fleet/src/fleet/streams.rs
@@ -34,7 +34,8 @@
     }
 
     /// Returns whether streams of several software versions of a service may be taken up.
-    pub(super) fn has_several_versions(&self, now: Instant, service: &str) -> bool {
+    #[must_use]
+    pub fn has_several_versions(&self, now: Instant, service: &str) -> bool {
         self.versions
             .has_several(now, service, self.stream_lifetime())
     }
@@ -68,39 +69,35 @@
         let (unrecorded, shard) = (&self.versions.unrecorded, Shard::of(request));
         self.has_several_versions(now, service)
             && unrecorded.must_record(now, service, shard, version)
-            && (unrecorded.takes_records(now) || self.may_take_new(now, service, shard))
+            && (unrecorded.takes_records(now) || self.assigned(now, service, shard).is_some())
     }
 
-    /// Returns whether the version that a shard is assigned may take new streams. If none of its servers
-    /// is registered, a stream of another version can't be taken for one of it.
-    fn may_take_new(&self, now: Instant, service: &str, shard: Shard) -> bool {
-        let table = self.versions.unrecorded.table(service);
-        let assigned = table.and_then(|t| t.version(shard));
-        let too_new = self.versions.too_new(now, service, None);
-        assigned.is_some_and(|assigned| {
-            let mut present = self.versions.present(service);
-            present.any(|v| v == assigned) && !too_new.contains(&assigned)
-        })
+    /// Returns the version that a shard is assigned if it may take new streams. If none of its servers is
+    /// registered, a stream of another version can't be taken for one of it.
+    fn assigned(&self, now: Instant, service: &str, shard: Shard) -> Option<&str> {
+        let assigned = self.versions.unrecorded.table(service)?.version(shard)?;
+        let is_present = self.versions.present(service).any(|v| v == assigned);
+        let is_open = || {
+            !self
+                .versions
+                .too_new(now, service, None)
+                .contains(&assigned)
+        };
+        (is_present && is_open()).then_some(assigned)
     }
 
     /// Returns the versions at which a new stream could neither be recorded nor be known without a
     /// record, as the store confirms no records in time.
     pub(super) fn unrecordable_versions(&self, now: Instant, request: &Request) -> Vec<&str> {
-        let unrecorded = &self.versions.unrecorded;
         let service = &request.submission.service;
-        if unrecorded.takes_records(now)
-            || !request.submission.resumable
-            || !self.has_several_versions(now, service)
-        {
+        if self.versions.unrecorded.takes_records(now) || !request.submission.resumable {
             return Vec::new();
         }
-        let shard = request.submission.shard;
-        if !self.may_take_new(now, service, shard) {
-            return Vec::new();
-        }
-        let assigned = unrecorded.table(service).and_then(|t| t.version(shard));
-        let present = self.versions.present(service);
-        present.filter(|v| Some(*v) != assigned).collect()
+        // A service that never had several versions has no table, so that is looked at first.
+        let assigned = self.assigned(now, service, request.submission.shard);
+        let assigned = assigned.filter(|_| self.has_several_versions(now, service));
+        let present = || self.versions.present(service);
+        assigned.map_or_else(Vec::new, |a| present().filter(|v| *v != a).collect())
     }
 
     /// Records whether the store confirmed a batch of records in time; it took `took`.
@@ -115,14 +112,12 @@
         }
     }
 
-    /// Returns whether this router lacks the tables by which streams of a service may begin without a
-    /// record.
+    /// Returns whether this router lacks the tables by which streams of a service that has several
+    /// versions may begin without a record.
     #[must_use]
-    pub fn lacks_tables(&self, now: Instant, service: &str) -> bool {
+    pub fn lacks_tables(&self, service: &str) -> bool {
         let unrecorded = &self.versions.unrecorded;
-        !unrecorded.is_read()
-            && unrecorded.table(service).is_none()
-            && self.has_several_versions(now, service)
+        !unrecorded.is_read() && unrecorded.table(service).is_none()
     }
 
     /// Returns whether streams from before the start of this router may be taken up.
@@ -141,9 +136,15 @@
     /// router has to be kept.
     #[must_use]
     pub fn has_any_versions(&self, now: Instant) -> bool {
+        self.several_services(now).next().is_some()
+    }
+
+    /// Returns the services of which streams of several software versions may be taken up.
+    fn several_services(&self, now: Instant) -> impl Iterator<Item = &String> {
+        let lifetime = self.stream_lifetime();
         let deployment = self.config.deployment.as_ref();
-        let mut services = deployment.into_iter().flat_map(|d| d.services.keys());
-        services.any(|name| self.has_several_versions(now, name))
+        let services = deployment.into_iter().flat_map(|d| d.services.keys());
+        services.filter(move |name| self.versions.has_several(now, name, lifetime))
     }
 
     /// Returns the row of unrecorded versions that the store lacks of router `name`; `begun` are the
@@ -168,10 +169,7 @@
         let is_young = self.is_young(now);
         let lacks_earlier =
             is_young && self.members.was_listed() && !self.versions.unrecorded.has_earlier();
-        let deployment = self.config.deployment.as_ref();
-        let services = deployment.into_iter().flat_map(|d| d.services.keys());
-        let several = services.filter(|name| self.has_several_versions(now, name));
-        let usage = several.map(|name| {
+        let usage = self.several_services(now).map(|name| {
             let mut usage = Usage {
                 servers: BTreeMap::new(),
                 begun: begun.get(name).cloned().unwrap_or_default(),
--- a/crates/fleet/tests/all/unrecorded.rs
+++ b/crates/fleet/tests/all/unrecorded.rs
@@ -4,13 +4,14 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::event::Reason;
-use hibiscusrail_fleet::objects::{Revision, Servers};
+use hibiscusrail_fleet::objects::Revision;
 use hibiscusrail_fleet::unrecorded::{
     Shard, Table, Unrecorded, UnrecordedRow, Usage, assigned_version,
 };
-use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey, Submission};
+use hibiscusrail_fleet::{Event, Fleet, Outcome, RequestKey, Submission};
 
-use super::support::{self, ENGINES, backend, failure_reason, prompt, sent_to, submission};
+use super::support::{self, ENGINES, failure_reason, prompt, sent_to, submission};
+use super::versions::{engines, version_sent_to};
 
 /// Time of day of the tests, in milliseconds.
 const EPOCH: u64 = 1_000_000;
@@ -233,16 +234,6 @@
     assert!(unrecorded.takes_records(later + Duration::from_secs(2)));
 }
 
-fn engines(versions: &[&str]) -> Servers {
-    let numbered = versions.iter().zip(0..);
-    let engines = numbered.map(|(version, number)| {
-        let mut engine = backend(ENGINES, number);
-        (*version).clone_into(&mut engine.version);
-        (format!("{version}-{number}"), engine)
-    });
-    engines.collect()
-}
-
 /// Returns a router beside others that has read the rows of all.
 fn router(versions: &[&str], rows: &[UnrecordedRow], now: Instant) -> Fleet {
     let mut fleet = support::router("r", 0, now);
@@ -262,10 +253,6 @@
     }
 }
 
-fn version_sent_to(decisions: &[Decision]) -> Option<&str> {
-    sent_to(decisions).and_then(|id| id.split('-').next())
-}
-
 // Guards against LOST: while the store takes no records, streams began at any version.
 #[test]
 fn submit_without_records_uses_assigned_version() {
--- a/crates/fleet/tests/all/versions.rs
+++ b/crates/fleet/tests/all/versions.rs
@@ -14,7 +14,7 @@
 const LIFETIME: Duration = Duration::from_secs(24);
 
 /// Returns engines of these versions; the id of each is its version and number.
-fn engines(versions: &[&str]) -> Servers {
+pub fn engines(versions: &[&str]) -> Servers {
     let numbered = versions.iter().zip(0..);
     numbered
         .map(|(version, number)| {
@@ -42,7 +42,8 @@
     }
 }
 
-fn version_sent_to(decisions: &[Decision]) -> Option<&str> {
+/// Returns the version of the engine that a request was sent to, as its id says.
+pub fn version_sent_to(decisions: &[Decision]) -> Option<&str> {
     sent_to(decisions).and_then(|id| id.split('-').next())
 }
 
--- a/crates/front/src/origins.rs
+++ b/crates/front/src/origins.rs
@@ -446,8 +446,12 @@
     let origins = shell.origins();
     let now = shell.now();
     let ttl = shell.with_fleet(Fleet::stream_lifetime);
+    if !shell.with_fleet(|f| f.has_several_versions(now, &origin.service)) {
+        origins.begin(now, ttl, request, origin);
+        return Ok(());
+    }
     let (service, version) = (origin.service.clone(), origin.version.clone());
-    if shell.with_fleet(|f| f.lacks_tables(now, &service))
+    if shell.with_fleet(|f| f.lacks_tables(&service))
         && let Some(rows) = read_unrecorded(shell).await
     {
         let (name, epoch_ms) = (shell.settings().name, shell.epoch_ms());
--- a/crates/front/src/records.rs
+++ b/crates/front/src/records.rs
@@ -126,14 +126,19 @@
     let started = shell.with_fleet(Fleet::incarnation);
     loop {
         compio::time::sleep(UNRECORDED_INTERVAL).await;
-        let is_read = shell.with_fleet(|f| f.versions().unrecorded.is_read());
-        let is_due = if is_read {
-            unsaved_row(&shell, &name).is_some()
-        } else {
-            // The list of servers tells the versions.
-            shell.with_fleet(|f| f.versions().is_loaded() && f.has_any_versions(shell.now()))
-        };
-        if !is_due {
+        // Without several versions, the streams of this router need not be looked through.
+        let (has_several, is_loaded, is_read) = shell.with_fleet(|f| {
+            let versions = f.versions();
+            let is_read = versions.unrecorded.is_read();
+            (
+                f.has_any_versions(shell.now()),
+                versions.is_loaded(),
+                is_read,
+            )
+        });
+        let is_due = || is_read || is_loaded;
+        let is_needed = || !is_read || unsaved_row(&shell, &name).is_some();
+        if !has_several || !is_due() || !is_needed() {
             continue;
         }
         let Some(table) = link
