front, net: log what a late loop's time goes to and which workspaces are refused

In a flood the lines about single requests are dropped, loop_late counted the reducer's time alone, and nothing told what a workspace asked for and received. So the logs could not tell a router that refuses though it has time from one whose time goes to reports, accepting or polling, nor from connections lost in the system's queue.

loop_late now covers the whole time of the event loop and what was accepted. workspace_refused says once a second what the most refused workspaces asked for and received, at this router and at all of them. Both are warnings, for which the log keeps part of its rate.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -7,7 +7,7 @@
 mod learning;
 mod limits;
 mod liveness;
-mod overload;
+pub mod overload;
 mod quarantine;
 mod rollouts;
 mod stalls;
--- a/crates/fleet/src/fleet/overload.rs
+++ b/crates/fleet/src/fleet/overload.rs
@@ -6,8 +6,10 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use hibiscusrail_macros::value;
+
 use crate::engine::Prompt;
-use crate::quota::{ShareStatus, WorkspaceHash};
+use crate::quota::{ShareStatus, Usage, WorkspaceHash};
 use crate::suspects::SuspectKey;
 
 use super::choice::SHORT_RETRY_AFTER;
@@ -17,6 +19,16 @@
 /// in which a wave brings many requests.
 const SHORTFALL_TTL: Duration = Duration::from_millis(20);
 
+/// Tokens of a workspace at this router since it started.
+#[value]
+#[derive(Default)]
+pub struct Received {
+    /// Tokens of the requested streams.
+    pub requested: u64,
+    /// Tokens of the streams that servers began.
+    pub admitted: u64,
+}
+
 /// Shortfalls of workspaces, each with the time at which it was derived.
 #[derive(Debug, Default)]
 pub(super) struct Shortfalls {
@@ -86,6 +98,23 @@
         total.changed_at = Some(now);
     }
 
+    /// Returns what a workspace requested here and received; none if it requested nothing.
+    #[must_use]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn received(&self, workspace: WorkspaceHash) -> Option<Received> {
+        let total = self.totals.get(&workspace)?;
+        Some(Received {
+            requested: total.requested as u64,
+            admitted: total.admitted as u64,
+        })
+    }
+
+    /// Returns what a workspace requested and received at all routers in the window of shares.
+    #[must_use]
+    pub fn usage(&self, now: Instant, workspace: WorkspaceHash) -> Usage {
+        self.quota.usage(now, workspace)
+    }
+
     /// Returns the usage of a workspace compared with its fair share; none has no share.
     pub fn workspace_share(
         &mut self,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -63,4 +63,5 @@
 
 pub use event::{Decision, Event, Outcome, RequestKey, Submission};
 pub use fleet::Fleet;
+pub use fleet::overload::Received;
 pub use params::Params;
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -59,6 +59,18 @@
     }
 }
 
+/// Tokens of a workspace in the window, at all routers.
+#[value]
+#[derive(Default)]
+pub struct Usage {
+    /// Tokens that it requested.
+    pub requested: f64,
+    /// Tokens that it received or is about to receive.
+    pub received: f64,
+    /// Tokens that the workspace which received most did.
+    pub most_received: f64,
+}
+
 /// Tokens requested and admitted, by workspace.
 #[derive(Debug)]
 pub struct Quota {
@@ -112,6 +124,18 @@
         requested / self.window.as_secs_f64()
     }
 
+    /// Returns what a workspace requested and received in the window.
+    #[must_use]
+    pub fn usage(&self, now: Instant, workspace: WorkspaceHash) -> Usage {
+        let received = |a: &Account| a.admitted.peek(now) + a.pending;
+        let account = self.accounts.get(&workspace);
+        Usage {
+            requested: account.map_or(0.0, |a| a.requested.peek(now)),
+            received: account.map_or(0.0, received),
+            most_received: self.accounts.values().map(received).fold(0.0, f64::max),
+        }
+    }
+
     /// Returns the status of a workspace while `throughput` tokens per second are shared.
     pub fn share_status(
         &mut self,
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -187,6 +187,9 @@
     pub fn fail(&mut self, error: &RequestError) {
         let outcome = format!("{:?}", error.execution);
         let reason = format!("{:?}", error.reason);
+        if error.execution == Execution::NotRun {
+            self.shell.unserved().count(&self.workspace, error.reason);
+        }
         self.finish(&outcome, &reason);
     }
 
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod start;
 pub mod state;
 pub mod stop;
+pub mod unserved;
 pub mod upstream;
 pub mod watch;
 pub mod work;
--- a/crates/front/src/overload.rs
+++ b/crates/front/src/overload.rs
@@ -60,6 +60,9 @@
         let wait = shell.with_fleet_mut(|f| f.overloaded(now, self.workspace, prompt))?;
         let id = headers.get(&shell.protocol().request_id);
         self.counters.count();
+        shell
+            .unserved()
+            .count(self.counters.workspace(), Reason::RouterBusy);
         let time = shell.now().saturating_duration_since(now);
         shell.work().add(Kind::Refusal, time);
         if logs::has_token() {
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -27,6 +27,7 @@
 use crate::origins::Origins;
 use crate::protocol::Protocol;
 use crate::refusal;
+use crate::unserved::Unserved;
 use crate::work::{Kind, Work};
 
 /// Maximum idle time of reused connections; servers close theirs after a whole number of seconds.
@@ -82,6 +83,7 @@
     connections: Rc<Connections>,
     budget: Arc<Budget>,
     work: Work,
+    unserved: Unserved,
     origins: Origins,
     /// Findings of the operator configuration that were logged.
     reported: RefCell<Reported>,
@@ -132,6 +134,7 @@
             connections: Rc::new(connections),
             budget: Arc::new(budget),
             work,
+            unserved: Unserved::default(),
             origins: Origins::default(),
             reported: RefCell::default(),
             next_key: Cell::new(0),
@@ -211,6 +214,12 @@
         &self.work
     }
 
+    /// Returns the counts of refused requests by workspace.
+    #[must_use]
+    pub fn unserved(&self) -> &Unserved {
+        &self.unserved
+    }
+
     /// Returns whether more than half of the allowed callers' connections are open.
     #[must_use]
     pub fn connections_half_full(&self) -> bool {
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -22,7 +22,8 @@
 use crate::protocol::Protocol;
 use crate::shell::Shell;
 use crate::watch::{self, Store};
-use crate::{caller, health, overload, records, refusal, rollouts, state, stop};
+use crate::work::LoopTotals;
+use crate::{caller, health, overload, records, refusal, rollouts, state, stop, unserved};
 
 /// Exit code if requests were still running when the stop timeout expired.
 const EXIT_ABORTED: u8 = 3;
@@ -173,6 +174,7 @@
         event_loop::spawn(rollouts::follow_rollouts(Rc::clone(&shell), store));
     }
     event_loop::spawn(measure_loop_lag(Rc::clone(&shell)));
+    event_loop::spawn(unserved::log_unserved(Rc::clone(&shell)));
     event_loop::spawn(health::check_servers(Rc::clone(&shell)));
     let incremental = peers::send_incremental_reports(Rc::clone(&shell), Rc::clone(&peers));
     spawn_urgent(incremental);
@@ -229,7 +231,11 @@
         let due = shell.now() + LAG_INTERVAL;
         compio::time::sleep(LAG_INTERVAL).await;
         let lag = shell.now().saturating_duration_since(due);
-        shell.work().set_lag(shell.now(), lag);
+        let totals = LoopTotals {
+            used: event_loop::used(),
+            accepted: shell.connections().totals(),
+        };
+        shell.work().set_lag(shell.now(), lag, totals);
         shell.handle(Event::LoopLag(lag));
     }
 }
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -7,6 +7,8 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::Event;
+use hibiscusrail_net::event_loop::Used;
+use hibiscusrail_net::server::AcceptTotals;
 
 use crate::shell::{NextStep, millis};
 
@@ -122,11 +124,21 @@
     logged: Cell<Logged>,
 }
 
+/// Time that the event loop used, and what it accepted, since the start.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LoopTotals {
+    /// Time used by the event loop.
+    pub used: Used,
+    /// Connections of callers.
+    pub accepted: AcceptTotals,
+}
+
 /// State at the last log line.
 #[derive(Debug, Clone, Copy)]
 struct Logged {
     at: Instant,
     amounts: [Amount; Kind::ALL.len()],
+    totals: LoopTotals,
 }
 
 impl Work {
@@ -138,7 +150,11 @@
             amounts: Cell::new(amounts),
             lag: Cell::default(),
             max_lag: Cell::default(),
-            logged: Cell::new(Logged { at: now, amounts }),
+            logged: Cell::new(Logged {
+                at: now,
+                amounts,
+                totals: LoopTotals::default(),
+            }),
         }
     }
 
@@ -160,7 +176,7 @@
     }
 
     /// Records the loop's lag; logs the work of the last second if the lag was high in it.
-    pub fn set_lag(&self, now: Instant, lag: Duration) {
+    pub fn set_lag(&self, now: Instant, lag: Duration, totals: LoopTotals) {
         self.lag.set(lag);
         self.max_lag.set(self.max_lag.get().max(lag));
         let before = self.logged.get();
@@ -169,7 +185,11 @@
             return;
         }
         let amounts = self.amounts.get();
-        self.logged.set(Logged { at: now, amounts });
+        self.logged.set(Logged {
+            at: now,
+            amounts,
+            totals,
+        });
         let max_lag = self.max_lag.take();
         if max_lag < LOGGED_LAG {
             return;
@@ -177,9 +197,18 @@
         let count = |kind: Kind| amounts[kind as usize].count - before.amounts[kind as usize].count;
         let time =
             |kind: Kind| millis(amounts[kind as usize].time - before.amounts[kind as usize].time);
-        log::info!(
+        let (used, used_before) = (totals.used, before.totals.used);
+        let (accepted, accepted_before) = (totals.accepted, before.totals.accepted);
+        log::warn!(
             over_ms = millis(elapsed),
             late_ms = millis(max_lag),
+            urgent_ms = millis(used.urgent - used_before.urgent),
+            tasks_ms = millis(used.tasks - used_before.tasks),
+            polling_ms = millis(used.polling - used_before.polling),
+            accepted = accepted.served - accepted_before.served,
+            closed = accepted.refused - accepted_before.refused,
+            full_batches = accepted.full_batches - accepted_before.full_batches,
+            accept_ms = millis(accepted.time - accepted_before.time),
             refusals = count(Kind::Refusal),
             refusal_ms = time(Kind::Refusal),
             starts = count(Kind::Start),
--- a/crates/net/src/event_loop.rs
+++ b/crates/net/src/event_loop.rs
@@ -35,6 +35,8 @@
     static URGENT: RefCell<Option<Rc<UrgentTasks>>> = const { RefCell::new(None) };
     /// Whether an urgent task is running.
     static IS_URGENT: Cell<bool> = const { Cell::new(false) };
+    /// Usage of the event loop that runs on this thread.
+    static USAGE: RefCell<Option<Rc<Usage>>> = const { RefCell::new(None) };
 }
 
 /// Urgent tasks that have not run yet.
@@ -106,23 +108,64 @@
     }
 }
 
+/// Time that an event loop used since it began, by what it did. The rest of the time it waited.
+#[hibiscusrail_macros::value]
+#[derive(Default)]
+pub struct Used {
+    /// Urgent tasks.
+    pub urgent: Duration,
+    /// All other tasks.
+    pub tasks: Duration,
+    /// Asking the system for events between tasks.
+    pub polling: Duration,
+}
+
+impl Used {
+    /// Returns the sum.
+    #[must_use]
+    pub fn total(self) -> Duration {
+        self.urgent + self.tasks + self.polling
+    }
+}
+
 /// Time for which an event loop ran tasks.
 #[derive(Debug, Default)]
 pub struct Usage {
-    busy: Cell<Duration>,
+    used: Cell<Used>,
+    /// Sum of `used` at the last call of [`Self::take_busy`].
+    taken: Cell<Duration>,
 }
 
 impl Usage {
     /// Returns the time for which tasks ran since the last call.
     pub fn take_busy(&self) -> Duration {
-        self.busy.take()
+        let total = self.used.get().total();
+        total - self.taken.replace(total)
+    }
+
+    /// Returns the time used since the event loop began.
+    #[must_use]
+    pub fn used(&self) -> Used {
+        self.used.get()
     }
 
-    fn add(&self, time: Duration) {
-        self.busy.set(self.busy.get() + time);
+    /// Adds a turn of the event loop that began at the first of these times; the others are the ends of
+    /// its parts.
+    fn add(&self, [began, urgent, tasks, polling]: [Instant; 4]) {
+        let mut used = self.used.get();
+        used.urgent += urgent.saturating_duration_since(began);
+        used.tasks += tasks.saturating_duration_since(urgent);
+        used.polling += polling.saturating_duration_since(tasks);
+        self.used.set(used);
     }
 }
 
+/// Returns the time that the event loop of this thread used; zero on a runtime without one.
+#[must_use]
+pub fn used() -> Used {
+    USAGE.with_borrow(|usage| usage.as_ref().map(|u| u.used()).unwrap_or_default())
+}
+
 /// Waker of the urgent tasks and the main one: records that one of them can make progress.
 struct Woken {
     is_set: AtomicBool,
@@ -189,6 +232,7 @@
     pub fn run<F: Future>(&self, main: F) -> F::Output {
         let urgent = Rc::new(UrgentTasks::default());
         URGENT.set(Some(Rc::clone(&urgent)));
+        USAGE.set(Some(Rc::clone(&self.usage)));
         Poller::install(Some(Rc::clone(&self.poller)));
         let output = self.runtime.enter(|| {
             let woken = Arc::new(Woken {
@@ -203,24 +247,26 @@
                 let began = (self.now)();
                 woken.is_set.store(false, Ordering::Release);
                 urgent.run(&mut running, &mut cx);
+                let urgent_end = (self.now)();
                 if let Poll::Ready(output) = main.as_mut().poll(&mut cx) {
                     self.runtime.run();
                     return output;
                 }
                 let has_tasks = self.runtime.run();
+                let tasks_end = (self.now)();
                 let has_work =
                     has_tasks || !urgent.is_empty() || woken.is_set.load(Ordering::Acquire);
                 if has_work {
                     self.wait(Some(Duration::ZERO));
                 }
-                self.usage
-                    .add((self.now)().saturating_duration_since(began));
+                self.usage.add([began, urgent_end, tasks_end, (self.now)()]);
                 if !has_work {
                     self.wait(self.runtime.current_timeout());
                 }
             }
         });
         Poller::install(None);
+        USAGE.set(None);
         URGENT.set(None);
         output
     }
--- a/crates/net/src/logs.rs
+++ b/crates/net/src/logs.rs
@@ -34,6 +34,9 @@
 
 /// Capacity of the token bucket, in seconds of the rate.
 const BURST_SECONDS: f64 = 2.0;
+/// Lines that only warnings and errors may use: a flood of requests must not drop the lines that tell of
+/// it. At low rates it is half of the bucket.
+const RESERVED_LINES: f64 = 16.0;
 
 /// Sets up logging to standard output, limited to `rate` lines per second.
 ///
@@ -94,6 +97,11 @@
         }
     }
 
+    /// Returns the lines that only warnings and errors may use.
+    fn reserved(&self) -> f64 {
+        RESERVED_LINES.min(self.rate * BURST_SECONDS / 2.0)
+    }
+
     /// Adds the tokens of the time that has passed and returns the bucket.
     fn refill(&self) -> Option<MutexGuard<'_, TokenBucket>> {
         let mut bucket = self.bucket.lock().ok()?;
@@ -108,16 +116,17 @@
         let Some(mut bucket) = self.refill() else {
             return false;
         };
-        let has_token = bucket.tokens >= 1.0;
+        let has_token = bucket.tokens >= 1.0 + self.reserved();
         bucket.dropped += u64::from(!has_token);
         has_token
     }
 
     /// Takes a token for a line and returns the number of lines dropped before it; none if there is
     /// no token.
-    fn take_token(&self) -> Option<u64> {
+    fn take_token(&self, is_warning: bool) -> Option<u64> {
         let mut bucket = self.refill()?;
-        if bucket.tokens < 1.0 {
+        let reserved = if is_warning { 0.0 } else { self.reserved() };
+        if bucket.tokens < 1.0 + reserved {
             bucket.dropped += 1;
             return None;
         }
@@ -154,7 +163,8 @@
         record: &logforth::record::Record,
         diags: &[Box<dyn logforth::Diagnostic>],
     ) -> Result<(), logforth::Error> {
-        let Some(dropped) = self.limit.take_token() else {
+        let is_warning = record.level() >= logforth::record::Level::Warn;
+        let Some(dropped) = self.limit.take_token(is_warning) else {
             return Ok(());
         };
         let mut bytes = self.layout.format(record, diags)?;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -132,10 +132,25 @@
     Failed,
 }
 
+/// What was accepted at a listener since it was opened.
+#[value]
+#[derive(Default)]
+pub struct AcceptTotals {
+    /// Connections that are or were served.
+    pub served: u64,
+    /// Connections that were refused or closed before they were served.
+    pub refused: u64,
+    /// Batches after which further connections may have waited in the system's queue.
+    pub full_batches: u64,
+    /// Time for accepting, and for refusing at the head of a request.
+    pub time: Duration,
+}
+
 /// Counts the open connections of one listener and closes them on request.
 pub struct Connections {
     open: Cell<usize>,
     refused: Cell<usize>,
+    totals: Cell<AcceptTotals>,
     /// Replaces the head timeout of the listener's limits.
     head_timeout: Arc<SharedTimeout>,
     close: Cell<Option<oneshot::Sender<()>>>,
@@ -173,6 +188,7 @@
         Self {
             open: Cell::new(0),
             refused: Cell::new(0),
+            totals: Cell::default(),
             head_timeout: Arc::default(),
             close: Cell::new(Some(close)),
             closing: closing.shared(),
@@ -237,7 +253,21 @@
         self.triage.replace(Some(triage));
     }
 
+    /// Returns what was accepted since the listener was opened.
+    #[must_use]
+    pub fn totals(&self) -> AcceptTotals {
+        self.totals.get()
+    }
+
     fn notify(&self, event: AcceptEvent) {
+        let mut totals = self.totals.get();
+        match event {
+            AcceptEvent::Accepted(Accepted::Served) => totals.served += 1,
+            AcceptEvent::Accepted(_) | AcceptEvent::Triaged => totals.refused += 1,
+            AcceptEvent::BatchFull => totals.full_batches += 1,
+            AcceptEvent::Failed => {}
+        }
+        self.totals.set(totals);
         if let Some(on_accept) = &self.on_accept {
             on_accept(event);
         }
@@ -320,7 +350,7 @@
         // Accepting itself completes at once while a connection is pending; other tasks get their turn
         // after each batch.
         let accepted = match select(pin!(listener.readable()), &mut stopped).await {
-            Either::Left((Ok(()), _)) => server.accept_batch(&listener),
+            Either::Left((Ok(()), _)) => server.accept_timed(&listener),
             Either::Left((Err(error), _)) => Err(error),
             Either::Right(_) => break,
         };
@@ -395,6 +425,16 @@
         }
     }
 
+    /// Accepts a batch and adds the time that it took.
+    fn accept_timed(self: &Rc<Self>, listener: &TcpListener) -> io::Result<bool> {
+        let began = Instant::now();
+        let accepted = self.accept_batch(listener);
+        let mut totals = self.connections.totals.get();
+        totals.time += began.elapsed();
+        self.connections.totals.set(totals);
+        accepted
+    }
+
     /// Accepts the pending connections, up to a batch; the rest stays in the system's queue. Returns
     /// whether that is empty.
     fn accept_batch(self: &Rc<Self>, listener: &TcpListener) -> io::Result<bool> {
