fleet: refuse no stream for an overload that is over

Cause: while a router is overloaded it raises the charge that a stream of its dominant workspace needs, and this falls with a time constant of 4 s, whether the router is late or not. It applied to every workspace with most of the streams of a router, also to one that asks for a fiftieth of what it did.

Now the charge is needed only while the loop is late, by the average that shows a wave within 60 ms. A wave that returns makes the router late again, and finds the charge as it was.

Two tests of crowded_router asserted the fault itself: that a router without any lag refuses small streams. They now have the lag of a wave that is back, and a third one asserts that nothing is refused without it.

--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -6,8 +6,9 @@
 //! refuses streams that it could not forward in time.
 //!
 //! A refusal costs time too, so a small host can spend all of it on a wave. It leaves the rotation,
-//! recovers and returns, and the wave with it. What it then forwards for the workspace of the wave
-//! are the streams with the largest charge: they cost it no more than others.
+//! recovers and returns, and the wave with it. As soon as it is late again, what it forwards for the
+//! workspace of the wave are the streams with the largest charge: they cost it no more than others.
+//! While it is in time it refuses nothing.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -146,7 +147,8 @@
     ///
     /// A stream costs the router about the same whatever its prompt. The charge that a stream needs
     /// to be admitted therefore rises with the lag, from zero to the mean charge. For a workspace
-    /// that requests most of the streams it falls slowly after an overload.
+    /// that requests most of the streams it falls slowly after an overload, so that it is there once the
+    /// wave is back.
     #[must_use]
     pub fn admits_stream(
         &self,
@@ -158,7 +160,8 @@
         let low = raise(ADMIT_ALL_LAG, REFUSE_OVER_SHARE_LAG);
         let high = raise(REFUSE_OVER_SHARE_LAG, REFUSE_ALL_LAG);
         let fraction = excess_fraction(self.lag, low, high);
-        let needed = if workspace.is_some_and(|w| self.is_dominant(w)) {
+        let is_late = self.recent_lag > ADMIT_ALL_LAG;
+        let needed = if is_late && workspace.is_some_and(|w| self.is_dominant(w)) {
             fraction.max(self.selectivity)
         } else {
             fraction
--- a/crates/fleet/tests/all/crowded_router.rs
+++ b/crates/fleet/tests/all/crowded_router.rs
@@ -129,8 +129,8 @@
     assert!(sent_to(&long).is_some(), "{long:?}");
 }
 
-/// Returns a router whose streams are mostly workspace 1's, and which was overloaded by them until
-/// the returned time.
+/// Returns a router whose streams are mostly workspace 1's, which was overloaded by them and has
+/// recovered at the returned time.
 fn recovered_router(start: Instant) -> (Fleet, Instant) {
     let mut fleet = support::router("r", 4, start);
     for key in 0..40 {
@@ -146,19 +146,43 @@
     let now = add_lag(&mut fleet, now, Duration::ZERO, Duration::from_secs(3));
     assert!(!fleet.sheds());
     support::hear_servers(&mut fleet, now);
-    // The wave comes back with the router's next connections.
+    (fleet, now)
+}
+
+/// Returns such a router to which the wave has come back with its next connections, and the time at which
+/// its event loop has been late for a few turns.
+fn router_in_second_wave(start: Instant) -> (Fleet, Instant) {
+    let (mut fleet, now) = recovered_router(start);
     for key in 50..70 {
         let request = submission(key, 1, prompt(key, 20_000), now);
         fleet.handle(now, Event::Submit(request));
     }
+    let lag = Duration::from_millis(30);
+    let now = add_lag(&mut fleet, now, lag, Duration::from_millis(110));
+    assert!(!fleet.sheds());
     (fleet, now)
 }
 
+/// Guards against a router that refuses streams for an overload that is over.
+#[test]
+fn submit_recovered_router_admits_all_streams_while_in_time() {
+    let (mut fleet, now) = recovered_router(Instant::now());
+    for key in 101..110 {
+        let own = if key % 2 == 0 { 50 } else { 20_000 };
+        let decisions = fleet.handle(
+            now,
+            Event::Submit(submission(key, 1, prompt(key, own), now)),
+        );
+        let reason = failure_reason(&decisions);
+        assert_ne!(reason, Some(Reason::RouterBusy), "{decisions:?}");
+    }
+}
+
 /// Guards against a workspace that gets few tokens since the router that its callers meet spends
 /// its time on the smallest streams of their wave.
 #[test]
 fn submit_recovered_router_prefers_costly_streams_of_wave() {
-    let (mut fleet, now) = recovered_router(Instant::now());
+    let (mut fleet, now) = router_in_second_wave(Instant::now());
     let short = fleet.handle(now, Event::Submit(submission(101, 1, prompt(1, 50), now)));
     assert_eq!(failure_reason(&short), Some(Reason::RouterBusy));
     let long = submission(102, 1, prompt(1, 20_000), now);
@@ -168,7 +192,7 @@
 
 #[test]
 fn submit_recovered_router_admits_short_streams_of_other_workspaces() {
-    let (mut fleet, now) = recovered_router(Instant::now());
+    let (mut fleet, now) = router_in_second_wave(Instant::now());
     let short = fleet.handle(now, Event::Submit(submission(101, 2, prompt(1, 50), now)));
     assert!(sent_to(&short).is_some(), "{short:?}");
 }
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -38,6 +38,7 @@
 mod store_restored;
 mod support;
 mod suspects;
+mod unequal_routers;
 mod uneven_servers;
 mod unrecorded;
 mod versions;
--- /dev/null
+++ b/crates/fleet/tests/all/unequal_routers.rs
@@ -0,0 +1,556 @@
+//! Workspaces whose callers meet at one router each, in a zone of routers with unequal processors.
+//!
+//! The platform sends all connections of a workspace's callers to the first router of an order of their own
+//! that is in rotation, and the retry of a refused caller to the next one. Each router has an event loop
+//! that works in order of arrival, urgent work first, and a queue of connections that wait to be accepted.
+//! Each kind of work has a cost. The engines have room for all that the routers can forward.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::{Duration, Instant};
+
+use hibiscusrail_fleet::engine::{Part, Prompt};
+use hibiscusrail_fleet::event::Reason;
+use hibiscusrail_fleet::peers::Scope;
+use hibiscusrail_fleet::quota::WorkspaceHash;
+use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey};
+
+use super::support::{self, submission};
+
+/// Processor time, on a whole core, of accepting a connection and refusing its request at the head.
+const REFUSAL_COST: Duration = Duration::from_micros(25);
+/// Processor time of a request that the reducer refuses after its body was read.
+const PLACEMENT_REFUSAL_COST: Duration = Duration::from_micros(130);
+/// Processor time until a stream's request is sent and its answer has begun.
+const START_COST: Duration = Duration::from_micros(300);
+/// Processor time of forwarding an event.
+const EVENT_COST: Duration = Duration::from_micros(43);
+/// Processor time of another router's report.
+const REPORT_COST: Duration = Duration::from_micros(30);
+/// Processor time of a measurement of the lag.
+const SAMPLE_COST: Duration = Duration::from_micros(20);
+/// Interval of these measurements.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
+/// Interval of the reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Time until an engine's first token, and between two events of a stream.
+const FIRST_TOKEN: Duration = Duration::from_millis(100);
+const EVENT_INTERVAL: Duration = Duration::from_millis(70);
+/// Tokens of an event.
+const EVENT_TOKENS: u32 = 9;
+/// Connections that wait to be accepted; further ones are lost.
+const BACKLOG: usize = 1_024;
+/// Connections accepted in one turn of the event loop.
+const ACCEPT_BATCH: usize = 64;
+/// Time that a caller waits for its connection to be accepted.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval of the platform's readiness checks; a router that fails two is out of rotation.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+const MAX_FAILED_CHECKS: u32 = 2;
+/// Time to the first event within which a request counts as answered in time.
+const TARGET: Duration = Duration::from_millis(600);
+/// Seconds over which workspaces are compared.
+const WINDOW: usize = 6;
+/// Requests that may be missing, the largest ones.
+const FREE_REQUESTS: f64 = 3.0;
+/// Processor shares of the routers.
+const SHARES: [f64; 8] = [0.12, 0.12, 0.5, 0.12, 0.12, 0.12, 0.5, 0.12];
+
+/// Requests of a workspace, whose callers meet at one router.
+struct Demand {
+    workspace: u64,
+    /// First router in the order of its callers.
+    router: usize,
+    /// Requests per second from each of these seconds on.
+    rates: &'static [(f64, f64)],
+}
+
+/// Request on its way, and when its caller sent it first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Call {
+    workspace: u64,
+    number: u64,
+    sent: Instant,
+    retry: bool,
+    /// First router in the order of its caller.
+    router: usize,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Work {
+    Sample,
+    Accept,
+    Stream { key: u64 },
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Arrival { demand: usize, number: u64 },
+    Retry(Call),
+    Free { host: usize },
+    Due { host: usize, work: Work },
+    Reports,
+    Check,
+}
+
+struct Stream {
+    call: Call,
+    charge: f64,
+    next_at: Instant,
+    left: u32,
+    begun: bool,
+}
+
+struct Host {
+    fleet: Fleet,
+    share: f64,
+    is_busy: bool,
+    sample_due: Instant,
+    /// Reports that have not been read.
+    reports: VecDeque<Event>,
+    ready: VecDeque<Work>,
+    backlog: VecDeque<(Instant, Call)>,
+    streams: BTreeMap<u64, Stream>,
+    failed_checks: u32,
+}
+
+/// What a workspace asked for and was given in a second.
+#[derive(Debug, Clone, Copy, Default)]
+struct Second {
+    asked: f64,
+    begun: f64,
+    /// Requests that were refused, lost or answered late.
+    waiting: u32,
+    /// Streams refused for the router's own load.
+    router_busy: u32,
+    largest: f64,
+}
+
+struct Play {
+    start: Instant,
+    length: Duration,
+    demands: Vec<Demand>,
+    hosts: Vec<Host>,
+    steps: BinaryHeap<Reverse<(Instant, u64, Step)>>,
+    order: u64,
+    next_key: u64,
+    seconds: BTreeMap<u64, Vec<Second>>,
+}
+
+/// Returns a prompt of a workspace; a tenth are large and half are small.
+fn prompt(workspace: u64, number: u64) -> Prompt {
+    let own = match number * 7 % 10 {
+        0 => 20_000,
+        1..=4 => 3_000,
+        _ => 500,
+    };
+    let part = |id, tokens| Part { id, tokens };
+    Prompt {
+        input: 500 + own,
+        output: 300,
+        parts: vec![
+            part((workspace << 32) | (number % 50), 500),
+            part(u64::MAX, own),
+        ],
+    }
+}
+
+impl Play {
+    fn new(length: Duration, demands: Vec<Demand>) -> Self {
+        let start = Instant::now();
+        let names: Vec<String> = (0..SHARES.len()).map(|n| format!("r{n}")).collect();
+        let host = |(number, share): (usize, &f64)| {
+            let mut fleet = support::router(&names[number], 64, start);
+            fleet.handle(start, Event::Members(names.clone()));
+            Host {
+                fleet,
+                share: *share,
+                is_busy: false,
+                sample_due: start + SAMPLE_INTERVAL,
+                reports: VecDeque::new(),
+                ready: VecDeque::new(),
+                backlog: VecDeque::new(),
+                streams: BTreeMap::new(),
+                failed_checks: 0,
+            }
+        };
+        let mut play = Self {
+            start,
+            length,
+            hosts: SHARES.iter().enumerate().map(host).collect(),
+            steps: BinaryHeap::new(),
+            order: 0,
+            next_key: 0,
+            seconds: BTreeMap::new(),
+            demands,
+        };
+        for demand in 0..play.demands.len() {
+            play.at(start, Step::Arrival { demand, number: 0 });
+        }
+        for host in 0..SHARES.len() {
+            let work = Work::Sample;
+            play.at(start + SAMPLE_INTERVAL, Step::Due { host, work });
+        }
+        play.at(start, Step::Reports);
+        play.at(start, Step::Check);
+        play
+    }
+
+    fn at(&mut self, at: Instant, step: Step) {
+        self.order += 1;
+        self.steps.push(Reverse((at, self.order, step)));
+    }
+
+    fn run(mut self) -> Self {
+        while let Some(Reverse((now, _, step))) = self.steps.pop() {
+            if now > self.start + self.length {
+                break;
+            }
+            match step {
+                Step::Arrival { demand, number } => self.arrive(now, demand, number),
+                Step::Retry(call) => {
+                    let host = self.router_for(call.router, 1);
+                    self.connect(now, host, call);
+                }
+                Step::Free { host } => {
+                    self.hosts[host].is_busy = false;
+                    self.work(now, host);
+                }
+                Step::Due { host, work } => {
+                    self.hosts[host].ready.push_back(work);
+                    self.work(now, host);
+                }
+                Step::Reports => self.report(now),
+                Step::Check => {
+                    for host in &mut self.hosts {
+                        host.failed_checks = if host.fleet.sheds() {
+                            host.failed_checks + 1
+                        } else {
+                            0
+                        };
+                    }
+                    self.at(now + CHECK_INTERVAL, Step::Check);
+                }
+            }
+        }
+        self
+    }
+
+    /// Returns the router in rotation that has this place in the order of a caller.
+    fn router_for(&self, first: usize, place: usize) -> usize {
+        let order = (0..SHARES.len()).map(|n| (first + n) % SHARES.len());
+        let in_rotation: Vec<usize> = order
+            .filter(|n| self.hosts[*n].failed_checks < MAX_FAILED_CHECKS)
+            .collect();
+        // With less than half of them in rotation, the platform uses all.
+        if in_rotation.len() * 2 < SHARES.len() {
+            return (first + place) % SHARES.len();
+        }
+        in_rotation[place % in_rotation.len()]
+    }
+
+    fn second(&mut self, at: Instant, workspace: u64) -> &mut Second {
+        let index = usize::try_from((at - self.start).as_secs()).expect("it is short");
+        let seconds = self.seconds.entry(workspace).or_default();
+        if seconds.len() <= index {
+            seconds.resize(index + 1, Second::default());
+        }
+        &mut seconds[index]
+    }
+
+    fn arrive(&mut self, now: Instant, demand: usize, number: u64) {
+        let elapsed = (now - self.start).as_secs_f64();
+        let Demand {
+            workspace,
+            router,
+            rates,
+        } = self.demands[demand];
+        let rate = rates.iter().rev().find(|(from, _)| elapsed >= *from);
+        let rate = rate.map_or(1.0, |(_, rate)| *rate);
+        let next = now + Duration::from_secs_f64(1.0 / rate);
+        let arrival = Step::Arrival {
+            demand,
+            number: number + 1,
+        };
+        self.at(next, arrival);
+        let charge = prompt(workspace, number).charge();
+        let second = self.second(now, workspace);
+        second.asked += charge;
+        second.largest = second.largest.max(charge);
+        let call = Call {
+            workspace,
+            number,
+            sent: now,
+            retry: false,
+            router,
+        };
+        let host = self.router_for(router, 0);
+        self.connect(now, host, call);
+    }
+
+    fn connect(&mut self, now: Instant, host: usize, call: Call) {
+        if self.hosts[host].backlog.len() >= BACKLOG {
+            self.second(now, call.workspace).waiting += 1;
+            return;
+        }
+        let was_empty = self.hosts[host].backlog.is_empty();
+        self.hosts[host].backlog.push_back((now, call));
+        if was_empty {
+            self.hosts[host].ready.push_back(Work::Accept);
+            self.work(now, host);
+        }
+    }
+
+    /// Does the next piece of work of a router that has time.
+    fn work(&mut self, now: Instant, host: usize) {
+        if self.hosts[host].is_busy {
+            return;
+        }
+        let cost = if let Some(report) = self.hosts[host].reports.pop_front() {
+            self.hosts[host].fleet.handle(now, report);
+            REPORT_COST
+        } else if let Some(work) = self.hosts[host].ready.pop_front() {
+            match work {
+                Work::Sample => self.sample(now, host),
+                Work::Accept => self.accept(now, host),
+                Work::Stream { key } => self.forward(now, host, key),
+            }
+        } else {
+            return;
+        };
+        self.hosts[host].is_busy = true;
+        let free = now + cost.div_f64(self.hosts[host].share);
+        self.at(free, Step::Free { host });
+    }
+
+    fn sample(&mut self, now: Instant, number: usize) -> Duration {
+        let host = &mut self.hosts[number];
+        let lag = now - host.sample_due;
+        host.fleet.handle(now, Event::LoopLag(lag));
+        host.sample_due = now + SAMPLE_INTERVAL;
+        let (host, work) = (number, Work::Sample);
+        self.at(now + SAMPLE_INTERVAL, Step::Due { host, work });
+        SAMPLE_COST
+    }
+
+    fn report(&mut self, now: Instant) {
+        for sender in 0..self.hosts.len() {
+            self.hosts[sender].fleet.handle(now, Event::Tick);
+            let report = self.hosts[sender].fleet.report(now, Scope::All);
+            for host in 0..self.hosts.len() {
+                if host != sender {
+                    let event = Event::Report(report.clone());
+                    self.hosts[host].reports.push_back(event);
+                    self.work(now, host);
+                }
+            }
+        }
+        self.at(now + REPORT_INTERVAL, Step::Reports);
+    }
+
+    fn accept(&mut self, now: Instant, host: usize) -> Duration {
+        let mut cost = Duration::ZERO;
+        for _ in 0..ACCEPT_BATCH {
+            let Some((at, call)) = self.hosts[host].backlog.pop_front() else {
+                break;
+            };
+            // Its caller has gone.
+            if now - at > CONNECT_TIMEOUT {
+                self.second(at, call.workspace).waiting += 1;
+                continue;
+            }
+            cost += self.submit(now, host, call);
+        }
+        if !self.hosts[host].backlog.is_empty() {
+            self.hosts[host].ready.push_back(Work::Accept);
+        }
+        cost
+    }
+
+    fn submit(&mut self, now: Instant, host: usize, call: Call) -> Duration {
+        self.next_key += 1;
+        let key = self.next_key;
+        let prompt = prompt(call.workspace, call.number);
+        let (charge, output) = (prompt.charge(), prompt.output);
+        let fleet = &mut self.hosts[host].fleet;
+        let workspace = Some(WorkspaceHash(call.workspace));
+        if fleet.may_refuse_streams() {
+            let refused = fleet.overloaded(now, workspace, Some(&prompt));
+            if let Some(retry_after) = refused {
+                self.refused(now, call, Reason::RouterBusy, retry_after);
+                return REFUSAL_COST;
+            }
+            let request = submission(key, call.workspace, prompt, now);
+            let decisions = fleet.handle(now, Event::SubmitAdmitted(request));
+            return self.decided(now, host, call, key, (charge, output), &decisions);
+        }
+        let request = submission(key, call.workspace, prompt, now);
+        let decisions = fleet.handle(now, Event::Submit(request));
+        self.decided(now, host, call, key, (charge, output), &decisions)
+    }
+
+    fn decided(
+        &mut self,
+        now: Instant,
+        host: usize,
+        call: Call,
+        key: u64,
+        (charge, output): (f64, u32),
+        decisions: &[Decision],
+    ) -> Duration {
+        let refused = decisions.iter().find_map(|d| match d {
+            Decision::Fail {
+                reason,
+                retry_after,
+                ..
+            } => Some((*reason, *retry_after)),
+            _ => None,
+        });
+        if let Some((reason, retry_after)) = refused {
+            self.refused(now, call, reason, retry_after);
+            return PLACEMENT_REFUSAL_COST;
+        }
+        let next_at = now + FIRST_TOKEN;
+        let stream = Stream {
+            call,
+            charge,
+            next_at,
+            left: output / EVENT_TOKENS,
+            begun: false,
+        };
+        self.hosts[host].streams.insert(key, stream);
+        let work = Work::Stream { key };
+        self.at(next_at, Step::Due { host, work });
+        START_COST
+    }
+
+    fn refused(&mut self, now: Instant, call: Call, reason: Reason, retry_after: Duration) {
+        let second = self.second(now, call.workspace);
+        second.waiting += 1;
+        second.router_busy += u32::from(reason == Reason::RouterBusy);
+        if !call.retry {
+            let call = Call {
+                retry: true,
+                ..call
+            };
+            self.at(now + retry_after, Step::Retry(call));
+        }
+    }
+
+    /// Forwards the events of a stream that have arrived.
+    fn forward(&mut self, now: Instant, host: usize, key: u64) -> Duration {
+        let Some(stream) = self.hosts[host].streams.get_mut(&key) else {
+            return Duration::ZERO;
+        };
+        let (call, charge) = (stream.call, stream.charge);
+        let begins = !std::mem::replace(&mut stream.begun, true);
+        let mut tokens = 0;
+        while stream.next_at <= now && stream.left > 0 {
+            stream.next_at += EVENT_INTERVAL;
+            stream.left -= 1;
+            tokens += EVENT_TOKENS;
+        }
+        let (next_at, done) = (stream.next_at, stream.left == 0);
+        let key_of = RequestKey(key);
+        let fleet = &mut self.hosts[host].fleet;
+        if begins {
+            fleet.handle(now, Event::FirstByte(key_of));
+        }
+        let progress = Event::StreamProgress {
+            key: key_of,
+            gap: EVENT_INTERVAL * (tokens / EVENT_TOKENS),
+            tokens,
+        };
+        fleet.handle(now, progress);
+        if done {
+            fleet.handle(now, Event::Ended(key_of, Outcome::Answered));
+            self.hosts[host].streams.remove(&key);
+        } else {
+            let work = Work::Stream { key };
+            self.at(next_at, Step::Due { host, work });
+        }
+        if begins {
+            let is_late = now - call.sent > TARGET;
+            let second = self.second(now, call.workspace);
+            second.begun += charge;
+            second.waiting += u32::from(is_late);
+        }
+        EVENT_COST
+    }
+
+    /// Returns the least part of its due that a workspace was given in [`WINDOW`] seconds, in each of
+    /// which it waited; 1 if there are none. Its due is the lesser of what it asked for and what the best
+    /// served workspace was given, second by second.
+    fn least_part(&self, workspace: u64) -> f64 {
+        let own = &self.seconds[&workspace];
+        let best = |second: usize| {
+            let others = self.seconds.values();
+            let begun = others.map(|s| s.get(second).copied().unwrap_or_default().begun);
+            begun.fold(0.0, f64::max)
+        };
+        let windows = (0..=own.len() - WINDOW).filter(|from| {
+            let window = &own[*from..from + WINDOW];
+            window.iter().all(|s| s.waiting > 0)
+        });
+        let parts = windows.map(|from| {
+            let range = from..from + WINDOW;
+            let due: f64 = range.clone().map(|s| own[s].asked.min(best(s))).sum();
+            let largest = range.clone().map(|s| own[s].largest).fold(0.0, f64::max);
+            let begun: f64 = range.map(|s| own[s].begun).sum();
+            (begun + FREE_REQUESTS * largest) / due.max(1.0)
+        });
+        parts.fold(1.0, f64::min)
+    }
+}
+
+/// The largest workspace, whose callers meet at a small router, and one that is served best, by a large
+/// router.
+const LARGE: u64 = 1;
+const BEST: u64 = 2;
+/// Least part of its due that a workspace has to get.
+const MIN_PART: f64 = 0.5;
+
+/// Guards against a router that refuses streams for an overload that is over: its largest workspace asks
+/// for little for some seconds, and is refused some of that while the router has time to spare.
+#[test]
+fn overload_that_is_over_refuses_nothing() {
+    let demands = vec![
+        Demand {
+            workspace: LARGE,
+            router: 0,
+            rates: &[(0.0, 300.0), (1.0, 15.0)],
+        },
+        Demand {
+            workspace: BEST,
+            router: 2,
+            rates: &[(0.0, 150.0)],
+        },
+    ];
+    let play = Play::new(Duration::from_secs(9), demands).run();
+    let seconds = &play.seconds[&LARGE];
+    // The streams of the first second have ended, and the router is in rotation again.
+    let calm: u32 = seconds[4..8].iter().map(|s| s.router_busy).sum();
+    assert!(seconds[..2].iter().any(|s| s.router_busy > 0));
+    assert_eq!(calm, 0, "{seconds:?}");
+}
+
+/// Guards against a workspace that gets less than half of its due while its wave lasts, because the router
+/// that its callers meet spends its time on all else.
+#[test]
+fn wave_at_small_router_leaves_workspace_its_due() {
+    let demands = vec![
+        Demand {
+            workspace: LARGE,
+            router: 0,
+            rates: &[(0.0, 20.0), (2.0, 1_000.0)],
+        },
+        Demand {
+            workspace: BEST,
+            router: 2,
+            rates: &[(0.0, 300.0)],
+        },
+    ];
+    let play = Play::new(Duration::from_secs(16), demands).run();
+    let part = play.least_part(LARGE);
+    assert!(part >= MIN_PART, "{part} of {:?}", play.seconds[&LARGE]);
+}
--- a/crates/front/tests/all/metrics.rs
+++ b/crates/front/tests/all/metrics.rs
@@ -8,7 +8,7 @@
 use hibiscusrail_fleet::rollout::order::{Bounds, Order};
 use hibiscusrail_fleet::rollout::{Learner, Rollouts};
 use hibiscusrail_front::metrics::Metrics;
-use hibiscusrail_front::work::{Kind, Work};
+use hibiscusrail_front::work::{Kind, LoopTotals, Work};
 use hibiscusrail_net::server::AcceptEvent;
 
 /// Returns the names of the metrics on a page.
@@ -67,7 +67,11 @@
     metrics.store_error("servers");
     metrics.accept_counter()(AcceptEvent::BatchFull);
     let work = Work::new(Instant::now());
-    work.set_lag(Instant::now(), Duration::from_millis(200));
+    work.set_lag(
+        Instant::now(),
+        Duration::from_millis(200),
+        LoopTotals::default(),
+    );
     work.add(Kind::Refusal, Duration::from_micros(500));
     work.add(Kind::Refusal, Duration::from_micros(500));
     metrics.set_work(&work);
--- a/crates/process-tests/src/process.rs
+++ b/crates/process-tests/src/process.rs
@@ -64,6 +64,8 @@
 pub struct Router {
     /// Address for callers.
     pub address: SocketAddr,
+    /// Address at which the platform asks whether the router takes new connections.
+    pub ready: SocketAddr,
     child: Child,
     settings: PathBuf,
     /// File to which the processes' logs are appended, if they are kept.
@@ -101,6 +103,7 @@
         fs::write(&settings, text).expect("the folder for temporary files is writable");
         Self {
             address,
+            ready,
             child: spawn(&settings, logs.as_deref()),
             settings,
             logs,
