--- a/crates/fleet/tests/all/quota.rs
+++ b/crates/fleet/tests/all/quota.rs
@@ -21,6 +21,26 @@
     assert!(!quota.share_status(now, LARGE, 10_000.0).is_within());
 }
 
+#[test]
+fn usage_counts_window_and_pending() {
+    let now = Instant::now();
+    let mut quota = Quota::new(WINDOW);
+    quota.add_requested(now, SMALL, 1_000.0);
+    quota.add_admitted(now, SMALL, 400.0);
+    quota.add_pending(SMALL, 100.0);
+    quota.add_admitted(now, LARGE, 50_000.0);
+    let usage = quota.usage(now, SMALL);
+    assert_eq!(
+        [usage.requested, usage.received, usage.most_received].map(f64::to_bits),
+        [1_000.0, 500.0, 50_000.0].map(f64::to_bits)
+    );
+    let later = quota.usage(now + WINDOW, SMALL);
+    assert_eq!(
+        [later.requested, later.received].map(f64::to_bits),
+        [0.0, 100.0].map(f64::to_bits)
+    );
+}
+
 #[test]
 fn share_status_unused_share_goes_to_larger_demand() {
     let now = Instant::now();
--- a/crates/net/tests/event_loop.rs
+++ b/crates/net/tests/event_loop.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_net::EventLoop;
-use hibiscusrail_net::event_loop::{spawn, spawn_urgent, yield_now};
+use hibiscusrail_net::event_loop::{spawn, spawn_urgent, used, yield_now};
 
 /// Normal tasks that are always ready, as in a flood of connections.
 const FLOOD_TASKS: usize = 2_000;
@@ -105,6 +105,25 @@
     USED.set(USED.get() + time);
 }
 
+#[test]
+fn used_divides_time_by_queue() {
+    let event_loop = EventLoop::new(used_time).expect("the event loop is created");
+    event_loop.run(async {
+        spawn(async { work(Duration::from_millis(3)) });
+        spawn_urgent(async { work(Duration::from_millis(5)) });
+        while USED.get() < Duration::from_millis(8) {
+            yield_now().await;
+        }
+        // A turn is counted at its end.
+        compio::time::sleep(Duration::from_millis(1)).await;
+        let used = used();
+        assert_eq!(used.urgent, Duration::from_millis(5));
+        assert_eq!(used.tasks, Duration::from_millis(3));
+        assert_eq!(used.total(), Duration::from_millis(8));
+    });
+    assert_eq!(used().total(), Duration::ZERO);
+}
+
 #[test]
 fn usage_counts_time_of_all_tasks() {
     let event_loop = EventLoop::new(used_time).expect("the event loop is created");
