fleet: consider part of the requests of a workspace far over its share

Cause: what becomes free is divided by requests, not by shares. The limits on engines' load fall with the excess, but whoever asks most often meets each free place first; and where servers name a rate, every request had the same chance, their rate over the demand of all.

Now a falling part of the new requests of a workspace over 1.05 even shares is considered, and none from 1.25 on, before any server is looked at. Servers' named rates are divided by the demand of what is considered.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -230,6 +230,11 @@
         /// Why the servers were left out.
         exclusions: Exclusions,
     },
+    /// The workspace is so far over its share that no server was considered.
+    Share {
+        /// Usage of the workspace compared with its fair share.
+        share: ShareStatus,
+    },
     /// The router itself is overloaded.
     Router {
         /// Mean event loop lag.
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -153,7 +153,7 @@
     routers: u32,
     /// Number of those whose load is unknown, since they don't report.
     silent: u32,
-    /// Streams per second that are requested from all routers.
+    /// Streams per second for which routers consider servers.
     demand: f64,
     /// Standing of a new request while a plain server has all its slots in use.
     standing: Option<Standing>,
@@ -247,6 +247,9 @@
                 },
             );
         }
+        if !self.is_considered(key, share) {
+            return self.refuse_over_share(now, key, share);
+        }
         match self.choose(now, key, share) {
             Ok(candidate) => {
                 if candidate.inputs.cold.is_some() {
@@ -261,6 +264,43 @@
         }
     }
 
+    /// Returns whether servers are considered for a request: for a part of the new requests of a workspace
+    /// over its share, drawn by a hash.
+    fn is_considered(&self, key: RequestKey, share: ShareStatus) -> bool {
+        let is_new =
+            |r: &&Request| r.submission.prompt.is_some() && r.tried.is_empty() && !r.was_admitted();
+        let fraction = limits::considered_fraction(share);
+        if fraction >= 1.0 || self.requests.get(&key).filter(is_new).is_none() {
+            return true;
+        }
+        unit(placement::weight(key.0, self.own_hash.0)) < fraction
+    }
+
+    /// Returns the streams per second, at all routers, for which servers are considered.
+    fn considered_demand(&self, now: Instant) -> f64 {
+        let deployment = self.config.deployment.as_ref();
+        let throughput = deployment.map_or(0.0, |d| d.limits.throughput);
+        let tokens = self
+            .quota
+            .weighted_rate(now, throughput, limits::considered_fraction);
+        tokens / self.pressure.mean_charge().max(1.0)
+    }
+
+    /// Refuses a request of a workspace over its share for which no server was considered.
+    fn refuse_over_share(&mut self, now: Instant, key: RequestKey, share: ShareStatus) {
+        let target = self.requests.get(&key).map(|r| r.submission.target);
+        let left = target.map_or(Duration::ZERO, |t| t.saturating_duration_since(now));
+        self.refuse(
+            now,
+            key,
+            Refusal {
+                reason: Reason::OverShare,
+                retry_after: unknown_retry_after(left),
+                inputs: Some(RefusalInputs::Share { share }),
+            },
+        );
+    }
+
     /// Returns whether no server is registered of the version at which a stream has to go on.
     fn version_is_gone(&self, request: &Request) -> bool {
         let Some(version) = &request.version else {
@@ -333,7 +373,7 @@
             turn,
             closed_versions: self.closed_versions(now, request),
             routers,
-            demand: self.quota.requested_rate(now) / self.pressure.mean_charge().max(1.0),
+            demand: self.considered_demand(now),
             silent: routers.saturating_sub(u32::try_from(self.reporting + 1).unwrap_or(u32::MAX)),
             standing: None,
         };
@@ -369,9 +409,7 @@
         };
         let exclusions = candidates.exclusions;
         let target = request.submission.target.saturating_duration_since(now);
-        let retry_after = target
-            .mul_f64(RETRY_TARGET_FRACTION)
-            .max(MIN_UNKNOWN_RETRY_AFTER);
+        let retry_after = unknown_retry_after(target);
         let refusal = |wait: Duration| {
             Box::new(Refusal {
                 reason: match share {
@@ -540,7 +578,7 @@
     /// Routers of a large deployment learn late of each other's requests. If all of them used a
     /// server as soon as it has room, each request of the fleet would go there at once. So only a
     /// fraction of the requests may use it: little more than its rate, of all that the fleet
-    /// receives.
+    /// considers.
     fn accepts_rate(&self, ctx: &Context<'_>, server: &Server) -> bool {
         let used = server.rate_used(ctx.now, ctx.silent, ctx.routers);
         let Some(rate) = server.notice.rate.filter(|_| self.is_large()) else {
@@ -779,10 +817,9 @@
     }
 
     /// Returns a number from 0 to 1 that depends on the router, request and server.
-    #[allow(clippy::cast_precision_loss)]
     fn draw(&self, ctx: &Context<'_>, server: &Server) -> f64 {
         let seed = ctx.request.0 ^ u64::from(self.own_hash.0) << 32;
-        placement::weight(seed, server.hash) as f64 / u64::MAX as f64
+        unit(placement::weight(seed, server.hash))
     }
 
     /// Counts a request against the rate limit of its server, if that is cold or being probed.
@@ -882,6 +919,18 @@
     }
 }
 
+/// Returns the number from 0 to 1 that a hash stands for.
+#[allow(clippy::cast_precision_loss)]
+fn unit(hash: u64) -> f64 {
+    hash as f64 / u64::MAX as f64
+}
+
+/// Returns the retry delay where it is unknown when there is capacity, given the time left to the target.
+fn unknown_retry_after(left: Duration) -> Duration {
+    left.mul_f64(RETRY_TARGET_FRACTION)
+        .max(MIN_UNKNOWN_RETRY_AFTER)
+}
+
 /// Returns the software versions of servers, of which there are few.
 fn distinct_versions<'a>(eligible: &[Eligible<'a>]) -> Vec<&'a str> {
     let mut versions: Vec<&str> = Vec::new();
--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -49,6 +49,12 @@
 /// Upper bound of the factor on the limits, for a workspace that has received nothing.
 const MAX_LIMIT_FACTOR: f64 = 1.25;
 
+/// Excess up to which all requests of a workspace are considered.
+const FREE_EXCESS: f64 = 1.05;
+/// Excess from which none is. Of two workspaces that ask for more than there is, one then gets at most
+/// five thirds of the other's tokens, however many more requests it sends.
+const MAX_EXCESS: f64 = 1.25;
+
 /// Limits that a server is over.
 #[value]
 #[derive(Default)]
@@ -93,6 +99,19 @@
     }
 }
 
+/// Returns the fraction of a workspace's new requests for which servers are considered.
+///
+/// The limits on the servers' load alone don't keep a workspace to its share: one that sends many times the
+/// requests of others takes most of what becomes free, as each router finds it a moment too early.
+pub(super) fn considered_fraction(share: ShareStatus) -> f64 {
+    match share {
+        ShareStatus::Within => 1.0,
+        ShareStatus::Beyond { excess } => {
+            ((MAX_EXCESS - excess) / (MAX_EXCESS - FREE_EXCESS)).clamp(0.0, 1.0)
+        }
+    }
+}
+
 /// Returns whether a request may use an engine that is none of the first homes of its prefix.
 ///
 /// Each further copy of a prefix evicts others, so over the share only engines that are nearly idle
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -116,12 +116,29 @@
         self.account(workspace).admitted.add(now, tokens);
     }
 
-    /// Returns the tokens per second that all workspaces requested in the window.
+    /// Returns the tokens per second that all workspaces requested in the window, each weighted by
+    /// `weight` of its status while `throughput` tokens per second are shared.
     #[must_use]
-    pub fn requested_rate(&self, now: Instant) -> f64 {
+    pub fn weighted_rate(
+        &self,
+        now: Instant,
+        throughput: f64,
+        weight: impl Fn(ShareStatus) -> f64,
+    ) -> f64 {
         let accounts = self.accounts.values();
-        let requested: f64 = accounts.map(|a| a.requested.peek(now)).sum();
-        requested / self.window.as_secs_f64()
+        let usages: Vec<(f64, f64)> = accounts
+            .map(|a| (a.requested.peek(now), a.admitted.peek(now) + a.pending))
+            .collect();
+        let shared = Shared::new(&usages, throughput * self.window.as_secs_f64());
+        let weighted = usages.iter().map(|(requested, received)| {
+            let status = if throughput > 0.0 {
+                shared.status(*received)
+            } else {
+                ShareStatus::Within
+            };
+            requested * weight(status)
+        });
+        weighted.sum::<f64>() / self.window.as_secs_f64()
     }
 
     /// Returns what a workspace requested and received in the window.
@@ -146,22 +163,44 @@
         if throughput <= 0.0 {
             return ShareStatus::Within;
         }
-        let mut total_admitted = 0.0;
-        let mut requested = Vec::with_capacity(self.accounts.len());
-        for account in self.accounts.values_mut() {
-            requested.push(account.requested.sum(now));
-            total_admitted += account.received(now);
-        }
+        let accounts = self.accounts.values_mut();
+        let usages: Vec<(f64, f64)> = accounts
+            .map(|a| (a.requested.sum(now), a.received(now)))
+            .collect();
+        let received = self.account(workspace).received(now);
+        Shared::new(&usages, throughput * self.window.as_secs_f64()).status(received)
+    }
+}
+
+/// What is shared among the workspaces.
+struct Shared {
+    /// Largest guaranteed share.
+    guaranteed: f64,
+    /// Even share of everything that was given.
+    even: f64,
+}
+
+impl Shared {
+    /// Computes the shares of workspaces that requested and received so many tokens, of which
+    /// `guaranteed` are guaranteed to all together.
+    fn new(usages: &[(f64, f64)], guaranteed: f64) -> Self {
+        let mut requested: Vec<f64> = usages.iter().map(|(requested, _)| *requested).collect();
         requested.sort_by(f64::total_cmp);
-        let admitted = self.account(workspace).received(now);
-        let guaranteed = throughput * self.window.as_secs_f64();
-        if admitted < fair_share(&requested, guaranteed) {
+        let total_received = usages.iter().map(|(_, received)| *received).sum();
+        Self {
+            guaranteed: fair_share(&requested, guaranteed),
+            even: fair_share(&requested, total_received),
+        }
+    }
+
+    /// Returns the status of a workspace that received so many tokens.
+    fn status(&self, received: f64) -> ShareStatus {
+        if received < self.guaranteed {
             return ShareStatus::Within;
         }
-        let even_share = fair_share(&requested, total_admitted);
         ShareStatus::Beyond {
-            excess: if even_share.is_finite() {
-                admitted / even_share
+            excess: if self.even.is_finite() {
+                received / self.even
             } else {
                 1.0
             },
--- a/crates/front/src/shell.rs
+++ b/crates/front/src/shell.rs
@@ -503,6 +503,10 @@
             );
             return;
         }
+        RefusalInputs::Share { share } => {
+            log::info!(call = request.0, reason:? = reason, standing:? = share; "request_not_placed");
+            return;
+        }
         RefusalInputs::Router { lag, share } => {
             log::info!(
                 call = request.0,
