fleet: always consider an even share's worth of a workspace's requests

Cause: the part of the requests that is considered followed the excess over a window of four seconds alone, down to none.

Now one and a quarter even shares' worth of the requests is considered, whatever the excess. A workspace that sends many times the requests of others is held as before.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -230,7 +230,8 @@
         /// Why the servers were left out.
         exclusions: Exclusions,
     },
-    /// The workspace is so far over its share that no server was considered.
+    /// The workspace is so far over its share that servers are considered for a part of its requests
+    /// only, and this one is not of it.
     Share {
         /// Usage of the workspace compared with its fair share.
         share: ShareStatus,
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -247,7 +247,7 @@
                 },
             );
         }
-        if !self.is_considered(key, share) {
+        if !self.is_considered(now, key, share) {
             return self.refuse_over_share(now, key, share);
         }
         match self.choose(now, key, share) {
@@ -266,14 +266,19 @@
 
     /// Returns whether servers are considered for a request: for a part of the new requests of a workspace
     /// over its share, drawn by a hash.
-    fn is_considered(&self, key: RequestKey, share: ShareStatus) -> bool {
+    fn is_considered(&self, now: Instant, key: RequestKey, share: ShareStatus) -> bool {
         let is_new =
             |r: &&Request| r.submission.prompt.is_some() && r.tried.is_empty() && !r.was_admitted();
-        let fraction = limits::considered_fraction(share);
-        if fraction >= 1.0 || self.requests.get(&key).filter(is_new).is_none() {
+        let request = self.requests.get(&key).filter(is_new);
+        let Some(workspace) = request.and_then(|r| r.submission.workspace) else {
+            return true;
+        };
+        if share.is_within() {
             return true;
         }
-        unit(placement::weight(key.0, self.own_hash.0)) < fraction
+        let requested = self.quota.requested_shares(now, workspace);
+        let fraction = limits::considered_fraction(share, requested);
+        unit(placement::weight(key.0, self.own_hash.0)) <= fraction
     }
 
     /// Returns the streams per second, at all routers, for which servers are considered.
--- a/crates/fleet/src/fleet/limits.rs
+++ b/crates/fleet/src/fleet/limits.rs
@@ -51,8 +51,9 @@
 
 /// Excess up to which all requests of a workspace are considered.
 const FREE_EXCESS: f64 = 1.05;
-/// Excess from which none is. Of two workspaces that ask for more than there is, one then gets at most
-/// five thirds of the other's tokens, however many more requests it sends.
+/// Excess from which only so many even shares of its requests are. Of two workspaces that ask for more
+/// than there is, one then gets at most five thirds of the other's tokens, however many more requests it
+/// sends.
 const MAX_EXCESS: f64 = 1.25;
 
 /// Limits that a server is over.
@@ -102,12 +103,15 @@
 /// Returns the fraction of a workspace's new requests for which servers are considered.
 ///
 /// The limits on the servers' load alone don't keep a workspace to its share: one that sends many times the
-/// requests of others takes most of what becomes free, as each router finds it a moment too early.
-pub(super) fn considered_fraction(share: ShareStatus) -> f64 {
+/// requests of others takes most of what becomes free, as each router finds it a moment too early. What a
+/// workspace received before others came must not keep it from an even share now, so of the
+/// `requested_shares` even shares that it asks for [`MAX_EXCESS`] are always considered.
+pub(super) fn considered_fraction(share: ShareStatus, requested_shares: f64) -> f64 {
     match share {
         ShareStatus::Within => 1.0,
         ShareStatus::Beyond { excess } => {
-            ((MAX_EXCESS - excess) / (MAX_EXCESS - FREE_EXCESS)).clamp(0.0, 1.0)
+            let fraction = (MAX_EXCESS - excess) / (MAX_EXCESS - FREE_EXCESS);
+            fraction.max(MAX_EXCESS / requested_shares).clamp(0.0, 1.0)
         }
     }
 }
--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -117,18 +117,16 @@
     }
 
     /// Returns the tokens per second that all workspaces requested in the window, each weighted by
-    /// `weight` of its status while `throughput` tokens per second are shared.
+    /// `weight` of its status while `throughput` tokens per second are shared, and of the even shares
+    /// that it requested.
     #[must_use]
     pub fn weighted_rate(
         &self,
         now: Instant,
         throughput: f64,
-        weight: impl Fn(ShareStatus) -> f64,
+        weight: impl Fn(ShareStatus, f64) -> f64,
     ) -> f64 {
-        let accounts = self.accounts.values();
-        let usages: Vec<(f64, f64)> = accounts
-            .map(|a| (a.requested.peek(now), a.admitted.peek(now) + a.pending))
-            .collect();
+        let usages = self.usages(now);
         let shared = Shared::new(&usages, throughput * self.window.as_secs_f64());
         let weighted = usages.iter().map(|(requested, received)| {
             let status = if throughput > 0.0 {
@@ -136,11 +134,27 @@
             } else {
                 ShareStatus::Within
             };
-            requested * weight(status)
+            requested * weight(status, requested / shared.even)
         });
         weighted.sum::<f64>() / self.window.as_secs_f64()
     }
 
+    /// Returns what a workspace requested in the window, in even shares of everything that was given.
+    #[must_use]
+    pub fn requested_shares(&self, now: Instant, workspace: WorkspaceHash) -> f64 {
+        let account = self.accounts.get(&workspace);
+        let requested = account.map_or(0.0, |a| a.requested.peek(now));
+        requested / Shared::new(&self.usages(now), 0.0).even
+    }
+
+    /// Returns the tokens that each workspace requested and received in the window.
+    fn usages(&self, now: Instant) -> Vec<(f64, f64)> {
+        let accounts = self.accounts.values();
+        accounts
+            .map(|a| (a.requested.peek(now), a.admitted.peek(now) + a.pending))
+            .collect()
+    }
+
     /// Returns what a workspace requested and received in the window.
     #[must_use]
     pub fn usage(&self, now: Instant, workspace: WorkspaceHash) -> Usage {
