--- a/crates/fleet/tests/all/unequal_routers.rs
+++ b/crates/fleet/tests/all/unequal_routers.rs
@@ -1,12 +1,14 @@
 //! Workspaces whose callers meet at one router each, in a zone of routers with unequal processors.
 //!
-//! The platform sends all connections of a workspace's callers to the first router of an order of their own
-//! that is in rotation, and the retry of a refused caller to the next one. Each router has an event loop
+//! The platform sends all new connections of a workspace's callers, those for retries too, to the first router
+//! of an order of their own that is in rotation. Callers that keep connections
+//! open use an idle one first, whichever router it leads to. Each router has an event loop
 //! that works in order of arrival, urgent work first, and a queue of connections that wait to be accepted.
 //! Each kind of work has a cost. The engines have room for all that the routers can forward.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::engine::{Part, Prompt};
@@ -53,14 +55,49 @@
 const WINDOW: usize = 6;
 /// Requests that may be missing, the largest ones.
 const FREE_REQUESTS: f64 = 3.0;
-/// Processor shares of the routers.
+/// Requests on a connection until its caller closes it.
+const KEPT_REQUESTS: u64 = 5;
+/// Processor shares of the routers of a small zone, and of a larger one.
 const SHARES: [f64; 8] = [0.12, 0.12, 0.5, 0.12, 0.12, 0.12, 0.5, 0.12];
+const ZONE_SHARES: [f64; 19] = [
+    0.12, 0.12, 0.5, 0.12, 0.12, 0.25, 0.12, 0.12, 0.5, 0.12, 0.12, 0.25, 0.12, 0.12, 0.5, 0.12,
+    0.12, 0.25, 0.12,
+];
 
-/// Requests of a workspace, whose callers meet at one router.
+/// Where the callers of a workspace open connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Callers {
+    /// All of them at one router: the first in their order.
+    At(usize),
+    /// Evenly at all routers.
+    Spread,
+}
+
+/// Sizes of prompts and their answers, in tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Sizes {
+    /// Prompts without their shared part: a tenth have the first number of tokens, four tenths the second.
+    own: [u32; 3],
+    output: u32,
+}
+
+const LONG_PROMPTS: Sizes = Sizes {
+    own: [20_000, 3_000, 500],
+    output: 300,
+};
+/// With these the engines have room for all that a zone of routers forwards.
+const SHORT_PROMPTS: Sizes = Sizes {
+    own: [4_000, 600, 100],
+    output: 200,
+};
+
+/// Requests of a workspace.
 struct Demand {
     workspace: u64,
-    /// First router in the order of its callers.
-    router: usize,
+    callers: Callers,
+    prompts: Sizes,
+    /// Whether its callers keep connections open for further requests.
+    keeps: bool,
     /// Requests per second from each of these seconds on.
     rates: &'static [(f64, f64)],
 }
@@ -70,17 +107,25 @@
 struct Call {
     workspace: u64,
     number: u64,
+    prompts: Sizes,
     sent: Instant,
     retry: bool,
     /// First router in the order of its caller.
     router: usize,
+    /// Whether the caller keeps its connection, and whether the request came on a kept one.
+    keeps: bool,
+    kept: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Work {
     Sample,
     Accept,
-    Stream { key: u64 },
+    /// A request on a kept connection.
+    Request(Call),
+    Stream {
+        key: u64,
+    },
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -135,19 +180,21 @@
     order: u64,
     next_key: u64,
     seconds: BTreeMap<u64, Vec<Second>>,
+    /// Routers to which the callers of each workspace have idle connections.
+    idle: BTreeMap<u64, VecDeque<usize>>,
 }
 
-/// Returns a prompt of a workspace; a tenth are large and half are small.
-fn prompt(workspace: u64, number: u64) -> Prompt {
+/// Returns a prompt of a workspace.
+fn prompt(workspace: u64, number: u64, sizes: Sizes) -> Prompt {
     let own = match number * 7 % 10 {
-        0 => 20_000,
-        1..=4 => 3_000,
-        _ => 500,
+        0 => sizes.own[0],
+        1..=4 => sizes.own[1],
+        _ => sizes.own[2],
     };
     let part = |id, tokens| Part { id, tokens };
     Prompt {
         input: 500 + own,
-        output: 300,
+        output: sizes.output,
         parts: vec![
             part((workspace << 32) | (number % 50), 500),
             part(u64::MAX, own),
@@ -156,9 +203,9 @@
 }
 
 impl Play {
-    fn new(length: Duration, demands: Vec<Demand>) -> Self {
+    fn new(length: Duration, shares: &[f64], demands: Vec<Demand>) -> Self {
         let start = Instant::now();
-        let names: Vec<String> = (0..SHARES.len()).map(|n| format!("r{n}")).collect();
+        let names: Vec<String> = (0..shares.len()).map(|n| format!("r{n}")).collect();
         let host = |(number, share): (usize, &f64)| {
             let mut fleet = support::router(&names[number], 64, start);
             fleet.handle(start, Event::Members(names.clone()));
@@ -177,17 +224,18 @@
         let mut play = Self {
             start,
             length,
-            hosts: SHARES.iter().enumerate().map(host).collect(),
+            hosts: shares.iter().enumerate().map(host).collect(),
             steps: BinaryHeap::new(),
             order: 0,
             next_key: 0,
             seconds: BTreeMap::new(),
+            idle: BTreeMap::new(),
             demands,
         };
         for demand in 0..play.demands.len() {
             play.at(start, Step::Arrival { demand, number: 0 });
         }
-        for host in 0..SHARES.len() {
+        for host in 0..shares.len() {
             let work = Work::Sample;
             play.at(start + SAMPLE_INTERVAL, Step::Due { host, work });
         }
@@ -209,7 +257,7 @@
             match step {
                 Step::Arrival { demand, number } => self.arrive(now, demand, number),
                 Step::Retry(call) => {
-                    let host = self.router_for(call.router, 1);
+                    let host = self.router_for(call.router);
                     self.connect(now, host, call);
                 }
                 Step::Free { host } => {
@@ -236,17 +284,18 @@
         self
     }
 
-    /// Returns the router in rotation that has this place in the order of a caller.
-    fn router_for(&self, first: usize, place: usize) -> usize {
-        let order = (0..SHARES.len()).map(|n| (first + n) % SHARES.len());
+    /// Returns the first router in rotation in the order of a caller.
+    fn router_for(&self, first: usize) -> usize {
+        let count = self.hosts.len();
+        let order = (0..count).map(|n| (first + n) % count);
         let in_rotation: Vec<usize> = order
             .filter(|n| self.hosts[*n].failed_checks < MAX_FAILED_CHECKS)
             .collect();
         // With less than half of them in rotation, the platform uses all.
-        if in_rotation.len() * 2 < SHARES.len() {
-            return (first + place) % SHARES.len();
+        if in_rotation.len() * 2 < count {
+            return first;
         }
-        in_rotation[place % in_rotation.len()]
+        in_rotation[0]
     }
 
     fn second(&mut self, at: Instant, workspace: u64) -> &mut Second {
@@ -262,7 +311,9 @@
         let elapsed = (now - self.start).as_secs_f64();
         let Demand {
             workspace,
-            router,
+            callers,
+            prompts,
+            keeps,
             rates,
         } = self.demands[demand];
         let rate = rates.iter().rev().find(|(from, _)| elapsed >= *from);
@@ -273,18 +324,30 @@
             number: number + 1,
         };
         self.at(next, arrival);
-        let charge = prompt(workspace, number).charge();
+        let charge = prompt(workspace, number, prompts).charge();
         let second = self.second(now, workspace);
         second.asked += charge;
         second.largest = second.largest.max(charge);
+        let router = match callers {
+            Callers::At(router) => router,
+            Callers::Spread => usize::try_from(number).expect("it is small") % self.hosts.len(),
+        };
         let call = Call {
             workspace,
             number,
+            prompts,
             sent: now,
             retry: false,
             router,
+            keeps,
+            kept: false,
         };
-        let host = self.router_for(router, 0);
+        if let Some(host) = self.idle.get_mut(&workspace).and_then(VecDeque::pop_front) {
+            let work = Work::Request(Call { kept: true, ..call });
+            self.hosts[host].ready.push_back(work);
+            return self.work(now, host);
+        }
+        let host = self.router_for(router);
         self.connect(now, host, call);
     }
 
@@ -313,6 +376,7 @@
             match work {
                 Work::Sample => self.sample(now, host),
                 Work::Accept => self.accept(now, host),
+                Work::Request(call) => self.submit(now, host, call),
                 Work::Stream { key } => self.forward(now, host, key),
             }
         } else {
@@ -370,7 +434,7 @@
     fn submit(&mut self, now: Instant, host: usize, call: Call) -> Duration {
         self.next_key += 1;
         let key = self.next_key;
-        let prompt = prompt(call.workspace, call.number);
+        let prompt = prompt(call.workspace, call.number, call.prompts);
         let (charge, output) = (prompt.charge(), prompt.output);
         let fleet = &mut self.hosts[host].fleet;
         let workspace = Some(WorkspaceHash(call.workspace));
@@ -431,6 +495,7 @@
         if !call.retry {
             let call = Call {
                 retry: true,
+                kept: false,
                 ..call
             };
             self.at(now + retry_after, Step::Retry(call));
@@ -465,6 +530,9 @@
         if done {
             fleet.handle(now, Event::Ended(key_of, Outcome::Answered));
             self.hosts[host].streams.remove(&key);
+            if call.keeps && call.number % KEPT_REQUESTS != 0 {
+                self.idle.entry(call.workspace).or_default().push_back(host);
+            }
         } else {
             let work = Work::Stream { key };
             self.at(next_at, Step::Due { host, work });
@@ -478,6 +546,14 @@
         EVENT_COST
     }
 
+    /// Returns the part of what a workspace asked for in a range of seconds that it was given.
+    fn served_part(&self, workspace: u64, range: Range<usize>) -> f64 {
+        let seconds = &self.seconds[&workspace][range];
+        let asked: f64 = seconds.iter().map(|s| s.asked).sum();
+        let begun: f64 = seconds.iter().map(|s| s.begun).sum();
+        begun / asked
+    }
+
     /// Returns the least part of its due that a workspace was given in [`WINDOW`] seconds, in each of
     /// which it waited; 1 if there are none. Its due is the lesser of what it asked for and what the best
     /// served workspace was given, second by second.
@@ -509,6 +585,8 @@
 const BEST: u64 = 2;
 /// Least part of its due that a workspace has to get.
 const MIN_PART: f64 = 0.5;
+/// Least part of what it asks for that a workspace has to get which asks for less than an even share.
+const MIN_SMALL_PART: f64 = 0.95;
 
 /// Guards against a router that refuses streams for an overload that is over: its largest workspace asks
 /// for little for some seconds, and is refused some of that while the router has time to spare.
@@ -517,16 +595,20 @@
     let demands = vec![
         Demand {
             workspace: LARGE,
-            router: 0,
+            callers: Callers::At(0),
+            prompts: LONG_PROMPTS,
+            keeps: false,
             rates: &[(0.0, 300.0), (1.0, 15.0)],
         },
         Demand {
             workspace: BEST,
-            router: 2,
+            callers: Callers::At(2),
+            prompts: LONG_PROMPTS,
+            keeps: false,
             rates: &[(0.0, 150.0)],
         },
     ];
-    let play = Play::new(Duration::from_secs(9), demands).run();
+    let play = Play::new(Duration::from_secs(9), &SHARES, demands).run();
     let seconds = &play.seconds[&LARGE];
     // The streams of the first second have ended, and the router is in rotation again.
     let calm: u32 = seconds[4..8].iter().map(|s| s.router_busy).sum();
@@ -541,16 +623,50 @@
     let demands = vec![
         Demand {
             workspace: LARGE,
-            router: 0,
+            callers: Callers::At(0),
+            prompts: LONG_PROMPTS,
+            keeps: false,
             rates: &[(0.0, 20.0), (2.0, 1_000.0)],
         },
         Demand {
             workspace: BEST,
-            router: 2,
+            callers: Callers::At(2),
+            prompts: LONG_PROMPTS,
+            keeps: false,
             rates: &[(0.0, 300.0)],
         },
     ];
-    let play = Play::new(Duration::from_secs(16), demands).run();
+    let play = Play::new(Duration::from_secs(16), &SHARES, demands).run();
     let part = play.least_part(LARGE);
     assert!(part >= MIN_PART, "{part} of {:?}", play.seconds[&LARGE]);
 }
+
+/// Guards against a workspace that gets far less than it asks for and others get, since all its callers
+/// meet at the same two or three routers while the others of their zone are idle (issue 68).
+#[test]
+fn wave_on_kept_connections_spreads_over_routers() {
+    for first in 0..3 {
+        let wave = Demand {
+            workspace: LARGE,
+            callers: Callers::At(first),
+            prompts: SHORT_PROMPTS,
+            keeps: true,
+            rates: &[(0.0, 20.0), (2.0, 800.0)],
+        };
+        let others = (BEST..BEST + 8).map(|workspace| Demand {
+            workspace,
+            callers: Callers::Spread,
+            prompts: SHORT_PROMPTS,
+            keeps: true,
+            rates: &[(0.0, 20.0)],
+        });
+        let demands = others.chain([wave]).collect();
+        let play = Play::new(Duration::from_secs(20), &ZONE_SHARES, demands).run();
+        let part = play.served_part(LARGE, 14..20);
+        assert!(part >= MIN_PART, "{part} from router {first} on");
+        for other in BEST..BEST + 8 {
+            let part = play.served_part(other, 2..20);
+            assert!(part >= MIN_SMALL_PART, "{part} of workspace {other}");
+        }
+    }
+}
