fleet, front: leave the rotation when full, and keep the connections

Cause: the platform balances connections alone, and readiness said "not late any more". A router noticed by its lag that it was full, and then refused streams on kept connections too. Each refusal closes its connection, so the callers moved as a crowd of new connections to the next router and back, and their single retry, 150 to 450 ms later, met the router that had refused them.

Change: a router learns what a stream costs its event loop. It leaves the rotation when it has as many streams as fit and returns when most of that room is free. What is beyond the room is refused on new connections, of the workspace that requests most; on kept ones the lag alone decides, later than before. While the platform has not noticed, Retry-After says when it will have.

--- a/crates/fleet/src/event.rs
+++ b/crates/fleet/src/event.rs
@@ -14,6 +14,7 @@
 use crate::registry::ServerKey;
 use crate::rollout::order::Status;
 use crate::room::Standing;
+use crate::rotation::LoopUse;
 use crate::unrecorded::Shard;
 use crate::versions::VersionSet;
 
@@ -400,6 +401,8 @@
     },
     /// The event loop ran later than scheduled, by this lag.
     LoopLag(Duration),
+    /// The event loop used so much of its time since the last such event.
+    LoopUse(LoopUse),
     /// Periodic timer.
     Tick,
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -41,6 +41,7 @@
 use crate::versions::Versions;
 
 use learning::{FirstByte, Learning};
+pub use overload::BusyDelay;
 use overload::Shortfalls;
 
 /// Number of routers from which only those of the same zone report to each other in every period.
@@ -361,7 +362,7 @@
         let told_outage = recent
             .zip(answered)
             .is_some_and(|(recent, answered)| self.peers.tell_outage(recent, answered));
-        let is_cut_off = self.store_failed_at.is_some() && !self.sheds();
+        let is_cut_off = self.store_failed_at.is_some() && !self.is_late();
         !is_cut_off && !told_outage
     }
 
@@ -431,12 +432,6 @@
         self.store_failed_at.is_some()
     }
 
-    /// Returns whether callers' new connections should go to other routers.
-    #[must_use]
-    pub fn sheds(&self) -> bool {
-        self.pressure.sheds_connections()
-    }
-
     /// Returns the mean event loop lag of this router.
     #[must_use]
     pub fn loop_lag(&self) -> Duration {
@@ -499,6 +494,7 @@
                 status,
             } => self.apply_rollout_status(now, epoch_ms, &service, status.as_ref()),
             Event::LoopLag(lag) => self.observe_lag(now, lag),
+            Event::LoopUse(used) => self.pressure.observe_use(now, used, self.requests.len()),
             Event::Tick => self.tick(now),
         }
         std::mem::take(&mut self.decisions)
@@ -1388,21 +1384,6 @@
         self.log("members_changed", "routers", detail);
     }
 
-    fn observe_lag(&mut self, now: Instant, lag: Duration) {
-        self.learning.lateness.observe(now, lag);
-        if !self.pressure.observe(now, lag) {
-            return;
-        }
-        let event = if self.pressure.sheds_connections() {
-            "connections_shed"
-        } else {
-            "connections_taken"
-        };
-        let lag = self.pressure.lag().as_millis();
-        let detail = format!("late_ms={lag} requests={}", self.requests.len());
-        self.log(event, "router", detail);
-    }
-
     fn tick(&mut self, now: Instant) {
         let zone = name_hash(&self.params.zone);
         let own_ttl = self.params.report_ttl;
--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -14,6 +14,7 @@
 use crate::objects::{Service, TransferFacts};
 use crate::peers::Placement;
 use crate::placement;
+use crate::pressure::Connection;
 use crate::quota::ShareStatus;
 use crate::registry::ServerKey;
 use crate::rollout::Turn;
@@ -235,7 +236,11 @@
         let charge = initial_charge(request.filter(|r| !r.admitted));
         let workspace = request.and_then(|r| r.submission.workspace);
         let shortfall = limits::shortfall(share);
-        let admits = |charge| self.pressure.admits_stream(workspace, shortfall, charge);
+        let new = Connection::New;
+        let admits = |charge| {
+            self.pressure
+                .admits_stream(new, workspace, shortfall, charge)
+        };
         if charge.is_some_and(|c| !admits(c)) {
             let lag = self.pressure.lag();
             return self.refuse(
--- a/crates/fleet/src/fleet/overload.rs
+++ b/crates/fleet/src/fleet/overload.rs
@@ -6,8 +6,11 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use hibiscusrail_macros::value;
+
 use crate::engine::Prompt;
 use crate::peers::Total;
+use crate::pressure::Connection;
 use crate::quota::{ShareStatus, Usage, WorkspaceHash};
 use crate::suspects::SuspectKey;
 
@@ -18,6 +21,16 @@
 /// in which a wave brings many requests.
 const SHORTFALL_TTL: Duration = Duration::from_millis(20);
 
+/// When the caller of a refused stream should come back.
+#[value]
+pub struct BusyDelay {
+    /// Time until the platform sends new connections to another router; before it, the caller would come
+    /// back to this one.
+    pub notice: Duration,
+    /// Further time, of which callers get half to one and a half.
+    pub spread: Duration,
+}
+
 impl WorkspaceTotal {
     /// Returns the totals of a workspace for a report.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -42,17 +55,59 @@
     /// for every connection.
     #[must_use]
     pub fn may_refuse_streams(&self) -> bool {
-        self.pressure.sheds_connections() || !self.pressure.admits_stream(None, 0.0, 0.0)
+        self.pressure.may_refuse(self.requests.len())
     }
 
-    /// Records the demand of a request, and returns the retry delay if this router is too busy for
-    /// it. If it returns none, the request has to be submitted as an admitted one.
+    /// Returns whether callers' new connections should go to other routers.
+    #[must_use]
+    pub fn sheds(&self) -> bool {
+        self.pressure.sheds_connections()
+    }
+
+    /// Returns whether this router's event loop is late.
+    #[must_use]
+    pub fn is_late(&self) -> bool {
+        self.pressure.is_late()
+    }
+
+    /// Returns the mean fraction of this router's room for streams that is used.
+    #[must_use]
+    pub fn room_used(&self) -> f64 {
+        self.pressure.rotation().used()
+    }
+
+    pub(super) fn observe_lag(&mut self, now: Instant, lag: Duration) {
+        self.learning.lateness.observe(now, lag);
+        if self.pressure.observe(now, lag) {
+            self.log_rotation();
+        }
+    }
+
+    /// Logs that new connections should go to other routers, or come here again.
+    fn log_rotation(&mut self) {
+        let event = if self.sheds() {
+            "connections_shed"
+        } else {
+            "connections_taken"
+        };
+        let detail = format!(
+            "late_ms={} requests={} room_used={:.2}",
+            self.pressure.lag().as_millis(),
+            self.requests.len(),
+            self.room_used(),
+        );
+        self.log(event, "router", detail);
+    }
+
+    /// Records the demand of a request, and returns when its caller should come back if this router is too
+    /// busy for it. If it returns none, the request has to be submitted as an admitted one.
     pub fn overloaded(
         &mut self,
         now: Instant,
         workspace: Option<WorkspaceHash>,
         prompt: Option<&Prompt>,
-    ) -> Option<Duration> {
+        connection: Connection,
+    ) -> Option<BusyDelay> {
         self.record_demand(now, workspace, prompt);
         let prompt = prompt?;
         // Its refusal has a reason and a retry delay of its own.
@@ -61,10 +116,35 @@
             return None;
         }
         let shortfall = self.recent_shortfall(now, workspace);
-        let admits = self
-            .pressure
-            .admits_stream(workspace, shortfall, prompt.charge());
-        (!admits).then_some(SHORT_RETRY_AFTER)
+        let charge = prompt.charge();
+        let admits = self.has_room(now, connection, (workspace, shortfall), charge)
+            && self
+                .pressure
+                .admits_stream(connection, workspace, shortfall, charge);
+        (!admits).then(|| {
+            let notice = self.pressure.time_to_notice(now);
+            // Those refused in that time must not come back in a moment.
+            let spread = SHORT_RETRY_AFTER.max(notice / 2);
+            BusyDelay { notice, spread }
+        })
+    }
+
+    /// Returns whether there is room for a stream.
+    fn has_room(
+        &mut self,
+        now: Instant,
+        connection: Connection,
+        workspace: (Option<WorkspaceHash>, f64),
+        charge: f64,
+    ) -> bool {
+        let was_shed = self.sheds();
+        let requests = self.requests.len();
+        let pressure = &mut self.pressure;
+        let has_room = pressure.has_room(now, connection, workspace, charge, requests);
+        if self.sheds() != was_shed {
+            self.log_rotation();
+        }
+        has_room
     }
 
     /// Returns how far a workspace is below its share, as of [`SHORTFALL_TTL`] ago at most.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 //! * [`health`]: circuit breaker and error rate of a server;
 //! * [`notice`]: what a server announced in its responses;
 //! * [`pressure`]: overload of this router's event loop;
+//! * [`rotation`]: room of this router for streams, and whether it takes new connections;
 //! * [`peers`]: reports from the other routers;
 //! * [`members`]: the routers that share each limit;
 //! * [`splits`]: services among which the requests of a route were moved;
@@ -55,6 +56,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod room;
+pub mod rotation;
 pub mod splits;
 pub mod suspects;
 pub mod unrecorded;
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -1,19 +1,20 @@
 //! Overload control of this router, based on its event loop lag.
 //!
-//! All connections of one caller reach one router, so a workspace that becomes active can send a
-//! small host many times the traffic it can forward, while other routers are idle. Event loop lag
-//! shows this. The router then reports not ready, so that new connections go to other routers, and
-//! refuses streams that it could not forward in time.
+//! All new connections of one caller reach one router, so a workspace that becomes active can send a
+//! small host many times the traffic it can forward, while other routers are idle. The router takes the
+//! streams that it has room for, see [`Rotation`], and leaves the rotation: until the platform has noticed,
+//! it refuses the others on new connections, at their heads. Open connections are kept, as they tie callers
+//! to a router that has room for them.
 //!
-//! A refusal costs time too, so a small host can spend all of it on a wave. It leaves the rotation,
-//! recovers and returns, and the wave with it. As soon as it is late again, what it forwards for the
+//! Event loop lag shows that it has taken too much. It then refuses streams that it could not forward in
+//! time, those on kept connections last, since a refusal closes the connection. What it forwards for the
 //! workspace of the wave are the streams with the largest charge: they cost it no more than others.
-//! While it is in time it refuses nothing.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::quota::WorkspaceHash;
+use crate::rotation::{LoopUse, Rotation};
 
 /// Time constant of the lag's moving average: a fraction of the second between two readiness
 /// checks, and several iterations of a busy loop.
@@ -32,8 +33,8 @@
 const REFUSE_OVER_SHARE_LAG: Duration = Duration::from_millis(60);
 /// Mean lag from which all streams are refused: all of the 120 ms.
 const REFUSE_ALL_LAG: Duration = Duration::from_millis(120);
-/// Time constant with which the charge needed after an overload falls. It is above
-/// [`MIN_SHED_TIME`], since the wave comes back with the next connections.
+/// Time constant with which the charge needed after an overload falls. It is above the time for which a
+/// router leaves the rotation, since the wave comes back with the next connections.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
 /// Largest charge needed of the dominant workspace, relative to the mean charge. It is below 1 since
 /// the streams of a workspace may all have the same charge.
@@ -44,9 +45,15 @@
 const DOMINANT_FRACTION: f64 = 0.5;
 /// Moving average weight of the newest request in the mean charge.
 const CHARGE_WEIGHT: f64 = 0.02;
-/// Minimum time for which new connections go to other routers. The platform checks readiness once
-/// per second and acts on the second failed check.
-const MIN_SHED_TIME: Duration = Duration::from_millis(2_500);
+
+/// Connection on which a request arrives.
+#[hibiscusrail_macros::id]
+pub enum Connection {
+    /// A new one: the request is its first.
+    New,
+    /// One on which earlier requests were answered.
+    Kept,
+}
 
 /// Event loop lag of this router and the overload state derived from it.
 #[derive(Debug, Default)]
@@ -57,7 +64,9 @@
     observed_at: Option<Instant>,
     /// Mean charge of the streams requested from this router, in tokens.
     mean_charge: f64,
-    shed_since: Option<Instant>,
+    /// Whether the mean lag has been high since it was last low.
+    is_late: bool,
+    rotation: Rotation,
     /// Charge that a stream of the dominant workspace needs, relative to the mean charge.
     selectivity: f64,
     /// Streams requested recently, by workspace.
@@ -73,25 +82,20 @@
         self.lag = average(self.lag, lag, elapsed, AVERAGING_TIME);
         self.recent_lag = average(self.recent_lag, lag, elapsed, WAVE_AVERAGING_TIME);
         self.selectivity *= decay(elapsed, RECOVERY_TIME);
-        if self.shed_since.is_some() {
+        if self.sheds_connections() {
             let fraction = excess_fraction(self.recent_lag, ADMIT_ALL_LAG, REFUSE_OVER_SHARE_LAG);
             self.selectivity = self.selectivity.max(fraction.min(MAX_SELECTIVITY));
         }
         self.halve_counts(now);
-        match self.shed_since {
-            None if self.lag >= SHED_LAG => {
-                self.shed_since = Some(now);
-                true
-            }
-            Some(since)
-                if self.lag <= RESUME_LAG
-                    && now.saturating_duration_since(since) >= MIN_SHED_TIME =>
-            {
-                self.shed_since = None;
-                true
-            }
-            _ => false,
-        }
+        let has_recovered = self.lag <= RESUME_LAG;
+        self.is_late = self.lag >= SHED_LAG || (self.is_late && !has_recovered);
+        self.rotation.update(now, self.is_late, has_recovered)
+    }
+
+    /// Records the event loop's use while so many requests are in progress.
+    pub fn observe_use(&mut self, now: Instant, used: LoopUse, requests: usize) {
+        let in_time = self.recent_lag < ADMIT_ALL_LAG;
+        self.rotation.observe(now, used, requests, in_time);
     }
 
     /// Returns the mean charge, in tokens, of the streams requested from this router.
@@ -109,7 +113,66 @@
     /// Returns whether new connections should go to other routers.
     #[must_use]
     pub fn sheds_connections(&self) -> bool {
-        self.shed_since.is_some()
+        self.rotation.is_out()
+    }
+
+    /// Returns whether the event loop is late; otherwise the router may be out of rotation because it is
+    /// full.
+    #[must_use]
+    pub fn is_late(&self) -> bool {
+        self.is_late
+    }
+
+    /// Returns the router's room.
+    #[must_use]
+    pub fn rotation(&self) -> &Rotation {
+        &self.rotation
+    }
+
+    /// Returns whether streams may be refused while so many requests are in progress.
+    #[must_use]
+    pub fn may_refuse(&self, requests: usize) -> bool {
+        let new = Connection::New;
+        self.sheds_connections()
+            || self.rotation.is_crowded(requests)
+            || !self.admits_stream(new, None, 0.0, 0.0)
+    }
+
+    /// Returns whether there is room for a stream while so many requests are in progress; leaves the
+    /// rotation if a new connection finds none.
+    ///
+    /// Only the workspace that requests most of the streams is refused: on new connections what is beyond
+    /// the room, and, until the platform has noticed, the smaller streams of a workspace below its share.
+    /// What it is due in those seconds has to come from this router, and each connection that is closed
+    /// is replaced at once.
+    pub fn has_room(
+        &mut self,
+        now: Instant,
+        connection: Connection,
+        (workspace, shortfall): (Option<WorkspaceHash>, f64),
+        charge: f64,
+        requests: usize,
+    ) -> bool {
+        if !workspace.is_some_and(|w| self.is_dominant(w)) {
+            return true;
+        }
+        let is_new = connection == Connection::New;
+        if is_new && !self.rotation.has_room(requests) {
+            self.rotation.leave(now);
+            return false;
+        }
+        let needed = if self.time_to_notice(now).is_zero() {
+            0.0
+        } else {
+            shortfall * MAX_SELECTIVITY * self.mean_charge
+        };
+        charge >= needed && (!is_new || self.recent_lag < SHED_LAG)
+    }
+
+    /// Returns the time until the platform has noticed that new connections should go elsewhere.
+    #[must_use]
+    pub fn time_to_notice(&self, now: Instant) -> Duration {
+        self.rotation.time_to_notice(now)
     }
 
     fn halve_counts(&mut self, now: Instant) {
@@ -152,15 +215,21 @@
     #[must_use]
     pub fn admits_stream(
         &self,
+        connection: Connection,
         workspace: Option<WorkspaceHash>,
         shortfall: f64,
         charge: f64,
     ) -> bool {
         let raise = |from: Duration, to: Duration| from + (to - from).mul_f64(shortfall);
-        let low = raise(ADMIT_ALL_LAG, REFUSE_OVER_SHARE_LAG);
-        let high = raise(REFUSE_OVER_SHARE_LAG, REFUSE_ALL_LAG);
+        let (low, high) = match connection {
+            Connection::New => (
+                raise(ADMIT_ALL_LAG, REFUSE_OVER_SHARE_LAG),
+                raise(REFUSE_OVER_SHARE_LAG, REFUSE_ALL_LAG),
+            ),
+            Connection::Kept => (REFUSE_OVER_SHARE_LAG, REFUSE_ALL_LAG),
+        };
         let fraction = excess_fraction(self.lag, low, high);
-        let is_late = self.recent_lag > ADMIT_ALL_LAG;
+        let is_late = connection == Connection::New && self.recent_lag > ADMIT_ALL_LAG;
         let needed = if is_late && workspace.is_some_and(|w| self.is_dominant(w)) {
             fraction.max(self.selectivity)
         } else {
--- a/crates/fleet/tests/all/admission.rs
+++ b/crates/fleet/tests/all/admission.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::peers::{Report, Scope, Total};
+use hibiscusrail_fleet::pressure::Connection;
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::{Event, Fleet};
 
@@ -30,7 +31,10 @@
     let mut direct = support::router("r", 4, now);
     direct.handle(now, Event::Submit(submission(1, 1, prompt.clone(), now)));
     let mut asked = support::router("r", 4, now);
-    assert_eq!(asked.overloaded(now, WORKSPACE, Some(&prompt)), None);
+    assert_eq!(
+        asked.overloaded(now, WORKSPACE, Some(&prompt), Connection::New),
+        None
+    );
     let admitted = Event::SubmitAdmitted(submission(1, 1, prompt, now));
     assert!(sent_to(&asked.handle(now, admitted)).is_some());
     assert!(requested(&mut direct, now) > 0);
@@ -47,8 +51,8 @@
     let mut refusing = support::router("r", 4, now);
     overload(&mut refusing, now);
     assert!(refusing.may_refuse_streams());
-    let wait = refusing.overloaded(now, WORKSPACE, Some(&prompt));
-    assert!(wait.is_some_and(|w| !w.is_zero()));
+    let wait = refusing.overloaded(now, WORKSPACE, Some(&prompt), Connection::New);
+    assert!(wait.is_some_and(|w| !w.spread.is_zero()));
     assert_eq!(requested(&mut refusing, now), requested(&mut direct, now));
     assert_eq!(refusing.requests(), 0);
 }
@@ -59,7 +63,10 @@
     let now = Instant::now();
     let prompt = prompt(1, 2_000);
     let mut fleet = support::router("r", 4, now);
-    assert_eq!(fleet.overloaded(now, WORKSPACE, Some(&prompt)), None);
+    assert_eq!(
+        fleet.overloaded(now, WORKSPACE, Some(&prompt), Connection::New),
+        None
+    );
     overload(&mut fleet, now);
     let admitted = Event::SubmitAdmitted(submission(1, 1, prompt, now));
     assert!(sent_to(&fleet.handle(now, admitted)).is_some());
@@ -102,7 +109,7 @@
     let mut fleet = support::router("r", 4, now);
     // The small streams below have less than the mean charge.
     assert_eq!(
-        fleet.overloaded(now, WORKSPACE, Some(&prompt(1, 50_000))),
+        fleet.overloaded(now, WORKSPACE, Some(&prompt(1, 50_000)), Connection::New),
         None
     );
     for _ in 0..200 {
@@ -112,11 +119,18 @@
     // Workspace 1 does not request most of the streams.
     for _ in 0..5 {
         let other = Some(WorkspaceHash(2));
-        let _ = fleet.overloaded(now, other, Some(&prompt(1, 50_000)));
+        let _ = fleet.overloaded(now, other, Some(&prompt(1, 50_000)), Connection::New);
     }
     let small = prompt(1, 100);
-    assert_eq!(fleet.overloaded(now, WORKSPACE, Some(&small)), None);
+    assert_eq!(
+        fleet.overloaded(now, WORKSPACE, Some(&small), Connection::New),
+        None
+    );
     report_large_share(&mut fleet, now);
     now += Duration::from_millis(20);
-    assert!(fleet.overloaded(now, WORKSPACE, Some(&small)).is_some());
+    assert!(
+        fleet
+            .overloaded(now, WORKSPACE, Some(&small), Connection::New)
+            .is_some()
+    );
 }
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -32,6 +32,7 @@
 mod rollout_verdict;
 mod rollouts;
 mod room;
+mod rotation;
 mod server_rates;
 mod splits;
 mod stalls;
--- a/crates/fleet/tests/all/unequal_routers.rs
+++ b/crates/fleet/tests/all/unequal_routers.rs
@@ -14,7 +14,9 @@
 use hibiscusrail_fleet::engine::{Part, Prompt};
 use hibiscusrail_fleet::event::Reason;
 use hibiscusrail_fleet::peers::Scope;
+use hibiscusrail_fleet::pressure::Connection;
 use hibiscusrail_fleet::quota::WorkspaceHash;
+use hibiscusrail_fleet::rotation::LoopUse;
 use hibiscusrail_fleet::{Decision, Event, Fleet, Outcome, RequestKey};
 
 use super::support::{self, submission};
@@ -151,6 +153,10 @@
     share: f64,
     is_busy: bool,
     sample_due: Instant,
+    sampled_at: Instant,
+    /// Time used since then for control work and for requests.
+    control: Duration,
+    requests: Duration,
     /// Reports that have not been read.
     reports: VecDeque<Event>,
     ready: VecDeque<Work>,
@@ -214,6 +220,9 @@
                 share: *share,
                 is_busy: false,
                 sample_due: start + SAMPLE_INTERVAL,
+                sampled_at: start,
+                control: Duration::ZERO,
+                requests: Duration::ZERO,
                 reports: VecDeque::new(),
                 ready: VecDeque::new(),
                 backlog: VecDeque::new(),
@@ -369,27 +378,37 @@
         if self.hosts[host].is_busy {
             return;
         }
-        let cost = if let Some(report) = self.hosts[host].reports.pop_front() {
+        let (control, requests) = if let Some(report) = self.hosts[host].reports.pop_front() {
             self.hosts[host].fleet.handle(now, report);
-            REPORT_COST
+            (REPORT_COST, Duration::ZERO)
         } else if let Some(work) = self.hosts[host].ready.pop_front() {
             match work {
-                Work::Sample => self.sample(now, host),
+                Work::Sample => (self.sample(now, host), Duration::ZERO),
                 Work::Accept => self.accept(now, host),
-                Work::Request(call) => self.submit(now, host, call),
-                Work::Stream { key } => self.forward(now, host, key),
+                Work::Request(call) => (Duration::ZERO, self.submit(now, host, call)),
+                Work::Stream { key } => (Duration::ZERO, self.forward(now, host, key)),
             }
         } else {
             return;
         };
-        self.hosts[host].is_busy = true;
-        let free = now + cost.div_f64(self.hosts[host].share);
+        let host_state = &mut self.hosts[host];
+        host_state.is_busy = true;
+        host_state.control += control.div_f64(host_state.share);
+        host_state.requests += requests.div_f64(host_state.share);
+        let free = now + (control + requests).div_f64(host_state.share);
         self.at(free, Step::Free { host });
     }
 
     fn sample(&mut self, now: Instant, number: usize) -> Duration {
         let host = &mut self.hosts[number];
         let lag = now - host.sample_due;
+        let elapsed = now - std::mem::replace(&mut host.sampled_at, now);
+        let part = |time: &mut Duration| std::mem::take(time).div_duration_f64(elapsed);
+        let used = LoopUse {
+            control: part(&mut host.control),
+            requests: part(&mut host.requests),
+        };
+        host.fleet.handle(now, Event::LoopUse(used));
         host.fleet.handle(now, Event::LoopLag(lag));
         host.sample_due = now + SAMPLE_INTERVAL;
         let (host, work) = (number, Work::Sample);
@@ -412,8 +431,9 @@
         self.at(now + REPORT_INTERVAL, Step::Reports);
     }
 
-    fn accept(&mut self, now: Instant, host: usize) -> Duration {
-        let mut cost = Duration::ZERO;
+    /// Accepts a batch of connections; returns the costs of refusing and of beginning their requests.
+    fn accept(&mut self, now: Instant, host: usize) -> (Duration, Duration) {
+        let (mut refusing, mut beginning) = (Duration::ZERO, Duration::ZERO);
         for _ in 0..ACCEPT_BATCH {
             let Some((at, call)) = self.hosts[host].backlog.pop_front() else {
                 break;
@@ -423,12 +443,15 @@
                 self.second(at, call.workspace).waiting += 1;
                 continue;
             }
-            cost += self.submit(now, host, call);
+            match self.submit(now, host, call) {
+                REFUSAL_COST => refusing += REFUSAL_COST,
+                cost => beginning += cost,
+            }
         }
         if !self.hosts[host].backlog.is_empty() {
             self.hosts[host].ready.push_back(Work::Accept);
         }
-        cost
+        (refusing, beginning)
     }
 
     fn submit(&mut self, now: Instant, host: usize, call: Call) -> Duration {
@@ -438,9 +461,15 @@
         let (charge, output) = (prompt.charge(), prompt.output);
         let fleet = &mut self.hosts[host].fleet;
         let workspace = Some(WorkspaceHash(call.workspace));
+        let connection = if call.kept {
+            Connection::Kept
+        } else {
+            Connection::New
+        };
         if fleet.may_refuse_streams() {
-            let refused = fleet.overloaded(now, workspace, Some(&prompt));
-            if let Some(retry_after) = refused {
+            let refused = fleet.overloaded(now, workspace, Some(&prompt), connection);
+            if let Some(delay) = refused {
+                let retry_after = delay.notice + delay.spread;
                 self.refused(now, call, Reason::RouterBusy, retry_after);
                 return REFUSAL_COST;
             }
--- a/crates/front/benches/refusal.rs
+++ b/crates/front/benches/refusal.rs
@@ -21,6 +21,7 @@
 use hibiscusrail_core::SystemClock;
 use hibiscusrail_fleet::objects::Repeat;
 use hibiscusrail_fleet::placement::name_hash;
+use hibiscusrail_fleet::pressure::Connection;
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_fleet::unrecorded::Shard;
 use hibiscusrail_fleet::{Event, RequestKey, Submission};
@@ -251,7 +252,9 @@
     time("reducer: the same without a submission", count, |key| {
         let workspace = Some(WorkspaceHash(key % 30));
         let prompt = prompt();
-        black_box(shell.with_fleet_mut(|f| f.overloaded(shell.now(), workspace, Some(&prompt))));
+        black_box(shell.with_fleet_mut(|f| {
+            f.overloaded(shell.now(), workspace, Some(&prompt), Connection::New)
+        }));
     });
     time("two log lines, mostly dropped", count, |key| {
         log::info!(call = key, reason:? = "RouterBusy", late_ms = 500, standing:? = 1; "request_not_placed");
--- a/crates/front/src/caller.rs
+++ b/crates/front/src/caller.rs
@@ -7,6 +7,7 @@
 use futures_util::FutureExt;
 use hibiscusrail_fleet::objects::{Deployment, EngineFacts, Repeat, Route, without_port};
 use hibiscusrail_fleet::placement::name_hash;
+use hibiscusrail_fleet::pressure::Connection;
 use hibiscusrail_fleet::unrecorded::Shard;
 use hibiscusrail_fleet::{Event, Fleet, Outcome, Submission, event};
 use hibiscusrail_net::body::{CollectError, collect_charged};
@@ -62,9 +63,9 @@
                 response.headers_mut().insert(name, id);
             }
             // Frees the connection: a refused caller retries on a new one, which the platform opens
-            // to another router while this one is overloaded.
+            // to another router while this one is late.
             let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-            let full = shell.connections_half_full() || shell.with_fleet(Fleet::sheds);
+            let full = shell.connections_half_full() || shell.with_fleet(Fleet::is_late);
             if shell.is_stopping() || (refused && full) {
                 response = close_after(response);
             }
@@ -150,7 +151,7 @@
         Err(refusal) => return refuse_unread(shell, &parts, body, &refusal).await,
     };
     if let Some(demand) = &routed.demand {
-        if let Some(response) = demand.refuse(shell, &parts.headers) {
+        if let Some(response) = demand.refuse(shell, &parts.headers, Connection::Kept) {
             discard(&parts.headers, body).await;
             return response.map(full);
         }
--- a/crates/front/src/overload.rs
+++ b/crates/front/src/overload.rs
@@ -10,6 +10,7 @@
 use hibiscusrail_fleet::engine::Prompt;
 use hibiscusrail_fleet::event::Reason;
 use hibiscusrail_fleet::placement::name_hash;
+use hibiscusrail_fleet::pressure::Connection;
 use hibiscusrail_fleet::quota::WorkspaceHash;
 use hibiscusrail_net::logs;
 use hibiscusrail_net::triage::{Triage, Verdict};
@@ -54,32 +55,44 @@
     /// Counts the demand and returns the refusal if the router is overloaded; otherwise the request
     /// is admitted.
     #[must_use]
-    pub fn refuse(&self, shell: &Shell, headers: &HeaderMap) -> Option<Response<Bytes>> {
+    pub fn refuse(
+        &self,
+        shell: &Shell,
+        headers: &HeaderMap,
+        connection: Connection,
+    ) -> Option<Response<Bytes>> {
         let now = shell.now();
         let prompt = Some(&self.prompt);
-        let wait = shell.with_fleet_mut(|f| f.overloaded(now, self.workspace, prompt))?;
+        let delay =
+            shell.with_fleet_mut(|f| f.overloaded(now, self.workspace, prompt, connection))?;
         let id = headers.get(&shell.protocol().request_id);
         self.counters.count();
         shell
             .unserved()
             .count(self.counters.workspace(), Reason::RouterBusy);
+        if connection == Connection::Kept {
+            shell.unserved().count_kept(self.counters.workspace());
+        }
         let time = shell.now().saturating_duration_since(now);
         shell.work().add(Kind::Refusal, time);
         if logs::has_token() {
             let (late, share) =
                 shell.with_fleet_mut(|f| (f.loop_lag(), f.workspace_share(now, self.workspace)));
+            let room_used = shell.with_fleet(Fleet::room_used);
             log::info!(
                 request:? = id,
                 workspace = self.counters.workspace(),
                 reason:? = Reason::RouterBusy,
+                connection:? = connection,
                 late_ms = millis(late),
+                room_used = room_used,
                 standing:? = share;
                 "stream_refused"
             );
         }
         let remaining = caller::caller_timeout(shell, headers);
         let text = id.and_then(|v| v.to_str().ok()).unwrap_or_default();
-        let wait = refusal::retry_delay(Reason::RouterBusy, wait, text);
+        let wait = delay.notice + refusal::retry_delay(Reason::RouterBusy, delay.spread, text);
         let mut response = refusal::busy(wait, remaining);
         if let Some(id) = id {
             let name = shell.protocol().request_id.clone();
@@ -135,7 +148,7 @@
         let Some(demand) = demand.filter(|_| !shell.is_stopping()) else {
             return Verdict::Serve;
         };
-        match demand.refuse(&shell, &request.headers) {
+        match demand.refuse(&shell, &request.headers, Connection::New) {
             Some(response) => Verdict::Refuse(response),
             None => Verdict::Admit,
         }
--- a/crates/front/src/start.rs
+++ b/crates/front/src/start.rs
@@ -22,7 +22,7 @@
 use crate::protocol::Protocol;
 use crate::shell::Shell;
 use crate::watch::{self, Store};
-use crate::work::LoopTotals;
+use crate::work::{LoopTotals, UseMeter};
 use crate::{caller, health, overload, records, refusal, rollouts, state, stop, unserved};
 
 /// Exit code if requests were still running when the stop timeout expired.
@@ -227,6 +227,7 @@
 
 /// Measures the event loop lag until the task is dropped.
 async fn measure_loop_lag(shell: Rc<Shell>) {
+    let mut meter = UseMeter::new(shell.now());
     loop {
         let due = shell.now() + LAG_INTERVAL;
         compio::time::sleep(LAG_INTERVAL).await;
@@ -235,7 +236,9 @@
             used: event_loop::used(),
             accepted: shell.connections().totals(),
         };
-        shell.work().set_lag(shell.now(), lag, totals);
+        let now = shell.now();
+        shell.work().set_lag(now, lag, totals);
+        shell.handle(Event::LoopUse(meter.take(now, totals)));
         shell.handle(Event::LoopLag(lag));
     }
 }
--- a/crates/front/src/unserved.rs
+++ b/crates/front/src/unserved.rs
@@ -30,6 +30,8 @@
     busy: u32,
     /// All other reasons.
     other: u32,
+    /// Of those for the router's overload, on kept connections, which are then closed.
+    on_kept: u32,
 }
 
 impl Refused {
@@ -68,6 +70,13 @@
         }
     }
 
+    /// Counts that a request was refused on a kept connection, after [`Self::count`].
+    pub fn count_kept(&self, workspace: &str) {
+        if let Some(refused) = self.refused.borrow_mut().get_mut(workspace) {
+            refused.on_kept += 1;
+        }
+    }
+
     /// Logs the workspaces with the most refusals since the last call, `over` ago.
     fn log(&self, shell: &Shell, now: Instant, over: Duration) {
         let mut refused: Vec<(String, Refused)> = self.refused.take().into_iter().collect();
@@ -99,6 +108,7 @@
                 over_share = refused.over_share,
                 busy = refused.busy,
                 other = refused.other,
+                on_kept = refused.on_kept,
                 fleet_requested = whole(usage.requested),
                 fleet_received = whole(usage.received),
                 most_received = whole(usage.most_received),
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use hibiscusrail_fleet::Event;
+use hibiscusrail_fleet::rotation::LoopUse;
 use hibiscusrail_net::event_loop::Used;
 use hibiscusrail_net::server::AcceptTotals;
 
@@ -89,7 +90,7 @@
             | Event::Versions(..)
             | Event::VersionsSaved(_)
             | Event::RolloutStatus { .. } => Self::Store,
-            Event::LoopLag(_) | Event::Tick | Event::Stopping => Self::Other,
+            Event::LoopLag(_) | Event::LoopUse(_) | Event::Tick | Event::Stopping => Self::Other,
         }
     }
 
@@ -133,6 +134,53 @@
     pub accepted: AcceptTotals,
 }
 
+impl LoopTotals {
+    /// Returns the time for control work and that for requests.
+    fn split(self) -> (Duration, Duration) {
+        let requests = self.used.total() - self.used.urgent;
+        let accepting = self.accepted.time.min(requests);
+        (self.used.urgent + accepting, requests - accepting)
+    }
+}
+
+/// Measures the event loop's use between two observations.
+#[derive(Debug)]
+pub struct UseMeter {
+    at: Instant,
+    control: Duration,
+    requests: Duration,
+}
+
+impl UseMeter {
+    /// Creates a meter for a loop that begins now.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            at: now,
+            control: Duration::ZERO,
+            requests: Duration::ZERO,
+        }
+    }
+
+    /// Returns the use since the last call.
+    pub fn take(&mut self, now: Instant, totals: LoopTotals) -> LoopUse {
+        let elapsed = now.saturating_duration_since(std::mem::replace(&mut self.at, now));
+        let (control, requests) = totals.split();
+        let before = std::mem::replace(&mut self.control, control);
+        let control = control.saturating_sub(before);
+        let before = std::mem::replace(&mut self.requests, requests);
+        let requests = requests.saturating_sub(before);
+        let part = |time: Duration| match elapsed.is_zero() {
+            true => 0.0,
+            false => (time.as_secs_f64() / elapsed.as_secs_f64()).min(1.0),
+        };
+        LoopUse {
+            control: part(control),
+            requests: part(requests),
+        }
+    }
+}
+
 /// State at the last log line.
 #[derive(Debug, Clone, Copy)]
 struct Logged {
--- a/crates/front/tests/all/overload.rs
+++ b/crates/front/tests/all/overload.rs
@@ -10,7 +10,7 @@
 };
 
 const HEAD: &str = "POST /stream/x HTTP/1.1\r\nhost: host\r\nauthorization: Bearer key\r\n\
-                    x-wait-ms: 5000\r\n";
+                    x-wait-ms: 12000\r\n";
 
 fn request(id: &str) -> String {
     format!("{HEAD}x-id: {id}\r\n\r\n")
@@ -78,19 +78,34 @@
     });
 }
 
+/// Returns the delays, in seconds, that twenty refused callers are told, in ascending order.
+async fn refusal_delays(front: &Front) -> Vec<f64> {
+    let mut delays = Vec::new();
+    for number in 0..20 {
+        let response = front.raw(&request(&format!("id{number}"))).await;
+        let delay = header(&response, "retry-after").expect("it is set");
+        delays.push(delay.parse::<f64>().expect("a number of seconds"));
+    }
+    delays.sort_by(f64::total_cmp);
+    delays
+}
+
+/// Keeps a router overloaded until the platform has noticed that it left the rotation.
+fn await_notice(front: &Front) {
+    for _ in 0..210 {
+        std::thread::sleep(std::time::Duration::from_millis(10));
+        front.overload();
+    }
+}
+
 /// Guards against a wave that comes back in step.
 #[test]
 fn refusals_spread_their_retry_delays() {
     run(async {
         let front = Front::start(&[]);
         front.overload();
-        let mut delays = Vec::new();
-        for number in 0..20 {
-            let response = front.raw(&request(&format!("id{number}"))).await;
-            let delay = header(&response, "retry-after").expect("it is set");
-            delays.push(delay.parse::<f64>().expect("a number of seconds"));
-        }
-        delays.sort_by(f64::total_cmp);
+        await_notice(&front);
+        let delays = refusal_delays(&front).await;
         assert!(delays[0] >= 0.15 && delays[19] <= 0.45, "{delays:?}");
         assert!(delays[19] - delays[0] > 0.15, "{delays:?}");
         let again = front.raw(&request("id0")).await;
@@ -99,6 +114,22 @@
     });
 }
 
+/// Guards against callers who come back to the router that has refused them, since the platform has not
+/// noticed yet that it left the rotation (issue 68).
+#[test]
+fn refusals_last_until_rotation_has_changed() {
+    run(async {
+        let front = Front::start(&[]);
+        let left = std::time::Instant::now();
+        front.overload();
+        let delays = refusal_delays(&front).await;
+        // The platform notices within two seconds.
+        let until = 2.0 - left.elapsed().as_secs_f64();
+        assert!(delays[0] >= until && delays[19] <= 3.5, "{delays:?}");
+        assert!(delays[19] - delays[0] > 0.15, "{delays:?}");
+    });
+}
+
 /// Guards against a request that is counted or refused a second time after its head was admitted.
 #[test]
 fn recovering_router_forwards_admitted_streams() {
--- a/crates/process-tests/tests/overload.rs
+++ b/crates/process-tests/tests/overload.rs
@@ -13,9 +13,12 @@
 
 /// Memory of each router's host in megabytes.
 const MEMORY_MB: u32 = 200;
-/// Time for which the process runs in turn, and is paused.
+/// Time for which the process runs in turn, and is paused, and the pause that makes it refuse all streams.
 const RUN_TIME: Duration = Duration::from_millis(15);
 const PAUSE_TIME: Duration = Duration::from_millis(85);
+const LONG_PAUSE_TIME: Duration = Duration::from_millis(285);
+/// Longest delay that a refused caller is told unless the router has just left the rotation.
+const SHORT_DELAY: Duration = Duration::from_millis(450);
 /// Clients of the wave, and its length.
 const WAVE_CLIENTS: u64 = 24;
 const WAVE_TIME: Duration = Duration::from_secs(3);
@@ -28,20 +31,23 @@
 const WAVE_TOKENS: u32 = 2_000;
 const CALM_TOKENS: u32 = 100;
 
-/// Sends streams to a router until the wave is over.
-fn send_wave(address: SocketAddr, number: u64, is_over: &AtomicBool) {
+/// Sends streams to a router until the wave is over; returns the longest delay that it was told.
+fn send_wave(address: SocketAddr, number: u64, is_over: &AtomicBool) -> Duration {
     let mut client = Client::new(address).with_tokens(WAVE_TOKENS, 20);
+    let mut longest = Duration::ZERO;
     for attempt in 0.. {
         if is_over.load(Ordering::Relaxed) {
-            return;
+            break;
         }
         client.call("/stream/", &format!("wave-{number}-{attempt}"), KEY);
+        longest = longest.max(client.retry_after().unwrap_or_default());
     }
+    longest
 }
 
 /// Pauses a router for most of the time, until the wave is over; returns how often it was found not to
 /// take new connections.
-fn slow_down(router: &mut Router, is_over: &AtomicBool) -> u64 {
+fn slow_down(router: &mut Router, pause: Duration, is_over: &AtomicBool) -> u64 {
     let shed = AtomicU64::new(0);
     let ready = router.ready;
     thread::scope(|scope| {
@@ -54,7 +60,7 @@
         });
         while !is_over.load(Ordering::Relaxed) {
             router.signal(Signal::Pause);
-            thread::sleep(PAUSE_TIME);
+            thread::sleep(pause);
             router.signal(Signal::Resume);
             thread::sleep(RUN_TIME);
         }
@@ -91,7 +97,7 @@
             thread::sleep(WAVE_TIME);
             is_over.store(true, Ordering::Relaxed);
         });
-        slow_down(small, is_over)
+        slow_down(small, PAUSE_TIME, is_over)
     });
     assert!(shed > 0, "the small router was never overloaded");
     let until = Instant::now() + RECOVERY_LIMIT;
@@ -114,3 +120,36 @@
         wrong.first()
     );
 }
+
+/// Guards against callers who are told to come back while the platform still sends new connections to the
+/// router that has refused them: it refuses them again, and they have no further try (issue 68).
+#[test]
+fn refused_callers_return_after_router_has_left_rotation() {
+    let _guard = lock();
+    let (store, address) = Store::start();
+    store.configure(1, &[KEY]);
+    let servers: Vec<Server> = (0..4).map(|n| Server::start(&format!("s{n}"))).collect();
+    for server in &servers {
+        server.register(&store, server.address);
+    }
+    let start = |n| Router::start_named(&format!("r{n}"), address, MEMORY_MB);
+    let mut routers: Vec<Router> = (0..3).map(start).collect();
+    await_service(&routers, "ready");
+    let small = &mut routers[0];
+    let router = small.address;
+    let is_over = AtomicBool::new(false);
+    let longest = thread::scope(|scope| {
+        let is_over = &is_over;
+        let wave: Vec<_> = (0..WAVE_CLIENTS)
+            .map(|number| scope.spawn(move || send_wave(router, number, is_over)))
+            .collect();
+        scope.spawn(move || {
+            thread::sleep(WAVE_TIME);
+            is_over.store(true, Ordering::Relaxed);
+        });
+        slow_down(small, LONG_PAUSE_TIME, is_over);
+        let delays = wave.into_iter().map(|w| w.join().expect("the caller ends"));
+        delays.max().unwrap_or_default()
+    });
+    assert!(longest > SHORT_DELAY, "callers return after {longest:?}");
+}
