--- a/crates/fleet/src/rotation.rs
+++ b/crates/fleet/src/rotation.rs
@@ -24,13 +24,14 @@
 /// Fraction of the room for streams that is used at most when the router returns: in the second or more
 /// until the platform looks again, all new connections of some callers come here.
 const RETURN_FRACTION: f64 = 0.4;
-/// Fraction of the room from which the largest streams go first.
+/// Fraction of the room from which the first request on a new connection is decided on before the
+/// connection is served, since a refusal is cheaper there.
 const CROWDED_FRACTION: f64 = 0.5;
 /// Time constant of the means of use: a fraction of the second between two readiness checks.
 const AVERAGING_TIME: Duration = Duration::from_millis(500);
 /// Time constant with which a stream's cost is learned: the length of a stream.
 const COST_TIME: Duration = Duration::from_secs(2);
-/// Streams in progress, multiplied by their time in seconds, from which their cost is known.
+/// Streams in progress, multiplied by their time in seconds, from which their cost is learned.
 const MIN_STREAM_SECONDS: f64 = 1.0;
 /// Time until the platform has noticed that a router is not ready: it checks once per second and acts on
 /// the second failed check.
@@ -64,8 +65,9 @@
 }
 
 impl Rotation {
-    /// Records the event loop's use while `streams` were in progress; their cost is learned only while
-    /// the loop is in time, as a late one forwards several events at once.
+    /// Records the event loop's use while `streams` were in progress, among which the few plain requests
+    /// count too. Their cost is learned only while the loop is in time, as a late one forwards several
+    /// events at once.
     #[allow(clippy::cast_precision_loss)]
     pub fn observe(&mut self, now: Instant, used: LoopUse, streams: usize, in_time: bool) {
         let Some(before) = self.observed_at.replace(now) else {
@@ -108,7 +110,7 @@
         self.out_since.is_some()
     }
 
-    /// Returns whether [`Self::has_room`] may be false for one stream more than so many.
+    /// Returns whether the router is near full with a further stream.
     #[must_use]
     pub fn is_crowded(&self, streams: usize) -> bool {
         self.part_with(streams) > CROWDED_FRACTION
@@ -150,8 +152,8 @@
         }
     }
 
-    /// Returns the time until new connections go to another router; zero if the router is in rotation, or
-    /// has been out of it for so long that the platform has no other one for them.
+    /// Returns the time until the platform sends new connections to another router; zero if this one is in
+    /// rotation, or the platform has noticed that it is not.
     #[must_use]
     pub fn time_to_notice(&self, now: Instant) -> Duration {
         let until = self.out_since.map(|since| since + NOTICE_TIME);
