--- a/crates/process-tests/tests/overload.rs
+++ b/crates/process-tests/tests/overload.rs
@@ -3,6 +3,7 @@
 //! The small host is made by pausing the router's process for most of each tenth of a second.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -31,6 +32,20 @@
 const WAVE_TOKENS: u32 = 2_000;
 const CALM_TOKENS: u32 = 100;
 
+/// Starts three routers of a deployment with four servers.
+fn start_deployment() -> (Arc<Store>, Vec<Server>, Vec<Router>) {
+    let (store, address) = Store::start();
+    store.configure(1, &[KEY]);
+    let servers: Vec<Server> = (0..4).map(|n| Server::start(&format!("s{n}"))).collect();
+    for server in &servers {
+        server.register(&store, server.address);
+    }
+    let start = |n| Router::start_named(&format!("r{n}"), address, MEMORY_MB);
+    let routers: Vec<Router> = (0..3).map(start).collect();
+    await_service(&routers, "ready");
+    (store, servers, routers)
+}
+
 /// Sends streams to a router until the wave is over; returns the longest delay that it was told.
 fn send_wave(address: SocketAddr, number: u64, is_over: &AtomicBool) -> Duration {
     let mut client = Client::new(address).with_tokens(WAVE_TOKENS, 20);
@@ -73,15 +88,7 @@
 #[test]
 fn router_serves_all_requests_after_its_overload() {
     let _guard = lock();
-    let (store, address) = Store::start();
-    store.configure(1, &[KEY]);
-    let servers: Vec<Server> = (0..4).map(|n| Server::start(&format!("s{n}"))).collect();
-    for server in &servers {
-        server.register(&store, server.address);
-    }
-    let start = |n| Router::start_named(&format!("r{n}"), address, MEMORY_MB);
-    let mut routers: Vec<Router> = (0..3).map(start).collect();
-    await_service(&routers, "ready");
+    let (_store, _servers, mut routers) = start_deployment();
     let addresses: Vec<SocketAddr> = routers.iter().map(|r| r.address).collect();
     let small = &mut routers[0];
     let is_over = AtomicBool::new(false);
@@ -126,15 +133,7 @@
 #[test]
 fn refused_callers_return_after_router_has_left_rotation() {
     let _guard = lock();
-    let (store, address) = Store::start();
-    store.configure(1, &[KEY]);
-    let servers: Vec<Server> = (0..4).map(|n| Server::start(&format!("s{n}"))).collect();
-    for server in &servers {
-        server.register(&store, server.address);
-    }
-    let start = |n| Router::start_named(&format!("r{n}"), address, MEMORY_MB);
-    let mut routers: Vec<Router> = (0..3).map(start).collect();
-    await_service(&routers, "ready");
+    let (_store, _servers, mut routers) = start_deployment();
     let small = &mut routers[0];
     let router = small.address;
     let is_over = AtomicBool::new(false);
