fleet, front: share the decay, and simplify the room's check and the meter of use

No change of behaviour. The exponential decay stood in four places; window::decay serves all. Pressure::has_room sums the workspaces' counts only for a stream that it would refuse, and not for each one in calm. Refusals at the head are counted by one call in place of two that depend on their order. UseMeter keeps one pair of times.

--- a/crates/fleet/src/fleet/choice.rs
+++ b/crates/fleet/src/fleet/choice.rs
@@ -236,10 +236,9 @@
         let charge = initial_charge(request.filter(|r| !r.admitted));
         let workspace = request.and_then(|r| r.submission.workspace);
         let shortfall = limits::shortfall(share);
-        let new = Connection::New;
         let admits = |charge| {
             self.pressure
-                .admits_stream(new, workspace, shortfall, charge)
+                .admits_stream(Connection::New, workspace, shortfall, charge)
         };
         if charge.is_some_and(|c| !admits(c)) {
             let lag = self.pressure.lag();
--- a/crates/fleet/src/fleet/overload.rs
+++ b/crates/fleet/src/fleet/overload.rs
@@ -117,7 +117,7 @@
         }
         let shortfall = self.recent_shortfall(now, workspace);
         let charge = prompt.charge();
-        let admits = self.has_room(now, connection, (workspace, shortfall), charge)
+        let admits = self.has_room(now, connection, workspace, shortfall, charge)
             && self
                 .pressure
                 .admits_stream(connection, workspace, shortfall, charge);
@@ -134,13 +134,14 @@
         &mut self,
         now: Instant,
         connection: Connection,
-        workspace: (Option<WorkspaceHash>, f64),
+        workspace: Option<WorkspaceHash>,
+        shortfall: f64,
         charge: f64,
     ) -> bool {
         let was_shed = self.sheds();
         let requests = self.requests.len();
         let pressure = &mut self.pressure;
-        let has_room = pressure.has_room(now, connection, workspace, charge, requests);
+        let has_room = pressure.has_room(now, connection, workspace, shortfall, charge, requests);
         if self.sheds() != was_shed {
             self.log_rotation();
         }
--- a/crates/fleet/src/pressure.rs
+++ b/crates/fleet/src/pressure.rs
@@ -15,6 +15,7 @@
 
 use crate::quota::WorkspaceHash;
 use crate::rotation::{LoopUse, Rotation};
+use crate::window::decay;
 
 /// Time constant of the lag's moving average: a fraction of the second between two readiness
 /// checks, and several iterations of a busy loop.
@@ -132,10 +133,9 @@
     /// Returns whether streams may be refused while so many requests are in progress.
     #[must_use]
     pub fn may_refuse(&self, requests: usize) -> bool {
-        let new = Connection::New;
         self.sheds_connections()
             || self.rotation.is_crowded(requests)
-            || !self.admits_stream(new, None, 0.0, 0.0)
+            || !self.admits_stream(Connection::New, None, 0.0, 0.0)
     }
 
     /// Returns whether there is room for a stream while so many requests are in progress; leaves the
@@ -149,24 +149,26 @@
         &mut self,
         now: Instant,
         connection: Connection,
-        (workspace, shortfall): (Option<WorkspaceHash>, f64),
+        workspace: Option<WorkspaceHash>,
+        shortfall: f64,
         charge: f64,
         requests: usize,
     ) -> bool {
-        if !workspace.is_some_and(|w| self.is_dominant(w)) {
-            return true;
-        }
         let is_new = connection == Connection::New;
-        if is_new && !self.rotation.has_room(requests) {
-            self.rotation.leave(now);
-            return false;
-        }
+        let is_full = is_new && !self.rotation.has_room(requests);
         let needed = if self.time_to_notice(now).is_zero() {
             0.0
         } else {
             shortfall * MAX_SELECTIVITY * self.mean_charge
         };
-        charge >= needed && (!is_new || self.recent_lag < SHED_LAG)
+        let is_refused = is_full || charge < needed || (is_new && self.recent_lag >= SHED_LAG);
+        if !is_refused || !workspace.is_some_and(|w| self.is_dominant(w)) {
+            return true;
+        }
+        if is_full {
+            self.rotation.leave(now);
+        }
+        false
     }
 
     /// Returns the time until the platform has noticed that new connections should go elsewhere.
@@ -250,8 +252,3 @@
     let weight = decay(elapsed, constant);
     mean.mul_f64(weight) + value.mul_f64(1.0 - weight)
 }
-
-/// Returns what remains of 1 after an exponential decay with a time constant.
-fn decay(elapsed: Duration, constant: Duration) -> f64 {
-    (-elapsed.as_secs_f64() / constant.as_secs_f64()).exp()
-}
--- a/crates/fleet/src/rollout/verdict.rs
+++ b/crates/fleet/src/rollout/verdict.rs
@@ -8,6 +8,8 @@
 
 use hibiscusrail_macros::id;
 
+use crate::window::decay;
+
 /// Number of buckets of the times to first byte.
 pub const BUCKETS: usize = 24;
 /// Upper bound of the first bucket; each further one is larger by the square root of two.
@@ -279,7 +281,7 @@
     pub fn evaluate(&mut self, now: Instant) -> Option<Fault> {
         let last = self.evaluated_at.replace(now);
         let elapsed = last.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let factor = (-elapsed.as_secs_f64() / RECENT.as_secs_f64()).exp();
+        let factor = decay(elapsed, RECENT);
         let mut all = Recent::default();
         for zone in self.zones.values_mut() {
             zone.recent.decay(factor);
--- a/crates/fleet/src/rotation.rs
+++ b/crates/fleet/src/rotation.rs
@@ -15,6 +15,8 @@
 
 use hibiscusrail_macros::value;
 
+use crate::window::decay;
+
 /// Fraction of the event loop's time that streams may use, together with the control work, before the
 /// router is full. The rest is for refusing the connections that still arrive until the platform has
 /// noticed, and for streams that begin together.
@@ -73,18 +75,19 @@
         let Some(before) = self.observed_at.replace(now) else {
             return;
         };
-        let elapsed = now.saturating_duration_since(before).as_secs_f64();
-        let weight = (-elapsed / AVERAGING_TIME.as_secs_f64()).exp();
+        let elapsed = now.saturating_duration_since(before);
+        let weight = decay(elapsed, AVERAGING_TIME);
         let mean = |old: f64, new: f64| old * weight + new * (1.0 - weight);
         self.control = mean(self.control, used.control);
         self.streams = mean(self.streams, streams as f64);
         if !in_time {
             return;
         }
-        let kept = (-elapsed / COST_TIME.as_secs_f64()).exp();
+        let kept = decay(elapsed, COST_TIME);
+        let seconds = elapsed.as_secs_f64();
         let (cost, time) = self.learned;
-        let cost = cost * kept + used.requests * elapsed;
-        let time = time * kept + streams as f64 * elapsed;
+        let cost = cost * kept + used.requests * seconds;
+        let time = time * kept + streams as f64 * seconds;
         self.learned = (cost, time);
         if time >= MIN_STREAM_SECONDS {
             self.stream_cost = cost / time;
@@ -137,7 +140,7 @@
     pub fn update(&mut self, now: Instant, is_late: bool, has_recovered: bool) -> bool {
         match self.out_since {
             None if is_late || self.used() >= 1.0 => {
-                self.out_since = Some(now);
+                self.leave(now);
                 true
             }
             Some(since)
--- a/crates/fleet/src/window.rs
+++ b/crates/fleet/src/window.rs
@@ -82,3 +82,8 @@
         }
     }
 }
+
+/// Returns what remains of 1 after an exponential decay with a time constant.
+pub(crate) fn decay(elapsed: Duration, constant: Duration) -> f64 {
+    (-elapsed.as_secs_f64() / constant.as_secs_f64()).exp()
+}
--- a/crates/fleet/tests/all/unequal_routers.rs
+++ b/crates/fleet/tests/all/unequal_routers.rs
@@ -1,10 +1,9 @@
 //! Workspaces whose callers meet at one router each, in a zone of routers with unequal processors.
 //!
 //! The platform sends all new connections of a workspace's callers, those for retries too, to the first router
-//! of an order of their own that is in rotation. Callers that keep connections
-//! open use an idle one first, whichever router it leads to. Each router has an event loop
-//! that works in order of arrival, urgent work first, and a queue of connections that wait to be accepted.
-//! Each kind of work has a cost. The engines have room for all that the routers can forward.
+//! of an order of their own that is in rotation. Callers that keep connections open use an idle one first,
+//! whichever router it leads to. Each router has an event loop that works in order of arrival, urgent work
+//! first, and a queue of connections that wait to be accepted. Each kind of work has a cost. The engines have room for all that the routers can forward.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
--- a/crates/front/src/overload.rs
+++ b/crates/front/src/overload.rs
@@ -69,16 +69,14 @@
         self.counters.count();
         shell
             .unserved()
-            .count(self.counters.workspace(), Reason::RouterBusy);
-        if connection == Connection::Kept {
-            shell.unserved().count_kept(self.counters.workspace());
-        }
+            .count_at_head(self.counters.workspace(), connection);
         let time = shell.now().saturating_duration_since(now);
         shell.work().add(Kind::Refusal, time);
         if logs::has_token() {
-            let (late, share) =
-                shell.with_fleet_mut(|f| (f.loop_lag(), f.workspace_share(now, self.workspace)));
-            let room_used = shell.with_fleet(Fleet::room_used);
+            let (late, room_used, share) = shell.with_fleet_mut(|f| {
+                let share = f.workspace_share(now, self.workspace);
+                (f.loop_lag(), f.room_used(), share)
+            });
             log::info!(
                 request:? = id,
                 workspace = self.counters.workspace(),
--- a/crates/front/src/unserved.rs
+++ b/crates/front/src/unserved.rs
@@ -10,6 +10,7 @@
 
 use hibiscusrail_fleet::event::Reason;
 use hibiscusrail_fleet::peers::Total;
+use hibiscusrail_fleet::pressure::Connection;
 
 use crate::overload::workspace_hash;
 use crate::shell::{Shell, millis};
@@ -60,20 +61,22 @@
 impl Unserved {
     /// Counts a refused request.
     pub fn count(&self, workspace: &str, reason: Reason) {
-        let mut refused = self.refused.borrow_mut();
-        match refused.get_mut(workspace) {
-            Some(refused) => refused.count(reason),
-            None => refused
-                .entry(workspace.to_owned())
-                .or_default()
-                .count(reason),
-        }
+        self.update(workspace, |refused| refused.count(reason));
+    }
+
+    /// Counts a stream that was refused at its head for the router's overload.
+    pub fn count_at_head(&self, workspace: &str, connection: Connection) {
+        self.update(workspace, |refused| {
+            refused.count(Reason::RouterBusy);
+            refused.on_kept += u32::from(connection == Connection::Kept);
+        });
     }
 
-    /// Counts that a request was refused on a kept connection, after [`Self::count`].
-    pub fn count_kept(&self, workspace: &str) {
-        if let Some(refused) = self.refused.borrow_mut().get_mut(workspace) {
-            refused.on_kept += 1;
+    fn update(&self, workspace: &str, count: impl FnOnce(&mut Refused)) {
+        let mut refused = self.refused.borrow_mut();
+        match refused.get_mut(workspace) {
+            Some(refused) => count(refused),
+            None => count(refused.entry(workspace.to_owned()).or_default()),
         }
     }
 
--- a/crates/front/src/work.rs
+++ b/crates/front/src/work.rs
@@ -147,8 +147,8 @@
 #[derive(Debug)]
 pub struct UseMeter {
     at: Instant,
-    control: Duration,
-    requests: Duration,
+    /// Time used for control work and for requests until then.
+    used: (Duration, Duration),
 }
 
 impl UseMeter {
@@ -157,26 +157,25 @@
     pub fn new(now: Instant) -> Self {
         Self {
             at: now,
-            control: Duration::ZERO,
-            requests: Duration::ZERO,
+            used: (Duration::ZERO, Duration::ZERO),
         }
     }
 
     /// Returns the use since the last call.
     pub fn take(&mut self, now: Instant, totals: LoopTotals) -> LoopUse {
         let elapsed = now.saturating_duration_since(std::mem::replace(&mut self.at, now));
-        let (control, requests) = totals.split();
-        let before = std::mem::replace(&mut self.control, control);
-        let control = control.saturating_sub(before);
-        let before = std::mem::replace(&mut self.requests, requests);
-        let requests = requests.saturating_sub(before);
-        let part = |time: Duration| match elapsed.is_zero() {
-            true => 0.0,
-            false => (time.as_secs_f64() / elapsed.as_secs_f64()).min(1.0),
+        let used = totals.split();
+        let before = std::mem::replace(&mut self.used, used);
+        if elapsed.is_zero() {
+            return LoopUse::default();
+        }
+        let part = |used: Duration, before: Duration| {
+            let time = used.saturating_sub(before);
+            time.div_duration_f64(elapsed).min(1.0)
         };
         LoopUse {
-            control: part(control),
-            requests: part(requests),
+            control: part(used.0, before.0),
+            requests: part(used.1, before.1),
         }
     }
 }
